--- /dev/null
+++ b/crates/core/src/agreement/log.rs
@@ -0,0 +1,88 @@
+//! The log in memory: a tail of entries behind a snapshot.
+
+use std::collections::VecDeque;
+
+use crate::agreement::Entry;
+
+/// The entries after a base; the base itself stands in a snapshot.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct Log {
+    base_index: u64,
+    base_term: u64,
+    entries: VecDeque<Entry>,
+}
+
+impl Log {
+    /// Returns the index of the last entry, or of the base.
+    #[must_use]
+    pub fn last_index(&self) -> u64 {
+        self.base_index + self.entries.len() as u64
+    }
+
+    /// Returns the term of the last entry, or of the base.
+    #[must_use]
+    pub fn last_term(&self) -> u64 {
+        self.entries.back().map_or(self.base_term, |entry| entry.term)
+    }
+
+    /// Returns the index that the snapshot reaches to.
+    #[must_use]
+    pub fn base_index(&self) -> u64 {
+        self.base_index
+    }
+
+    /// Returns the term of the entry at `index`, where it is still known.
+    #[must_use]
+    pub fn term_at(&self, index: u64) -> Option<u64> {
+        if index == self.base_index {
+            return Some(self.base_term);
+        }
+        self.get(index).map(|entry| entry.term)
+    }
+
+    /// Returns the entry at `index`, where it is in the tail.
+    #[must_use]
+    pub fn get(&self, index: u64) -> Option<&Entry> {
+        let offset = index.checked_sub(self.base_index + 1)?;
+        self.entries.get(usize::try_from(offset).ok()?)
+    }
+
+    /// Returns up to `max` entries from `index` on.
+    pub fn from(&self, index: u64, max: usize) -> impl Iterator<Item = &Entry> {
+        let offset = index.saturating_sub(self.base_index + 1);
+        self.entries.iter().skip(usize::try_from(offset).unwrap_or(usize::MAX)).take(max)
+    }
+
+    /// Returns the entries of the tail, newest first.
+    pub fn newest_first(&self) -> impl Iterator<Item = &Entry> {
+        self.entries.iter().rev()
+    }
+
+    /// Adds an entry at the end.
+    pub fn push(&mut self, entry: Entry) {
+        debug_assert_eq!(entry.index, self.last_index() + 1);
+        self.entries.push_back(entry);
+    }
+
+    /// Removes the entries from `index` on.
+    pub fn truncate(&mut self, index: u64) {
+        let keep = index.saturating_sub(self.base_index + 1);
+        self.entries.truncate(usize::try_from(keep).unwrap_or(usize::MAX));
+    }
+
+    /// Drops the entries up to and with `index`, which a snapshot now holds.
+    pub fn compact(&mut self, index: u64) {
+        let Some(term) = self.term_at(index) else { return };
+        let drop = index.saturating_sub(self.base_index);
+        self.entries.drain(..usize::try_from(drop).unwrap_or(0));
+        self.base_index = index;
+        self.base_term = term;
+    }
+
+    /// Forgets everything and starts behind a snapshot.
+    pub fn reset(&mut self, index: u64, term: u64) {
+        self.entries.clear();
+        self.base_index = index;
+        self.base_term = term;
+    }
+}
--- /dev/null
+++ b/crates/core/src/agreement/message.rs
@@ -0,0 +1,101 @@
+//! Messages between the replicas of a group.
+
+use serde::{Deserialize, Serialize};
+
+use crate::agreement::{Entry, Snapshot, Voter};
+use crate::time::Millis;
+
+/// Names a group among those that a host takes part in.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum GroupId {
+    /// The hosts with disks of all zones; they agree on the settings.
+    Fleet,
+    /// The hosts of the sender's zone; they keep that zone's records.
+    Zone,
+}
+
+/// A message with the group and the formation that it belongs to.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub struct GroupFrame {
+    /// The group.
+    pub group: GroupId,
+    /// The number of the group's first voter set; frames of another formation are dropped.
+    pub formation: u64,
+    /// The message.
+    pub message: GroupMessage,
+}
+
+/// What one replica tells another.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum GroupMessage {
+    /// The sender has no state and is not a voter.
+    Blank {
+        /// The sender's incarnation.
+        incarnation: u64,
+    },
+    /// The first voter set of a group.
+    Form {
+        /// Every voter.
+        voters: Vec<Voter>,
+    },
+    /// Asks for a vote.
+    Vote {
+        /// The candidate's term, or the term it would take where `pre` is set.
+        term: u64,
+        /// The index of the candidate's last entry.
+        last_index: u64,
+        /// The term of the candidate's last entry.
+        last_term: u64,
+        /// Whether this only asks if a vote would be given.
+        pre: bool,
+    },
+    /// Answers a `Vote`.
+    VoteReply {
+        /// The voter's term, or the term asked about where a pre-vote is granted.
+        term: u64,
+        /// Whether the vote is given.
+        granted: bool,
+        /// Whether a pre-vote is answered.
+        pre: bool,
+    },
+    /// Entries, or a heartbeat without any.
+    Append {
+        /// The leader's term.
+        term: u64,
+        /// The index before the first entry sent.
+        prev_index: u64,
+        /// The term at that index.
+        prev_term: u64,
+        /// The entries.
+        entries: Vec<Entry>,
+        /// The index up to which the leader has committed.
+        commit: u64,
+        /// The leader's monotonic clock when it sent this.
+        sent_at: Millis,
+    },
+    /// The whole state, for a replica that lags behind the leader's log.
+    Install {
+        /// The leader's term.
+        term: u64,
+        /// The state.
+        snapshot: Snapshot,
+        /// The leader's monotonic clock when it sent this.
+        sent_at: Millis,
+    },
+    /// Answers an `Append` or `Install`.
+    AppendReply {
+        /// The sender's term.
+        term: u64,
+        /// The sender's incarnation.
+        incarnation: u64,
+        /// Whether the entries fitted the sender's log.
+        accepted: bool,
+        /// The last index known to match; after a refusal, where to try next.
+        matched: u64,
+        /// The leader's clock from the message that this answers.
+        sent_at: Millis,
+    },
+}
--- /dev/null
+++ b/crates/core/src/board/due.rs
@@ -0,0 +1,25 @@
+//! When the controllers have something to do that no event announces.
+
+use serde::{Deserialize, Serialize};
+
+use crate::time::Millis;
+
+/// The next time of each recurring piece of work, on the monotonic clock.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct Due {
+    /// Heartbeats to the hosts of this zone.
+    pub near_heartbeat: Millis,
+    /// Heartbeats to the other zones.
+    pub far_heartbeat: Millis,
+    /// Asking another host for newer settings.
+    pub settings_pull: Millis,
+    /// Looking for silent upstreams and sharing out their slots.
+    pub registry: Millis,
+    /// Looking after assigned samples.
+    pub assignment: Millis,
+    /// Handing over the ends of non-idempotent requests again.
+    pub conclusions: Millis,
+    /// Looking for upstreams that run an old version.
+    pub weights: Millis,
+}
--- /dev/null
+++ b/crates/core/src/board/groups.rs
@@ -0,0 +1,140 @@
+//! The replicas on the board, their applied state, and what waits for the disk.
+
+use std::collections::{BTreeMap, VecDeque};
+
+use crate::agreement::{GroupId, Outbox, Record, Replica, Voter};
+use crate::board::{GroupResult, Purpose, Wish};
+use crate::fleet::FleetState;
+use crate::host_settings::HostSettings;
+use crate::key::{HostId, SyncToken};
+use crate::message::Message;
+use crate::records::{Applied, ZoneRecords};
+
+/// A replica with the purposes of the commands that this host wrote.
+#[derive(Debug)]
+pub struct GroupBox {
+    /// The replica.
+    pub replica: Replica,
+    /// For each index of this host's own commands the term and the purpose.
+    pub written: BTreeMap<u64, (u64, Purpose)>,
+    /// What the replica wants done.
+    pub out: Outbox,
+    /// Whether this host led the group when it last looked.
+    pub led: bool,
+}
+
+/// A message that may leave only when a batch of records is synced.
+#[derive(Debug, Clone)]
+pub struct HeldMessage {
+    /// The batch.
+    pub token: SyncToken,
+    /// The receiver.
+    pub to: HostId,
+    /// The message.
+    pub message: Message,
+}
+
+/// A batch of records on its way to the disk.
+#[derive(Debug, Clone, Copy)]
+pub struct SyncBatch {
+    /// The token.
+    pub token: SyncToken,
+    /// The last index of the fleet group's log when the batch left.
+    pub fleet: u64,
+    /// The last index of the zone group's log when the batch left.
+    pub zone: u64,
+}
+
+/// The groups that a host takes part in.
+#[derive(Debug)]
+pub struct Groups {
+    /// The fleet group, on hosts with a disk.
+    pub fleet: Option<GroupBox>,
+    /// The zone group.
+    pub zone: GroupBox,
+    /// The applied state of the fleet group.
+    pub fleet_state: FleetState,
+    /// The applied state of the zone group.
+    pub records: ZoneRecords,
+    /// Commands that controllers want written.
+    pub wishes: Vec<Wish>,
+    /// Commands of this host whose fate is known.
+    pub results: Vec<GroupResult>,
+    /// Commands that were refused after this round's results were read.
+    pub refused: Vec<GroupResult>,
+    /// What was applied to the zone's records in this round, by whichever host it was written.
+    pub applied: Vec<Applied>,
+    /// Records that are to be written.
+    pub records_out: Vec<Record>,
+    /// The last token given out.
+    pub token: SyncToken,
+    /// Batches on their way.
+    pub syncing: VecDeque<SyncBatch>,
+    /// Messages that wait for a batch.
+    pub held: VecDeque<HeldMessage>,
+    /// The term and leader of the fleet group, as far as this host has heard.
+    pub fleet_leader: Option<(u64, HostId)>,
+}
+
+impl Groups {
+    /// Makes the replicas that a host's settings name.
+    #[must_use]
+    pub fn new(cfg: &HostSettings) -> Self {
+        let in_zone = cfg.fleet.iter().filter(|peer| peer.zone == cfg.zone);
+        let zone: Vec<HostId> = in_zone.map(|peer| peer.id).collect();
+        let on_disk = cfg.fleet.iter().filter(|peer| peer.disk);
+        let fleet: Vec<HostId> = on_disk.map(|peer| peer.id).collect();
+        Self {
+            fleet: cfg.disk.then(|| GroupBox::new(cfg, GroupId::Fleet, fleet)),
+            zone: GroupBox::new(cfg, GroupId::Zone, zone),
+            fleet_state: FleetState::default(),
+            records: ZoneRecords::default(),
+            wishes: Vec::new(),
+            results: Vec::new(),
+            refused: Vec::new(),
+            applied: Vec::new(),
+            records_out: Vec::new(),
+            token: SyncToken(0),
+            syncing: VecDeque::new(),
+            held: VecDeque::new(),
+            fleet_leader: None,
+        }
+    }
+
+    /// Returns the replica of a group, where this host has one.
+    pub fn group_mut(&mut self, group: GroupId) -> Option<&mut GroupBox> {
+        match group {
+            GroupId::Fleet => self.fleet.as_mut(),
+            GroupId::Zone => Some(&mut self.zone),
+        }
+    }
+
+    /// Gives up the lead of every group.
+    pub fn resign(&mut self) {
+        self.zone.replica.resign();
+        if let Some(group) = &mut self.fleet {
+            group.replica.resign();
+        }
+    }
+
+    /// Returns the replica of a group, where this host has one.
+    #[must_use]
+    pub fn group(&self, group: GroupId) -> Option<&GroupBox> {
+        match group {
+            GroupId::Fleet => self.fleet.as_ref(),
+            GroupId::Zone => Some(&self.zone),
+        }
+    }
+}
+
+impl GroupBox {
+    fn new(cfg: &HostSettings, group: GroupId, members: Vec<HostId>) -> Self {
+        let me = Voter::new(cfg.id, cfg.incarnation);
+        Self {
+            replica: Replica::new(group, me, members, cfg.disk, cfg.election),
+            written: BTreeMap::new(),
+            out: Outbox::default(),
+            led: false,
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/board/in_force.rs
@@ -0,0 +1,20 @@
+//! The settings that this host serves under.
+
+use serde::{Deserialize, Serialize};
+
+use crate::fleet::FleetSettings;
+use crate::time::Millis;
+
+/// The settings in force, and since when.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct InForce {
+    /// The settings.
+    pub settings: FleetSettings,
+    /// Since when, in wall time.
+    pub since: Millis,
+    /// Settings that came in and are to be taken where they are newer.
+    pub offered: Option<FleetSettings>,
+    /// Whether other hosts are still to be told of a new version.
+    pub tell: bool,
+}
--- /dev/null
+++ b/crates/core/src/board/service.rs
@@ -0,0 +1,61 @@
+//! Services on the board, with the requests that wait for them.
+
+use std::collections::VecDeque;
+
+use serde::{Deserialize, Serialize};
+
+use crate::board::Class;
+use crate::key::{RequestKey, UpstreamKey};
+
+/// One service.
+#[derive(Debug, Clone, Default, Serialize, Deserialize)]
+#[serde(default)]
+pub struct Service {
+    /// Its name.
+    pub name: Box<str>,
+    /// Interactive requests that wait.
+    pub interactive: VecDeque<RequestKey>,
+    /// Rollout requests that wait.
+    pub rollout: VecDeque<RequestKey>,
+    /// Its upstreams in this zone.
+    pub upstreams: Vec<UpstreamKey>,
+    /// Whether its upstreams say that calls may be sent again; true until one says no.
+    pub repeatable: bool,
+}
+
+impl Service {
+    /// Makes a service without upstreams.
+    #[must_use]
+    pub fn new(name: impl Into<Box<str>>) -> Self {
+        Self { name: name.into(), repeatable: true, ..Default::default() }
+    }
+
+    /// Returns the queue of a class.
+    #[must_use]
+    pub fn queue(&self, class: Class) -> &VecDeque<RequestKey> {
+        match class {
+            Class::Interactive => &self.interactive,
+            Class::Rollout => &self.rollout,
+        }
+    }
+
+    /// Returns the queue of a class to change it.
+    pub fn queue_mut(&mut self, class: Class) -> &mut VecDeque<RequestKey> {
+        match class {
+            Class::Interactive => &mut self.interactive,
+            Class::Rollout => &mut self.rollout,
+        }
+    }
+
+    /// Returns the number of requests that wait.
+    #[must_use]
+    pub fn waiting(&self) -> usize {
+        self.interactive.len() + self.rollout.len()
+    }
+
+    /// Takes a request out of the queues.
+    pub fn forget(&mut self, key: RequestKey) {
+        self.interactive.retain(|other| *other != key);
+        self.rollout.retain(|other| *other != key);
+    }
+}
--- /dev/null
+++ b/crates/core/src/board/work.rs
@@ -0,0 +1,68 @@
+//! Samples that are being generated, on the board.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::sync::Arc;
+
+use crate::key::{HostId, RequestKey};
+use crate::message::{SampleJob, SampleResult};
+use crate::records::{IntentKey, Outcome, Output, SampleId};
+use crate::time::Millis;
+
+/// How many results a host keeps in case its leader asks for a sample again.
+const KEPT_RESULTS: usize = 512;
+
+/// A sample that this leader has given to a host.
+#[derive(Debug, Clone, Copy)]
+pub struct Assigned {
+    /// The host.
+    pub host: HostId,
+    /// When it was last told.
+    pub told: Millis,
+}
+
+/// Samples that are being generated.
+#[derive(Debug, Default)]
+pub struct Work {
+    /// On the leader: who generates which sample.
+    pub assigned: BTreeMap<SampleId, Assigned>,
+    /// On each host: the requests of the samples that it generates.
+    pub running: BTreeMap<SampleId, RequestKey>,
+    /// Results that are to be handed to the leader named.
+    pub results: Vec<(HostId, SampleResult)>,
+    /// The latest results, kept in case the leader asks again.
+    pub kept: VecDeque<SampleResult>,
+    /// Fetches that wait for samples.
+    pub polls: Vec<RequestKey>,
+    /// Ends of non-idempotent requests that the log does not have yet.
+    pub conclusions: BTreeMap<IntentKey, Outcome>,
+    /// Requests that wait for the end of a non-idempotent request recorded before.
+    pub waiters: BTreeMap<IntentKey, Vec<RequestKey>>,
+    /// Requests that are to be handed to another host.
+    pub forwards: VecDeque<RequestKey>,
+}
+
+impl Work {
+    /// Leaves the result of a sample for the leader that asked for it.
+    pub fn report(
+        &mut self,
+        leader: HostId,
+        job: &SampleJob,
+        output: Result<Arc<Output>, Box<str>>,
+    ) {
+        self.running.remove(&job.sample);
+        let result = SampleResult { sample: job.sample, round: job.round, output };
+        if result.output.is_ok() {
+            self.kept.push_back(result.clone());
+        }
+        if self.kept.len() > KEPT_RESULTS {
+            self.kept.pop_front();
+        }
+        self.results.push((leader, result));
+    }
+
+    /// Returns the kept result of a job.
+    #[must_use]
+    pub fn kept_result(&self, job: &SampleJob) -> Option<&SampleResult> {
+        self.kept.iter().find(|result| result.sample == job.sample && result.round == job.round)
+    }
+}
--- /dev/null
+++ b/crates/core/src/board/zone.rs
@@ -0,0 +1,35 @@
+//! Availability zones on the board.
+
+use serde::{Deserialize, Serialize};
+
+use crate::key::HostKey;
+use crate::message::ZoneDigest;
+
+/// One availability zone.
+#[derive(Debug, Clone, Default, Serialize, Deserialize)]
+#[serde(default)]
+pub struct Zone {
+    /// Its name.
+    pub name: Box<str>,
+    /// Its hosts.
+    pub hosts: Vec<HostKey>,
+    /// The newest summary that this host has.
+    pub digest: ZoneDigest,
+}
+
+impl Zone {
+    /// Makes a zone without hosts.
+    #[must_use]
+    pub fn new(name: impl Into<Box<str>>) -> Self {
+        let name = name.into();
+        let digest = ZoneDigest { zone: name.clone(), ..Default::default() };
+        Self { name, hosts: Vec::new(), digest }
+    }
+
+    /// Returns the number of upstreams of a service that the zone reported.
+    #[must_use]
+    pub fn upstreams_of(&self, service: &str) -> u32 {
+        let found = self.digest.services.iter().find(|(name, _)| &**name == service);
+        found.map_or(0, |(_, count)| *count)
+    }
+}
--- /dev/null
+++ b/crates/core/src/controller/agreement.rs
@@ -0,0 +1,183 @@
+//! Agreement: feeds the replicas, and applies what they commit.
+//!
+//! Reads: group messages, synced batches, restored records, the clock.
+//! Writes: `groups` (replicas, applied state, results), `in_force.offered`.
+
+use rand::Rng;
+
+use super::Controller;
+use crate::agreement::{Command, Entry, GroupFrame, GroupId, GroupState, Record, Replica};
+use crate::board::{Board, Fate, GroupResult, Purpose};
+use crate::event::Event;
+use crate::key::{HostId, SyncToken};
+use crate::message::Message;
+use crate::time::Millis;
+use crate::timeline::EventKind;
+
+const GROUPS: [GroupId; 2] = [GroupId::Fleet, GroupId::Zone];
+
+/// Runs the replicas.
+#[derive(Debug)]
+pub(super) struct Agreement;
+
+impl Controller for Agreement {
+    fn run(&mut self, board: &mut Board, event: Option<&Event>) {
+        board.groups.applied.clear();
+        board.groups.results = std::mem::take(&mut board.groups.refused);
+        match event {
+            Some(Event::Restored(records)) => restore(board, records),
+            Some(Event::Synced(token)) => synced(board, *token),
+            Some(Event::Received(envelope)) => {
+                if let Message::Group(frame) = &envelope.message {
+                    receive(board, envelope.from, frame);
+                }
+            }
+            _ => {}
+        }
+        for group in GROUPS {
+            tick(board, group);
+            apply(board, group);
+            compact(board, group);
+            note_leadership(board, group);
+        }
+    }
+
+    fn next_deadline(&self, board: &Board) -> Millis {
+        let zone = board.groups.zone.replica.next_deadline();
+        let fleet = board.groups.fleet.as_ref().map(|group| group.replica.next_deadline());
+        fleet.map_or(zone, |fleet| fleet.min(zone))
+    }
+}
+
+fn restore(board: &mut Board, records: &[Record]) {
+    for record in records {
+        if let Record::InForce { settings } = record {
+            board.in_force.offered = Some(settings.clone());
+            continue;
+        }
+        let Some(group) = board.groups.group_mut(record.group()) else { continue };
+        group.replica.restore(record.clone());
+    }
+    for group in GROUPS {
+        take_installed(board, group);
+    }
+}
+
+fn synced(board: &mut Board, token: SyncToken) {
+    while let Some(batch) = board.groups.syncing.front().copied() {
+        if batch.token > token {
+            break;
+        }
+        board.groups.syncing.pop_front();
+        if let Some(group) = &mut board.groups.fleet {
+            group.replica.synced(batch.fleet);
+        }
+        board.groups.zone.replica.synced(batch.zone);
+    }
+    while let Some(held) = board.groups.held.front() {
+        if held.token > token {
+            break;
+        }
+        let Some(held) = board.groups.held.pop_front() else { break };
+        board.send(held.to, held.message);
+    }
+}
+
+fn receive(board: &mut Board, from: HostId, frame: &GroupFrame) {
+    let now = board.now;
+    let Some(group) = board.groups.group_mut(frame.group) else { return };
+    group.replica.receive(now, from, frame.formation, frame.message.clone(), &mut group.out);
+}
+
+fn tick(board: &mut Board, group: GroupId) {
+    let (now, jitter) = (board.now, board.rng.random::<u32>());
+    let Some(group) = board.groups.group_mut(group) else { return };
+    if now.mono < group.replica.next_deadline() {
+        return;
+    }
+    group.replica.tick(now, u64::from(jitter), &mut group.out);
+}
+
+fn apply(board: &mut Board, group: GroupId) {
+    take_installed(board, group);
+    loop {
+        let Some(group_box) = board.groups.group_mut(group) else { return };
+        let Some(entry) = group_box.replica.next_committed() else { return };
+        let written = group_box.written.remove(&entry.index);
+        apply_entry(board, &entry, written);
+    }
+}
+
+fn apply_entry(board: &mut Board, entry: &Entry, written: Option<(u64, Purpose)>) {
+    let fate = match &entry.command {
+        Command::Noop | Command::Voters(_) => None,
+        Command::Change(change) => {
+            let answer = board.groups.fleet_state.apply(change);
+            board.in_force.offered = Some(board.groups.fleet_state.settings.clone());
+            Some(Fate::Changed(answer))
+        }
+        Command::Zone(command) => {
+            let applied = board.groups.records.apply(command);
+            board.groups.applied.push(applied.clone());
+            Some(Fate::Zone(applied))
+        }
+    };
+    let Some((term, purpose)) = written else { return };
+    let fate = match fate {
+        Some(fate) if term == entry.term => fate,
+        _ => Fate::Replaced,
+    };
+    board.groups.results.push(GroupResult { purpose, fate });
+}
+
+fn take_installed(board: &mut Board, group: GroupId) {
+    let Some(group) = board.groups.group_mut(group) else { return };
+    match group.replica.take_installed() {
+        Some(GroupState::Fleet(state)) => {
+            board.in_force.offered = Some(state.settings.clone());
+            board.groups.fleet_state = state;
+        }
+        Some(GroupState::Zone(records)) => board.groups.records = records,
+        None => {}
+    }
+}
+
+/// Takes a snapshot where the log has grown long, and sends the state to replicas that need it.
+fn compact(board: &mut Board, group: GroupId) {
+    let Some(group_box) = board.groups.group_mut(group) else { return };
+    let wanted = group_box.replica.take_install_wanted();
+    let long = group_box.replica.wants_snapshot();
+    if wanted.is_empty() && !long {
+        return;
+    }
+    let state = match group {
+        GroupId::Fleet => GroupState::Fleet(board.groups.fleet_state.clone()),
+        GroupId::Zone => GroupState::Zone(board.groups.records.clone()),
+    };
+    let now = board.now;
+    let Some(group_box) = board.groups.group_mut(group) else { return };
+    for host in wanted {
+        let snapshot = group_box.replica.snapshot_of(state.clone());
+        group_box.replica.send_install(now, host, snapshot, &mut group_box.out);
+    }
+    if long {
+        group_box.replica.take_snapshot(state, &mut group_box.out);
+    }
+}
+
+fn note_leadership(board: &mut Board, group: GroupId) {
+    let now = board.now;
+    let Some(group_box) = board.groups.group_mut(group) else { return };
+    let leads = group_box.replica.holds_lease(now);
+    if leads == group_box.led {
+        return;
+    }
+    group_box.led = leads;
+    let detail = describe(&group_box.replica, leads);
+    board.note(EventKind::LeaderElected, format!("{group:?}"), detail);
+}
+
+fn describe(replica: &Replica, leads: bool) -> String {
+    let verb = if leads { "leads" } else { "no longer leads" };
+    format!("{verb} in term {}, fence {}", replica.term(), replica.fence())
+}
--- /dev/null
+++ b/crates/core/src/controller/assignment.rs
@@ -0,0 +1,170 @@
+//! Assignment: gives pending samples to the hosts of the zone, and collects what they generate.
+//!
+//! Reads: `groups.records`, jobs and results from other hosts, `in_force`.
+//! Writes: `work`, `requests`, `groups.wishes`, messages to other hosts.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use super::Controller;
+use crate::agreement::{Command, GroupId};
+use crate::board::{Assigned, Board, Class, Origin, Purpose, Request, Route, Wish};
+use crate::event::Event;
+use crate::fleet::SettingKey;
+use crate::key::HostId;
+use crate::message::{Message, SampleJob, SampleResult};
+use crate::records::{SampleId, ZoneCommand};
+use crate::time::Millis;
+use crate::timeline::EventKind;
+
+/// The time between two looks at samples whose host may have lost them.
+const LOOK_EVERY: Millis = Millis(500);
+
+/// How long a host is left alone with a sample before it is told again.
+const TELL_AGAIN: Millis = Millis(5_000);
+
+/// How long a sample may take.
+const SAMPLE_DEADLINE: Millis = Millis(600_000);
+
+/// Has samples generated.
+#[derive(Debug)]
+pub(super) struct Assignment;
+
+impl Controller for Assignment {
+    fn run(&mut self, board: &mut Board, event: Option<&Event>) {
+        if let Some(Event::Received(envelope)) = event {
+            match &envelope.message {
+                Message::Assign(job) => take_job(board, job, envelope.from),
+                Message::Generated(result) => finished(board, result),
+                _ => {}
+            }
+        }
+        hand_in_results(board);
+        if board.leads(GroupId::Zone) {
+            lead(board);
+        } else {
+            board.work.assigned.clear();
+        }
+    }
+
+    fn next_deadline(&self, board: &Board) -> Millis {
+        if board.work.assigned.is_empty() { Millis::MAX } else { board.due.assignment }
+    }
+}
+
+fn lead(board: &mut Board) {
+    if !board.groups.applied.is_empty() {
+        let records = &board.groups.records;
+        board.work.assigned.retain(|id, _| records.is_pending(*id));
+    }
+    if board.now.mono >= board.due.assignment {
+        board.due.assignment = board.now.mono + LOOK_EVERY;
+        take_back(board);
+    }
+    if board.groups.records.pending_count() > board.work.assigned.len() {
+        assign(board);
+    }
+}
+
+/// Takes samples back from hosts that are down or have been silent about them for long.
+fn take_back(board: &mut Board) {
+    let working = board.working_hosts();
+    let now = board.now.mono;
+    board.work.assigned.retain(|_, assigned| {
+        working.contains(&assigned.host) && now.since(assigned.told) < TELL_AGAIN
+    });
+}
+
+fn assign(board: &mut Board) {
+    let window = board.setting(SettingKey::RolloutQueue, None);
+    let mut loads: BTreeMap<HostId, u64> = BTreeMap::new();
+    for host in board.working_hosts() {
+        loads.insert(host, 0);
+    }
+    for assigned in board.work.assigned.values() {
+        if let Some(load) = loads.get_mut(&assigned.host) {
+            *load += 1;
+        }
+    }
+    let pending: Vec<SampleId> = board
+        .groups
+        .records
+        .pending()
+        .filter(|id| !board.work.assigned.contains_key(id))
+        .collect();
+    for id in pending {
+        let least = loads.iter_mut().min_by_key(|(_, load)| **load);
+        let Some((&host, load)) = least.filter(|(_, load)| **load < window) else { break };
+        *load += 1;
+        give(board, id, host);
+    }
+}
+
+fn give(board: &mut Board, id: SampleId, host: HostId) {
+    let records = &board.groups.records;
+    let Some(sample) = records.sample(id) else { return };
+    let Some(trainer) = records.trainer(sample.trainer) else { return };
+    let job = SampleJob {
+        sample: id,
+        round: sample.round,
+        service: trainer.service.clone(),
+        prompt: Arc::clone(&sample.prompt),
+        max_tokens: sample.max_tokens,
+    };
+    board.work.assigned.insert(id, Assigned { host, told: board.now.mono });
+    if host == board.cfg.id {
+        take_job(board, &job, host);
+    } else {
+        board.send(host, Message::Assign(job));
+    }
+}
+
+/// Makes a request of a job, unless it runs already or its result is still at hand.
+fn take_job(board: &mut Board, job: &SampleJob, leader: HostId) {
+    if let Some(result) = board.work.kept_result(job) {
+        board.work.results.push((leader, result.clone()));
+        return;
+    }
+    if let Some(key) = board.work.running.get(&job.sample)
+        && let Some(request) = board.requests.get_mut(*key)
+    {
+        request.origin = Origin::Sample(job.clone(), leader);
+        return;
+    }
+    let service = board.ensure_service(&job.service);
+    let deadline = board.now.mono + SAMPLE_DEADLINE;
+    let trace = format!("sample-{}-{}", board.cfg.zone, job.sample.0);
+    let origin = Origin::Sample(job.clone(), leader);
+    let request = Request::new(origin, trace, board.now.mono, deadline)
+        .service(service, Class::Rollout)
+        .route(Route::Upstream);
+    let key = board.add_request(request);
+    board.work.running.insert(job.sample, key);
+    board.enqueue(key);
+}
+
+fn hand_in_results(board: &mut Board) {
+    for (leader, result) in std::mem::take(&mut board.work.results) {
+        if leader == board.cfg.id {
+            finished(board, &result);
+        } else {
+            board.send(leader, Message::Generated(result));
+        }
+    }
+}
+
+/// Records a generated sample; one that failed stays pending and is given out again.
+fn finished(board: &mut Board, result: &SampleResult) {
+    let id = result.sample;
+    match &result.output {
+        Ok(output) => {
+            board.note(EventKind::SampleReady, format!("sample-{}", id.0), "generated");
+            let command = ZoneCommand::Finish { sample: id, output: Arc::clone(output) };
+            let (command, purpose) = (Command::Zone(command), Purpose::Record);
+            board.groups.wishes.push(Wish { group: GroupId::Zone, command, purpose });
+        }
+        Err(reason) => {
+            board.note(EventKind::AttemptFailed, format!("sample-{}", id.0), reason.clone());
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/controller/attempts.rs
@@ -0,0 +1,188 @@
+//! Attempts: what becomes of a request when an attempt has progressed or ended.
+//!
+//! Reads: progress and ends of attempts, `in_force`. Writes: `attempts`, `upstreams`, `requests`,
+//! `work`, `actions`.
+//!
+//! An end of an attempt that the arena no longer holds is dropped: its key's generation is old.
+
+use std::sync::Arc;
+
+use super::Controller;
+use crate::action::Action;
+use crate::board::{Attempt, AttemptTarget, Board, Origin, Request, RequestState};
+use crate::error::{ErrorKind, Problem, Ran};
+use crate::event::{AttemptEnd, Event, RecordedAnswer};
+use crate::fleet::SettingKey;
+use crate::key::{AttemptKey, RequestKey};
+use crate::policy::{Retry, RetryQuestion};
+use crate::records::{IntentKey, Outcome, Output};
+use crate::time::Millis;
+use crate::timeline::EventKind;
+
+/// How long an upstream that could not be reached gets no new work.
+const REST: Millis = Millis(500);
+
+/// Takes in how attempts go.
+#[derive(Debug)]
+pub(super) struct Attempts {
+    retry: Box<dyn Retry>,
+}
+
+impl Attempts {
+    /// Makes the controller with a retry policy.
+    pub(super) fn new(retry: Box<dyn Retry>) -> Self {
+        Self { retry }
+    }
+}
+
+impl Controller for Attempts {
+    fn run(&mut self, board: &mut Board, event: Option<&Event>) {
+        match event {
+            Some(Event::Progress { attempt, tokens }) => progress(board, *attempt, *tokens),
+            Some(Event::Ended { attempt, end }) => self.ended(board, *attempt, end),
+            _ => {}
+        }
+    }
+}
+
+fn progress(board: &mut Board, attempt: AttemptKey, tokens: u32) {
+    let Some(attempt) = board.attempts.get(attempt) else { return };
+    let Some(request) = board.requests.get_mut(attempt.request) else { return };
+    request.sent = request.sent.max(tokens);
+}
+
+impl Attempts {
+    fn ended(&mut self, board: &mut Board, key: AttemptKey, end: &AttemptEnd) {
+        let Some(attempt) = board.attempts.remove(key) else { return };
+        release(board, &attempt, end);
+        let Some(request) = board.requests.get_mut(attempt.request) else { return };
+        if request.state != RequestState::Running(key) {
+            return;
+        }
+        request.state = RequestState::Deciding;
+        if request.attempts == 1 {
+            self.retry.first_attempt(board.setting(SettingKey::RetryPercent, None));
+        }
+        match end {
+            AttemptEnd::Whole { output, answer } => {
+                whole(board, &attempt, key, output.as_ref(), answer.as_ref());
+            }
+            AttemptEnd::NotSent { detail } | AttemptEnd::Refused { detail } => {
+                self.failed(board, &attempt, detail, false);
+            }
+            AttemptEnd::Broken { detail } => self.failed(board, &attempt, detail, true),
+            AttemptEnd::Cancelled => self.failed(board, &attempt, "cancelled", true),
+        }
+    }
+
+    fn failed(&mut self, board: &mut Board, attempt: &Attempt, detail: &str, may_have_run: bool) {
+        board.counters.failures += 1;
+        let key = attempt.request;
+        let Some(request) = board.requests.get_mut(key) else { return };
+        request.maybe_ran |= may_have_run;
+        if let AttemptTarget::Upstream(upstream) = attempt.target {
+            request.avoid = Some(upstream);
+        }
+        let trace = request.trace.clone();
+        board.note(EventKind::AttemptFailed, trace, detail);
+        if let Some(wait) = self.wait_before_next(board, attempt) {
+            board.set_aside(key, board.now.mono + wait);
+            return;
+        }
+        give_up(board, key, detail);
+    }
+
+    fn wait_before_next(&mut self, board: &mut Board, attempt: &Attempt) -> Option<Millis> {
+        let request = board.requests.get(attempt.request)?;
+        if !may_send_again(request, attempt) {
+            return None;
+        }
+        let question = RetryQuestion {
+            attempts: request.attempts,
+            most: u32::try_from(board.setting(SettingKey::Attempts, None)).unwrap_or(1),
+            percent: board.setting(SettingKey::RetryPercent, None),
+            left: request.deadline.since(board.now.mono),
+        };
+        self.retry.after(question, &mut board.rng)
+    }
+}
+
+/// Tells whether a request whose attempt failed may be sent again.
+///
+/// A call that another host decides may always be: that host knows it by its key or its cursor.
+fn may_send_again(request: &Request, attempt: &Attempt) -> bool {
+    if request.call.is_some() && matches!(attempt.target, AttemptTarget::Host(_)) {
+        return request.sent == 0;
+    }
+    request.idempotent || !request.maybe_ran
+}
+
+/// Gives the upstream's slot back and learns from the attempt.
+fn release(board: &mut Board, attempt: &Attempt, end: &AttemptEnd) {
+    let AttemptTarget::Upstream(key) = attempt.target else { return };
+    let now = board.now.mono;
+    let Some(upstream) = board.upstreams.get_mut(key) else { return };
+    upstream.in_flight = upstream.in_flight.saturating_sub(1);
+    match end {
+        AttemptEnd::Whole { .. } => upstream.learn_pace(now.since(attempt.started)),
+        AttemptEnd::NotSent { .. } => upstream.rest_until = now + REST,
+        _ => {}
+    }
+}
+
+fn whole(
+    board: &mut Board,
+    attempt: &Attempt,
+    key: AttemptKey,
+    output: Option<&Arc<Output>>,
+    answer: Option<&RecordedAnswer>,
+) {
+    let Some(request) = board.requests.get(attempt.request) else { return };
+    if let (Some(intent), Some(answer)) = (request.intent.clone(), answer) {
+        record_answer(board, intent, answer);
+        return;
+    }
+    let Some(request) = board.remove_request(attempt.request) else { return };
+    match request.origin {
+        Origin::Exchange(tag) => {
+            board.counters.answered += 1;
+            let took = board.now.mono.since(request.arrived);
+            board.note(EventKind::Answered, request.trace, format!("after {} ms", took.0));
+            board.actions.push(Action::Finish { tag, attempt: key });
+        }
+        Origin::Sample(job, leader) => {
+            let missing = || "the engine stamped no version on some tokens".into();
+            let output = output.filter(|output| output.oldest_version().is_some());
+            let output = output.cloned().ok_or_else(missing);
+            board.work.report(leader, &job, output);
+        }
+    }
+}
+
+/// Leaves the answer of a recorded request for the log; the caller gets it when it is there.
+fn record_answer(board: &mut Board, intent: IntentKey, answer: &RecordedAnswer) {
+    let outcome = Outcome::Answered {
+        status: answer.status,
+        content_type: answer.content_type.clone(),
+        body: Arc::clone(&answer.body),
+    };
+    board.work.conclusions.insert(intent, outcome);
+}
+
+fn give_up(board: &mut Board, key: RequestKey, detail: &str) {
+    let Some(request) = board.requests.get(key) else { return };
+    let (maybe_ran, idempotent) = (request.maybe_ran, request.idempotent);
+    if let Some(intent) = request.intent.clone() {
+        let outcome = if maybe_ran { Outcome::Unknown } else { Outcome::NotRun };
+        board.work.conclusions.insert(intent, outcome);
+        if maybe_ran {
+            return;
+        }
+    }
+    let problem = match (maybe_ran, idempotent) {
+        (true, false) => Problem::unknown(detail),
+        (true, true) => Problem::not_run(ErrorKind::UpstreamFailed, detail).ran(Ran::Unknown),
+        (false, _) => Problem::not_run(ErrorKind::UpstreamFailed, detail).retry_after(REST),
+    };
+    board.fail_request(key, problem);
+}
--- /dev/null
+++ b/crates/core/src/controller/deadlines.rs
@@ -0,0 +1,123 @@
+//! Deadlines: ends what nobody waits for any more, and brings back what was set aside.
+//!
+//! Reads: `timers`, callers that have gone. Writes: `requests`, `work`, `actions`.
+
+use super::Controller;
+use crate::action::{Action, Answer, SampleBatch};
+use crate::board::{Board, RequestState};
+use crate::error::{ErrorKind, Problem, Ran};
+use crate::event::{Call, Event};
+use crate::key::{RequestKey, RequestTag};
+use crate::records::Outcome;
+use crate::time::Millis;
+use crate::timeline::EventKind;
+
+/// How long the attempt of a non-idempotent request may outlast its caller's deadline.
+const GRACE: Millis = Millis(30_000);
+
+/// Watches the clock for requests.
+#[derive(Debug)]
+pub(super) struct Deadlines;
+
+impl Controller for Deadlines {
+    fn run(&mut self, board: &mut Board, event: Option<&Event>) {
+        if let Some(Event::CallerGone { tag }) = event {
+            caller_gone(board, *tag);
+        }
+        while let Some(&(due, key)) = board.timers.first() {
+            if due > board.now.mono {
+                break;
+            }
+            board.timers.pop_first();
+            on_timer(board, key);
+        }
+    }
+
+    fn next_deadline(&self, board: &Board) -> Millis {
+        board.timers.first().map_or(Millis::MAX, |(due, _)| *due)
+    }
+}
+
+fn on_timer(board: &mut Board, key: RequestKey) {
+    let Some(request) = board.requests.get(key) else { return };
+    if request.deadline <= board.now.mono {
+        expire(board, key);
+        return;
+    }
+    if matches!(request.state, RequestState::Backoff(until) if until <= board.now.mono) {
+        board.enqueue(key);
+    }
+}
+
+fn expire(board: &mut Board, key: RequestKey) {
+    let Some(request) = board.requests.get(key) else { return };
+    if request.intent.is_some() {
+        expire_recorded(board, key);
+        return;
+    }
+    if let (Some(tag), Some(Call::Fetch { cursor, .. }), RequestState::Deciding) =
+        (request.tag(), &request.call, request.state)
+    {
+        let batch = SampleBatch { next: *cursor, ..Default::default() };
+        board.remove_request(key);
+        board.answer(tag, Answer::Samples(batch));
+        return;
+    }
+    let decided_elsewhere = request.call.is_some() && request.state == RequestState::Deciding;
+    let ran = match request.state {
+        RequestState::Running(_) => Ran::Unknown,
+        _ if request.maybe_ran || decided_elsewhere => Ran::Unknown,
+        _ => Ran::No,
+    };
+    if let RequestState::Running(attempt) = request.state {
+        board.actions.push(Action::Cancel { attempt });
+    }
+    let problem = Problem::not_run(ErrorKind::DeadlineExceeded, "the deadline passed").ran(ran);
+    board.fail_request(key, problem);
+}
+
+/// Ends the waiting for a recorded request; an attempt that runs is left to end by itself.
+fn expire_recorded(board: &mut Board, key: RequestKey) {
+    let Some(request) = board.requests.get(key) else { return };
+    let (tag, trace, state) = (request.tag(), request.trace.clone(), request.state);
+    let never_sent = !request.maybe_ran && !matches!(state, RequestState::Running(_));
+    if never_sent {
+        if let Some(intent) = request.intent.clone() {
+            board.work.conclusions.entry(intent).or_insert(Outcome::NotRun);
+        }
+        let detail = "the deadline passed before it was dispatched";
+        board.fail_request(key, Problem::not_run(ErrorKind::DeadlineExceeded, detail));
+        return;
+    }
+    let Some(tag) = tag else { return };
+    if board.tags.remove(&tag).is_none() {
+        board.remove_request(key);
+        return;
+    }
+    let problem = Problem::unknown("the deadline passed while it ran");
+    board.refuse(tag, &trace, problem);
+    extend(board, key);
+}
+
+fn extend(board: &mut Board, key: RequestKey) {
+    let deadline = board.now.mono + GRACE;
+    let Some(request) = board.requests.get_mut(key) else { return };
+    request.deadline = deadline;
+    board.timers.insert((deadline, key));
+}
+
+/// Drops what a caller who has gone was waiting for, but lets a recorded request run to its end.
+fn caller_gone(board: &mut Board, tag: RequestTag) {
+    let Some(key) = board.tags.get(&tag).copied() else { return };
+    let Some(request) = board.requests.get(key) else { return };
+    let trace = request.trace.clone();
+    board.note(EventKind::CallerGone, trace, "the caller closed the connection");
+    let Some(request) = board.requests.get(key) else { return };
+    if request.intent.is_some() {
+        return;
+    }
+    if let RequestState::Running(attempt) = request.state {
+        board.actions.push(Action::Cancel { attempt });
+    }
+    board.remove_request(key);
+}
--- /dev/null
+++ b/crates/core/src/controller/dispatch.rs
@@ -0,0 +1,245 @@
+//! Dispatch: gives waiting requests to upstreams with room, and hands others on to their hosts.
+//!
+//! Reads: queues, `upstreams`, `zones`, `hosts`, `in_force`.
+//! Writes: `attempts`, `requests`, `upstreams.in_flight`, `actions`.
+
+use rand::Rng;
+
+use super::Controller;
+use crate::action::{Action, Dispatch, Source, Target};
+use crate::agreement::GroupId;
+use crate::board::{Attempt, AttemptTarget, Board, Class, Origin, RequestState, Route};
+use crate::error::{ErrorKind, Problem};
+use crate::event::{Arrival, Event};
+use crate::fleet::SettingKey;
+use crate::key::{HostId, RequestKey, ServiceKey, UpstreamKey, ZoneKey};
+use crate::policy::{Candidate, Head, Placement, QueueOrder};
+use crate::time::Millis;
+use crate::timeline::EventKind;
+
+/// How old a load report may be and still count.
+const REPORT_VALID: Millis = Millis(1_000);
+
+/// How long a call waits for the leader that is to decide it.
+const LEADER_WAIT: Millis = Millis(5_000);
+
+/// The time between two looks for that leader.
+const LEADER_LOOK: Millis = Millis(50);
+
+/// Starts attempts.
+#[derive(Debug)]
+pub(super) struct Dispatcher {
+    placement: Box<dyn Placement>,
+    order: Box<dyn QueueOrder>,
+}
+
+impl Dispatcher {
+    /// Makes the controller with its policies.
+    pub(super) fn new(placement: Box<dyn Placement>, order: Box<dyn QueueOrder>) -> Self {
+        Self { placement, order }
+    }
+}
+
+impl Controller for Dispatcher {
+    fn run(&mut self, board: &mut Board, _event: Option<&Event>) {
+        let count = board.work.forwards.len();
+        for _ in 0..count {
+            let Some(key) = board.work.forwards.pop_front() else { break };
+            forward(board, key);
+        }
+        let services: Vec<ServiceKey> = board.services.keys().collect();
+        for service in services {
+            while self.dispatch_next(board, service) {}
+        }
+    }
+}
+
+impl Dispatcher {
+    /// Starts one attempt for a service and tells whether there was one to start.
+    fn dispatch_next(&mut self, board: &mut Board, service: ServiceKey) -> bool {
+        if board.services[service].waiting() == 0 || calls_used_up(board) {
+            return false;
+        }
+        let candidates = candidates(board, service);
+        if candidates.is_empty() {
+            return false;
+        }
+        let Some(key) = self.next_request(board, service) else { return false };
+        let avoid = board.requests.get(key).and_then(|request| request.avoid);
+        let others: Vec<Candidate> =
+            candidates.iter().copied().filter(|other| Some(other.upstream) != avoid).collect();
+        let among = if others.is_empty() { &candidates } else { &others };
+        let Some(at) = self.placement.choose(among, &mut board.rng) else { return false };
+        start_on_upstream(board, key, among[at].upstream);
+        true
+    }
+
+    fn next_request(&mut self, board: &mut Board, service: ServiceKey) -> Option<RequestKey> {
+        let name = board.services[service].name.clone();
+        let share = board.setting(SettingKey::RolloutSharePercent, Some(&name));
+        let interactive = head(board, service, Class::Interactive);
+        let rollout = head(board, service, Class::Rollout);
+        let rollout_next = self.order.rollout_next(interactive, rollout, share);
+        let class = if rollout_next { Class::Rollout } else { Class::Interactive };
+        board.services[service].queue_mut(class).pop_front()
+    }
+}
+
+fn calls_used_up(board: &Board) -> bool {
+    board.attempts.len() >= board.cfg.calls as usize
+}
+
+fn head(board: &Board, service: ServiceKey, class: Class) -> Option<Head> {
+    let key = board.services[service].queue(class).front()?;
+    board.requests.get(*key).map(|request| Head { arrived: request.arrived })
+}
+
+fn candidates(board: &Board, service: ServiceKey) -> Vec<Candidate> {
+    let now = board.now.mono;
+    let mut candidates = Vec::new();
+    for key in &board.services[service].upstreams {
+        let upstream = &board.upstreams[*key];
+        if !upstream.has_room(now) {
+            continue;
+        }
+        let (waiting, reported) = upstream.waiting;
+        let fresh = now.since(reported) < REPORT_VALID;
+        candidates.push(Candidate {
+            upstream: *key,
+            in_flight: upstream.in_flight,
+            limit: upstream.limit,
+            waiting: if fresh { waiting } else { 0 },
+            pace_ms: upstream.pace_ms,
+        });
+    }
+    candidates
+}
+
+fn start_on_upstream(board: &mut Board, key: RequestKey, upstream: UpstreamKey) {
+    let spec = &board.upstreams[upstream].spec;
+    let target = Target::Upstream { address: spec.address.clone(), kind: spec.kind };
+    let name = spec.name.clone();
+    board.upstreams[upstream].in_flight += 1;
+    start(board, key, AttemptTarget::Upstream(upstream), target, &name);
+}
+
+fn start(board: &mut Board, key: RequestKey, at: AttemptTarget, target: Target, name: &str) {
+    let started = board.now.mono;
+    let attempt = board.attempts.insert(Attempt { request: key, target: at, started });
+    let Some(request) = board.requests.get_mut(key) else { return };
+    request.state = RequestState::Running(attempt);
+    request.attempts += 1;
+    let retried = request.attempts > 1;
+    let source = match &request.origin {
+        Origin::Exchange(tag) => Source::Exchange { tag: *tag },
+        Origin::Sample(job, _) => {
+            let (sample, prompt) = (job.sample, job.prompt.clone());
+            Source::Sample { sample, prompt, max_tokens: job.max_tokens }
+        }
+    };
+    let dispatch = Dispatch {
+        attempt,
+        source,
+        target,
+        resume_at: request.sent,
+        timeout: request.deadline.since(started),
+        recorded: request.intent.is_some(),
+    };
+    let trace = request.trace.clone();
+    board.counters.attempts += 1;
+    board.counters.retries += u64::from(retried);
+    board.note(EventKind::Dispatched, trace, format!("to {name}"));
+    board.actions.push(Action::Dispatch(dispatch));
+}
+
+/// Hands a call on to the host that is to decide or run it.
+fn forward(board: &mut Board, key: RequestKey) {
+    let Some(request) = board.requests.get(key) else { return };
+    let (route, attempts, arrived) = (request.route, request.attempts, request.arrived);
+    if let Route::Leader(group, zone) = route
+        && (group == GroupId::Fleet || zone == board.my_zone)
+        && board.leads(group)
+    {
+        decide_here(board, key);
+        return;
+    }
+    let host = match route {
+        Route::Leader(group, zone) => leader(board, group, zone, attempts),
+        Route::Zone(zone) => any_host(board, zone),
+        Route::Upstream | Route::Here => None,
+    };
+    if let Some(host) = host.filter(|_| !calls_used_up(board)) {
+        start_on_host(board, key, host);
+        return;
+    }
+    if board.now.mono.since(arrived) < LEADER_WAIT {
+        board.set_aside(key, board.now.mono + LEADER_LOOK);
+        return;
+    }
+    let problem = Problem::not_run(ErrorKind::HomeUnreachable, "no host can decide this now");
+    board.fail_request(key, problem.retry_after(LEADER_WAIT));
+}
+
+/// Takes a call back as if it had just arrived, because this host has come to lead the group.
+fn decide_here(board: &mut Board, key: RequestKey) {
+    let Some(request) = board.remove_request(key) else { return };
+    let (Some(tag), Some(call)) = (request.tag(), request.call) else { return };
+    let deadline = Some(request.deadline.since(board.now.mono));
+    let (trace, hops) = (request.trace, request.hops);
+    board.arrivals.push(Arrival { tag, trace, deadline, hops, granted: false, call });
+}
+
+fn start_on_host(board: &mut Board, key: RequestKey, host: HostId) {
+    let Some(request) = board.requests.get(key) else { return };
+    let (hops, granted) = (request.hops + 1, request.intent.is_some());
+    let name = board.host_key(host).map_or_else(Box::default, |key| board.hosts[key].name.clone());
+    let target = Target::Host { host, hops, granted };
+    start(board, key, AttemptTarget::Host(host), target, &name);
+}
+
+/// Returns the leader of a group as far as it is known; after a failure any host that may know it.
+fn leader(board: &mut Board, group: GroupId, zone: ZoneKey, attempts: u32) -> Option<HostId> {
+    let me = board.cfg.id;
+    let known = match group {
+        GroupId::Fleet => fleet_leader(board),
+        GroupId::Zone if zone == board.my_zone => board.groups.zone.replica.leader(),
+        GroupId::Zone => board.zones[zone].digest.leader.map(|(_, leader)| leader),
+    };
+    let known = known.filter(|host| *host != me);
+    if attempts == 0 && known.is_some() {
+        return known;
+    }
+    match group {
+        GroupId::Fleet => any_disk_host(board),
+        GroupId::Zone if zone == board.my_zone => known,
+        GroupId::Zone => any_host(board, zone),
+    }
+}
+
+fn fleet_leader(board: &Board) -> Option<HostId> {
+    let own = board.groups.group(GroupId::Fleet).and_then(|group| group.replica.leader());
+    own.or(board.groups.fleet_leader.map(|(_, leader)| leader))
+}
+
+fn any_disk_host(board: &mut Board) -> Option<HostId> {
+    let me = board.cfg.id;
+    let others = board.hosts.values().filter(|host| host.disk && host.id != me);
+    let ids: Vec<HostId> = others.map(|host| host.id).collect();
+    draw(board, &ids)
+}
+
+fn any_host(board: &mut Board, zone: ZoneKey) -> Option<HostId> {
+    let zone = &board.zones[zone];
+    let mut ids = zone.digest.hosts.clone();
+    if ids.is_empty() {
+        ids = zone.hosts.iter().map(|key| board.hosts[*key].id).collect();
+    }
+    draw(board, &ids)
+}
+
+fn draw(board: &mut Board, ids: &[HostId]) -> Option<HostId> {
+    if ids.is_empty() {
+        return None;
+    }
+    Some(ids[board.rng.random_range(0..ids.len())])
+}
--- /dev/null
+++ b/crates/core/src/controller/journal.rs
@@ -0,0 +1,34 @@
+//! The journal: writes the other controllers' commands to the logs.
+//!
+//! Reads: `groups.wishes`. Writes: `groups` (logs, purposes, refused commands).
+
+use super::Controller;
+use crate::board::{Board, Fate, GroupResult, Wish};
+use crate::error::{ErrorKind, Problem};
+use crate::event::Event;
+
+/// Writes commands to the logs.
+#[derive(Debug)]
+pub(super) struct Journal;
+
+impl Controller for Journal {
+    fn run(&mut self, board: &mut Board, _event: Option<&Event>) {
+        for wish in std::mem::take(&mut board.groups.wishes) {
+            write(board, wish);
+        }
+    }
+}
+
+fn write(board: &mut Board, wish: Wish) {
+    let now = board.now;
+    let purpose = wish.purpose;
+    if let Some(group) = board.groups.group_mut(wish.group) {
+        let written = group.replica.propose(now, wish.command, &mut group.out);
+        if let Ok(index) = written {
+            group.written.insert(index, (group.replica.term(), purpose));
+            return;
+        }
+    }
+    let problem = Problem::not_run(ErrorKind::HomeUnreachable, "this host does not lead the group");
+    board.groups.refused.push(GroupResult { purpose, fate: Fate::NotWritten(problem) });
+}
--- /dev/null
+++ b/crates/core/src/controller/membership.rs
@@ -0,0 +1,252 @@
+//! Membership: who is up, which zone has what, and who leads.
+//!
+//! Reads: heartbeats, `cfg`, `groups`, `upstreams`, `records`.
+//! Writes: `hosts`, `zones`, `ready`, `groups.fleet_leader`, `due`, heartbeats to other hosts.
+//!
+//! Within a zone every host tells every other that it is alive. Between zones only the working
+//! host with the lowest number speaks, to one host of each other zone. What a host knows of the
+//! zones travels along only when it has changed, and whole now and then in case a message is lost.
+
+use rand::Rng;
+
+use super::Controller;
+use crate::agreement::GroupId;
+use crate::board::{Board, UpstreamState};
+use crate::event::Event;
+use crate::key::{HostId, HostKey, ZoneKey};
+use crate::message::{Heartbeat, Message, ZoneDigest};
+use crate::time::Millis;
+use crate::timeline::EventKind;
+
+/// The time between heartbeats within a zone.
+const NEAR_EVERY: Millis = Millis(500);
+
+/// The time between heartbeats to other zones.
+const FAR_EVERY: Millis = Millis(1_000);
+
+/// One heartbeat in this many carries everything.
+const WHOLE_ONE_IN: u32 = 20;
+
+/// How long a starting host waits for the hosts of its zone before it serves without them.
+const WAIT_FOR_ZONE: Millis = Millis(3_000);
+
+/// Keeps track of hosts and zones.
+#[derive(Debug)]
+pub(super) struct Membership;
+
+impl Controller for Membership {
+    fn run(&mut self, board: &mut Board, event: Option<&Event>) {
+        if let Some(Event::Received(envelope)) = event {
+            heard(board, envelope.from);
+            if let Message::Heartbeat(heartbeat) = &envelope.message {
+                take_heartbeat(board, envelope.from, heartbeat);
+            }
+        }
+        note_silent(board);
+        judge_ready(board);
+        let changed = summarise_zone(board);
+        let now = board.now.mono;
+        if now >= board.due.near_heartbeat || board.in_force.tell {
+            board.due.near_heartbeat = now + NEAR_EVERY;
+            beat_near(board);
+        }
+        let speaks = board.working_hosts().first() == Some(&board.cfg.id);
+        if now >= board.due.far_heartbeat || (speaks && (changed || board.in_force.tell)) {
+            board.due.far_heartbeat = now + FAR_EVERY;
+            if speaks || board.in_force.tell {
+                beat_far(board);
+            }
+        }
+        board.in_force.tell = false;
+    }
+
+    fn next_deadline(&self, board: &Board) -> Millis {
+        board.due.near_heartbeat.min(board.due.far_heartbeat)
+    }
+}
+
+fn heard(board: &mut Board, from: HostId) {
+    let Some(key) = board.host_key(from) else { return };
+    let now = board.now.mono;
+    let host = &mut board.hosts[key];
+    host.heard = Some(now);
+    if host.was_up {
+        return;
+    }
+    host.was_up = true;
+    let name = host.name.clone();
+    board.note(EventKind::HostUp, name, "heard from");
+}
+
+fn take_heartbeat(board: &mut Board, from: HostId, heartbeat: &Heartbeat) {
+    let Some(key) = board.host_key(from) else { return };
+    let host = &mut board.hosts[key];
+    host.incarnation = heartbeat.incarnation;
+    host.life = heartbeat.life;
+    host.ready = heartbeat.ready;
+    host.settings = heartbeat.settings;
+    if heartbeat.fleet_leader > board.groups.fleet_leader {
+        board.groups.fleet_leader = heartbeat.fleet_leader;
+    }
+    for digest in &heartbeat.digests {
+        take_digest(board, digest);
+    }
+}
+
+fn take_digest(board: &mut Board, digest: &ZoneDigest) {
+    let Some(key) = board.zone_key(&digest.zone) else { return };
+    if key == board.my_zone {
+        return;
+    }
+    let zone = &mut board.zones[key];
+    if digest.sequence > zone.digest.sequence {
+        zone.digest = digest.clone();
+    }
+}
+
+fn note_silent(board: &mut Board) {
+    let now = board.now.mono;
+    let mut silent = Vec::new();
+    for host in board.hosts.values_mut() {
+        if !host.was_up || host.is_up(now) {
+            continue;
+        }
+        host.was_up = false;
+        host.digests_sent.clear();
+        silent.push(host.name.clone());
+    }
+    for name in silent {
+        board.note(EventKind::HostDown, name, "no heartbeat");
+    }
+}
+
+/// Lets the host serve once it can't be behind what its zone has served.
+fn judge_ready(board: &mut Board) {
+    if board.draining.is_some() {
+        board.ready = false;
+        return;
+    }
+    if board.ready {
+        return;
+    }
+    let now = board.now.mono;
+    let mut all_heard = true;
+    let mut newest = None;
+    for key in &board.zones[board.my_zone].hosts {
+        let host = &board.hosts[*key];
+        if host.id == board.cfg.id {
+            continue;
+        }
+        all_heard &= host.is_up(now);
+        if host.works(now) {
+            newest = newest.max(Some(host.settings));
+        }
+    }
+    let have = board.in_force.settings.version;
+    let waited = now.since(board.started) >= WAIT_FOR_ZONE;
+    board.ready = match newest {
+        Some(version) => have >= version,
+        None => all_heard || waited,
+    };
+}
+
+/// Brings the summary of this zone up to date and tells whether it changed.
+fn summarise_zone(board: &mut Board) -> bool {
+    let mut digest = ZoneDigest {
+        zone: board.cfg.zone.clone(),
+        sequence: 0,
+        hosts: board.working_hosts(),
+        leader: zone_leader(board),
+        services: Vec::new(),
+        wanted: Vec::new(),
+    };
+    for service in board.services.values() {
+        let up = |key| board.upstreams[key].state == UpstreamState::Up;
+        let count = service.upstreams.iter().filter(|key| up(**key)).count();
+        if count > 0 {
+            digest.services.push((service.name.clone(), u32::try_from(count).unwrap_or(u32::MAX)));
+        }
+    }
+    for (service, version) in board.groups.records.wanted() {
+        digest.wanted.push((service.clone(), *version));
+    }
+    let old = &board.zones[board.my_zone].digest;
+    digest.sequence = old.sequence;
+    if digest == *old {
+        return false;
+    }
+    digest.sequence = board.now.wall.0.max(old.sequence + 1);
+    board.zones[board.my_zone].digest = digest;
+    true
+}
+
+fn zone_leader(board: &Board) -> Option<(u64, HostId)> {
+    let replica = &board.groups.zone.replica;
+    replica.leader().map(|leader| (replica.term(), leader))
+}
+
+fn beat_near(board: &mut Board) {
+    for key in board.zones[board.my_zone].hosts.clone() {
+        if board.hosts[key].id == board.cfg.id {
+            continue;
+        }
+        beat(board, key);
+    }
+}
+
+fn beat_far(board: &mut Board) {
+    let zones: Vec<ZoneKey> = board.zones.keys().filter(|key| *key != board.my_zone).collect();
+    for zone in zones {
+        let Some(key) = contact_in(board, zone) else { continue };
+        beat(board, key);
+    }
+}
+
+/// Chooses the host of another zone to speak to: one that works, or any where none is known.
+fn contact_in(board: &mut Board, zone: ZoneKey) -> Option<HostKey> {
+    let zone = &board.zones[zone];
+    let working: Vec<HostKey> = zone
+        .hosts
+        .iter()
+        .copied()
+        .filter(|key| zone.digest.hosts.contains(&board.hosts[*key].id))
+        .collect();
+    let among = if working.is_empty() { &zone.hosts } else { &working };
+    if among.is_empty() {
+        return None;
+    }
+    Some(among[board.rng.random_range(0..among.len())])
+}
+
+fn beat(board: &mut Board, to: HostKey) {
+    let whole = board.rng.random_ratio(1, WHOLE_ONE_IN);
+    let mut digests = Vec::new();
+    let host = &mut board.hosts[to];
+    for (key, zone) in &board.zones {
+        let sequence = zone.digest.sequence;
+        let known = host.digests_sent.get(&key) == Some(&sequence);
+        if sequence == 0 || key == host.zone || (known && !whole) {
+            continue;
+        }
+        host.digests_sent.insert(key, sequence);
+        digests.push(zone.digest.clone());
+    }
+    let id = host.id;
+    let heartbeat = Heartbeat {
+        incarnation: board.cfg.incarnation,
+        life: board.life,
+        ready: board.ready,
+        settings: board.in_force.settings.version,
+        fleet_leader: fleet_leader(board),
+        digests,
+    };
+    board.send(id, Message::Heartbeat(heartbeat));
+}
+
+fn fleet_leader(board: &Board) -> Option<(u64, HostId)> {
+    let own = board.groups.group(GroupId::Fleet).and_then(|group| {
+        let leader = group.replica.leader()?;
+        Some((group.replica.fence(), leader))
+    });
+    own.max(board.groups.fleet_leader)
+}
--- /dev/null
+++ b/crates/core/src/controller/outbox.rs
@@ -0,0 +1,76 @@
+//! The outbox: hands records to the disk and group messages to the links, in a safe order.
+//!
+//! Reads and writes: `groups` (outboxes, batches, held messages). Writes: `actions`.
+//!
+//! A vote or an acknowledgement leaves only when the records that it speaks of are synced.
+
+use super::Controller;
+use crate::action::Action;
+use crate::agreement::{GroupFrame, GroupId, GroupMessage};
+use crate::board::{Board, HeldMessage, SyncBatch};
+use crate::event::Event;
+use crate::key::{HostId, SyncToken};
+use crate::message::Message;
+
+/// Empties the outboxes of the replicas.
+#[derive(Debug)]
+pub(super) struct OutboxFlush;
+
+impl Controller for OutboxFlush {
+    fn run(&mut self, board: &mut Board, _event: Option<&Event>) {
+        for group in [GroupId::Fleet, GroupId::Zone] {
+            collect(board, group);
+        }
+        persist(board);
+        for group in [GroupId::Fleet, GroupId::Zone] {
+            send(board, group);
+        }
+    }
+}
+
+fn collect(board: &mut Board, group: GroupId) {
+    let Some(group) = board.groups.group_mut(group) else { return };
+    let records = std::mem::take(&mut group.out.records);
+    board.groups.records_out.extend(records);
+}
+
+fn persist(board: &mut Board) {
+    let records = std::mem::take(&mut board.groups.records_out);
+    if records.is_empty() || !board.cfg.disk {
+        return;
+    }
+    let token = SyncToken(board.groups.token.0 + 1);
+    board.groups.token = token;
+    let fleet = board.groups.fleet.as_ref().map_or(0, |group| group.replica.log().last_index());
+    let zone = board.groups.zone.replica.log().last_index();
+    board.groups.syncing.push_back(SyncBatch { token, fleet, zone });
+    board.actions.push(Action::Persist { token, records });
+}
+
+fn send(board: &mut Board, group: GroupId) {
+    let Some(group_box) = board.groups.group_mut(group) else { return };
+    let formation = group_box.replica.formation();
+    let prompt = std::mem::take(&mut group_box.out.prompt);
+    let after_sync = std::mem::take(&mut group_box.out.after_sync);
+    for (to, message) in prompt {
+        board.send(to, frame(group, formation, message));
+    }
+    let waits = !board.groups.syncing.is_empty();
+    for (to, message) in after_sync {
+        let message = frame(group, formation, message);
+        if waits {
+            hold(board, to, message);
+        } else {
+            board.send(to, message);
+        }
+    }
+}
+
+fn hold(board: &mut Board, to: HostId, message: Message) {
+    let token = board.groups.token;
+    board.groups.held.push_back(HeldMessage { token, to, message });
+}
+
+fn frame(group: GroupId, formation: u64, message: GroupMessage) -> Message {
+    Message::Group(GroupFrame { group, formation, message })
+}
--- /dev/null
+++ b/crates/core/src/controller/queries.rs
@@ -0,0 +1,138 @@
+//! Queries: what operators read back.
+//!
+//! Reads: everything. Writes: `counters` (gauges), `actions`.
+
+use super::Controller;
+use crate::action::{Answer, HostReport, SettingsReport, TrainerReport, UpstreamReport};
+use crate::agreement::GroupId;
+use crate::board::{Board, UpstreamState};
+use crate::event::{Call, Event, Query};
+use crate::fleet::{Place, SettingKey};
+
+/// Answers operators' questions.
+#[derive(Debug)]
+pub(super) struct Queries;
+
+impl Controller for Queries {
+    fn run(&mut self, board: &mut Board, _event: Option<&Event>) {
+        for arrival in board.take_arrivals(|call| matches!(call, Call::Query(_))) {
+            let Call::Query(query) = &arrival.call else { continue };
+            let answer = read(board, query);
+            board.answer(arrival.tag, answer);
+        }
+    }
+}
+
+fn read(board: &mut Board, query: &Query) -> Answer {
+    match query {
+        Query::Settings { service } => Answer::Settings(settings(board, service.as_deref())),
+        Query::Hosts => Answer::Hosts(hosts(board)),
+        Query::Upstreams => Answer::Upstreams(upstreams(board)),
+        Query::Trainers => Answer::Trainers(trainers(board)),
+        Query::Timeline { after } => {
+            Answer::Timeline(board.timeline.after(*after).cloned().collect())
+        }
+        Query::Counters => {
+            gauge(board);
+            Answer::Counters(board.counters)
+        }
+    }
+}
+
+fn settings(board: &Board, service: Option<&str>) -> SettingsReport {
+    let place = Place { zone: &board.cfg.zone, host: &board.cfg.name, service };
+    let in_force = &board.in_force;
+    let effective = SettingKey::all().map(|key| in_force.settings.effective(key, place)).collect();
+    SettingsReport {
+        host: board.cfg.name.clone(),
+        zone: board.cfg.zone.clone(),
+        version: in_force.settings.version,
+        since: in_force.since,
+        settings: in_force.settings.clone(),
+        effective,
+    }
+}
+
+fn hosts(board: &Board) -> Vec<HostReport> {
+    let mut reports = Vec::new();
+    for host in board.hosts.values() {
+        let zone = &board.zones[host.zone];
+        let elsewhere = host.zone != board.my_zone;
+        let state = match () {
+            () if host.id == board.cfg.id && board.draining.is_some() => "draining",
+            () if host.id == board.cfg.id => "self",
+            () if host.works(board.now.mono) => "up",
+            () if elsewhere && zone.digest.hosts.contains(&host.id) => "up",
+            () if host.is_up(board.now.mono) => "not ready",
+            () if host.heard.is_some() => "silent",
+            () => "unknown",
+        };
+        let mut leads = Vec::new();
+        if zone.digest.leader.is_some_and(|(_, leader)| leader == host.id) {
+            leads.push(format!("zone {}", zone.name).into());
+        }
+        if fleet_leader(board).is_some_and(|leader| leader == host.id) {
+            leads.push("fleet".into());
+        }
+        reports.push(HostReport {
+            id: host.id,
+            name: host.name.clone(),
+            zone: zone.name.clone(),
+            disk: host.disk,
+            state: state.into(),
+            leads,
+        });
+    }
+    reports.sort_by_key(|report| report.id);
+    reports
+}
+
+fn fleet_leader(board: &Board) -> Option<crate::HostId> {
+    let own = board.groups.group(GroupId::Fleet).and_then(|group| group.replica.leader());
+    own.or(board.groups.fleet_leader.map(|(_, leader)| leader))
+}
+
+fn upstreams(board: &Board) -> Vec<UpstreamReport> {
+    let mut reports = Vec::new();
+    for upstream in board.upstreams.values() {
+        let state = match upstream.state {
+            UpstreamState::Up => "up",
+            UpstreamState::Leaving => "leaving",
+            UpstreamState::Silent => "silent",
+        };
+        reports.push(UpstreamReport {
+            name: upstream.spec.name.clone(),
+            service: upstream.spec.service.clone(),
+            address: upstream.spec.address.clone(),
+            version: upstream.spec.version,
+            in_flight: upstream.in_flight,
+            limit: upstream.limit,
+            state: state.into(),
+        });
+    }
+    reports.sort_by(|a, b| a.name.cmp(&b.name));
+    reports
+}
+
+fn trainers(board: &Board) -> Vec<TrainerReport> {
+    let mut reports = Vec::new();
+    for (_, trainer) in board.groups.records.trainers() {
+        reports.push(TrainerReport {
+            name: trainer.name.clone(),
+            service: trainer.service.clone(),
+            version: trainer.version,
+            ready: trainer.ready.len() as u64,
+            delivered: trainer.delivered.len() as u64,
+            counts: trainer.counts,
+        });
+    }
+    reports
+}
+
+fn gauge(board: &mut Board) {
+    let waiting = board.services.values().map(crate::board::Service::waiting).sum::<usize>();
+    board.counters.queued = waiting as u64;
+    board.counters.running = board.attempts.len() as u64;
+    board.counters.settings = board.in_force.settings.version;
+    board.counters.ready = board.ready;
+}
--- /dev/null
+++ b/crates/core/src/controller/registry.rs
@@ -0,0 +1,137 @@
+//! The registry of upstreams: who is there, who leaves, and how many slots this host may use.
+//!
+//! Reads: announcements, load reports, `working_hosts`, `in_force`.
+//! Writes: `upstreams`, `services`, `due`.
+
+use super::Controller;
+use crate::board::{Board, Upstream, UpstreamState};
+use crate::checksum::checksum;
+use crate::event::{Event, UpstreamSpec};
+use crate::fleet::SettingKey;
+use crate::key::UpstreamKey;
+use crate::time::Millis;
+use crate::timeline::EventKind;
+
+/// The time between two looks for silent upstreams.
+const LOOK_EVERY: Millis = Millis(100);
+
+/// How long a silent or leaving upstream stays listed.
+const FORGET_AFTER: Millis = Millis(30_000);
+
+/// Keeps the list of upstreams.
+#[derive(Debug)]
+pub(super) struct Registry;
+
+impl Controller for Registry {
+    fn run(&mut self, board: &mut Board, event: Option<&Event>) {
+        match event {
+            Some(Event::Announced(spec)) => announced(board, spec),
+            Some(Event::Leaving { name }) => leaving(board, name),
+            Some(Event::Load { name, waiting, .. }) => load(board, name, *waiting),
+            _ => {}
+        }
+        if board.now.mono < board.due.registry {
+            return;
+        }
+        board.due.registry = board.now.mono + LOOK_EVERY;
+        look_for_silent(board);
+        share_slots(board);
+    }
+
+    fn next_deadline(&self, board: &Board) -> Millis {
+        board.due.registry
+    }
+}
+
+fn announced(board: &mut Board, spec: &UpstreamSpec) {
+    let now = board.now.mono;
+    let known = board.upstream_key(&spec.name);
+    if let Some(key) = known {
+        if board.upstreams[key].spec.life > spec.life {
+            return;
+        }
+        if board.upstreams[key].spec.life == spec.life {
+            refresh(board, key, spec);
+            return;
+        }
+        remove(board, key);
+    }
+    let service = board.ensure_service(&spec.service);
+    let key = board.upstreams.insert(Upstream::new(spec.clone(), service, now));
+    board.services[service].upstreams.push(key);
+    board.services[service].repeatable = spec.idempotent;
+    board.due.registry = now;
+    let detail = format!("{} at {}, version {}", spec.service, spec.address, spec.version);
+    board.note(EventKind::UpstreamJoined, spec.name.clone(), detail);
+}
+
+fn refresh(board: &mut Board, key: UpstreamKey, spec: &UpstreamSpec) {
+    let now = board.now.mono;
+    let upstream = &mut board.upstreams[key];
+    upstream.heard = now;
+    upstream.spec = spec.clone();
+    if upstream.state == UpstreamState::Silent {
+        upstream.state = UpstreamState::Up;
+        board.note(EventKind::UpstreamJoined, spec.name.clone(), "announces itself again");
+    }
+}
+
+fn leaving(board: &mut Board, name: &str) {
+    let Some(key) = board.upstream_key(name) else { return };
+    board.upstreams[key].state = UpstreamState::Leaving;
+    board.note(EventKind::UpstreamLeft, name, "says that it leaves");
+}
+
+fn load(board: &mut Board, name: &str, waiting: u32) {
+    let Some(key) = board.upstream_key(name) else { return };
+    board.upstreams[key].waiting = (waiting, board.now.mono);
+}
+
+fn look_for_silent(board: &mut Board) {
+    let silence = Millis(board.setting(SettingKey::SilenceMs, None));
+    let now = board.now.mono;
+    let mut forgotten = Vec::new();
+    let mut silent = Vec::new();
+    for (key, upstream) in &mut board.upstreams {
+        let quiet = now.since(upstream.heard);
+        if quiet > FORGET_AFTER && upstream.in_flight == 0 {
+            forgotten.push(key);
+        }
+        if quiet > silence && upstream.state == UpstreamState::Up {
+            upstream.state = UpstreamState::Silent;
+            silent.push(upstream.spec.name.clone());
+        }
+    }
+    for name in silent {
+        board.note(EventKind::UpstreamLeft, name, "stopped announcing itself");
+    }
+    for key in forgotten {
+        remove(board, key);
+    }
+}
+
+fn remove(board: &mut Board, key: UpstreamKey) {
+    let Some(upstream) = board.upstreams.remove(key) else { return };
+    board.services[upstream.service].upstreams.retain(|other| *other != key);
+}
+
+/// Divides each upstream's slots among the working hosts of the zone.
+///
+/// Every host reckons the same shares from the same list, so together they stay within the slots
+/// without asking each other; the odd slots go round by the upstream's name.
+fn share_slots(board: &mut Board) {
+    let hosts = board.working_hosts();
+    let count = u64::try_from(hosts.len().max(1)).unwrap_or(1);
+    let at = hosts.iter().position(|id| *id == board.cfg.id).unwrap_or(0);
+    let rank = u64::try_from(at).unwrap_or(0);
+    let keys: Vec<UpstreamKey> = board.upstreams.keys().collect();
+    for key in keys {
+        let spec = &board.upstreams[key].spec;
+        let most = board.setting(SettingKey::UpstreamSlots, Some(&spec.service));
+        let slots = most.min(u64::from(spec.slots)).max(1);
+        let turn = (rank + checksum(&[&spec.name])) % count;
+        let odd = u64::from(turn < slots % count);
+        let limit = (slots / count + odd).max(1);
+        board.upstreams[key].limit = u32::try_from(limit).unwrap_or(u32::MAX);
+    }
+}
--- /dev/null
+++ b/crates/core/src/controller/settings.rs
@@ -0,0 +1,66 @@
+//! Settings: takes newer ones into force and passes them on.
+//!
+//! Reads: heartbeats, settings messages, `in_force.offered`.
+//! Writes: `in_force`, `groups.records_out`, settings messages to other hosts.
+//!
+//! A version in force is only ever followed by a greater one.
+
+use super::Controller;
+use crate::agreement::Record;
+use crate::board::Board;
+use crate::event::Event;
+use crate::key::HostId;
+use crate::message::Message;
+use crate::time::Millis;
+use crate::timeline::EventKind;
+
+/// The least time between two questions for newer settings.
+const PULL_EVERY: Millis = Millis(100);
+
+/// Keeps the settings in force.
+#[derive(Debug)]
+pub(super) struct Settings;
+
+impl Controller for Settings {
+    fn run(&mut self, board: &mut Board, event: Option<&Event>) {
+        if let Some(Event::Received(envelope)) = event {
+            take_message(board, envelope.from, &envelope.message);
+        }
+        let Some(offered) = board.in_force.offered.take() else { return };
+        if offered.version <= board.in_force.settings.version {
+            return;
+        }
+        if board.cfg.disk {
+            board.groups.records_out.push(Record::InForce { settings: offered.clone() });
+        }
+        let version = offered.version;
+        board.in_force.settings = offered;
+        board.in_force.since = board.now.wall;
+        board.in_force.tell = true;
+        board.note(EventKind::SettingsInForce, format!("version {version}"), "in force");
+    }
+}
+
+fn take_message(board: &mut Board, from: HostId, message: &Message) {
+    let have = board.in_force.settings.version;
+    match message {
+        Message::Heartbeat(heartbeat) if heartbeat.settings > have => {
+            if board.now.mono < board.due.settings_pull {
+                return;
+            }
+            board.due.settings_pull = board.now.mono + PULL_EVERY;
+            board.send(from, Message::SettingsPull { have });
+        }
+        Message::SettingsPull { have: theirs } if *theirs < have => {
+            let settings = board.in_force.settings.clone();
+            board.send(from, Message::SettingsPush(settings));
+        }
+        Message::SettingsPush(settings) => {
+            let newest = board.in_force.offered.as_ref().map_or(0, |other| other.version);
+            if settings.version > newest {
+                board.in_force.offered = Some(settings.clone());
+            }
+        }
+        _ => {}
+    }
+}
--- /dev/null
+++ b/crates/core/src/controller/trainers.rs
@@ -0,0 +1,207 @@
+//! Trainers' calls: submit, fetch, publish.
+//!
+//! Reads: arrivals, results of commands, `groups.records`.
+//! Writes: `requests`, `work.polls`, `groups.wishes`, `actions`.
+//!
+//! The zone that a trainer's name maps to decides about it. Every fetch that finds something goes
+//! through that zone's log, so what was delivered under which cursor is recorded before the answer
+//! leaves, and staleness is judged at that point of the log.
+
+use super::Controller;
+use crate::action::{Answer, DeliveredSample, SampleBatch};
+use crate::agreement::{Command, GroupId};
+use crate::board::{Board, Fate, Origin, Purpose, Request, Route, Wish};
+use crate::error::{ErrorKind, Problem, Ran};
+use crate::event::{Arrival, Call, Event};
+use crate::fleet::SettingKey;
+use crate::key::RequestKey;
+use crate::records::{Applied, SampleState, TrainerId, ZoneCommand};
+use crate::time::Millis;
+use crate::timeline::EventKind;
+
+/// How long an answer to a trainer may wait for the log, beyond the wait that it asked for.
+const LOG_WAIT: Millis = Millis(5_000);
+
+/// Answers trainers.
+#[derive(Debug)]
+pub(super) struct Trainers;
+
+impl Controller for Trainers {
+    fn run(&mut self, board: &mut Board, _event: Option<&Event>) {
+        for result in board.groups.results.clone() {
+            let Purpose::Request(key) = result.purpose else { continue };
+            decided(board, key, &result.fate);
+        }
+        for arrival in board.take_arrivals(is_trainers) {
+            arrived(board, arrival);
+        }
+        poll(board);
+    }
+}
+
+fn is_trainers(call: &Call) -> bool {
+    matches!(call, Call::Submit { .. } | Call::Fetch { .. } | Call::Publish { .. })
+}
+
+fn trainer_of(call: &Call) -> &str {
+    match call {
+        Call::Submit { trainer, .. } | Call::Fetch { trainer, .. } | Call::Publish { trainer, .. } => {
+            trainer
+        }
+        _ => "",
+    }
+}
+
+fn arrived(board: &mut Board, mut arrival: Arrival) {
+    if let Call::Fetch { wait, .. } = &arrival.call {
+        arrival.deadline = Some(*wait + LOG_WAIT);
+    }
+    let home = board.home_of(trainer_of(&arrival.call));
+    if home != board.my_zone || !board.leads(GroupId::Zone) {
+        board.hand_on(arrival, Route::Leader(GroupId::Zone, home));
+        return;
+    }
+    let deadline = match &arrival.call {
+        Call::Fetch { wait, .. } => board.now.mono + *wait,
+        _ => board.deadline_of(&arrival, None),
+    };
+    let origin = Origin::Exchange(arrival.tag);
+    let request = Request::new(origin, arrival.trace, board.now.mono, deadline);
+    let key = board.add_request(request.call(arrival.call.clone()).hops(arrival.hops));
+    let command = match arrival.call {
+        Call::Submit { trainer, service, step, groups } => {
+            ZoneCommand::Submit { trainer, service, step, groups }
+        }
+        Call::Publish { trainer, service, version } => {
+            ZoneCommand::Publish { trainer, service, version }
+        }
+        _ => {
+            board.work.polls.push(key);
+            return;
+        }
+    };
+    wish(board, key, command);
+}
+
+fn wish(board: &mut Board, key: RequestKey, command: ZoneCommand) {
+    let (command, purpose) = (Command::Zone(command), Purpose::Request(key));
+    board.groups.wishes.push(Wish { group: GroupId::Zone, command, purpose });
+}
+
+/// Has samples delivered to the fetches that wait for some.
+fn poll(board: &mut Board) {
+    let leads = board.leads(GroupId::Zone);
+    for key in std::mem::take(&mut board.work.polls) {
+        let Some(request) = board.requests.get(key) else { continue };
+        let Some(Call::Fetch { trainer, cursor, max, .. }) = &request.call else { continue };
+        let (cursor, max) = (*cursor, *max);
+        if !leads {
+            let detail = "this host no longer leads the trainer's zone";
+            board.fail_request(key, Problem::not_run(ErrorKind::HomeUnreachable, detail));
+            continue;
+        }
+        let records = &board.groups.records;
+        let found = records.trainer_named(trainer).and_then(|id| Some((id, records.trainer(id)?)));
+        let Some((id, trainer)) = found.filter(|(_, trainer)| trainer.has_from(cursor)) else {
+            board.work.polls.push(key);
+            continue;
+        };
+        let service = trainer.service.clone();
+        let staleness = board.setting(SettingKey::Staleness, Some(&service));
+        allow_for_log(board, key);
+        wish(board, key, ZoneCommand::Deliver { trainer: id, cursor, max, staleness });
+    }
+}
+
+/// Moves a fetch's deadline so that it does not pass while the log decides.
+fn allow_for_log(board: &mut Board, key: RequestKey) {
+    let deadline = board.now.mono + LOG_WAIT;
+    let Some(request) = board.requests.get_mut(key) else { return };
+    if request.deadline >= deadline {
+        return;
+    }
+    let old = std::mem::replace(&mut request.deadline, deadline);
+    board.timers.remove(&(old, key));
+    board.timers.insert((deadline, key));
+}
+
+fn decided(board: &mut Board, key: RequestKey, fate: &Fate) {
+    let Some(request) = board.requests.get(key) else { return };
+    if !request.call.as_ref().is_some_and(is_trainers) {
+        return;
+    }
+    match fate {
+        Fate::Zone(Applied::Submitted(added)) => {
+            let detail = format!("{added} new samples");
+            answer(board, key, EventKind::Submitted, &detail, Answer::Submitted(*added));
+        }
+        Fate::Zone(Applied::Published(version)) => {
+            let detail = format!("version {version}");
+            answer(board, key, EventKind::Published, &detail, Answer::Published(*version));
+        }
+        Fate::Zone(Applied::Delivered { trainer, stale }) => {
+            delivered(board, key, *trainer, *stale);
+        }
+        Fate::Zone(Applied::Refused(problem)) | Fate::NotWritten(problem) => {
+            board.fail_request(key, problem.clone());
+        }
+        Fate::Replaced => {
+            let detail = "the leader changed; ask again, nothing is done twice";
+            let problem = Problem::not_run(ErrorKind::HomeUnreachable, detail).ran(Ran::Unknown);
+            board.fail_request(key, problem);
+        }
+        _ => {}
+    }
+}
+
+fn answer(board: &mut Board, key: RequestKey, kind: EventKind, detail: &str, answer: Answer) {
+    let Some(request) = board.remove_request(key) else { return };
+    let subject = request.call.as_ref().map_or("", trainer_of);
+    board.note(kind, subject, detail);
+    if let Some(tag) = request.tag() {
+        board.counters.answered += 1;
+        board.answer(tag, answer);
+    }
+}
+
+fn delivered(board: &mut Board, key: RequestKey, id: TrainerId, stale: u32) {
+    let Some(request) = board.requests.get(key) else { return };
+    let Some(Call::Fetch { trainer, cursor, max, wait }) = request.call.clone() else { return };
+    if stale > 0 {
+        let detail = format!("{stale} samples are generated anew");
+        board.note(EventKind::SamplesStale, trainer, detail);
+    }
+    let batch = batch(board, id, cursor, max);
+    let waited = board.now.mono.since(request_arrived(board, key));
+    if batch.samples.is_empty() && waited < wait {
+        board.work.polls.push(key);
+        return;
+    }
+    let detail = format!("{} samples from cursor {cursor}", batch.samples.len());
+    answer(board, key, EventKind::Delivered, &detail, Answer::Samples(batch));
+}
+
+fn request_arrived(board: &Board, key: RequestKey) -> Millis {
+    board.requests.get(key).map_or(Millis(0), |request| request.arrived)
+}
+
+fn batch(board: &Board, id: TrainerId, cursor: u64, max: u32) -> SampleBatch {
+    let records = &board.groups.records;
+    let Some(trainer) = records.trainer(id) else { return SampleBatch::default() };
+    let mut batch = SampleBatch { next: cursor, ..Default::default() };
+    for delivery in trainer.from(cursor, max) {
+        let Some(sample) = records.sample(delivery.sample) else { continue };
+        let output = match &sample.state {
+            SampleState::Ready(output) => Ok(output.clone()),
+            SampleState::Failed(reason) => Err(reason.clone()),
+            SampleState::Pending => continue,
+        };
+        let (step, group, index) = (sample.step, sample.group.clone(), sample.index);
+        let cursor = delivery.cursor;
+        batch.samples.push(DeliveredSample { cursor, step, group, index, output });
+        batch.next = cursor + 1;
+    }
+    let unacknowledged = trainer.counts.submitted - trainer.counts.acknowledged;
+    batch.outstanding = unacknowledged.saturating_sub(batch.samples.len() as u64);
+    batch
+}
--- /dev/null
+++ b/crates/core/src/error.rs
@@ -0,0 +1,148 @@
+//! The closed list of error kinds, and the table from a kind to its answer.
+
+use serde::{Deserialize, Serialize};
+
+/// Says whether the request that an error answers has run.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Ran {
+    /// No upstream was given the request.
+    No,
+    /// An upstream ran the request.
+    Yes,
+    /// An upstream may have run the request.
+    Unknown,
+}
+
+/// Every kind of error that a caller, trainer, upstream or operator can be answered with.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum ErrorKind {
+    /// The body is not what the call takes.
+    BadRequest,
+    /// The body is larger than the host's limit.
+    BodyTooLarge,
+    /// The body did not arrive in time.
+    SlowSender,
+    /// No such path.
+    NotFound,
+    /// The path does not take this method.
+    MethodNotAllowed,
+    /// No upstream of this service is known in any zone.
+    UnknownService,
+    /// A call to a non-idempotent service came without an `Idempotency-Key`.
+    KeyRequired,
+    /// The `Idempotency-Key` was used before with another body.
+    KeyReused,
+    /// A request with the same `Idempotency-Key` is still running.
+    KeyInFlight,
+    /// The queue is full or the host is past its limits.
+    Overloaded,
+    /// The deadline passed, or could no longer be met.
+    DeadlineExceeded,
+    /// The host is starting or stopping and takes nothing new.
+    NotReady,
+    /// The zone that must decide this can't be reached or has no leader.
+    HomeUnreachable,
+    /// The upstream failed, and the request may not be sent again.
+    UpstreamFailed,
+    /// The upstream went away in the middle; the outcome is not known.
+    OutcomeUnknown,
+    /// Another change was accepted first.
+    ChangeConflict,
+    /// The change is not valid, or lacks its reason.
+    ChangeInvalid,
+}
+
+/// The answer that stands behind an error kind.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ErrorAnswer {
+    /// The HTTP status.
+    pub status: u16,
+    /// The one-line title of the problem document.
+    pub title: &'static str,
+    /// Whether the caller may come again later with the same request.
+    pub retry: bool,
+}
+
+const TABLE: [(ErrorKind, u16, &str, bool); 17] = [
+    (ErrorKind::BadRequest, 400, "The request can't be read", false),
+    (ErrorKind::BodyTooLarge, 413, "The body is too large", false),
+    (ErrorKind::SlowSender, 408, "The body did not arrive in time", true),
+    (ErrorKind::NotFound, 404, "There is no such resource", false),
+    (ErrorKind::MethodNotAllowed, 405, "The method is not allowed here", false),
+    (ErrorKind::UnknownService, 404, "The service is not known", true),
+    (ErrorKind::KeyRequired, 400, "An Idempotency-Key is required", false),
+    (ErrorKind::KeyReused, 422, "The Idempotency-Key belongs to another body", false),
+    (ErrorKind::KeyInFlight, 409, "The first request with this key is still running", true),
+    (ErrorKind::Overloaded, 429, "The host is at its limit", true),
+    (ErrorKind::DeadlineExceeded, 504, "The deadline passed", true),
+    (ErrorKind::NotReady, 503, "The host is starting or stopping", true),
+    (ErrorKind::HomeUnreachable, 503, "The deciding zone can't be reached", true),
+    (ErrorKind::UpstreamFailed, 502, "The upstream failed", true),
+    (ErrorKind::OutcomeUnknown, 502, "The outcome is not known", false),
+    (ErrorKind::ChangeConflict, 409, "Another change was accepted first", false),
+    (ErrorKind::ChangeInvalid, 422, "The change is not valid", false),
+];
+
+impl ErrorKind {
+    /// Returns every kind, in the order of the table.
+    pub fn all() -> impl Iterator<Item = Self> {
+        TABLE.iter().map(|row| row.0)
+    }
+
+    /// Looks the kind up in the table.
+    #[must_use]
+    pub fn answer(self) -> ErrorAnswer {
+        for (kind, status, title, retry) in TABLE {
+            if kind != self {
+                continue;
+            }
+            return ErrorAnswer { status, title, retry };
+        }
+        ErrorAnswer { status: 500, title: "The kind is missing from the table", retry: false }
+    }
+}
+
+/// One error, as it is told to whoever asked.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub struct Problem {
+    /// The kind, from the closed list.
+    pub kind: ErrorKind,
+    /// Whether the request ran.
+    pub ran: Ran,
+    /// What exactly was wrong, for a person.
+    pub detail: Box<str>,
+    /// When to come again, in milliseconds, where that helps.
+    pub retry_after_ms: Option<u64>,
+}
+
+impl Problem {
+    /// Makes a problem of a request that did not run.
+    #[must_use]
+    pub fn not_run(kind: ErrorKind, detail: impl Into<Box<str>>) -> Self {
+        Self { kind, ran: Ran::No, detail: detail.into(), retry_after_ms: None }
+    }
+
+    /// Makes a problem of a request that may have run.
+    #[must_use]
+    pub fn unknown(detail: impl Into<Box<str>>) -> Self {
+        let kind = ErrorKind::OutcomeUnknown;
+        Self { kind, ran: Ran::Unknown, detail: detail.into(), retry_after_ms: None }
+    }
+
+    /// Sets whether the request ran; the default is `No`.
+    #[must_use]
+    pub fn ran(mut self, ran: Ran) -> Self {
+        self.ran = ran;
+        self
+    }
+
+    /// Sets the hint when to come again; the default is none.
+    #[must_use]
+    pub fn retry_after(mut self, after: crate::Millis) -> Self {
+        self.retry_after_ms = Some(after.0);
+        self
+    }
+}
--- /dev/null
+++ b/crates/core/src/host_settings.rs
@@ -0,0 +1,124 @@
+//! What a host is told about itself and its peers before it starts.
+
+use serde::{Deserialize, Serialize};
+
+use crate::key::HostId;
+use crate::time::Millis;
+
+/// One host of the fleet, as written in every host's settings.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub struct PeerSpec {
+    /// The number of the host, the same everywhere.
+    pub id: HostId,
+    /// The name of the host.
+    pub name: Box<str>,
+    /// The availability zone of the host.
+    pub zone: Box<str>,
+    /// Whether the host has a data folder.
+    pub disk: bool,
+}
+
+/// The settings of one core.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub struct HostSettings {
+    /// The name of this host.
+    pub name: Box<str>,
+    /// The availability zone of this host.
+    pub zone: Box<str>,
+    /// The number of this host.
+    pub id: HostId,
+    /// Every host of the fleet, this one too.
+    pub fleet: Vec<PeerSpec>,
+    /// Whether records go to a disk before they count.
+    pub disk: bool,
+    /// Sets this life of the host's state apart from every other.
+    pub incarnation: u64,
+    /// The seed of all random choices.
+    pub seed: u64,
+    /// The most upstream calls at a time; the shell has this many threads.
+    pub calls: u32,
+    /// The most events that the time line keeps.
+    pub timeline: usize,
+    /// The shortest time without word from a leader before an election, in milliseconds.
+    pub election: Millis,
+}
+
+impl HostSettings {
+    /// Makes the settings of a fleet of one host.
+    #[must_use]
+    pub fn new(name: impl Into<Box<str>>, zone: impl Into<Box<str>>) -> Self {
+        let (name, zone) = (name.into(), zone.into());
+        let id = HostId(1);
+        let me = PeerSpec { id, name: name.clone(), zone: zone.clone(), disk: false };
+        Self {
+            name,
+            zone,
+            id,
+            fleet: vec![me],
+            disk: false,
+            incarnation: 1,
+            seed: 0,
+            calls: 256,
+            timeline: 4096,
+            election: Millis(1000),
+        }
+    }
+
+    /// Sets the hosts of the fleet and which of them this is; the default is this host alone.
+    #[must_use]
+    pub fn fleet(mut self, id: HostId, fleet: impl Into<Vec<PeerSpec>>) -> Self {
+        self.id = id;
+        self.fleet = fleet.into();
+        self
+    }
+
+    /// Sets whether records go to a disk before they count; the default is no.
+    #[must_use]
+    pub fn disk(mut self, disk: bool) -> Self {
+        self.disk = disk;
+        for peer in &mut self.fleet {
+            if peer.id != self.id {
+                continue;
+            }
+            peer.disk = disk;
+        }
+        self
+    }
+
+    /// Sets the number of this life of the host's state; the default is 1.
+    #[must_use]
+    pub fn incarnation(mut self, incarnation: u64) -> Self {
+        self.incarnation = incarnation;
+        self
+    }
+
+    /// Sets the seed of all random choices; the default is 0.
+    #[must_use]
+    pub fn seed(mut self, seed: u64) -> Self {
+        self.seed = seed;
+        self
+    }
+
+    /// Sets the most upstream calls at a time; the default is 256.
+    #[must_use]
+    pub fn calls(mut self, calls: u32) -> Self {
+        self.calls = calls;
+        self
+    }
+
+    /// Sets how many events the time line keeps; the default is 4,096.
+    #[must_use]
+    pub fn timeline(mut self, timeline: usize) -> Self {
+        self.timeline = timeline;
+        self
+    }
+
+    /// Sets the shortest time before an election; the default is one second.
+    #[must_use]
+    pub fn election(mut self, election: Millis) -> Self {
+        self.election = election;
+        self
+    }
+}
--- /dev/null
+++ b/crates/core/src/lib.rs
@@ -0,0 +1,44 @@
+//! The decisions of chestnutdrift.
+//!
+//! This crate holds a [`Board`] of arenas, and a list of controllers that read and write it. Time,
+//! the random seed and every input come in as an [`Event`]; everything that is to be done goes out
+//! as an [`Action`]. There is no socket, file, thread, clock or global random state here, so one
+//! list of events always gives one list of actions.
+//!
+//! Start at [`Core`], then read [`controller`] for the order in which the controllers run.
+//!
+//! ```
+//! use chestnutdrift_core::{Core, Event, HostSettings, Now};
+//!
+//! let cfg = HostSettings::new("host-1", "zone-a").seed(7);
+//! let mut core = Core::new(cfg, Now::default());
+//! let actions = core.handle(Now::default(), Event::Tick);
+//! assert!(actions.iter().all(|action| !action.is_dispatch()));
+//! ```
+
+pub mod action;
+pub mod agreement;
+pub mod board;
+mod checksum;
+pub mod controller;
+mod core;
+pub mod error;
+pub mod event;
+pub mod fleet;
+pub mod host_settings;
+pub mod key;
+pub mod message;
+pub mod policy;
+pub mod records;
+pub mod time;
+pub mod timeline;
+
+pub use crate::action::Action;
+pub use crate::board::Board;
+pub use crate::checksum::checksum;
+pub use crate::core::Core;
+pub use crate::error::{ErrorKind, Problem, Ran};
+pub use crate::event::Event;
+pub use crate::host_settings::{HostSettings, PeerSpec};
+pub use crate::key::{AttemptKey, HostId, RequestTag, UpstreamKey};
+pub use crate::time::{Millis, Now};
--- /dev/null
+++ b/crates/core/src/policy.rs
@@ -0,0 +1,36 @@
+//! Policies: behaviour that varies, as trait objects at the border of the controllers.
+
+mod class_share;
+mod placement;
+mod power_of_two;
+mod queue_order;
+mod retry;
+mod round_robin;
+
+pub use class_share::{ArrivalOrder, ClassShare};
+pub use placement::{Candidate, Placement};
+pub use power_of_two::PowerOfTwo;
+pub use queue_order::{Head, QueueOrder};
+pub use retry::{BudgetedRetry, Retry, RetryQuestion};
+pub use round_robin::RoundRobin;
+
+/// The policies of one core.
+#[derive(Debug)]
+pub struct Policies {
+    /// Chooses the upstream of a request.
+    pub placement: Box<dyn Placement>,
+    /// Chooses whether interactive or rollout work goes next.
+    pub order: Box<dyn QueueOrder>,
+    /// Decides whether a failed request is tried again, and when.
+    pub retry: Box<dyn Retry>,
+}
+
+impl Default for Policies {
+    fn default() -> Self {
+        Self {
+            placement: Box::new(PowerOfTwo),
+            order: Box::new(ClassShare::default()),
+            retry: Box::new(BudgetedRetry::default()),
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/records.rs
@@ -0,0 +1,16 @@
+//! The applied state of a zone group: trainers, samples, and non-idempotent requests.
+//!
+//! Every host of the zone applies the same commands in the same order and so holds the same
+//! records. Numbers such as [`SampleId`] are given out while applying, so they agree too.
+
+mod command;
+mod intent;
+mod sample;
+mod trainer;
+mod zone_records;
+
+pub use command::{Applied, ZoneCommand};
+pub use intent::{Intent, IntentKey, IntentState, Outcome};
+pub use sample::{Output, PromptGroup, Sample, SampleId, SampleState, Span};
+pub use trainer::{Counts, Delivery, Trainer, TrainerId};
+pub use zone_records::ZoneRecords;
--- /dev/null
+++ b/crates/core/src/records/intent.rs
@@ -0,0 +1,62 @@
+//! Records of non-idempotent requests.
+
+use std::sync::Arc;
+
+use serde::{Deserialize, Serialize};
+
+use crate::key::HostId;
+
+/// The key of a non-idempotent request: caller, service and `Idempotency-Key`.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub struct IntentKey {
+    /// The caller, so that two callers can't meet in one key.
+    pub caller: Box<str>,
+    /// The service.
+    pub service: Box<str>,
+    /// The caller's `Idempotency-Key`.
+    pub key: Box<str>,
+}
+
+/// How a non-idempotent request ended.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Outcome {
+    /// The upstream answered.
+    Answered {
+        /// The HTTP status.
+        status: u16,
+        /// The content type.
+        content_type: Box<str>,
+        /// The body.
+        body: Arc<[u8]>,
+    },
+    /// It provably never reached an upstream; the key is free again.
+    NotRun,
+    /// It may have run; it is never dispatched again.
+    Unknown,
+}
+
+/// Where a non-idempotent request stands.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum IntentState {
+    /// The owner may dispatch it, or has.
+    Intended,
+    /// It has ended.
+    Ended(Outcome),
+}
+
+/// The record of a non-idempotent request.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub struct Intent {
+    /// A checksum of the request.
+    pub fingerprint: u64,
+    /// The only host that may dispatch it.
+    pub owner: HostId,
+    /// The life of the owner's process.
+    pub life: u64,
+    /// Where it stands.
+    pub state: IntentState,
+}
--- /dev/null
+++ b/crates/daemon/src/call/side.rs
@@ -0,0 +1,118 @@
+//! Small calls beside the attempts: orders to engines, and word that an attempt is given up.
+
+use std::thread::JoinHandle;
+use std::time::Duration;
+
+use chestnutdrift_core::key::OrderKey;
+use chestnutdrift_core::{Event, Millis};
+use chestnutdrift_wire::api::engine::{CancelBody, EngineState, LoadBody};
+use crossbeam::channel::{self, Receiver, Sender};
+
+use super::Agents;
+use crate::control::Input;
+
+/// Threads that wait for loads.
+const LOAD_THREADS: usize = 8;
+
+/// Threads that tell engines of attempts that are given up.
+const CANCEL_THREADS: usize = 2;
+
+/// Jobs that may wait.
+const JOBS_WAITING: usize = 1_024;
+
+/// How long an engine may take to answer a small question.
+const SMALL_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// An order to an engine.
+#[derive(Debug, Clone)]
+pub struct OrderJob {
+    /// The order.
+    pub order: OrderKey,
+    /// The engine's address.
+    pub address: Box<str>,
+    /// The version to load.
+    pub version: u64,
+    /// The fencing number.
+    pub fence: u64,
+    /// How long to wait.
+    pub timeout: Millis,
+}
+
+#[derive(Debug)]
+struct CancelJob {
+    address: Box<str>,
+    id: Box<str>,
+}
+
+/// The threads for small calls.
+#[derive(Debug)]
+pub struct SidePool {
+    loads: Sender<OrderJob>,
+    cancels: Sender<CancelJob>,
+    threads: Vec<JoinHandle<()>>,
+}
+
+impl SidePool {
+    /// Starts the threads.
+    #[must_use]
+    pub fn start(agents: &Agents, inputs: &Sender<Input>) -> Self {
+        let (loads, load_jobs) = channel::bounded(JOBS_WAITING);
+        let (cancels, cancel_jobs) = channel::bounded(JOBS_WAITING);
+        let mut threads = Vec::new();
+        for _ in 0..LOAD_THREADS {
+            let (agents, jobs, inputs) = (agents.clone(), load_jobs.clone(), inputs.clone());
+            threads.push(std::thread::spawn(move || run_loads(&agents, &jobs, &inputs)));
+        }
+        for _ in 0..CANCEL_THREADS {
+            let (agents, jobs) = (agents.clone(), cancel_jobs.clone());
+            threads.push(std::thread::spawn(move || run_cancels(&agents, &jobs)));
+        }
+        Self { loads, cancels, threads }
+    }
+
+    /// Gives an order; one that finds no room is lost, and the core gives it again.
+    pub fn order(&self, job: OrderJob) {
+        let _ = self.loads.try_send(job);
+    }
+
+    /// Tells an engine that an attempt is given up.
+    pub fn cancel(&self, address: Box<str>, id: Box<str>) {
+        let _ = self.cancels.try_send(CancelJob { address, id });
+    }
+
+    /// Ends the threads that are idle; those in a call end with it.
+    pub fn close(self) {
+        drop((self.loads, self.cancels, self.threads));
+    }
+}
+
+fn run_loads(agents: &Agents, jobs: &Receiver<OrderJob>, inputs: &Sender<Input>) {
+    for job in jobs {
+        let version = load(agents, &job);
+        let event = Event::OrderEnded { order: job.order, version };
+        if inputs.send(Input::Event(event)).is_err() {
+            return;
+        }
+    }
+}
+
+/// Orders a load and reads back what the engine runs afterwards.
+fn load(agents: &Agents, job: &OrderJob) -> Option<u64> {
+    let timeout = Duration::from_millis(job.timeout.0.max(1));
+    let url = format!("http://{}/load", job.address);
+    let body = LoadBody { version: job.version, fence: job.fence };
+    let request = agents.fresh.post(&url).config().timeout_global(Some(timeout)).build();
+    let _ = request.send_json(body);
+    let url = format!("http://{}/state", job.address);
+    let request = agents.fresh.get(&url).config().timeout_global(Some(SMALL_TIMEOUT)).build();
+    let state: EngineState = request.call().ok()?.body_mut().read_json().ok()?;
+    Some(state.version)
+}
+
+fn run_cancels(agents: &Agents, jobs: &Receiver<CancelJob>) {
+    for job in jobs {
+        let url = format!("http://{}/cancel", job.address);
+        let request = agents.fresh.post(&url).config().timeout_global(Some(SMALL_TIMEOUT));
+        let _ = request.build().send_json(CancelBody { id: job.id });
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/daemon.rs
@@ -0,0 +1,148 @@
+//! Puts the threads of a host together, and takes them apart again.
+
+use std::collections::BTreeMap;
+use std::thread::JoinHandle;
+
+use anyhow::Context;
+use chestnutdrift_core::agreement::Record;
+use chestnutdrift_core::{Core, Event, HostId, HostSettings, Millis};
+use crossbeam::channel::{self, Sender};
+use signal_hook::consts::{SIGINT, SIGTERM};
+use signal_hook::iterator::Signals;
+
+use crate::call::{
+    Adaptors, Agents, CallPool, EngineAdaptor, HostAdaptor, PlainAdaptor, SidePool,
+};
+use crate::clock::{self, Clock};
+use crate::control::{Control, EVENTS_WAITING, Input, Outlets};
+use crate::disk::{DataFolder, DiskJob, DiskThread};
+use crate::http::{HttpFront, HttpSettings};
+use crate::link::Links;
+use crate::settings::Settings;
+
+/// A host that has been started.
+#[derive(Debug)]
+pub struct Daemon {
+    control: Control,
+    http: HttpFront,
+    disk: Option<DiskThread>,
+}
+
+/// What the data folder gave.
+struct Restored {
+    incarnation: u64,
+    records: Vec<Record>,
+    thread: Option<DiskThread>,
+    jobs: Option<Sender<DiskJob>>,
+}
+
+impl Daemon {
+    /// Starts the threads of a host.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error where the data folder can't be used or an address can't be bound.
+    pub fn start(settings: &Settings) -> anyhow::Result<Self> {
+        let clock = Clock::start();
+        let (inputs, events) = channel::bounded(EVENTS_WAITING);
+        let restored = restore(settings, &inputs)?;
+        let mut core = Core::new(host_settings(settings, restored.incarnation), clock.now());
+        let restore_actions = core.handle(clock.now(), Event::Restored(restored.records));
+        let outlets = outlets(settings, &inputs, restored.jobs)?;
+        let http = HttpFront::start(http_settings(settings), inputs.clone())?;
+        watch_signals(inputs)?;
+        let mut control = Control::new(core, clock, events, outlets);
+        control.perform_all(restore_actions);
+        Ok(Self { control, http, disk: restored.thread })
+    }
+
+    /// Runs until the host is told to stop and holds nothing any more.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error where the disk failed.
+    pub fn run(self) -> anyhow::Result<()> {
+        let thread: JoinHandle<anyhow::Result<()>> = std::thread::Builder::new()
+            .name("control".into())
+            .spawn(move || self.control.run())
+            .context("the control thread can't be started")?;
+        let ran = thread.join().map_err(|_| anyhow::anyhow!("the control thread panicked"))?;
+        self.http.close();
+        if let Some(disk) = self.disk.filter(|_| ran.is_ok()) {
+            disk.close();
+        }
+        ran
+    }
+}
+
+fn restore(settings: &Settings, inputs: &Sender<Input>) -> anyhow::Result<Restored> {
+    let Some(path) = &settings.host.data else {
+        let incarnation = clock::wall().0;
+        return Ok(Restored { incarnation, records: Vec::new(), thread: None, jobs: None });
+    };
+    let (folder, identity, records) = DataFolder::open(path, &settings.host.name)?;
+    let (thread, jobs) = DiskThread::start(folder, inputs.clone())?;
+    let incarnation = identity.incarnation;
+    Ok(Restored { incarnation, records, thread: Some(thread), jobs: Some(jobs) })
+}
+
+fn host_settings(settings: &Settings, incarnation: u64) -> HostSettings {
+    let me = &settings.me().spec;
+    let fleet: Vec<_> = settings.fleet.iter().map(|peer| peer.spec.clone()).collect();
+    let election = u64::try_from(settings.host.election.as_millis()).unwrap_or(u64::MAX);
+    HostSettings::new(me.name.clone(), me.zone.clone())
+        .fleet(me.id, fleet)
+        .disk(me.disk)
+        .incarnation(incarnation)
+        .seed(settings.host.seed ^ incarnation)
+        .calls(settings.limits.calls)
+        .timeline(settings.limits.timeline as usize)
+        .election(Millis(election))
+}
+
+fn outlets(
+    settings: &Settings,
+    inputs: &Sender<Input>,
+    disk: Option<Sender<DiskJob>>,
+) -> anyhow::Result<Outlets> {
+    let agents = Agents::new();
+    let http: BTreeMap<HostId, _> =
+        settings.fleet.iter().map(|peer| (peer.spec.id, peer.http)).collect();
+    let links: BTreeMap<HostId, _> =
+        settings.fleet.iter().map(|peer| (peer.spec.id, peer.link)).collect();
+    let adaptors = Adaptors {
+        engine: Box::new(EngineAdaptor::new(agents.clone())),
+        plain: Box::new(PlainAdaptor::new(agents.clone())),
+        host: Box::new(HostAdaptor::new(agents.clone(), http)),
+    };
+    let side = SidePool::start(&agents, inputs);
+    let calls = CallPool::new(adaptors, side, inputs.clone(), settings.limits.calls);
+    let links = Links::start(settings.me().link, links, inputs.clone())?;
+    Ok(Outlets { calls, links, disk })
+}
+
+fn http_settings(settings: &Settings) -> HttpSettings {
+    HttpSettings {
+        address: settings.me().http,
+        host: settings.host.name.clone(),
+        life: clock::wall().0,
+        limits: settings.limits,
+    }
+}
+
+/// Turns the first signal to stop into an event; a second one ends the process at once.
+fn watch_signals(inputs: Sender<Input>) -> anyhow::Result<()> {
+    let mut signals = Signals::new([SIGTERM, SIGINT]).context("signals can't be watched")?;
+    std::thread::Builder::new().name("signals".into()).spawn(move || {
+        let mut told = false;
+        for signal in signals.forever() {
+            if told {
+                log::error!(event = "cut-short", signal = signal; "a second signal: what is held is cut");
+                std::process::exit(1);
+            }
+            told = true;
+            let _ = inputs.send(Input::Event(Event::Stop));
+        }
+    })?;
+    Ok(())
+}
--- /dev/null
+++ b/crates/daemon/src/disk.rs
@@ -0,0 +1,87 @@
+//! The journal on disk: one thread that owns the data folder.
+//!
+//! Records are appended with a length and a checksum and count only once they are synced. A failed
+//! write or sync ends the process: what the file then holds is not known, and to try again as if
+//! nothing had happened would promise what may not be there.
+
+mod codec;
+mod condenser;
+mod folder;
+
+use std::thread::JoinHandle;
+
+use anyhow::Context;
+use chestnutdrift_core::Event;
+use chestnutdrift_core::agreement::Record;
+use chestnutdrift_core::key::SyncToken;
+use crossbeam::channel::{self, Receiver, Sender};
+
+use crate::control::Input;
+
+pub use codec::{decode_all, encode};
+pub use condenser::Condenser;
+pub use folder::{DataFolder, Disk, Identity};
+
+/// Batches that may wait for the disk; beyond them the control thread waits too.
+const BATCHES_WAITING: usize = 4_096;
+
+/// The most batches that are synced together.
+const BATCHES_TOGETHER: usize = 256;
+
+/// A batch of records to be synced.
+#[derive(Debug, Clone, PartialEq)]
+pub struct DiskJob {
+    /// The token to report.
+    pub token: SyncToken,
+    /// The records, in order.
+    pub records: Vec<Record>,
+}
+
+/// The thread that owns the disk.
+#[derive(Debug)]
+pub struct DiskThread {
+    thread: JoinHandle<()>,
+}
+
+impl DiskThread {
+    /// Starts the thread and returns the way to it.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error where the thread can't be started.
+    pub fn start(
+        disk: impl Disk + 'static,
+        inputs: Sender<Input>,
+    ) -> anyhow::Result<(Self, Sender<DiskJob>)> {
+        let (tx, rx) = channel::bounded(BATCHES_WAITING);
+        let builder = std::thread::Builder::new().name("disk".into());
+        let thread = builder
+            .spawn(move || run(disk, &rx, &inputs))
+            .context("the thread for the disk can't be started")?;
+        Ok((Self { thread }, tx))
+    }
+
+    /// Waits until everything that was handed over is synced.
+    pub fn close(self) {
+        let _ = self.thread.join();
+    }
+}
+
+fn run(mut disk: impl Disk, jobs: &Receiver<DiskJob>, inputs: &Sender<Input>) {
+    while let Ok(first) = jobs.recv() {
+        let mut token = first.token;
+        let mut records = first.records;
+        for job in jobs.try_iter().take(BATCHES_TOGETHER) {
+            token = job.token;
+            records.extend(job.records);
+        }
+        let input = match disk.write(&records) {
+            Ok(()) => Input::Event(Event::Synced(token)),
+            Err(error) => Input::DiskFailed(format!("{error:#}").into()),
+        };
+        let failed = matches!(input, Input::DiskFailed(_));
+        if inputs.send(input).is_err() || failed {
+            return;
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/disk/folder.rs
@@ -0,0 +1,126 @@
+//! The data folder: an identity and a journal.
+
+use std::fmt::Debug;
+use std::fs::{self, File, OpenOptions};
+use std::io::Write;
+use std::path::{Path, PathBuf};
+
+use anyhow::{Context, bail};
+use chestnutdrift_core::agreement::Record;
+use serde::{Deserialize, Serialize};
+
+use super::{Condenser, codec};
+use crate::clock;
+
+const IDENTITY: &str = "identity.json";
+const JOURNAL: &str = "journal";
+const NEW_JOURNAL: &str = "journal.new";
+
+/// Writes records so that they outlive the process and the power.
+pub trait Disk: Debug + Send {
+    /// Appends records and returns when they are synced.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error where any of it failed; nothing may be promised on this disk any more.
+    fn write(&mut self, records: &[Record]) -> anyhow::Result<()>;
+}
+
+/// Whose folder it is.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Identity {
+    /// The host.
+    pub host: Box<str>,
+    /// The life of its state; a new folder begins a new one.
+    pub incarnation: u64,
+}
+
+/// The data folder of a host.
+#[derive(Debug)]
+pub struct DataFolder {
+    path: PathBuf,
+    journal: File,
+    condenser: Condenser,
+}
+
+impl DataFolder {
+    /// Opens a folder, or makes a new one, and returns whose it is and what it holds.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error where the folder belongs to another host, is damaged, or can't be used.
+    pub fn open(path: &Path, host: &str) -> anyhow::Result<(Self, Identity, Vec<Record>)> {
+        fs::create_dir_all(path).with_context(|| format!("{} can't be made", path.display()))?;
+        let identity = identity(path, host)?;
+        let name = path.join(JOURNAL);
+        let bytes = if name.exists() { fs::read(&name)? } else { Vec::new() };
+        let (records, length) =
+            codec::decode_all(&bytes).with_context(|| format!("{}", name.display()))?;
+        let mut journal = OpenOptions::new()
+            .create(true)
+            .truncate(false)
+            .write(true)
+            .open(&name)
+            .with_context(|| format!("{} can't be opened", name.display()))?;
+        if length < bytes.len() {
+            log::warn!(event = "journal-cut"; "the last record was not whole and is left out");
+        }
+        journal.set_len(length as u64)?;
+        std::io::Seek::seek(&mut journal, std::io::SeekFrom::End(0))?;
+        journal.sync_all()?;
+        sync_folder(path)?;
+        let mut condenser = Condenser::default();
+        records.iter().for_each(|record| condenser.take(record));
+        let folder = Self { path: path.into(), journal, condenser };
+        Ok((folder, identity, records))
+    }
+
+    /// Writes what still counts to a new journal and puts it in the old one's place.
+    fn condense(&mut self) -> anyhow::Result<()> {
+        let new = self.path.join(NEW_JOURNAL);
+        let mut journal = File::create(&new)?;
+        journal.write_all(&codec::encode(&self.condenser.records())?)?;
+        journal.sync_all()?;
+        fs::rename(&new, self.path.join(JOURNAL))?;
+        sync_folder(&self.path)?;
+        self.journal = journal;
+        Ok(())
+    }
+}
+
+impl Disk for DataFolder {
+    fn write(&mut self, records: &[Record]) -> anyhow::Result<()> {
+        records.iter().for_each(|record| self.condenser.take(record));
+        if records.iter().any(|record| matches!(record, Record::Snapshot { .. })) {
+            return self.condense().context("the journal can't be written anew");
+        }
+        self.journal.write_all(&codec::encode(records)?).context("the journal can't be written")?;
+        self.journal.sync_data().context("the journal can't be synced")
+    }
+}
+
+fn identity(path: &Path, host: &str) -> anyhow::Result<Identity> {
+    let name = path.join(IDENTITY);
+    if !name.exists() {
+        if path.join(JOURNAL).exists() {
+            bail!("{} has a journal but no {IDENTITY}", path.display());
+        }
+        let identity = Identity { host: host.into(), incarnation: clock::wall().0 };
+        let mut file = File::create(&name)?;
+        file.write_all(&serde_json::to_vec(&identity)?)?;
+        file.sync_all()?;
+        sync_folder(path)?;
+        return Ok(identity);
+    }
+    let identity: Identity = serde_json::from_slice(&fs::read(&name)?)
+        .with_context(|| format!("{} can't be read", name.display()))?;
+    if &*identity.host != host {
+        bail!("{} belongs to host {}, not to {host}", path.display(), identity.host);
+    }
+    Ok(identity)
+}
+
+fn sync_folder(path: &Path) -> anyhow::Result<()> {
+    File::open(path)?.sync_all().with_context(|| format!("{} can't be synced", path.display()))
+}
--- /dev/null
+++ b/crates/daemon/src/http/reply.rs
@@ -0,0 +1,76 @@
+//! Writes the core's answers out.
+
+use bytes::Bytes;
+use chestnutdrift_core::Problem;
+use chestnutdrift_core::action::Answer;
+use chestnutdrift_wire::api::operator::ChangedAnswer;
+use chestnutdrift_wire::api::problem::ProblemBody;
+use chestnutdrift_wire::api::trainer::{PublishAnswer, SamplesAnswer, SubmitAnswer};
+use chestnutdrift_wire::header;
+use serde_json::json;
+
+use super::metrics;
+use crate::exchange::{Inbound, WholeReply};
+
+/// The status of a change that was not accepted.
+const CONFLICT: u16 = 409;
+
+/// The status of a host that takes no work.
+const NOT_READY: u16 = 503;
+
+/// Writes an answer of the core.
+#[must_use]
+pub fn answer_reply(inbound: &Inbound, answer: Answer) -> WholeReply {
+    match answer {
+        Answer::Problem(problem) => problem_reply(&problem),
+        Answer::Recorded { answer, replayed } => {
+            let mut reply = WholeReply::from_recorded(&answer);
+            if replayed {
+                reply.headers.push((header::REPLAYED, "yes".into()));
+            }
+            reply
+        }
+        Answer::Submitted(added) => WholeReply::json(200, &SubmitAnswer { added }),
+        Answer::Samples(batch) => {
+            WholeReply::json(200, &SamplesAnswer::new(trainer(&inbound.path), batch))
+        }
+        Answer::Published(version) => WholeReply::json(200, &PublishAnswer { version }),
+        Answer::Changed(answer) => {
+            let body = ChangedAnswer::from(answer);
+            WholeReply::json(if body.accepted { 200 } else { CONFLICT }, &body)
+        }
+        Answer::Settings(report) => WholeReply::json(200, &report),
+        Answer::Hosts(reports) => WholeReply::json(200, &reports),
+        Answer::Upstreams(reports) => WholeReply::json(200, &reports),
+        Answer::Trainers(reports) => WholeReply::json(200, &reports),
+        Answer::Timeline(events) => WholeReply::json(200, &events),
+        Answer::Counters(counters) if &*inbound.path == "/metrics" => metrics::reply(&counters),
+        Answer::Counters(counters) => {
+            let status = if counters.ready { 200 } else { NOT_READY };
+            let status = if &*inbound.path == "/healthz" { 200 } else { status };
+            WholeReply::json(status, &json!({ "ready": counters.ready }))
+        }
+        Answer::Draining => WholeReply::json(202, &json!({ "draining": true })),
+    }
+}
+
+/// Writes an error out as a problem document.
+#[must_use]
+pub(super) fn problem_reply(problem: &Problem) -> WholeReply {
+    let body = ProblemBody::new(problem);
+    let mut headers = Vec::new();
+    if let Some(after) = problem.retry_after_ms {
+        headers.push(("retry-after", after.div_ceil(1_000).to_string().into()));
+    }
+    WholeReply {
+        status: body.status,
+        content_type: header::PROBLEM_JSON.into(),
+        headers,
+        body: Bytes::from(serde_json::to_vec(&body).unwrap_or_default()),
+    }
+}
+
+/// Returns the trainer's name from `/v1/trainers/{trainer}/…`.
+fn trainer(path: &str) -> &str {
+    path.split('/').nth(3).unwrap_or_default()
+}
--- /dev/null
+++ b/crates/daemon/src/http/router.rs
@@ -0,0 +1,73 @@
+//! Paths.
+
+use chestnutdrift_core::ErrorKind;
+
+/// What a path and method stand for.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(super) enum Route {
+    Chat,
+    Service { service: Box<str>, path: Box<str> },
+    Submit { trainer: Box<str>, step: u64 },
+    Fetch { trainer: Box<str> },
+    Publish { trainer: Box<str> },
+    Announce,
+    Load,
+    Leave,
+    Settings,
+    Hosts,
+    Upstreams,
+    Trainers,
+    Timeline,
+    Change,
+    Drain,
+    Health,
+    Ready,
+    Metrics,
+}
+
+/// Finds the route of a method and path.
+pub(super) fn route(method: &str, path: &str) -> Result<Route, ErrorKind> {
+    let segments: Vec<&str> = path.trim_matches('/').split('/').collect();
+    let (wanted, route) = find(&segments).ok_or(ErrorKind::NotFound)?;
+    if wanted == method { Ok(route) } else { Err(ErrorKind::MethodNotAllowed) }
+}
+
+fn find(segments: &[&str]) -> Option<(&'static str, Route)> {
+    let found = match segments {
+        ["healthz"] => ("GET", Route::Health),
+        ["readyz"] => ("GET", Route::Ready),
+        ["metrics"] => ("GET", Route::Metrics),
+        ["v1", "chat", "completions"] => ("POST", Route::Chat),
+        ["v1", "services", service, path @ ..] if !service.is_empty() => {
+            ("POST", Route::Service { service: (*service).into(), path: path.join("/").into() })
+        }
+        ["v1", "trainers", trainer, rest @ ..] if !trainer.is_empty() => {
+            return find_trainers(trainer, rest);
+        }
+        ["v1", "upstreams", "announce"] => ("POST", Route::Announce),
+        ["v1", "upstreams", "load"] => ("POST", Route::Load),
+        ["v1", "upstreams", "leave"] => ("POST", Route::Leave),
+        ["v1", "operator", "settings"] => ("GET", Route::Settings),
+        ["v1", "operator", "hosts"] => ("GET", Route::Hosts),
+        ["v1", "operator", "upstreams"] => ("GET", Route::Upstreams),
+        ["v1", "operator", "trainers"] => ("GET", Route::Trainers),
+        ["v1", "operator", "timeline"] => ("GET", Route::Timeline),
+        ["v1", "operator", "changes"] => ("POST", Route::Change),
+        ["v1", "operator", "drain"] => ("POST", Route::Drain),
+        _ => return None,
+    };
+    Some(found)
+}
+
+fn find_trainers(trainer: &str, rest: &[&str]) -> Option<(&'static str, Route)> {
+    let trainer = trainer.into();
+    match rest {
+        ["steps", step, "groups"] => {
+            let step = step.parse().ok()?;
+            Some(("POST", Route::Submit { trainer, step }))
+        }
+        ["samples"] => Some(("GET", Route::Fetch { trainer })),
+        ["versions"] => Some(("POST", Route::Publish { trainer })),
+        _ => None,
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/lib.rs
@@ -0,0 +1,18 @@
+//! The daemon: a shell round the core.
+//!
+//! One control thread owns the core and waits on one channel with a deadline ([`control`]).
+//! Traffic threads own sockets and the disk: the HTTP front ([`http`]), calls to upstreams and
+//! other hosts ([`call`]), links between hosts ([`link`]) and the journal on disk ([`disk`]). They
+//! talk to the control thread over bounded channels. Prompts, token streams and answers go from
+//! socket to socket over an [`exchange`] and do not pass through the control thread.
+
+pub mod call;
+pub mod clock;
+pub mod control;
+pub mod daemon;
+pub mod disk;
+pub mod exchange;
+pub mod http;
+pub mod link;
+pub mod logging;
+pub mod settings;
--- /dev/null
+++ b/crates/daemon/src/link.rs
@@ -0,0 +1,89 @@
+//! Links between hosts: WebSocket connections that carry CBOR messages.
+//!
+//! A link is made when there is something to send, and carries messages one way; the other way has
+//! a link of its own. Messages may be lost, because a link breaks or a queue is full: the core's
+//! protocols are made for that. Nothing is kept for a host that can't be reached.
+
+mod inbound;
+mod outbound;
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+use anyhow::Context;
+use chestnutdrift_core::HostId;
+use chestnutdrift_core::message::Envelope;
+use crossbeam::channel::Sender;
+use tokio::net::TcpListener;
+use tokio::runtime::Runtime;
+use tokio::sync::mpsc;
+use tokio_tungstenite::tungstenite::protocol::WebSocketConfig;
+
+use crate::control::Input;
+
+/// Messages that may wait for a link.
+const MESSAGES_WAITING: usize = 4_096;
+
+/// The size of the buffers of one link, in bytes.
+const BUFFER: usize = 16 * 1024;
+
+/// The links of a host.
+#[derive(Debug)]
+pub struct Links {
+    runtime: Runtime,
+    peers: BTreeMap<HostId, SocketAddr>,
+    queues: BTreeMap<HostId, mpsc::Sender<Envelope>>,
+}
+
+impl Links {
+    /// Starts taking messages, and being ready to send some.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error where the address can't be bound or the thread can't be started.
+    pub fn start(
+        address: SocketAddr,
+        peers: BTreeMap<HostId, SocketAddr>,
+        inputs: Sender<Input>,
+    ) -> anyhow::Result<Self> {
+        let runtime = tokio::runtime::Builder::new_multi_thread()
+            .worker_threads(1)
+            .thread_name("link")
+            .enable_all()
+            .build()
+            .context("the thread for links can't be started")?;
+        let listener = runtime
+            .block_on(TcpListener::bind(address))
+            .with_context(|| format!("{address} can't be bound"))?;
+        runtime.spawn(inbound::accept(listener, inputs));
+        Ok(Self { runtime, peers, queues: BTreeMap::new() })
+    }
+
+    /// Sends a message, or drops it where the queue of its link is full.
+    pub fn send(&mut self, to: HostId, envelope: Envelope) {
+        let Some(address) = self.peers.get(&to).copied() else { return };
+        let runtime = &self.runtime;
+        let queue = self.queues.entry(to).or_insert_with(|| {
+            let (tx, rx) = mpsc::channel(MESSAGES_WAITING);
+            runtime.spawn(outbound::run(address, rx));
+            tx
+        });
+        if queue.try_send(envelope).is_err() {
+            log::debug!(event = "message-dropped", host = to.0; "the queue of its link is full");
+        }
+    }
+
+    /// Breaks all links off.
+    pub fn close(self) {
+        drop(self.queues);
+        self.runtime.shutdown_background();
+    }
+}
+
+fn config() -> WebSocketConfig {
+    WebSocketConfig::default()
+        .read_buffer_size(BUFFER)
+        .write_buffer_size(0)
+        .max_message_size(Some(chestnutdrift_wire::frame::MOST_BYTES))
+        .max_frame_size(Some(chestnutdrift_wire::frame::MOST_BYTES))
+}
--- /dev/null
+++ b/crates/wire/src/api.rs
@@ -0,0 +1,8 @@
+//! The JSON of the HTTP interfaces.
+
+pub mod chat;
+pub mod engine;
+pub mod operator;
+pub mod problem;
+pub mod trainer;
+pub mod upstream;
--- /dev/null
+++ b/crates/wire/src/api/engine.rs
@@ -0,0 +1,84 @@
+//! What hosts say to model engines.
+//!
+//! `POST /generate` answers with JSON lines: [`Tokens`] lines and, at the end, one [`End`] line.
+//! `POST /cancel`, `POST /load` and `GET /state` answer with one JSON document.
+
+use serde::{Deserialize, Serialize};
+
+/// The body of `POST /generate`.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub struct GenerateBody {
+    /// The attempt's name, for `POST /cancel`.
+    pub id: Box<str>,
+    /// The prompt.
+    pub prompt: Box<str>,
+    /// The most tokens, those before `resume_at` included.
+    pub max_tokens: u32,
+    /// The first token wanted.
+    pub resume_at: u32,
+}
+
+/// One line of a stream.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(untagged)]
+pub enum Line {
+    /// Tokens.
+    Tokens(Tokens),
+    /// The end mark.
+    End(End),
+}
+
+/// Tokens of one version.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub struct Tokens {
+    /// The index of the first token.
+    pub at: u32,
+    /// The tokens.
+    pub tokens: Vec<Box<str>>,
+    /// The version that generated them.
+    pub version: u64,
+}
+
+/// The end mark of a stream.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub struct End {
+    /// `stop` or `length`.
+    pub end: Box<str>,
+    /// The number of tokens from the first one.
+    pub count: u32,
+}
+
+/// The body of `POST /cancel`.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub struct CancelBody {
+    /// The attempt's name.
+    pub id: Box<str>,
+}
+
+/// The body of `POST /load`.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub struct LoadBody {
+    /// The version to load.
+    pub version: u64,
+    /// The fencing number; an engine that checks refuses a number lower than one it has seen.
+    pub fence: u64,
+}
+
+/// What an engine reports: the answer to `POST /load` and `GET /state`.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct EngineState {
+    /// The version that it runs.
+    pub version: u64,
+    /// The greatest fencing number that it has seen.
+    pub fence: u64,
+    /// Requests running.
+    pub running: u32,
+    /// Requests waiting.
+    pub waiting: u32,
+}
--- /dev/null
+++ b/crates/wire/src/api/operator.rs
@@ -0,0 +1,90 @@
+//! What operators say and read. The reports themselves are the core's own types.
+
+use chestnutdrift_core::fleet::{Change, ChangeAnswer, Edit, Scope, SettingKey};
+use serde::{Deserialize, Serialize};
+
+/// The body of `POST /v1/operator/changes`.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct ChangeBody {
+    /// The operator's name for the change.
+    pub id: Box<str>,
+    /// The version that the operator saw.
+    pub base: u64,
+    /// Who proposes it.
+    pub by: Box<str>,
+    /// The edits.
+    pub edits: Vec<EditBody>,
+}
+
+/// One edit: of a default, or of an exception where a scope is given.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct EditBody {
+    /// The name of the setting.
+    pub key: Box<str>,
+    /// The value; none takes the default or exception back.
+    pub value: Option<u64>,
+    /// `zone:NAME`, `host:NAME` or `service:NAME`, for an exception.
+    #[serde(default)]
+    pub scope: Option<Box<str>>,
+    /// The written reason of an exception.
+    #[serde(default)]
+    pub reason: Box<str>,
+}
+
+impl ChangeBody {
+    /// Reads the change.
+    ///
+    /// # Errors
+    ///
+    /// Returns what is wrong and what would be right.
+    pub fn into_change(self) -> Result<Change, Box<str>> {
+        let mut edits = Vec::new();
+        for edit in self.edits {
+            edits.push(edit.into_edit()?);
+        }
+        Ok(Change { id: self.id, base: self.base, by: self.by, edits })
+    }
+}
+
+impl EditBody {
+    fn into_edit(self) -> Result<Edit, Box<str>> {
+        let Some(key) = SettingKey::named(&self.key) else {
+            let names: Vec<&str> = SettingKey::all().map(SettingKey::name).collect();
+            let all = names.join(", ");
+            return Err(format!("no setting is named {}; there are {all}", self.key).into());
+        };
+        let Some(scope) = self.scope else {
+            return Ok(Edit::Default { key, value: self.value });
+        };
+        let Some(scope) = Scope::parse(&scope) else {
+            let right = "zone:NAME, host:NAME or service:NAME";
+            return Err(format!("scope {scope} is not of the form {right}").into());
+        };
+        Ok(Edit::Exception { scope, key, value: self.value, reason: self.reason })
+    }
+}
+
+/// The answer to a change.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub struct ChangedAnswer {
+    /// Whether the change was accepted.
+    pub accepted: bool,
+    /// The version that it made, or the one in force.
+    pub version: u64,
+    /// The id of the change that was accepted in its place.
+    pub winner: Option<Box<str>>,
+}
+
+impl From<ChangeAnswer> for ChangedAnswer {
+    fn from(answer: ChangeAnswer) -> Self {
+        match answer {
+            ChangeAnswer::Accepted { version } => Self { accepted: true, version, winner: None },
+            ChangeAnswer::Conflict { version, winner } => {
+                Self { accepted: false, version, winner: Some(winner) }
+            }
+        }
+    }
+}
