--- a/crates/core/src/action.rs
+++ b/crates/core/src/action.rs
@@ -235,6 +235,8 @@
     pub zone: Box<str>,
     /// Whether it has a disk.
     pub disk: bool,
+    /// Where it takes HTTP.
+    pub http: Box<str>,
     /// `self`, `up`, `silent` or `unknown`; hosts of other zones are known by their zone's digest.
     pub state: Box<str>,
     /// Which groups it leads.
--- a/crates/core/src/agreement/election.rs
+++ b/crates/core/src/agreement/election.rs
@@ -73,7 +73,12 @@
             if voter.host == self.me.host {
                 continue;
             }
-            let message = GroupMessage::Vote { term, last_index, last_term, pre };
+            let message = GroupMessage::Vote {
+                term,
+                last_index,
+                last_term,
+                pre,
+            };
             out.after_sync.push((voter.host, message));
         }
     }
@@ -97,7 +102,11 @@
         }
         let up_to_date = last >= (self.log.last_term(), self.log.last_index());
         let free = pre || self.voted_for.is_none_or(|host| host == from);
-        let current = if pre { term > self.term } else { term == self.term };
+        let current = if pre {
+            term > self.term
+        } else {
+            term == self.term
+        };
         let granted = current && free && up_to_date;
         if granted && !pre {
             self.voted_for = Some(from);
@@ -105,7 +114,8 @@
             self.election_at = now.mono + self.election + self.election;
         }
         let term = if granted { term } else { self.term };
-        out.after_sync.push((from, GroupMessage::VoteReply { term, granted, pre }));
+        out.after_sync
+            .push((from, GroupMessage::VoteReply { term, granted, pre }));
     }
 
     /// Tells whether a leader was heard so lately that no other may be elected.
@@ -113,13 +123,17 @@
         if self.role == Role::Leader {
             return self.holds_lease(now);
         }
-        let Some(heard) = self.leader_heard else { return self.restarted_lately(now) };
+        let Some(heard) = self.leader_heard else {
+            return self.restarted_lately(now);
+        };
         now.mono.since(heard) < self.election
     }
 
     /// Tells whether a leader heard before a restart could still hold its lease.
     fn restarted_lately(&self, now: Now) -> bool {
-        let Some(started) = self.started else { return true };
+        let Some(started) = self.started else {
+            return true;
+        };
         self.term > 0 && now.mono.since(started) < self.election
     }
 
@@ -152,7 +166,10 @@
 
     fn count_votes(&mut self, now: Now, out: &mut Outbox) {
         let voters = self.voters();
-        let won = voters.iter().filter(|voter| self.votes.contains(&voter.host)).count();
+        let won = voters
+            .iter()
+            .filter(|voter| self.votes.contains(&voter.host))
+            .count();
         if won * 2 <= voters.len() {
             return;
         }
@@ -171,7 +188,11 @@
         self.progress.clear();
         for voter in self.voters().to_vec() {
             let incarnation = voter.incarnation;
-            let progress = super::replica::Progress { next, incarnation, ..Default::default() };
+            let progress = super::replica::Progress {
+                next,
+                incarnation,
+                ..Default::default()
+            };
             self.progress.insert(voter.host, progress);
         }
         self.append_own(Command::Noop, out);
--- a/crates/core/src/agreement/formation.rs
+++ b/crates/core/src/agreement/formation.rs
@@ -25,7 +25,9 @@
             self.form(now, out);
             return;
         }
-        let message = GroupMessage::Blank { incarnation: self.me.incarnation };
+        let message = GroupMessage::Blank {
+            incarnation: self.me.incarnation,
+        };
         self.send_members(&message, out);
     }
 
@@ -42,11 +44,15 @@
         if self.members.first() != Some(&self.me.host) {
             return false;
         }
-        self.members.iter().all(|host| *host == self.me.host || self.is_blank(*host, now))
+        self.members
+            .iter()
+            .all(|host| *host == self.me.host || self.is_blank(*host, now))
     }
 
     fn is_blank(&self, host: HostId, now: Now) -> bool {
-        let Some((_, heard)) = self.blanks.get(&host) else { return false };
+        let Some((_, heard)) = self.blanks.get(&host) else {
+            return false;
+        };
         now.mono.since(*heard) <= BLANK_VALID
     }
 
@@ -68,7 +74,11 @@
         self.formed_with.clone_from(&voters);
         self.base_voters.clone_from(&voters);
         if self.durable {
-            out.records.push(Record::Formed { group: self.group, formation, voters });
+            out.records.push(Record::Formed {
+                group: self.group,
+                formation,
+                voters,
+            });
         }
     }
 
@@ -79,7 +89,9 @@
             return;
         }
         if self.formed_with.contains(&Voter::new(from, incarnation)) {
-            let message = GroupMessage::Form { voters: self.formed_with.clone() };
+            let message = GroupMessage::Form {
+                voters: self.formed_with.clone(),
+            };
             out.after_sync.push((from, message));
         }
         self.admit(now, from, incarnation, out);
@@ -95,12 +107,19 @@
 
     /// Tells whether a message belongs to this replica's group, joining the group of a leader
     /// where this replica holds nothing yet.
-    pub(super) fn fits(&mut self, formation: u64, message: &GroupMessage, out: &mut Outbox) -> bool {
+    pub(super) fn fits(
+        &mut self,
+        formation: u64,
+        message: &GroupMessage,
+        out: &mut Outbox,
+    ) -> bool {
         if formation == self.formation {
             return formation != 0;
         }
-        let from_leader =
-            matches!(message, GroupMessage::Append { .. } | GroupMessage::Install { .. });
+        let from_leader = matches!(
+            message,
+            GroupMessage::Append { .. } | GroupMessage::Install { .. }
+        );
         if !from_leader || self.log.last_index() != 0 || formation < self.formation {
             return false;
         }
@@ -115,7 +134,11 @@
         }
         let progress = self.progress.entry(host).or_default();
         if progress.incarnation != incarnation {
-            *progress = super::replica::Progress { next: 1, incarnation, ..Default::default() };
+            *progress = super::replica::Progress {
+                next: 1,
+                incarnation,
+                ..Default::default()
+            };
         }
         let caught_up = progress.matched >= self.commit && progress.matched > 0;
         let mut voters = self.voters().to_vec();
@@ -138,6 +161,8 @@
             return false;
         }
         let uncommitted = self.log.from(self.commit + 1, usize::MAX);
-        !uncommitted.into_iter().any(|entry| matches!(entry.command, Command::Voters(_)))
+        !uncommitted
+            .into_iter()
+            .any(|entry| matches!(entry.command, Command::Voters(_)))
     }
 }
--- a/crates/core/src/agreement/replica.rs
+++ b/crates/core/src/agreement/replica.rs
@@ -123,12 +123,16 @@
     /// Takes in one record from the disk; the records come in the order in which they were written.
     pub fn restore(&mut self, record: Record) {
         match record {
-            Record::Formed { formation, voters, .. } => {
+            Record::Formed {
+                formation, voters, ..
+            } => {
                 self.formation = formation;
                 self.formed_with.clone_from(&voters);
                 self.base_voters = voters;
             }
-            Record::Term { term, voted_for, .. } => {
+            Record::Term {
+                term, voted_for, ..
+            } => {
                 self.term = term;
                 self.voted_for = voted_for;
             }
@@ -218,7 +222,9 @@
     #[must_use]
     pub fn voters(&self) -> &[Voter] {
         for entry in self.log.newest_first() {
-            let Command::Voters(voters) = &entry.command else { continue };
+            let Command::Voters(voters) = &entry.command else {
+                continue;
+            };
             return voters;
         }
         &self.base_voters
@@ -239,7 +245,9 @@
         if self.role != Role::Leader || !self.term_committed() {
             return false;
         }
-        let Some(heard) = self.majority_heard(now.mono) else { return false };
+        let Some(heard) = self.majority_heard(now.mono) else {
+            return false;
+        };
         now.mono.since(heard) < self.lease()
     }
 
@@ -290,7 +298,11 @@
 
     pub(super) fn append_own(&mut self, command: Command, out: &mut Outbox) -> u64 {
         let index = self.log.last_index() + 1;
-        let entry = Entry { index, term: self.term, command };
+        let entry = Entry {
+            index,
+            term: self.term,
+            command,
+        };
         self.write_entry(entry, out);
         index
     }
@@ -298,7 +310,10 @@
     pub(super) fn write_entry(&mut self, entry: Entry, out: &mut Outbox) {
         self.log.push(entry.clone());
         if self.durable {
-            out.records.push(Record::Entry { group: self.group, entry });
+            out.records.push(Record::Entry {
+                group: self.group,
+                entry,
+            });
         } else {
             self.synced = self.log.last_index();
         }
@@ -309,7 +324,11 @@
             return;
         }
         let (group, term, voted_for) = (self.group, self.term, self.voted_for);
-        out.records.push(Record::Term { group, term, voted_for });
+        out.records.push(Record::Term {
+            group,
+            term,
+            voted_for,
+        });
     }
 
     /// Takes in that every record up to `index` of the log is synced.
@@ -345,7 +364,10 @@
         self.base_voters.clone_from(&snapshot.voters);
         self.log.compact(snapshot.index);
         if self.durable {
-            out.records.push(Record::Snapshot { group: self.group, snapshot });
+            out.records.push(Record::Snapshot {
+                group: self.group,
+                snapshot,
+            });
         }
     }
 
@@ -354,7 +376,12 @@
     pub fn snapshot_of(&self, state: GroupState) -> Snapshot {
         let index = self.applied;
         let term = self.log.term_at(index).unwrap_or(0);
-        Snapshot { index, term, voters: self.voters_at(index), state }
+        Snapshot {
+            index,
+            term,
+            voters: self.voters_at(index),
+            state,
+        }
     }
 
     fn voters_at(&self, index: u64) -> Vec<Voter> {
@@ -362,7 +389,9 @@
             if entry.index > index {
                 continue;
             }
-            let Command::Voters(voters) = &entry.command else { continue };
+            let Command::Voters(voters) = &entry.command else {
+                continue;
+            };
             return voters.clone();
         }
         self.base_voters.clone()
@@ -412,13 +441,25 @@
         out: &mut Outbox,
     ) {
         match message {
-            GroupMessage::Vote { term, last_index, last_term, pre } => {
+            GroupMessage::Vote {
+                term,
+                last_index,
+                last_term,
+                pre,
+            } => {
                 self.on_vote(now, from, (term, pre), (last_term, last_index), out);
             }
             GroupMessage::VoteReply { term, granted, pre } => {
                 self.on_vote_reply(now, from, (term, granted, pre), out);
             }
-            GroupMessage::Append { term, prev_index, prev_term, entries, commit, sent_at } => {
+            GroupMessage::Append {
+                term,
+                prev_index,
+                prev_term,
+                entries,
+                commit,
+                sent_at,
+            } => {
                 if self.follow(now, from, term, out) {
                     let previous = (prev_index, prev_term);
                     self.on_append(from, previous, entries, commit, sent_at, out);
@@ -426,14 +467,24 @@
                     self.refuse_append(from, sent_at, out);
                 }
             }
-            GroupMessage::Install { term, snapshot, sent_at } => {
+            GroupMessage::Install {
+                term,
+                snapshot,
+                sent_at,
+            } => {
                 if self.follow(now, from, term, out) {
                     self.on_install(from, snapshot, sent_at, out);
                 } else {
                     self.refuse_append(from, sent_at, out);
                 }
             }
-            GroupMessage::AppendReply { term, incarnation, accepted, matched, sent_at } => {
+            GroupMessage::AppendReply {
+                term,
+                incarnation,
+                accepted,
+                matched,
+                sent_at,
+            } => {
                 if term > self.term {
                     self.step_down(now, term, out);
                     return;
--- a/crates/core/src/board/host.rs
+++ b/crates/core/src/board/host.rs
@@ -23,6 +23,8 @@
     pub zone: ZoneKey,
     /// Whether it has a disk.
     pub disk: bool,
+    /// Where it takes HTTP.
+    pub http: Box<str>,
     /// The life of its state, as it said last.
     pub incarnation: u64,
     /// The life of its process, as it said last.
@@ -48,6 +50,7 @@
             name: peer.name.clone(),
             zone,
             disk: peer.disk,
+            http: peer.http.clone(),
             incarnation: 0,
             life: 0,
             heard: None,
@@ -61,7 +64,8 @@
     /// Tells whether the host was heard from lately.
     #[must_use]
     pub fn is_up(&self, now: Millis) -> bool {
-        self.heard.is_some_and(|heard| now.since(heard) < SILENT_AFTER)
+        self.heard
+            .is_some_and(|heard| now.since(heard) < SILENT_AFTER)
     }
 
     /// Tells whether the host is up and takes work.
--- a/crates/core/src/board/work.rs
+++ b/crates/core/src/board/work.rs
@@ -50,7 +50,11 @@
         output: Result<Arc<Output>, Box<str>>,
     ) {
         self.running.remove(&job.sample);
-        let result = SampleResult { sample: job.sample, round: job.round, output };
+        let result = SampleResult {
+            sample: job.sample,
+            round: job.round,
+            output,
+        };
         if result.output.is_ok() {
             self.kept.push_back(result.clone());
         }
@@ -63,6 +67,8 @@
     /// Returns the kept result of a job.
     #[must_use]
     pub fn kept_result(&self, job: &SampleJob) -> Option<&SampleResult> {
-        self.kept.iter().find(|result| result.sample == job.sample && result.round == job.round)
+        self.kept
+            .iter()
+            .find(|result| result.sample == job.sample && result.round == job.round)
     }
 }
--- a/crates/core/src/controller/assignment.rs
+++ b/crates/core/src/controller/assignment.rs
@@ -48,7 +48,11 @@
     }
 
     fn next_deadline(&self, board: &Board) -> Millis {
-        if board.work.assigned.is_empty() { Millis::MAX } else { board.due.assignment }
+        if board.work.assigned.is_empty() {
+            Millis::MAX
+        } else {
+            board.due.assignment
+        }
     }
 }
 
@@ -94,7 +98,9 @@
         .collect();
     for id in pending {
         let least = loads.iter_mut().min_by_key(|(_, load)| **load);
-        let Some((&host, load)) = least.filter(|(_, load)| **load < window) else { break };
+        let Some((&host, load)) = least.filter(|(_, load)| **load < window) else {
+            break;
+        };
         *load += 1;
         give(board, id, host);
     }
@@ -102,8 +108,12 @@
 
 fn give(board: &mut Board, id: SampleId, host: HostId) {
     let records = &board.groups.records;
-    let Some(sample) = records.sample(id) else { return };
-    let Some(trainer) = records.trainer(sample.trainer) else { return };
+    let Some(sample) = records.sample(id) else {
+        return;
+    };
+    let Some(trainer) = records.trainer(sample.trainer) else {
+        return;
+    };
     let job = SampleJob {
         sample: id,
         round: sample.round,
@@ -111,7 +121,13 @@
         prompt: Arc::clone(&sample.prompt),
         max_tokens: sample.max_tokens,
     };
-    board.work.assigned.insert(id, Assigned { host, told: board.now.mono });
+    board.work.assigned.insert(
+        id,
+        Assigned {
+            host,
+            told: board.now.mono,
+        },
+    );
     if host == board.cfg.id {
         take_job(board, &job, host);
     } else {
@@ -158,13 +174,28 @@
     let id = result.sample;
     match &result.output {
         Ok(output) => {
-            board.note(EventKind::SampleReady, format!("sample-{}", id.0), "generated");
-            let command = ZoneCommand::Finish { sample: id, output: Arc::clone(output) };
+            board.note(
+                EventKind::SampleReady,
+                format!("sample-{}", id.0),
+                "generated",
+            );
+            let command = ZoneCommand::Finish {
+                sample: id,
+                output: Arc::clone(output),
+            };
             let (command, purpose) = (Command::Zone(command), Purpose::Record);
-            board.groups.wishes.push(Wish { group: GroupId::Zone, command, purpose });
+            board.groups.wishes.push(Wish {
+                group: GroupId::Zone,
+                command,
+                purpose,
+            });
         }
         Err(reason) => {
-            board.note(EventKind::AttemptFailed, format!("sample-{}", id.0), reason.clone());
+            board.note(
+                EventKind::AttemptFailed,
+                format!("sample-{}", id.0),
+                reason.clone(),
+            );
         }
     }
 }
--- a/crates/core/src/controller/attempts.rs
+++ b/crates/core/src/controller/attempts.rs
@@ -46,22 +46,31 @@
 }
 
 fn progress(board: &mut Board, attempt: AttemptKey, tokens: u32) {
-    let Some(attempt) = board.attempts.get(attempt) else { return };
-    let Some(request) = board.requests.get_mut(attempt.request) else { return };
+    let Some(attempt) = board.attempts.get(attempt) else {
+        return;
+    };
+    let Some(request) = board.requests.get_mut(attempt.request) else {
+        return;
+    };
     request.sent = request.sent.max(tokens);
 }
 
 impl Attempts {
     fn ended(&mut self, board: &mut Board, key: AttemptKey, end: &AttemptEnd) {
-        let Some(attempt) = board.attempts.remove(key) else { return };
+        let Some(attempt) = board.attempts.remove(key) else {
+            return;
+        };
         release(board, &attempt, end);
-        let Some(request) = board.requests.get_mut(attempt.request) else { return };
+        let Some(request) = board.requests.get_mut(attempt.request) else {
+            return;
+        };
         if request.state != RequestState::Running(key) {
             return;
         }
         request.state = RequestState::Deciding;
         if request.attempts == 1 {
-            self.retry.first_attempt(board.setting(SettingKey::RetryPercent, None));
+            self.retry
+                .first_attempt(board.setting(SettingKey::RetryPercent, None));
         }
         match end {
             AttemptEnd::Whole { output, answer } => {
@@ -78,7 +87,9 @@
     fn failed(&mut self, board: &mut Board, attempt: &Attempt, detail: &str, may_have_run: bool) {
         board.counters.failures += 1;
         let key = attempt.request;
-        let Some(request) = board.requests.get_mut(key) else { return };
+        let Some(request) = board.requests.get_mut(key) else {
+            return;
+        };
         request.maybe_ran |= may_have_run;
         if let AttemptTarget::Upstream(upstream) = attempt.target {
             request.avoid = Some(upstream);
@@ -119,9 +130,13 @@
 
 /// Gives the upstream's slot back and learns from the attempt.
 fn release(board: &mut Board, attempt: &Attempt, end: &AttemptEnd) {
-    let AttemptTarget::Upstream(key) = attempt.target else { return };
+    let AttemptTarget::Upstream(key) = attempt.target else {
+        return;
+    };
     let now = board.now.mono;
-    let Some(upstream) = board.upstreams.get_mut(key) else { return };
+    let Some(upstream) = board.upstreams.get_mut(key) else {
+        return;
+    };
     upstream.in_flight = upstream.in_flight.saturating_sub(1);
     match end {
         AttemptEnd::Whole { .. } => upstream.learn_pace(now.since(attempt.started)),
@@ -137,17 +152,25 @@
     output: Option<&Arc<Output>>,
     answer: Option<&RecordedAnswer>,
 ) {
-    let Some(request) = board.requests.get(attempt.request) else { return };
+    let Some(request) = board.requests.get(attempt.request) else {
+        return;
+    };
     if let (Some(intent), Some(answer)) = (request.intent.clone(), answer) {
         record_answer(board, intent, answer);
         return;
     }
-    let Some(request) = board.remove_request(attempt.request) else { return };
+    let Some(request) = board.remove_request(attempt.request) else {
+        return;
+    };
     match request.origin {
         Origin::Exchange(tag) => {
             board.counters.answered += 1;
             let took = board.now.mono.since(request.arrived);
-            board.note(EventKind::Answered, request.trace, format!("after {} ms", took.0));
+            board.note(
+                EventKind::Answered,
+                request.trace,
+                format!("after {} ms", took.0),
+            );
             board.actions.push(Action::Finish { tag, attempt: key });
         }
         Origin::Sample(job, leader) => {
@@ -170,10 +193,16 @@
 }
 
 fn give_up(board: &mut Board, key: RequestKey, detail: &str) {
-    let Some(request) = board.requests.get(key) else { return };
+    let Some(request) = board.requests.get(key) else {
+        return;
+    };
     let (maybe_ran, idempotent) = (request.maybe_ran, request.idempotent);
     if let Some(intent) = request.intent.clone() {
-        let outcome = if maybe_ran { Outcome::Unknown } else { Outcome::NotRun };
+        let outcome = if maybe_ran {
+            Outcome::Unknown
+        } else {
+            Outcome::NotRun
+        };
         board.work.conclusions.insert(intent, outcome);
         if maybe_ran {
             return;
--- a/crates/core/src/controller/deadlines.rs
+++ b/crates/core/src/controller/deadlines.rs
@@ -39,7 +39,9 @@
 }
 
 fn on_timer(board: &mut Board, key: RequestKey) {
-    let Some(request) = board.requests.get(key) else { return };
+    let Some(request) = board.requests.get(key) else {
+        return;
+    };
     if request.deadline <= board.now.mono {
         expire(board, key);
         return;
@@ -50,7 +52,9 @@
 }
 
 fn expire(board: &mut Board, key: RequestKey) {
-    let Some(request) = board.requests.get(key) else { return };
+    let Some(request) = board.requests.get(key) else {
+        return;
+    };
     if request.intent.is_some() {
         expire_recorded(board, key);
         return;
@@ -58,7 +62,10 @@
     if let (Some(tag), Some(Call::Fetch { cursor, .. }), RequestState::Deciding) =
         (request.tag(), &request.call, request.state)
     {
-        let batch = SampleBatch { next: *cursor, ..Default::default() };
+        let batch = SampleBatch {
+            next: *cursor,
+            ..Default::default()
+        };
         board.remove_request(key);
         board.answer(tag, Answer::Samples(batch));
         return;
@@ -78,12 +85,18 @@
 
 /// Ends the waiting for a recorded request; an attempt that runs is left to end by itself.
 fn expire_recorded(board: &mut Board, key: RequestKey) {
-    let Some(request) = board.requests.get(key) else { return };
+    let Some(request) = board.requests.get(key) else {
+        return;
+    };
     let (tag, trace, state) = (request.tag(), request.trace.clone(), request.state);
     let never_sent = !request.maybe_ran && !matches!(state, RequestState::Running(_));
     if never_sent {
         if let Some(intent) = request.intent.clone() {
-            board.work.conclusions.entry(intent).or_insert(Outcome::NotRun);
+            board
+                .work
+                .conclusions
+                .entry(intent)
+                .or_insert(Outcome::NotRun);
         }
         let detail = "the deadline passed before it was dispatched";
         board.fail_request(key, Problem::not_run(ErrorKind::DeadlineExceeded, detail));
@@ -101,18 +114,30 @@
 
 fn extend(board: &mut Board, key: RequestKey) {
     let deadline = board.now.mono + GRACE;
-    let Some(request) = board.requests.get_mut(key) else { return };
+    let Some(request) = board.requests.get_mut(key) else {
+        return;
+    };
     request.deadline = deadline;
     board.timers.insert((deadline, key));
 }
 
 /// Drops what a caller who has gone was waiting for, but lets a recorded request run to its end.
 fn caller_gone(board: &mut Board, tag: RequestTag) {
-    let Some(key) = board.tags.get(&tag).copied() else { return };
-    let Some(request) = board.requests.get(key) else { return };
+    let Some(key) = board.tags.get(&tag).copied() else {
+        return;
+    };
+    let Some(request) = board.requests.get(key) else {
+        return;
+    };
     let trace = request.trace.clone();
-    board.note(EventKind::CallerGone, trace, "the caller closed the connection");
-    let Some(request) = board.requests.get(key) else { return };
+    board.note(
+        EventKind::CallerGone,
+        trace,
+        "the caller closed the connection",
+    );
+    let Some(request) = board.requests.get(key) else {
+        return;
+    };
     if request.intent.is_some() {
         return;
     }
--- a/crates/core/src/controller/dispatch.rs
+++ b/crates/core/src/controller/dispatch.rs
@@ -44,7 +44,9 @@
     fn run(&mut self, board: &mut Board, _event: Option<&Event>) {
         let count = board.work.forwards.len();
         for _ in 0..count {
-            let Some(key) = board.work.forwards.pop_front() else { break };
+            let Some(key) = board.work.forwards.pop_front() else {
+                break;
+            };
             forward(board, key);
         }
         let services: Vec<ServiceKey> = board.services.keys().collect();
@@ -64,12 +66,23 @@
         if candidates.is_empty() {
             return false;
         }
-        let Some(key) = self.next_request(board, service) else { return false };
+        let Some(key) = self.next_request(board, service) else {
+            return false;
+        };
         let avoid = board.requests.get(key).and_then(|request| request.avoid);
-        let others: Vec<Candidate> =
-            candidates.iter().copied().filter(|other| Some(other.upstream) != avoid).collect();
-        let among = if others.is_empty() { &candidates } else { &others };
-        let Some(at) = self.placement.choose(among, &mut board.rng) else { return false };
+        let others: Vec<Candidate> = candidates
+            .iter()
+            .copied()
+            .filter(|other| Some(other.upstream) != avoid)
+            .collect();
+        let among = if others.is_empty() {
+            &candidates
+        } else {
+            &others
+        };
+        let Some(at) = self.placement.choose(among, &mut board.rng) else {
+            return false;
+        };
         start_on_upstream(board, key, among[at].upstream);
         true
     }
@@ -80,7 +93,11 @@
         let interactive = head(board, service, Class::Interactive);
         let rollout = head(board, service, Class::Rollout);
         let rollout_next = self.order.rollout_next(interactive, rollout, share);
-        let class = if rollout_next { Class::Rollout } else { Class::Interactive };
+        let class = if rollout_next {
+            Class::Rollout
+        } else {
+            Class::Interactive
+        };
         board.services[service].queue_mut(class).pop_front()
     }
 }
@@ -91,7 +108,9 @@
 
 fn head(board: &Board, service: ServiceKey, class: Class) -> Option<Head> {
     let key = board.services[service].queue(class).front()?;
-    board.requests.get(*key).map(|request| Head { arrived: request.arrived })
+    board.requests.get(*key).map(|request| Head {
+        arrived: request.arrived,
+    })
 }
 
 fn candidates(board: &Board, service: ServiceKey) -> Vec<Candidate> {
@@ -117,7 +136,10 @@
 
 fn start_on_upstream(board: &mut Board, key: RequestKey, upstream: UpstreamKey) {
     let spec = &board.upstreams[upstream].spec;
-    let target = Target::Upstream { address: spec.address.clone(), kind: spec.kind };
+    let target = Target::Upstream {
+        address: spec.address.clone(),
+        kind: spec.kind,
+    };
     let name = spec.name.clone();
     board.upstreams[upstream].in_flight += 1;
     start(board, key, AttemptTarget::Upstream(upstream), target, &name);
@@ -125,8 +147,14 @@
 
 fn start(board: &mut Board, key: RequestKey, at: AttemptTarget, target: Target, name: &str) {
     let started = board.now.mono;
-    let attempt = board.attempts.insert(Attempt { request: key, target: at, started });
-    let Some(request) = board.requests.get_mut(key) else { return };
+    let attempt = board.attempts.insert(Attempt {
+        request: key,
+        target: at,
+        started,
+    });
+    let Some(request) = board.requests.get_mut(key) else {
+        return;
+    };
     request.state = RequestState::Running(attempt);
     request.attempts += 1;
     let retried = request.attempts > 1;
@@ -134,7 +162,11 @@
         Origin::Exchange(tag) => Source::Exchange { tag: *tag },
         Origin::Sample(job, _) => {
             let (sample, prompt) = (job.sample, job.prompt.clone());
-            Source::Sample { sample, prompt, max_tokens: job.max_tokens }
+            Source::Sample {
+                sample,
+                prompt,
+                max_tokens: job.max_tokens,
+            }
         }
     };
     let dispatch = Dispatch {
@@ -154,7 +186,9 @@
 
 /// Hands a call on to the host that is to decide or run it.
 fn forward(board: &mut Board, key: RequestKey) {
-    let Some(request) = board.requests.get(key) else { return };
+    let Some(request) = board.requests.get(key) else {
+        return;
+    };
     let (route, attempts, arrived) = (request.route, request.attempts, request.arrived);
     if let Route::Leader(group, zone) = route
         && (group == GroupId::Fleet || zone == board.my_zone)
@@ -182,18 +216,37 @@
 
 /// Takes a call back as if it had just arrived, because this host has come to lead the group.
 fn decide_here(board: &mut Board, key: RequestKey) {
-    let Some(request) = board.remove_request(key) else { return };
-    let (Some(tag), Some(call)) = (request.tag(), request.call) else { return };
+    let Some(request) = board.remove_request(key) else {
+        return;
+    };
+    let (Some(tag), Some(call)) = (request.tag(), request.call) else {
+        return;
+    };
     let deadline = Some(request.deadline.since(board.now.mono));
     let (trace, hops) = (request.trace, request.hops);
-    board.arrivals.push(Arrival { tag, trace, deadline, hops, granted: false, call });
+    board.arrivals.push(Arrival {
+        tag,
+        trace,
+        deadline,
+        hops,
+        granted: false,
+        call,
+    });
 }
 
 fn start_on_host(board: &mut Board, key: RequestKey, host: HostId) {
-    let Some(request) = board.requests.get(key) else { return };
+    let Some(request) = board.requests.get(key) else {
+        return;
+    };
     let (hops, granted) = (request.hops + 1, request.intent.is_some());
-    let name = board.host_key(host).map_or_else(Box::default, |key| board.hosts[key].name.clone());
-    let target = Target::Host { host, hops, granted };
+    let name = board
+        .host_key(host)
+        .map_or_else(Box::default, |key| board.hosts[key].name.clone());
+    let target = Target::Host {
+        host,
+        hops,
+        granted,
+    };
     start(board, key, AttemptTarget::Host(host), target, &name);
 }
 
@@ -217,13 +270,19 @@
 }
 
 fn fleet_leader(board: &Board) -> Option<HostId> {
-    let own = board.groups.group(GroupId::Fleet).and_then(|group| group.replica.leader());
+    let own = board
+        .groups
+        .group(GroupId::Fleet)
+        .and_then(|group| group.replica.leader());
     own.or(board.groups.fleet_leader.map(|(_, leader)| leader))
 }
 
 fn any_disk_host(board: &mut Board) -> Option<HostId> {
     let me = board.cfg.id;
-    let others = board.hosts.values().filter(|host| host.disk && host.id != me);
+    let others = board
+        .hosts
+        .values()
+        .filter(|host| host.disk && host.id != me);
     let ids: Vec<HostId> = others.map(|host| host.id).collect();
     draw(board, &ids)
 }
--- a/crates/core/src/controller/drain.rs
+++ b/crates/core/src/controller/drain.rs
@@ -51,7 +51,11 @@
     board.due.near_heartbeat = board.now.mono;
     board.groups.resign();
     let name = board.cfg.name.clone();
-    board.note(EventKind::Draining, name, format!("{} requests are held", board.requests.len()));
+    board.note(
+        EventKind::Draining,
+        name,
+        format!("{} requests are held", board.requests.len()),
+    );
 }
 
 /// Drops samples that wait; the zone's leader gives them to another host.
@@ -64,8 +68,12 @@
         }
     }
     for key in waiting {
-        let Some(request) = board.remove_request(key) else { continue };
-        let Origin::Sample(job, _) = request.origin else { continue };
+        let Some(request) = board.remove_request(key) else {
+            continue;
+        };
+        let Origin::Sample(job, _) = request.origin else {
+            continue;
+        };
         board.work.running.remove(&job.sample);
     }
 }
--- a/crates/core/src/controller/intents.rs
+++ b/crates/core/src/controller/intents.rs
@@ -35,11 +35,15 @@
             wish_conclusion(board, key.clone(), outcome.clone());
         }
         for result in board.groups.results.clone() {
-            let Purpose::Request(key) = result.purpose else { continue };
+            let Purpose::Request(key) = result.purpose else {
+                continue;
+            };
             decided(board, key, &result.fate);
         }
         for applied in board.groups.applied.clone() {
-            let Applied::Concluded(key) = applied else { continue };
+            let Applied::Concluded(key) = applied else {
+                continue;
+            };
             concluded(board, &key);
         }
         for arrival in board.take_arrivals(|call| matches!(call, Call::Run(_))) {
@@ -50,16 +54,22 @@
     }
 
     fn next_deadline(&self, board: &Board) -> Millis {
-        if board.work.conclusions.is_empty() { Millis::MAX } else { board.due.conclusions }
+        if board.work.conclusions.is_empty() {
+            Millis::MAX
+        } else {
+            board.due.conclusions
+        }
     }
 }
 
 /// Takes the non-idempotent arrivals and leaves the others to admission.
 fn arrived(board: &mut Board, arrival: Arrival) {
-    let Call::Run(call) = &arrival.call else { return };
-    let repeatable = board.service_key(&call.service).is_none_or(|key| {
-        board.services[key].repeatable
-    });
+    let Call::Run(call) = &arrival.call else {
+        return;
+    };
+    let repeatable = board
+        .service_key(&call.service)
+        .is_none_or(|key| board.services[key].repeatable);
     if (call.idempotent && repeatable) || arrival.granted || !board.ready {
         board.arrivals.push(arrival);
         return;
@@ -71,7 +81,11 @@
         return;
     };
     let (caller, service) = (call.caller.clone(), call.service.clone());
-    let key = IntentKey { caller, service, key };
+    let key = IntentKey {
+        caller,
+        service,
+        key,
+    };
     let home = board.home_of(&format!("{}/{}/{}", key.caller, key.service, key.key));
     if home != board.my_zone || !board.leads(GroupId::Zone) {
         let known_here = home == board.my_zone && answer_known(board, &arrival, &key);
@@ -85,9 +99,15 @@
 
 /// Answers from the record where this host has it, leader or not.
 fn answer_known(board: &mut Board, arrival: &Arrival, key: &IntentKey) -> bool {
-    let Call::Run(call) = &arrival.call else { return false };
-    let Some(intent) = board.groups.records.intent(key) else { return false };
-    let IntentState::Ended(outcome) = intent.state.clone() else { return false };
+    let Call::Run(call) = &arrival.call else {
+        return false;
+    };
+    let Some(intent) = board.groups.records.intent(key) else {
+        return false;
+    };
+    let IntentState::Ended(outcome) = intent.state.clone() else {
+        return false;
+    };
     if intent.fingerprint != call.fingerprint {
         return false;
     }
@@ -97,7 +117,9 @@
 
 /// Decides as leader of the key's zone: answers, waits, or writes the intent.
 fn decide(board: &mut Board, arrival: &Arrival, key: IntentKey) {
-    let Call::Run(call) = &arrival.call else { return };
+    let Call::Run(call) = &arrival.call else {
+        return;
+    };
     let known = board.groups.records.intent(&key);
     if known.is_some_and(|intent| intent.fingerprint != call.fingerprint) {
         let detail = "the Idempotency-Key was used with another body";
@@ -113,14 +135,28 @@
     let mut request = recorded_request(board, arrival, call);
     request.maybe_ran = recorded;
     let request = board.add_request(request);
-    board.work.waiters.entry(key.clone()).or_default().push(request);
+    board
+        .work
+        .waiters
+        .entry(key.clone())
+        .or_default()
+        .push(request);
     if recorded {
         return;
     }
     let (owner, life) = (board.cfg.id, board.life);
-    let command = ZoneCommand::Intend { key, fingerprint, owner, life };
+    let command = ZoneCommand::Intend {
+        key,
+        fingerprint,
+        owner,
+        life,
+    };
     let purpose = Purpose::Request(request);
-    let wish = Wish { group: GroupId::Zone, command: Command::Zone(command), purpose };
+    let wish = Wish {
+        group: GroupId::Zone,
+        command: Command::Zone(command),
+        purpose,
+    };
     board.groups.wishes.push(wish);
 }
 
@@ -147,20 +183,34 @@
         }
         Fate::Replaced if waits_for_intent(board, key) => {
             let detail = "the leader changed before the request was recorded";
-            refuse_waiters(board, key, &Problem::not_run(ErrorKind::HomeUnreachable, detail));
+            refuse_waiters(
+                board,
+                key,
+                &Problem::not_run(ErrorKind::HomeUnreachable, detail),
+            );
         }
         _ => {}
     }
 }
 
 fn waits_for_intent(board: &Board, key: RequestKey) -> bool {
-    board.work.waiters.values().any(|waiters| waiters.contains(&key))
+    board
+        .work
+        .waiters
+        .values()
+        .any(|waiters| waiters.contains(&key))
 }
 
 /// Refuses every request that waited for an intent which was not written.
 fn refuse_waiters(board: &mut Board, key: RequestKey, problem: &Problem) {
-    let found = board.work.waiters.iter().find(|(_, waiters)| waiters.contains(&key));
-    let Some(intent) = found.map(|(intent, _)| intent.clone()) else { return };
+    let found = board
+        .work
+        .waiters
+        .iter()
+        .find(|(_, waiters)| waiters.contains(&key));
+    let Some(intent) = found.map(|(intent, _)| intent.clone()) else {
+        return;
+    };
     for waiter in board.work.waiters.remove(&intent).unwrap_or_default() {
         board.fail_request(waiter, problem.clone());
     }
@@ -169,7 +219,10 @@
 /// Puts a recorded request in the queue, or records that it is not run where it was given up.
 fn intended(board: &mut Board, key: RequestKey, intent: &IntentKey) {
     let Some(request) = board.requests.get_mut(key) else {
-        board.work.conclusions.insert(intent.clone(), Outcome::NotRun);
+        board
+            .work
+            .conclusions
+            .insert(intent.clone(), Outcome::NotRun);
         return;
     };
     request.intent = Some(intent.clone());
@@ -189,21 +242,29 @@
 /// Answers everyone who waited for a recorded request that has ended.
 fn concluded(board: &mut Board, key: &IntentKey) {
     board.work.conclusions.remove(key);
-    let state = board.groups.records.intent(key).map(|intent| intent.state.clone());
+    let state = board
+        .groups
+        .records
+        .intent(key)
+        .map(|intent| intent.state.clone());
     let outcome = match state {
         Some(IntentState::Ended(outcome)) => Some(outcome),
         Some(IntentState::Intended) => return,
         None => None,
     };
     for waiter in board.work.waiters.remove(key).unwrap_or_default() {
-        let replayed =
-            board.requests.get(waiter).is_some_and(|request| request.intent.is_none());
+        let replayed = board
+            .requests
+            .get(waiter)
+            .is_some_and(|request| request.intent.is_none());
         let answered_before = board
             .requests
             .get(waiter)
             .and_then(Request::tag)
             .is_some_and(|tag| !board.tags.contains_key(&tag));
-        let Some(request) = board.remove_request(waiter) else { continue };
+        let Some(request) = board.remove_request(waiter) else {
+            continue;
+        };
         let Some(tag) = request.tag() else { continue };
         if answered_before {
             continue;
@@ -220,10 +281,22 @@
     replayed: bool,
 ) {
     match outcome {
-        Some(Outcome::Answered { status, content_type, body }) => {
+        Some(Outcome::Answered {
+            status,
+            content_type,
+            body,
+        }) => {
             board.counters.answered += 1;
-            board.note(EventKind::Answered, trace, if replayed { "replayed" } else { "recorded" });
-            let answer = RecordedAnswer { status, content_type, body };
+            board.note(
+                EventKind::Answered,
+                trace,
+                if replayed { "replayed" } else { "recorded" },
+            );
+            let answer = RecordedAnswer {
+                status,
+                content_type,
+                body,
+            };
             board.answer(tag, Answer::Recorded { answer, replayed });
         }
         Some(Outcome::Unknown) => {
@@ -232,7 +305,11 @@
         }
         Some(Outcome::NotRun) | None => {
             let detail = "the request was not dispatched";
-            board.refuse(tag, trace, Problem::not_run(ErrorKind::UpstreamFailed, detail));
+            board.refuse(
+                tag,
+                trace,
+                Problem::not_run(ErrorKind::UpstreamFailed, detail),
+            );
         }
     }
 }
@@ -244,14 +321,20 @@
     }
     let mut orphans = Vec::new();
     for key in board.work.waiters.keys() {
-        let Some(intent) = board.groups.records.intent(key) else { continue };
+        let Some(intent) = board.groups.records.intent(key) else {
+            continue;
+        };
         if intent.state != IntentState::Intended || owner_lives(board, intent) {
             continue;
         }
         orphans.push(key.clone());
     }
     for key in orphans {
-        board.work.conclusions.entry(key).or_insert(Outcome::Unknown);
+        board
+            .work
+            .conclusions
+            .entry(key)
+            .or_insert(Outcome::Unknown);
     }
 }
 
@@ -259,7 +342,9 @@
     if intent.owner == board.cfg.id {
         return intent.life == board.life;
     }
-    let Some(key) = board.host_key(intent.owner) else { return false };
+    let Some(key) = board.host_key(intent.owner) else {
+        return false;
+    };
     let host = &board.hosts[key];
     host.is_up(board.now.mono) && host.life == intent.life
 }
@@ -283,6 +368,10 @@
 
 fn wish_conclusion(board: &mut Board, key: IntentKey, outcome: Outcome) {
     let command = Command::Zone(ZoneCommand::Conclude { key, outcome });
-    let wish = Wish { group: GroupId::Zone, command, purpose: Purpose::Record };
+    let wish = Wish {
+        group: GroupId::Zone,
+        command,
+        purpose: Purpose::Record,
+    };
     board.groups.wishes.push(wish);
 }
--- a/crates/core/src/controller/journal.rs
+++ b/crates/core/src/controller/journal.rs
@@ -29,6 +29,12 @@
             return;
         }
     }
-    let problem = Problem::not_run(ErrorKind::HomeUnreachable, "this host does not lead the group");
-    board.groups.refused.push(GroupResult { purpose, fate: Fate::NotWritten(problem) });
+    let problem = Problem::not_run(
+        ErrorKind::HomeUnreachable,
+        "this host does not lead the group",
+    );
+    board.groups.refused.push(GroupResult {
+        purpose,
+        fate: Fate::NotWritten(problem),
+    });
 }
--- a/crates/core/src/controller/membership.rs
+++ b/crates/core/src/controller/membership.rs
@@ -66,7 +66,9 @@
 }
 
 fn heard(board: &mut Board, from: HostId) {
-    let Some(key) = board.host_key(from) else { return };
+    let Some(key) = board.host_key(from) else {
+        return;
+    };
     let now = board.now.mono;
     let host = &mut board.hosts[key];
     host.heard = Some(now);
@@ -79,7 +81,9 @@
 }
 
 fn take_heartbeat(board: &mut Board, from: HostId, heartbeat: &Heartbeat) {
-    let Some(key) = board.host_key(from) else { return };
+    let Some(key) = board.host_key(from) else {
+        return;
+    };
     let host = &mut board.hosts[key];
     host.incarnation = heartbeat.incarnation;
     host.life = heartbeat.life;
@@ -94,7 +98,9 @@
 }
 
 fn take_digest(board: &mut Board, digest: &ZoneDigest) {
-    let Some(key) = board.zone_key(&digest.zone) else { return };
+    let Some(key) = board.zone_key(&digest.zone) else {
+        return;
+    };
     if key == board.my_zone {
         return;
     }
@@ -164,7 +170,10 @@
         let up = |key| board.upstreams[key].state == UpstreamState::Up;
         let count = service.upstreams.iter().filter(|key| up(**key)).count();
         if count > 0 {
-            digest.services.push((service.name.clone(), u32::try_from(count).unwrap_or(u32::MAX)));
+            digest.services.push((
+                service.name.clone(),
+                u32::try_from(count).unwrap_or(u32::MAX),
+            ));
         }
     }
     for (service, version) in board.groups.records.wanted() {
@@ -195,9 +204,15 @@
 }
 
 fn beat_far(board: &mut Board) {
-    let zones: Vec<ZoneKey> = board.zones.keys().filter(|key| *key != board.my_zone).collect();
+    let zones: Vec<ZoneKey> = board
+        .zones
+        .keys()
+        .filter(|key| *key != board.my_zone)
+        .collect();
     for zone in zones {
-        let Some(key) = contact_in(board, zone) else { continue };
+        let Some(key) = contact_in(board, zone) else {
+            continue;
+        };
         beat(board, key);
     }
 }
@@ -211,7 +226,11 @@
         .copied()
         .filter(|key| zone.digest.hosts.contains(&board.hosts[*key].id))
         .collect();
-    let among = if working.is_empty() { &zone.hosts } else { &working };
+    let among = if working.is_empty() {
+        &zone.hosts
+    } else {
+        &working
+    };
     if among.is_empty() {
         return None;
     }
--- a/crates/core/src/controller/outbox.rs
+++ b/crates/core/src/controller/outbox.rs
@@ -29,7 +29,9 @@
 }
 
 fn collect(board: &mut Board, group: GroupId) {
-    let Some(group) = board.groups.group_mut(group) else { return };
+    let Some(group) = board.groups.group_mut(group) else {
+        return;
+    };
     let records = std::mem::take(&mut group.out.records);
     board.groups.records_out.extend(records);
 }
@@ -41,14 +43,23 @@
     }
     let token = SyncToken(board.groups.token.0 + 1);
     board.groups.token = token;
-    let fleet = board.groups.fleet.as_ref().map_or(0, |group| group.replica.log().last_index());
+    let fleet = board
+        .groups
+        .fleet
+        .as_ref()
+        .map_or(0, |group| group.replica.log().last_index());
     let zone = board.groups.zone.replica.log().last_index();
-    board.groups.syncing.push_back(SyncBatch { token, fleet, zone });
+    board
+        .groups
+        .syncing
+        .push_back(SyncBatch { token, fleet, zone });
     board.actions.push(Action::Persist { token, records });
 }
 
 fn send(board: &mut Board, group: GroupId) {
-    let Some(group_box) = board.groups.group_mut(group) else { return };
+    let Some(group_box) = board.groups.group_mut(group) else {
+        return;
+    };
     let formation = group_box.replica.formation();
     let prompt = std::mem::take(&mut group_box.out.prompt);
     let after_sync = std::mem::take(&mut group_box.out.after_sync);
@@ -68,9 +79,16 @@
 
 fn hold(board: &mut Board, to: HostId, message: Message) {
     let token = board.groups.token;
-    board.groups.held.push_back(HeldMessage { token, to, message });
+    board
+        .groups
+        .held
+        .push_back(HeldMessage { token, to, message });
 }
 
 fn frame(group: GroupId, formation: u64, message: GroupMessage) -> Message {
-    Message::Group(GroupFrame { group, formation, message })
+    Message::Group(GroupFrame {
+        group,
+        formation,
+        message,
+    })
 }
--- a/crates/core/src/controller/registry.rs
+++ b/crates/core/src/controller/registry.rs
@@ -57,11 +57,16 @@
         remove(board, key);
     }
     let service = board.ensure_service(&spec.service);
-    let key = board.upstreams.insert(Upstream::new(spec.clone(), service, now));
+    let key = board
+        .upstreams
+        .insert(Upstream::new(spec.clone(), service, now));
     board.services[service].upstreams.push(key);
     board.services[service].repeatable = spec.idempotent;
     board.due.registry = now;
-    let detail = format!("{} at {}, version {}", spec.service, spec.address, spec.version);
+    let detail = format!(
+        "{} at {}, version {}",
+        spec.service, spec.address, spec.version
+    );
     board.note(EventKind::UpstreamJoined, spec.name.clone(), detail);
 }
 
@@ -72,18 +77,26 @@
     upstream.spec = spec.clone();
     if upstream.state == UpstreamState::Silent {
         upstream.state = UpstreamState::Up;
-        board.note(EventKind::UpstreamJoined, spec.name.clone(), "announces itself again");
+        board.note(
+            EventKind::UpstreamJoined,
+            spec.name.clone(),
+            "announces itself again",
+        );
     }
 }
 
 fn leaving(board: &mut Board, name: &str) {
-    let Some(key) = board.upstream_key(name) else { return };
+    let Some(key) = board.upstream_key(name) else {
+        return;
+    };
     board.upstreams[key].state = UpstreamState::Leaving;
     board.note(EventKind::UpstreamLeft, name, "says that it leaves");
 }
 
 fn load(board: &mut Board, name: &str, waiting: u32) {
-    let Some(key) = board.upstream_key(name) else { return };
+    let Some(key) = board.upstream_key(name) else {
+        return;
+    };
     board.upstreams[key].waiting = (waiting, board.now.mono);
 }
 
@@ -111,8 +124,12 @@
 }
 
 fn remove(board: &mut Board, key: UpstreamKey) {
-    let Some(upstream) = board.upstreams.remove(key) else { return };
-    board.services[upstream.service].upstreams.retain(|other| *other != key);
+    let Some(upstream) = board.upstreams.remove(key) else {
+        return;
+    };
+    board.services[upstream.service]
+        .upstreams
+        .retain(|other| *other != key);
 }
 
 /// Divides each upstream's slots among the working hosts of the zone.
--- a/crates/core/src/controller/settings.rs
+++ b/crates/core/src/controller/settings.rs
@@ -26,18 +26,26 @@
         if let Some(Event::Received(envelope)) = event {
             take_message(board, envelope.from, &envelope.message);
         }
-        let Some(offered) = board.in_force.offered.take() else { return };
+        let Some(offered) = board.in_force.offered.take() else {
+            return;
+        };
         if offered.version <= board.in_force.settings.version {
             return;
         }
         if board.cfg.disk {
-            board.groups.records_out.push(Record::InForce { settings: offered.clone() });
+            board.groups.records_out.push(Record::InForce {
+                settings: offered.clone(),
+            });
         }
         let version = offered.version;
         board.in_force.settings = offered;
         board.in_force.since = board.now.wall;
         board.in_force.tell = true;
-        board.note(EventKind::SettingsInForce, format!("version {version}"), "in force");
+        board.note(
+            EventKind::SettingsInForce,
+            format!("version {version}"),
+            "in force",
+        );
     }
 }
 
@@ -56,7 +64,11 @@
             board.send(from, Message::SettingsPush(settings));
         }
         Message::SettingsPush(settings) => {
-            let newest = board.in_force.offered.as_ref().map_or(0, |other| other.version);
+            let newest = board
+                .in_force
+                .offered
+                .as_ref()
+                .map_or(0, |other| other.version);
             if settings.version > newest {
                 board.in_force.offered = Some(settings.clone());
             }
--- a/crates/core/src/controller/trainers.rs
+++ b/crates/core/src/controller/trainers.rs
@@ -29,7 +29,9 @@
 impl Controller for Trainers {
     fn run(&mut self, board: &mut Board, _event: Option<&Event>) {
         for result in board.groups.results.clone() {
-            let Purpose::Request(key) = result.purpose else { continue };
+            let Purpose::Request(key) = result.purpose else {
+                continue;
+            };
             decided(board, key, &result.fate);
         }
         for arrival in board.take_arrivals(is_trainers) {
@@ -40,14 +42,17 @@
 }
 
 fn is_trainers(call: &Call) -> bool {
-    matches!(call, Call::Submit { .. } | Call::Fetch { .. } | Call::Publish { .. })
+    matches!(
+        call,
+        Call::Submit { .. } | Call::Fetch { .. } | Call::Publish { .. }
+    )
 }
 
 fn trainer_of(call: &Call) -> &str {
     match call {
-        Call::Submit { trainer, .. } | Call::Fetch { trainer, .. } | Call::Publish { trainer, .. } => {
-            trainer
-        }
+        Call::Submit { trainer, .. }
+        | Call::Fetch { trainer, .. }
+        | Call::Publish { trainer, .. } => trainer,
         _ => "",
     }
 }
@@ -69,12 +74,26 @@
     let request = Request::new(origin, arrival.trace, board.now.mono, deadline);
     let key = board.add_request(request.call(arrival.call.clone()).hops(arrival.hops));
     let command = match arrival.call {
-        Call::Submit { trainer, service, step, groups } => {
-            ZoneCommand::Submit { trainer, service, step, groups }
-        }
-        Call::Publish { trainer, service, version } => {
-            ZoneCommand::Publish { trainer, service, version }
-        }
+        Call::Submit {
+            trainer,
+            service,
+            step,
+            groups,
+        } => ZoneCommand::Submit {
+            trainer,
+            service,
+            step,
+            groups,
+        },
+        Call::Publish {
+            trainer,
+            service,
+            version,
+        } => ZoneCommand::Publish {
+            trainer,
+            service,
+            version,
+        },
         _ => {
             board.work.polls.push(key);
             return;
@@ -85,15 +104,29 @@
 
 fn wish(board: &mut Board, key: RequestKey, command: ZoneCommand) {
     let (command, purpose) = (Command::Zone(command), Purpose::Request(key));
-    board.groups.wishes.push(Wish { group: GroupId::Zone, command, purpose });
+    board.groups.wishes.push(Wish {
+        group: GroupId::Zone,
+        command,
+        purpose,
+    });
 }
 
 /// Has samples delivered to the fetches that wait for some.
 fn poll(board: &mut Board) {
     let leads = board.leads(GroupId::Zone);
     for key in std::mem::take(&mut board.work.polls) {
-        let Some(request) = board.requests.get(key) else { continue };
-        let Some(Call::Fetch { trainer, cursor, max, .. }) = &request.call else { continue };
+        let Some(request) = board.requests.get(key) else {
+            continue;
+        };
+        let Some(Call::Fetch {
+            trainer,
+            cursor,
+            max,
+            ..
+        }) = &request.call
+        else {
+            continue;
+        };
         let (cursor, max) = (*cursor, *max);
         if !leads {
             let detail = "this host no longer leads the trainer's zone";
@@ -101,7 +134,9 @@
             continue;
         }
         let records = &board.groups.records;
-        let found = records.trainer_named(trainer).and_then(|id| Some((id, records.trainer(id)?)));
+        let found = records
+            .trainer_named(trainer)
+            .and_then(|id| Some((id, records.trainer(id)?)));
         let Some((id, trainer)) = found.filter(|(_, trainer)| trainer.has_from(cursor)) else {
             board.work.polls.push(key);
             continue;
@@ -109,14 +144,25 @@
         let service = trainer.service.clone();
         let staleness = board.setting(SettingKey::Staleness, Some(&service));
         allow_for_log(board, key);
-        wish(board, key, ZoneCommand::Deliver { trainer: id, cursor, max, staleness });
+        wish(
+            board,
+            key,
+            ZoneCommand::Deliver {
+                trainer: id,
+                cursor,
+                max,
+                staleness,
+            },
+        );
     }
 }
 
 /// Moves a fetch's deadline so that it does not pass while the log decides.
 fn allow_for_log(board: &mut Board, key: RequestKey) {
     let deadline = board.now.mono + LOG_WAIT;
-    let Some(request) = board.requests.get_mut(key) else { return };
+    let Some(request) = board.requests.get_mut(key) else {
+        return;
+    };
     if request.deadline >= deadline {
         return;
     }
@@ -126,18 +172,32 @@
 }
 
 fn decided(board: &mut Board, key: RequestKey, fate: &Fate) {
-    let Some(request) = board.requests.get(key) else { return };
+    let Some(request) = board.requests.get(key) else {
+        return;
+    };
     if !request.call.as_ref().is_some_and(is_trainers) {
         return;
     }
     match fate {
         Fate::Zone(Applied::Submitted(added)) => {
             let detail = format!("{added} new samples");
-            answer(board, key, EventKind::Submitted, &detail, Answer::Submitted(*added));
+            answer(
+                board,
+                key,
+                EventKind::Submitted,
+                &detail,
+                Answer::Submitted(*added),
+            );
         }
         Fate::Zone(Applied::Published(version)) => {
             let detail = format!("version {version}");
-            answer(board, key, EventKind::Published, &detail, Answer::Published(*version));
+            answer(
+                board,
+                key,
+                EventKind::Published,
+                &detail,
+                Answer::Published(*version),
+            );
         }
         Fate::Zone(Applied::Delivered { trainer, stale }) => {
             delivered(board, key, *trainer, *stale);
@@ -155,7 +215,9 @@
 }
 
 fn answer(board: &mut Board, key: RequestKey, kind: EventKind, detail: &str, answer: Answer) {
-    let Some(request) = board.remove_request(key) else { return };
+    let Some(request) = board.remove_request(key) else {
+        return;
+    };
     let subject = request.call.as_ref().map_or("", trainer_of);
     board.note(kind, subject, detail);
     if let Some(tag) = request.tag() {
@@ -165,8 +227,18 @@
 }
 
 fn delivered(board: &mut Board, key: RequestKey, id: TrainerId, stale: u32) {
-    let Some(request) = board.requests.get(key) else { return };
-    let Some(Call::Fetch { trainer, cursor, max, wait }) = request.call.clone() else { return };
+    let Some(request) = board.requests.get(key) else {
+        return;
+    };
+    let Some(Call::Fetch {
+        trainer,
+        cursor,
+        max,
+        wait,
+    }) = request.call.clone()
+    else {
+        return;
+    };
     if stale > 0 {
         let detail = format!("{stale} samples are generated anew");
         board.note(EventKind::SamplesStale, trainer, detail);
@@ -178,19 +250,35 @@
         return;
     }
     let detail = format!("{} samples from cursor {cursor}", batch.samples.len());
-    answer(board, key, EventKind::Delivered, &detail, Answer::Samples(batch));
+    answer(
+        board,
+        key,
+        EventKind::Delivered,
+        &detail,
+        Answer::Samples(batch),
+    );
 }
 
 fn request_arrived(board: &Board, key: RequestKey) -> Millis {
-    board.requests.get(key).map_or(Millis(0), |request| request.arrived)
+    board
+        .requests
+        .get(key)
+        .map_or(Millis(0), |request| request.arrived)
 }
 
 fn batch(board: &Board, id: TrainerId, cursor: u64, max: u32) -> SampleBatch {
     let records = &board.groups.records;
-    let Some(trainer) = records.trainer(id) else { return SampleBatch::default() };
-    let mut batch = SampleBatch { next: cursor, ..Default::default() };
+    let Some(trainer) = records.trainer(id) else {
+        return SampleBatch::default();
+    };
+    let mut batch = SampleBatch {
+        next: cursor,
+        ..Default::default()
+    };
     for delivery in trainer.from(cursor, max) {
-        let Some(sample) = records.sample(delivery.sample) else { continue };
+        let Some(sample) = records.sample(delivery.sample) else {
+            continue;
+        };
         let output = match &sample.state {
             SampleState::Ready(output) => Ok(output.clone()),
             SampleState::Failed(reason) => Err(reason.clone()),
@@ -198,7 +286,13 @@
         };
         let (step, group, index) = (sample.step, sample.group.clone(), sample.index);
         let cursor = delivery.cursor;
-        batch.samples.push(DeliveredSample { cursor, step, group, index, output });
+        batch.samples.push(DeliveredSample {
+            cursor,
+            step,
+            group,
+            index,
+            output,
+        });
         batch.next = cursor + 1;
     }
     let unacknowledged = trainer.counts.submitted - trainer.counts.acknowledged;
--- a/crates/core/src/fleet/settings.rs
+++ b/crates/core/src/fleet/settings.rs
@@ -64,7 +64,10 @@
         if let Some(exception) = self.exception(key, place) {
             return exception.value;
         }
-        self.defaults.get(&key).copied().unwrap_or_else(|| key.built_in())
+        self.defaults
+            .get(&key)
+            .copied()
+            .unwrap_or_else(|| key.built_in())
     }
 
     /// Returns the value of a setting at a place, with where it comes from.
@@ -78,7 +81,12 @@
             None => "built-in".into(),
         };
         let reason = exception.map_or_else(Box::default, |exception| exception.reason.clone());
-        Effective { key, value, from, reason }
+        Effective {
+            key,
+            value,
+            from,
+            reason,
+        }
     }
 
     /// Finds the narrowest exception for a place: host before service before zone.
@@ -88,7 +96,9 @@
             if exception.key != key {
                 continue;
             }
-            let Some(rank) = rank(&exception.scope, place) else { continue };
+            let Some(rank) = rank(&exception.scope, place) else {
+                continue;
+            };
             if best.is_none_or(|(other, _)| rank > other) {
                 best = Some((rank, exception));
             }
--- a/crates/core/src/host_settings.rs
+++ b/crates/core/src/host_settings.rs
@@ -17,6 +17,8 @@
     pub zone: Box<str>,
     /// Whether the host has a data folder.
     pub disk: bool,
+    /// Where it takes HTTP, for those who read the list of hosts; the core itself calls nobody.
+    pub http: Box<str>,
 }
 
 /// The settings of one core.
@@ -51,7 +53,14 @@
     pub fn new(name: impl Into<Box<str>>, zone: impl Into<Box<str>>) -> Self {
         let (name, zone) = (name.into(), zone.into());
         let id = HostId(1);
-        let me = PeerSpec { id, name: name.clone(), zone: zone.clone(), disk: false };
+        let (http, disk) = (Box::default(), false);
+        let me = PeerSpec {
+            id,
+            name: name.clone(),
+            zone: zone.clone(),
+            disk,
+            http,
+        };
         Self {
             name,
             zone,
--- a/crates/core/src/policy/queue_order.rs
+++ b/crates/core/src/policy/queue_order.rs
@@ -14,6 +14,10 @@
 /// Chooses between interactive and rollout work.
 pub trait QueueOrder: Debug + Send {
     /// Returns whether rollout work goes next; `share` is its guaranteed share in percent.
-    fn rollout_next(&mut self, interactive: Option<Head>, rollout: Option<Head>, share: u64)
-    -> bool;
+    fn rollout_next(
+        &mut self,
+        interactive: Option<Head>,
+        rollout: Option<Head>,
+        share: u64,
+    ) -> bool;
 }
--- a/crates/core/src/records/zone_records.rs
+++ b/crates/core/src/records/zone_records.rs
@@ -39,21 +39,42 @@
     /// Applies one command.
     pub fn apply(&mut self, command: &ZoneCommand) -> Applied {
         match command {
-            ZoneCommand::Submit { trainer, service, step, groups } => {
-                self.submit(trainer, service, *step, groups)
-            }
+            ZoneCommand::Submit {
+                trainer,
+                service,
+                step,
+                groups,
+            } => self.submit(trainer, service, *step, groups),
             ZoneCommand::Finish { sample, output } => self.finish(*sample, output),
             ZoneCommand::Fail { sample, reason } => self.fail(*sample, reason),
-            ZoneCommand::Deliver { trainer, cursor, max, staleness } => {
-                self.deliver(*trainer, *cursor, *max, *staleness)
-            }
-            ZoneCommand::Publish { trainer, service, version } => {
-                self.publish(trainer, service, *version)
-            }
-            ZoneCommand::Intend { key, fingerprint, owner, life } => {
+            ZoneCommand::Deliver {
+                trainer,
+                cursor,
+                max,
+                staleness,
+            } => self.deliver(*trainer, *cursor, *max, *staleness),
+            ZoneCommand::Publish {
+                trainer,
+                service,
+                version,
+            } => self.publish(trainer, service, *version),
+            ZoneCommand::Intend {
+                key,
+                fingerprint,
+                owner,
+                life,
+            } => {
                 let state = IntentState::Intended;
                 let (fingerprint, owner, life) = (*fingerprint, *owner, *life);
-                self.intend(key, Intent { fingerprint, owner, life, state })
+                self.intend(
+                    key,
+                    Intent {
+                        fingerprint,
+                        owner,
+                        life,
+                        state,
+                    },
+                )
             }
             ZoneCommand::Conclude { key, outcome } => self.conclude(key, outcome),
         }
@@ -61,7 +82,10 @@
 
     /// Returns the trainers, in the order in which they were first seen.
     pub fn trainers(&self) -> impl Iterator<Item = (TrainerId, &Trainer)> {
-        self.trainers.iter().enumerate().map(|(at, trainer)| (trainer_id(at), trainer))
+        self.trainers
+            .iter()
+            .enumerate()
+            .map(|(at, trainer)| (trainer_id(at), trainer))
     }
 
     /// Looks a trainer up by name.
@@ -139,9 +163,13 @@
         for group in groups {
             added += self.add_group(id, step, group);
         }
-        let Some(trainer) = self.trainer_mut(id) else { return Applied::Nothing };
+        let Some(trainer) = self.trainer_mut(id) else {
+            return Applied::Nothing;
+        };
         trainer.counts.submitted += u64::from(added);
-        trainer.groups.retain(|(old, _), _| old + REMEMBERED_STEPS >= step);
+        trainer
+            .groups
+            .retain(|(old, _), _| old + REMEMBERED_STEPS >= step);
         Applied::Submitted(added)
     }
 
@@ -155,26 +183,41 @@
         let trainer = self.trainer(id)?;
         let bad = |detail: String| Some(Problem::not_run(ErrorKind::BadRequest, detail));
         if &*trainer.service != service {
-            return bad(format!("trainer {} uses service {}", trainer.name, trainer.service));
+            return bad(format!(
+                "trainer {} uses service {}",
+                trainer.name, trainer.service
+            ));
         }
-        let newest = trainer.groups.keys().next_back().map_or(0, |(step, _)| *step);
+        let newest = trainer
+            .groups
+            .keys()
+            .next_back()
+            .map_or(0, |(step, _)| *step);
         if step + REMEMBERED_STEPS < newest {
             return bad(format!("step {step} is too far behind step {newest}"));
         }
         for group in groups {
             if group.samples == 0 || group.samples > SAMPLES_PER_GROUP {
-                return bad(format!("group {} asks for {} samples", group.group, group.samples));
+                return bad(format!(
+                    "group {} asks for {} samples",
+                    group.group, group.samples
+                ));
             }
             let known = trainer.groups.get(&(step, group.group.clone()));
             if known.is_some_and(|sum| *sum != group_sum(group)) {
-                return bad(format!("group {} of step {step} was another before", group.group));
+                return bad(format!(
+                    "group {} of step {step} was another before",
+                    group.group
+                ));
             }
         }
         None
     }
 
     fn add_group(&mut self, trainer: TrainerId, step: u64, group: &PromptGroup) -> u32 {
-        let Some(record) = self.trainer_mut(trainer) else { return 0 };
+        let Some(record) = self.trainer_mut(trainer) else {
+            return 0;
+        };
         let key = (step, group.group.clone());
         if record.groups.insert(key, group_sum(group)).is_some() {
             return 0;
@@ -214,7 +257,9 @@
         if !self.pending.remove(&id) {
             return Applied::Nothing;
         }
-        let Some(sample) = self.samples.get_mut(&id) else { return Applied::Nothing };
+        let Some(sample) = self.samples.get_mut(&id) else {
+            return Applied::Nothing;
+        };
         sample.state = state;
         let trainer = sample.trainer;
         if let Some(trainer) = self.trainer_mut(trainer) {
@@ -231,17 +276,25 @@
         }
         self.acknowledge(id, cursor);
         let mut stale = self.withdraw_stale(id, staleness);
-        let Some(trainer) = self.trainer(id) else { return Applied::Nothing };
+        let Some(trainer) = self.trainer(id) else {
+            return Applied::Nothing;
+        };
         let mut room = (max as usize).saturating_sub(trainer.delivered.len());
         while room > 0 {
-            let Some(trainer) = self.trainer_mut(id) else { break };
-            let Some(sample) = trainer.ready.pop_front() else { break };
+            let Some(trainer) = self.trainer_mut(id) else {
+                break;
+            };
+            let Some(sample) = trainer.ready.pop_front() else {
+                break;
+            };
             if self.is_stale(id, sample, staleness) {
                 self.generate_again(id, sample);
                 stale += 1;
                 continue;
             }
-            let Some(trainer) = self.trainer_mut(id) else { break };
+            let Some(trainer) = self.trainer_mut(id) else {
+                break;
+            };
             let cursor = trainer.next_cursor;
             trainer.next_cursor += 1;
             trainer.delivered.push_back(Delivery { cursor, sample });
@@ -251,7 +304,9 @@
     }
 
     fn acknowledge(&mut self, id: TrainerId, cursor: u64) {
-        let Some(trainer) = self.trainers.get_mut(id.0 as usize) else { return };
+        let Some(trainer) = self.trainers.get_mut(id.0 as usize) else {
+            return;
+        };
         while let Some(delivery) = trainer.delivered.front().copied() {
             if delivery.cursor >= cursor {
                 break;
@@ -267,7 +322,9 @@
 
     /// Takes back deliveries that the trainer does not hold yet and that have become stale.
     fn withdraw_stale(&mut self, id: TrainerId, staleness: u64) -> u32 {
-        let Some(trainer) = self.trainer(id) else { return 0 };
+        let Some(trainer) = self.trainer(id) else {
+            return 0;
+        };
         let mut kept = VecDeque::new();
         let mut stale = Vec::new();
         for delivery in &trainer.delivered {
@@ -287,10 +344,18 @@
     }
 
     fn is_stale(&self, id: TrainerId, sample: SampleId, staleness: u64) -> bool {
-        let Some(trainer) = self.trainer(id) else { return false };
-        let Some(sample) = self.samples.get(&sample) else { return false };
-        let SampleState::Ready(output) = &sample.state else { return false };
-        let Some(oldest) = output.oldest_version() else { return true };
+        let Some(trainer) = self.trainer(id) else {
+            return false;
+        };
+        let Some(sample) = self.samples.get(&sample) else {
+            return false;
+        };
+        let SampleState::Ready(output) = &sample.state else {
+            return false;
+        };
+        let Some(oldest) = output.oldest_version() else {
+            return true;
+        };
         trainer.version.saturating_sub(oldest) > staleness
     }
 
@@ -298,7 +363,9 @@
         if let Some(trainer) = self.trainer_mut(id) {
             trainer.counts.stale += 1;
         }
-        let Some(record) = self.samples.get_mut(&sample) else { return };
+        let Some(record) = self.samples.get_mut(&sample) else {
+            return;
+        };
         record.state = SampleState::Pending;
         record.round += 1;
         self.pending.insert(sample);
@@ -323,11 +390,16 @@
     }
 
     fn conclude(&mut self, key: &IntentKey, outcome: &Outcome) -> Applied {
-        let Some(intent) = self.intents.get_mut(key) else { return Applied::Nothing };
+        let Some(intent) = self.intents.get_mut(key) else {
+            return Applied::Nothing;
+        };
         if matches!(intent.state, IntentState::Ended(Outcome::Answered { .. })) {
             return Applied::Concluded(key.clone());
         }
-        if matches!((&intent.state, outcome), (IntentState::Ended(_), Outcome::NotRun)) {
+        if matches!(
+            (&intent.state, outcome),
+            (IntentState::Ended(_), Outcome::NotRun)
+        ) {
             return Applied::Concluded(key.clone());
         }
         if *outcome == Outcome::NotRun {
@@ -347,7 +419,9 @@
         if self.ended.len() <= REMEMBERED_INTENTS {
             return;
         }
-        let Some(oldest) = self.ended.pop_front() else { return };
+        let Some(oldest) = self.ended.pop_front() else {
+            return;
+        };
         self.intents.remove(&oldest);
     }
 }
--- a/crates/core/src/time.rs
+++ b/crates/core/src/time.rs
@@ -5,7 +5,9 @@
 use serde::{Deserialize, Serialize};
 
 /// A point in time or a span, in milliseconds.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(
+    Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
 #[serde(transparent)]
 pub struct Millis(pub u64);
 
--- a/crates/daemon/src/call/agents.rs
+++ b/crates/daemon/src/call/agents.rs
@@ -46,7 +46,10 @@
             .max_idle_connections(0)
             .max_redirects(0)
             .build();
-        Self { pooled: pooled.new_agent(), fresh: fresh.new_agent() }
+        Self {
+            pooled: pooled.new_agent(),
+            fresh: fresh.new_agent(),
+        }
     }
 }
 
@@ -58,12 +61,16 @@
 
 /// Returns the end of an attempt whose client failed: not sent only where no connection was made.
 #[must_use]
-pub fn end_of(error: &Error) -> AttemptEnd {
+pub(super) fn end_of(error: &Error) -> AttemptEnd {
     let detail = error.to_string().into();
     let not_sent = match error {
         Error::ConnectionFailed | Error::HostNotFound | Error::Timeout(Timeout::Connect) => true,
         Error::Io(error) => error.kind() == io::ErrorKind::ConnectionRefused,
         _ => false,
     };
-    if not_sent { AttemptEnd::NotSent { detail } } else { AttemptEnd::Broken { detail } }
+    if not_sent {
+        AttemptEnd::NotSent { detail }
+    } else {
+        AttemptEnd::Broken { detail }
+    }
 }
--- a/crates/daemon/src/call/host.rs
+++ b/crates/daemon/src/call/host.rs
@@ -10,8 +10,8 @@
 use chestnutdrift_core::{ErrorKind, HostId, Problem, Ran};
 use chestnutdrift_wire::api::problem::ProblemBody;
 use chestnutdrift_wire::header;
-use ureq::http::{Request, Response};
 use ureq::Body;
+use ureq::http::{Request, Response};
 
 use super::agents::end_of;
 use super::plain::{content_type, read_answer};
@@ -38,19 +38,35 @@
 
 impl Adaptor for HostAdaptor {
     fn run(&self, cx: &CallContext<'_>) -> AttemptEnd {
-        let not_sent = |detail: &str| AttemptEnd::NotSent { detail: detail.into() };
-        let Target::Host { host, hops, granted } = cx.dispatch.target else {
+        let not_sent = |detail: &str| AttemptEnd::NotSent {
+            detail: detail.into(),
+        };
+        let Target::Host {
+            host,
+            hops,
+            granted,
+        } = cx.dispatch.target
+        else {
             return not_sent("the target is not a host");
         };
         let Some(address) = self.addresses.get(&host) else {
             return not_sent("the host's address is not known");
         };
-        let Some(exchange) = cx.exchange else { return not_sent("there is no exchange") };
+        let Some(exchange) = cx.exchange else {
+            return not_sent("there is no exchange");
+        };
         let Some(request) = request(&exchange.inbound, *address, cx, (hops, granted)) else {
             return not_sent("the call can't be handed on");
         };
-        let agent = if granted { &self.agents.fresh } else { &self.agents.pooled };
-        let request = agent.configure_request(request).timeout_global(Some(cx.timeout())).build();
+        let agent = if granted {
+            &self.agents.fresh
+        } else {
+            &self.agents.pooled
+        };
+        let request = agent
+            .configure_request(request)
+            .timeout_global(Some(cx.timeout()))
+            .build();
         let answer = match agent.run(request) {
             Ok(answer) => answer,
             Err(error) => return end_of(&error),
@@ -90,7 +106,9 @@
 }
 
 fn hand_back_stream(cx: &CallContext<'_>, answer: Response<Body>) -> AttemptEnd {
-    let Some(exchange) = cx.exchange else { return AttemptEnd::Cancelled };
+    let Some(exchange) = cx.exchange else {
+        return AttemptEnd::Cancelled;
+    };
     let attempt = cx.attempt();
     let start = Reply::Start(answer.status().as_u16(), header::EVENT_STREAM.into());
     if !exchange.write(attempt, start) {
@@ -102,15 +120,26 @@
     loop {
         let read = match reader.read(&mut buf) {
             Ok(read) => read,
-            Err(error) => return AttemptEnd::Broken { detail: error.to_string().into() },
+            Err(error) => {
+                return AttemptEnd::Broken {
+                    detail: error.to_string().into(),
+                };
+            }
         };
         let last = read == 0;
-        let piece = if last { Reply::End } else { Reply::Data(Bytes::copy_from_slice(&buf[..read])) };
+        let piece = if last {
+            Reply::End
+        } else {
+            Reply::Data(Bytes::copy_from_slice(&buf[..read]))
+        };
         if cx.is_cancelled() || !exchange.write(attempt, piece) {
             return AttemptEnd::Cancelled;
         }
         if last {
-            return AttemptEnd::Whole { output: None, answer: None };
+            return AttemptEnd::Whole {
+                output: None,
+                answer: None,
+            };
         }
     }
 }
@@ -121,15 +150,23 @@
         return end;
     }
     if cx.dispatch.recorded {
-        return AttemptEnd::Whole { output: None, answer: Some(answer) };
+        return AttemptEnd::Whole {
+            output: None,
+            answer: Some(answer),
+        };
     }
-    let Some(exchange) = cx.exchange else { return AttemptEnd::Cancelled };
+    let Some(exchange) = cx.exchange else {
+        return AttemptEnd::Cancelled;
+    };
     let mut reply = WholeReply::from_recorded(&answer);
     if replayed {
         reply.headers.push((header::REPLAYED, "yes".into()));
     }
     if exchange.write(cx.attempt(), Reply::Whole(reply)) {
-        AttemptEnd::Whole { output: None, answer: None }
+        AttemptEnd::Whole {
+            output: None,
+            answer: None,
+        }
     } else {
         AttemptEnd::Cancelled
     }
@@ -146,7 +183,10 @@
 /// Returns the end of an attempt whose answer is an error that this host's core should deal with.
 fn end_of_problem(problem: &Problem, recorded: bool) -> Option<AttemptEnd> {
     let detail = problem.detail.clone();
-    let elsewhere = matches!(problem.kind, ErrorKind::HomeUnreachable | ErrorKind::NotReady);
+    let elsewhere = matches!(
+        problem.kind,
+        ErrorKind::HomeUnreachable | ErrorKind::NotReady
+    );
     match problem.ran {
         Ran::No if elsewhere || recorded => Some(AttemptEnd::Refused { detail }),
         Ran::Unknown if recorded => Some(AttemptEnd::Broken { detail }),
--- a/crates/daemon/src/call/pool.rs
+++ b/crates/daemon/src/call/pool.rs
@@ -75,8 +75,18 @@
     #[must_use]
     pub fn new(adaptors: Adaptors, side: SidePool, inputs: Sender<Input>, calls: u32) -> Self {
         let (jobs, queue) = channel::bounded(calls as usize);
-        let shared = Shared { adaptors, inputs, idle: AtomicUsize::new(0) };
-        Self { jobs, queue, shared: Arc::new(shared), running: BTreeMap::new(), side }
+        let shared = Shared {
+            adaptors,
+            inputs,
+            idle: AtomicUsize::new(0),
+        };
+        Self {
+            jobs,
+            queue,
+            shared: Arc::new(shared),
+            running: BTreeMap::new(),
+            side,
+        }
     }
 
     /// Starts an attempt.
@@ -84,7 +94,10 @@
         let attempt = job.dispatch.attempt;
         let cancelled = Arc::new(AtomicBool::new(false));
         let engine = engine_name(&job);
-        let running = Running { cancelled: Arc::clone(&cancelled), engine };
+        let running = Running {
+            cancelled: Arc::clone(&cancelled),
+            engine,
+        };
         self.running.insert(attempt, running);
         if self.shared.idle.load(Ordering::Acquire) <= self.queue.len() {
             self.spawn();
@@ -97,7 +110,9 @@
 
     fn spawn(&self) {
         let (queue, shared) = (self.queue.clone(), Arc::clone(&self.shared));
-        let builder = std::thread::Builder::new().name("call".into()).stack_size(STACK);
+        let builder = std::thread::Builder::new()
+            .name("call".into())
+            .stack_size(STACK);
         if let Err(error) = builder.spawn(move || work(&queue, &shared)) {
             log::error!(event = "no-thread"; "a thread for a call can't be started: {error}");
         }
@@ -105,7 +120,9 @@
 
     /// Gives an attempt up, and tells the engine where it runs on one.
     pub fn cancel(&mut self, attempt: AttemptKey) {
-        let Some(running) = self.running.get(&attempt) else { return };
+        let Some(running) = self.running.get(&attempt) else {
+            return;
+        };
         running.cancelled.store(true, Ordering::Release);
         if let Some((address, id)) = running.engine.clone() {
             self.side.cancel(address, id);
@@ -131,7 +148,11 @@
 
 /// Returns where an engine runs an attempt and by which name, to be able to tell it to stop.
 fn engine_name(job: &CallJob) -> Option<(Box<str>, Box<str>)> {
-    let Target::Upstream { address, kind: UpstreamKind::Engine } = &job.dispatch.target else {
+    let Target::Upstream {
+        address,
+        kind: UpstreamKind::Engine,
+    } = &job.dispatch.target
+    else {
         return None;
     };
     let name = attempt_name(job.dispatch.attempt, job.exchange.as_deref());
@@ -143,7 +164,9 @@
         shared.idle.fetch_add(1, Ordering::AcqRel);
         let started = queue.recv_timeout(IDLE);
         shared.idle.fetch_sub(1, Ordering::AcqRel);
-        let Ok(Started { job, cancelled }) = started else { return };
+        let Ok(Started { job, cancelled }) = started else {
+            return;
+        };
         let attempt = job.dispatch.attempt;
         let end = run(&job, &cancelled, shared);
         report(&shared.inputs, attempt, end);
@@ -152,10 +175,21 @@
 
 fn run(job: &CallJob, cancelled: &AtomicBool, shared: &Shared) -> AttemptEnd {
     let (dispatch, exchange) = (&job.dispatch, job.exchange.as_deref());
-    let cx = CallContext { dispatch, exchange, cancelled, inputs: &shared.inputs };
+    let cx = CallContext {
+        dispatch,
+        exchange,
+        cancelled,
+        inputs: &shared.inputs,
+    };
     let adaptor = match &dispatch.target {
-        Target::Upstream { kind: UpstreamKind::Engine, .. } => &shared.adaptors.engine,
-        Target::Upstream { kind: UpstreamKind::Plain, .. } => &shared.adaptors.plain,
+        Target::Upstream {
+            kind: UpstreamKind::Engine,
+            ..
+        } => &shared.adaptors.engine,
+        Target::Upstream {
+            kind: UpstreamKind::Plain,
+            ..
+        } => &shared.adaptors.plain,
         Target::Host { .. } => &shared.adaptors.host,
     };
     adaptor.run(&cx)
--- a/crates/daemon/src/control.rs
+++ b/crates/daemon/src/control.rs
@@ -102,8 +102,11 @@
     }
 
     fn wait(&self) -> Duration {
-        let Some(at) = self.clock.instant(self.core.next_deadline()) else { return LONGEST_WAIT };
-        at.saturating_duration_since(Instant::now()).min(LONGEST_WAIT)
+        let Some(at) = self.clock.instant(self.core.next_deadline()) else {
+            return LONGEST_WAIT;
+        };
+        at.saturating_duration_since(Instant::now())
+            .min(LONGEST_WAIT)
     }
 
     fn feed(&mut self, event: Event) {
@@ -133,7 +136,10 @@
             return;
         }
         self.sweep_at = now + SWEEP_EVERY;
-        let gone = self.exchanges.values().filter(|exchange| exchange.is_gone());
+        let gone = self
+            .exchanges
+            .values()
+            .filter(|exchange| exchange.is_gone());
         let tags: Vec<RequestTag> = gone.map(|exchange| exchange.tag).collect();
         for tag in tags {
             self.exchanges.remove(&tag);
@@ -151,11 +157,25 @@
             Action::Answer { tag, answer } => self.answer(tag, answer),
             Action::Send { to, envelope } => self.outlets.links.send(to, envelope),
             Action::Persist { token, records } => {
-                let Some(disk) = &self.outlets.disk else { return };
+                let Some(disk) = &self.outlets.disk else {
+                    return;
+                };
                 let _ = disk.send(DiskJob { token, records });
             }
-            Action::Order { order, address, version, fence, timeout } => {
-                self.outlets.calls.order(OrderJob { order, address, version, fence, timeout });
+            Action::Order {
+                order,
+                address,
+                version,
+                fence,
+                timeout,
+            } => {
+                self.outlets.calls.order(OrderJob {
+                    order,
+                    address,
+                    version,
+                    fence,
+                    timeout,
+                });
             }
             Action::Note(event) => note(&event),
             Action::Exit => self.ended = true,
@@ -174,7 +194,9 @@
     }
 
     fn answer(&mut self, tag: RequestTag, answer: Answer) {
-        let Some(exchange) = self.exchanges.remove(&tag) else { return };
+        let Some(exchange) = self.exchanges.remove(&tag) else {
+            return;
+        };
         exchange.answer(answer_reply(&exchange.inbound, answer));
     }
 }
@@ -183,8 +205,11 @@
     /// Makes the input for a call that can't be taken because too many events wait.
     #[must_use]
     pub fn too_many() -> Problem {
-        Problem::not_run(ErrorKind::Overloaded, "the host has too many events waiting")
-            .retry_after(Millis(1_000))
+        Problem::not_run(
+            ErrorKind::Overloaded,
+            "the host has too many events waiting",
+        )
+        .retry_after(Millis(1_000))
     }
 }
 
--- a/crates/daemon/src/http/intake.rs
+++ b/crates/daemon/src/http/intake.rs
@@ -62,7 +62,9 @@
         if let Some(trace) = intake.header(header::REQUEST_ID) {
             intake.trace = trace.into();
         }
-        intake.headers.insert(header::REQUEST_ID, intake.trace_value());
+        intake
+            .headers
+            .insert(header::REQUEST_ID, intake.trace_value());
         Ok(intake)
     }
 
@@ -80,7 +82,9 @@
     pub(super) fn query(&self, name: &str) -> Option<&str> {
         let (_, query) = self.path_and_query.split_once('?')?;
         for pair in query.split('&') {
-            let Some((key, value)) = pair.split_once('=') else { continue };
+            let Some((key, value)) = pair.split_once('=') else {
+                continue;
+            };
             if key == name {
                 return Some(value);
             }
@@ -90,15 +94,26 @@
 
     /// Returns how long the caller will wait, where it says.
     pub(super) fn deadline(&self) -> Result<Option<Millis>, Problem> {
-        let Some(text) = self.header(header::DEADLINE_MS) else { return Ok(None) };
-        let wrong = || format!("{} {text} is not a number of milliseconds", header::DEADLINE_MS);
-        let read = text.parse().map_err(|_| Problem::not_run(ErrorKind::BadRequest, wrong()));
+        let Some(text) = self.header(header::DEADLINE_MS) else {
+            return Ok(None);
+        };
+        let wrong = || {
+            format!(
+                "{} {text} is not a number of milliseconds",
+                header::DEADLINE_MS
+            )
+        };
+        let read = text
+            .parse()
+            .map_err(|_| Problem::not_run(ErrorKind::BadRequest, wrong()));
         Ok(Some(Millis(read?)))
     }
 
     /// Returns how many hosts have handed the call on.
     pub(super) fn hops(&self) -> u8 {
-        self.header(header::HOPS).and_then(|text| text.parse().ok()).unwrap_or(0)
+        self.header(header::HOPS)
+            .and_then(|text| text.parse().ok())
+            .unwrap_or(0)
     }
 
     /// Tells whether the one run of a recorded request is handed over.
@@ -110,7 +125,9 @@
     pub(super) fn handed_on(&self) -> Vec<(Box<str>, Box<str>)> {
         let mut headers = Vec::new();
         for name in HANDED_ON {
-            let Some(value) = self.header(name) else { continue };
+            let Some(value) = self.header(name) else {
+                continue;
+            };
             headers.push((name.into(), value.into()));
         }
         headers
@@ -128,9 +145,14 @@
     let mut buf = BytesMut::new();
     while let Some(frame) = body.frame().await {
         let broken = |error: hyper::Error| {
-            Problem::not_run(ErrorKind::BadRequest, format!("the body broke off: {error}"))
+            Problem::not_run(
+                ErrorKind::BadRequest,
+                format!("the body broke off: {error}"),
+            )
+        };
+        let Ok(data) = frame.map_err(broken)?.into_data() else {
+            continue;
         };
-        let Ok(data) = frame.map_err(broken)?.into_data() else { continue };
         if buf.len() as u64 + data.len() as u64 > most {
             return Err(too_large());
         }
--- a/crates/daemon/src/link.rs
+++ b/crates/daemon/src/link.rs
@@ -56,12 +56,18 @@
             .block_on(TcpListener::bind(address))
             .with_context(|| format!("{address} can't be bound"))?;
         runtime.spawn(inbound::accept(listener, inputs));
-        Ok(Self { runtime, peers, queues: BTreeMap::new() })
+        Ok(Self {
+            runtime,
+            peers,
+            queues: BTreeMap::new(),
+        })
     }
 
     /// Sends a message, or drops it where the queue of its link is full.
     pub fn send(&mut self, to: HostId, envelope: Envelope) {
-        let Some(address) = self.peers.get(&to).copied() else { return };
+        let Some(address) = self.peers.get(&to).copied() else {
+            return;
+        };
         let runtime = &self.runtime;
         let queue = self.queues.entry(to).or_insert_with(|| {
             let (tx, rx) = mpsc::channel(MESSAGES_WAITING);
--- a/crates/daemon/src/link/inbound.rs
+++ b/crates/daemon/src/link/inbound.rs
@@ -34,9 +34,13 @@
 
 async fn read(stream: TcpStream, inputs: Sender<Input>) {
     let handshake = tokio_tungstenite::accept_async_with_config(stream, Some(super::config()));
-    let Ok(Ok(mut link)) = tokio::time::timeout(HANDSHAKE, handshake).await else { return };
+    let Ok(Ok(mut link)) = tokio::time::timeout(HANDSHAKE, handshake).await else {
+        return;
+    };
     while let Some(Ok(message)) = link.next().await {
-        let Message::Binary(bytes) = message else { continue };
+        let Message::Binary(bytes) = message else {
+            continue;
+        };
         let envelope = match frame::decode(&bytes) {
             Ok(envelope) => envelope,
             Err(error) => {
@@ -44,7 +48,10 @@
                 continue;
             }
         };
-        if inputs.try_send(Input::Event(Event::Received(envelope))).is_err() {
+        if inputs
+            .try_send(Input::Event(Event::Received(envelope)))
+            .is_err()
+        {
             log::debug!(event = "message-dropped"; "too many events wait");
         }
     }
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -82,7 +82,10 @@
     /// Returns this host among the peers.
     #[must_use]
     pub fn me(&self) -> &Peer {
-        let found = self.fleet.iter().find(|peer| peer.spec.name == self.host.name);
+        let found = self
+            .fleet
+            .iter()
+            .find(|peer| peer.spec.name == self.host.name);
         found.unwrap_or(&self.fleet[0])
     }
 
@@ -100,7 +103,9 @@
     pub fn check_addresses(&self) -> Result<(), SettingsError> {
         let me = self.me();
         for (key, address) in [("http", me.http), ("link", me.link)] {
-            let Err(error) = TcpListener::bind(address) else { continue };
+            let Err(error) = TcpListener::bind(address) else {
+                continue;
+            };
             let section = format!("peer {}", me.spec.name);
             let wrong = format!("{address} can't be bound: {error}");
             let right = "an address of this machine that no other process listens on";
--- /dev/null
+++ b/crates/standins/src/experiment/overhead.rs
@@ -0,0 +1,165 @@
+//! What an entry host adds to a chat, and how many it serves on two processors.
+
+use std::path::Path;
+use std::time::Duration;
+
+use chestnutdrift_wire::api::operator::{ChangeBody, EditBody};
+
+use crate::engine::{Engine, EngineSettings};
+use crate::experiment::usage;
+use crate::fleet::{Fleet, FleetPlan};
+use crate::load::{self, LoadPlan, LoadReport, LoadTarget};
+use crate::process::wait_until;
+
+const SERVICE: &str = "quote-drafters";
+const ENGINES: usize = 4;
+const WAIT: Duration = Duration::from_secs(30);
+
+/// Requests a second of the comparison, and in all.
+const COMPARED: (f64, usize) = (100.0, 1_500);
+
+/// Pairs of runs, each with its own seed.
+const PAIRS: u64 = 5;
+
+/// Requests a second that are offered to find the most that one host serves.
+const OFFERED: [f64; 6] = [500.0, 1_000.0, 1_500.0, 2_000.0, 2_500.0, 3_000.0];
+
+/// Seconds of each offer.
+const OFFER_SECONDS: f64 = 4.0;
+
+/// Runs the experiment.
+pub(super) fn run(folder: &Path, seed: u64) -> anyhow::Result<()> {
+    let limits = "calls = 512\nconnections = 4096";
+    let plan = FleetPlan::new(&["zone-a"])
+        .hosts_per_zone(1)
+        .limits(limits)
+        .log_level("warn");
+    let mut fleet = Fleet::prepare(&plan, folder)?;
+    fleet.start_host(0)?;
+    let id = fleet.process(0)?.id();
+    pin(id)?;
+    fleet.wait_ready(WAIT)?;
+    let engines = engines(&fleet)?;
+    let addresses: Vec<Box<str>> = engines
+        .iter()
+        .map(|engine| engine.address().to_string().into())
+        .collect();
+    compare(&fleet, &addresses, id, seed)?;
+    saturate(&fleet, id, seed)?;
+    for engine in engines {
+        engine.close();
+    }
+    fleet.close(WAIT)
+}
+
+/// Keeps the daemon to two processors.
+fn pin(id: u32) -> anyhow::Result<()> {
+    let id = id.to_string();
+    let status = std::process::Command::new("taskset")
+        .args(["-a", "-p", "-c", "0,1", &id])
+        .stdout(std::process::Stdio::null())
+        .status()?;
+    anyhow::ensure!(
+        status.success(),
+        "the daemon can't be kept to two processors"
+    );
+    Ok(())
+}
+
+fn engines(fleet: &Fleet) -> anyhow::Result<Vec<Engine>> {
+    let hosts = fleet.zone_hosts("zone-a");
+    let mut engines = Vec::new();
+    for at in 0..ENGINES {
+        let cfg = EngineSettings::new(format!("engine-{at}"), SERVICE)
+            .hosts(hosts.clone())
+            .slots(256)
+            .token(Duration::from_millis(1));
+        engines.push(Engine::start(cfg)?);
+    }
+    wait_until("the engines are known", WAIT, || {
+        let listed = fleet
+            .client
+            .get_json(&fleet.url(0, "/v1/operator/upstreams"));
+        listed.is_ok_and(|list| list.as_array().is_some_and(|list| list.len() == ENGINES))
+    })?;
+    let base = fleet.settings_version(0)?;
+    let (key, value, reason) = ("upstream_slots".into(), Some(256), "".into());
+    let edits = vec![EditBody {
+        key,
+        value,
+        scope: None,
+        reason,
+    }];
+    let change = ChangeBody {
+        id: "overhead".into(),
+        base,
+        by: "overhead".into(),
+        edits,
+    };
+    let answer = fleet.change(0, &change)?;
+    anyhow::ensure!(answer.accepted, "{answer:?}");
+    Ok(engines)
+}
+
+fn compare(fleet: &Fleet, engines: &[Box<str>], id: u32, seed: u64) -> anyhow::Result<()> {
+    let (rate, count) = COMPARED;
+    println!("chat of 8 tokens, {rate} a second, {count} requests; times in ms");
+    println!("seed  path    p50     p99     p99.9   wrong failed  core-s per 1,000");
+    for pair in 0..PAIRS {
+        let seed = seed + pair;
+        let direct = LoadTarget::Engines(engines.to_vec());
+        let plan = LoadPlan::new(direct, SERVICE)
+            .requests(rate, count)
+            .senders(128)
+            .seed(seed);
+        row(seed, "direct", &load::run(&plan)?, None);
+        let entry = LoadTarget::Entry(fleet.zone_hosts("zone-a"));
+        let plan = LoadPlan {
+            target: entry,
+            ..plan
+        };
+        let before = usage(id)?.cpu_seconds;
+        let report = load::run(&plan)?;
+        let used = usage(id)?.cpu_seconds - before;
+        row(seed, "entry", &report, Some(used * 1_000.0 / count as f64));
+    }
+    Ok(())
+}
+
+fn row(seed: u64, path: &str, report: &LoadReport, cost: Option<f64>) {
+    let cost = cost.map_or_else(|| "-".into(), |cost| format!("{cost:.3}"));
+    println!(
+        "{seed:<5} {path:<7} {:<7.2} {:<7.2} {:<7.2} {:<5} {:<7} {cost}",
+        report.millis(0.5),
+        report.millis(0.99),
+        report.millis(0.999),
+        report.wrong,
+        report.failed + report.refused,
+    );
+}
+
+fn saturate(fleet: &Fleet, id: u32, seed: u64) -> anyhow::Result<()> {
+    println!("one host on two processors, chat of 8 tokens; times in ms");
+    println!("offered  served   p50     p99      refused failed wrong  cores used");
+    for rate in OFFERED {
+        let entry = LoadTarget::Entry(fleet.zone_hosts("zone-a"));
+        let count = (rate * OFFER_SECONDS) as usize;
+        let plan = LoadPlan::new(entry, SERVICE)
+            .requests(rate, count)
+            .senders(512)
+            .seed(seed);
+        let before = usage(id)?.cpu_seconds;
+        let report = load::run(&plan)?;
+        let used = (usage(id)?.cpu_seconds - before) / report.took.as_secs_f64();
+        println!(
+            "{rate:<8} {:<8.0} {:<7.1} {:<8.1} {:<7} {:<6} {:<6} {used:.2}",
+            report.goodput(),
+            report.millis(0.5),
+            report.millis(0.99),
+            report.refused,
+            report.failed,
+            report.wrong,
+        );
+    }
+    Ok(())
+}
