--- a/crates/cli/src/change_file.rs
+++ b/crates/cli/src/change_file.rs
@@ -22,12 +22,7 @@
             Some("defaults") => {
                 for (key, text) in keys {
                     let value = value(text).with_context(|| format!("{file}: [defaults] {key}"))?;
-                    edits.push(EditBody {
-                        key: key.into(),
-                        value,
-                        scope: None,
-                        reason: "".into(),
-                    });
+                    edits.push(EditBody { key: key.into(), value, scope: None, reason: "".into() });
                 }
             }
             Some(name) if name.starts_with("exception ") => {
@@ -55,9 +50,7 @@
         bail!("reason: is missing; expected why the exception is made, in words");
     }
     Ok(EditBody {
-        key: text("key")
-            .context("key: is missing; expected the name of a setting")?
-            .into(),
+        key: text("key").context("key: is missing; expected the name of a setting")?.into(),
         value,
         scope: Some(
             text("scope")
@@ -73,7 +66,5 @@
     if text.is_empty() {
         return Ok(None);
     }
-    Ok(Some(text.parse().with_context(|| {
-        format!("{text:?} is not a whole number")
-    })?))
+    Ok(Some(text.parse().with_context(|| format!("{text:?} is not a whole number"))?))
 }
--- a/crates/cli/src/command/change.rs
+++ b/crates/cli/src/command/change.rs
@@ -20,19 +20,9 @@
 /// Returns the options.
 pub(super) fn options() -> Options {
     let mut options = Options::new();
-    options.reqopt(
-        "",
-        "id",
-        "a name for the change; sent again it gets the first answer",
-        "ID",
-    );
+    options.reqopt("", "id", "a name for the change; sent again it gets the first answer", "ID");
     options.reqopt("", "by", "who proposes it", "NAME");
-    options.optopt(
-        "",
-        "base",
-        "the version seen; the one in force where left out",
-        "N",
-    );
+    options.optopt("", "base", "the version seen; the one in force where left out", "N");
     options.optopt("", "scope", "zone:NAME, host:NAME or service:NAME", "SCOPE");
     options.optopt("", "reason", "why; needed for an exception", "TEXT");
     options.optopt("", "file", "an INI file of edits", "FILE");
@@ -43,11 +33,7 @@
 pub(super) fn run(cx: &Context) -> anyhow::Result<()> {
     let base = match cx.matches.opt_str("base") {
         Some(text) => text.parse().with_context(|| format!("--base {text}"))?,
-        None => {
-            cx.fleet
-                .get::<SettingsReport>("/v1/operator/settings")?
-                .version
-        }
+        None => cx.fleet.get::<SettingsReport>("/v1/operator/settings")?.version,
     };
     let edits = match cx.matches.opt_str("file") {
         Some(file) => change_file::read(Path::new(&file))?,
@@ -55,15 +41,8 @@
     };
     let id = cx.matches.opt_str("id").unwrap_or_default().into();
     let by = cx.matches.opt_str("by").unwrap_or_default().into();
-    let change = ChangeBody {
-        id,
-        base,
-        by,
-        edits,
-    };
-    let answer: ChangedAnswer = cx
-        .fleet
-        .post("/v1/operator/changes", &change, &[200, 409])?;
+    let change = ChangeBody { id, base, by, edits };
+    let answer: ChangedAnswer = cx.fleet.post("/v1/operator/changes", &change, &[200, 409])?;
     if cx.json {
         cx.print_json(&answer)?;
     }
@@ -81,16 +60,11 @@
 fn edits(cx: &Context) -> anyhow::Result<Vec<EditBody>> {
     let mut edits = Vec::new();
     for text in &cx.matches.free {
-        let (key, value) = text
-            .split_once('=')
-            .with_context(|| format!("{text} is not KEY=VALUE"))?;
+        let (key, value) =
+            text.split_once('=').with_context(|| format!("{text} is not KEY=VALUE"))?;
         let value = match value {
             "" | "default" => None,
-            number => Some(
-                number
-                    .parse()
-                    .with_context(|| format!("{text}: no whole number"))?,
-            ),
+            number => Some(number.parse().with_context(|| format!("{text}: no whole number"))?),
         };
         edits.push(EditBody {
             key: key.into(),
@@ -105,9 +79,7 @@
 fn wait_in_force(cx: &Context, version: u64) -> anyhow::Result<()> {
     let start = Instant::now();
     loop {
-        let asked = cx
-            .fleet
-            .ask_all::<SettingsReport>("/v1/operator/settings")?;
+        let asked = cx.fleet.ask_all::<SettingsReport>("/v1/operator/settings")?;
         let count = asked.len();
         let mut behind = Vec::new();
         for asked in asked {
@@ -124,10 +96,7 @@
             return Ok(());
         }
         if start.elapsed() > WAIT {
-            bail!(
-                "accepted, but not in force after {WAIT:?} on {}",
-                behind.join(", ")
-            );
+            bail!("accepted, but not in force after {WAIT:?} on {}", behind.join(", "));
         }
         std::thread::sleep(LOOK_EVERY);
     }
--- a/crates/cli/src/command/drain.rs
+++ b/crates/cli/src/command/drain.rs
@@ -15,16 +15,12 @@
 
 /// Drains a host and waits until it has stopped.
 pub(super) fn run(cx: &Context) -> anyhow::Result<()> {
-    let Some(name) = cx.matches.free.first() else {
-        bail!("name the host to drain")
-    };
+    let Some(name) = cx.matches.free.first() else { bail!("name the host to drain") };
     let hosts = cx.fleet.hosts()?;
     let host = hosts.iter().find(|host| *host.name == **name);
     let host = host.with_context(|| format!("no host is named {name}"))?;
     let body = serde_json::json!({});
-    let _: Value = cx
-        .fleet
-        .post_to(&host.http, "/v1/operator/drain", &body, &[202])?;
+    let _: Value = cx.fleet.post_to(&host.http, "/v1/operator/drain", &body, &[202])?;
     println!("{name} takes no new work and finishes what it holds");
     let start = Instant::now();
     while cx.fleet.get_from::<Value>(&host.http, "/healthz").is_ok() {
@@ -35,9 +31,6 @@
         }
         std::thread::sleep(LOOK_EVERY);
     }
-    println!(
-        "{name} has stopped after {} ms",
-        start.elapsed().as_millis()
-    );
+    println!("{name} has stopped after {} ms", start.elapsed().as_millis());
     Ok(())
 }
--- a/crates/cli/src/command/settings.rs
+++ b/crates/cli/src/command/settings.rs
@@ -18,14 +18,10 @@
 pub(super) fn run(cx: &Context) -> anyhow::Result<()> {
     let service = cx.matches.opt_str("service");
     let query = service.map_or_else(String::new, |service| format!("?service={service}"));
-    let asked = cx
-        .fleet
-        .ask_all::<SettingsReport>(&format!("/v1/operator/settings{query}"))?;
+    let asked = cx.fleet.ask_all::<SettingsReport>(&format!("/v1/operator/settings{query}"))?;
     if cx.json {
-        let reports: Vec<&SettingsReport> = asked
-            .iter()
-            .filter_map(|asked| asked.answer.as_ref().ok())
-            .collect();
+        let reports: Vec<&SettingsReport> =
+            asked.iter().filter_map(|asked| asked.answer.as_ref().ok()).collect();
         return cx.print_json(&reports);
     }
     let mut rows = Vec::new();
@@ -35,21 +31,12 @@
             Err(error) => rows.push(vec![asked.host.name.to_string(), format!("{error:#}")]),
         }
     }
-    table::print(
-        &[
-            "host", "version", "since", "setting", "value", "from", "reason",
-        ],
-        &rows,
-    );
+    table::print(&["host", "version", "since", "setting", "value", "from", "reason"], &rows);
     Ok(())
 }
 
 fn lines(cx: &Context, report: &SettingsReport) -> Vec<Vec<String>> {
-    let head = [
-        report.host.to_string(),
-        report.version.to_string(),
-        report.since.0.to_string(),
-    ];
+    let head = [report.host.to_string(), report.version.to_string(), report.since.0.to_string()];
     let mut rows = Vec::new();
     for effective in &report.effective {
         if &*effective.from == "built-in" && !cx.matches.opt_present("all") {
--- a/crates/cli/src/command/timeline.rs
+++ b/crates/cli/src/command/timeline.rs
@@ -12,12 +12,7 @@
 /// Returns the options.
 pub(super) fn options() -> Options {
     let mut options = Options::new();
-    options.optopt(
-        "",
-        "subject",
-        "only events whose subject holds this text",
-        "TEXT",
-    );
+    options.optopt("", "subject", "only events whose subject holds this text", "TEXT");
     options.optopt("", "kind", "only events of this kind", "KIND");
     options.optopt("", "on", "only events of this host", "HOST");
     options
@@ -27,10 +22,7 @@
 pub(super) fn run(cx: &Context) -> anyhow::Result<()> {
     let mut names: BTreeMap<HostId, Box<str>> = BTreeMap::new();
     let mut events = Vec::new();
-    for asked in cx
-        .fleet
-        .ask_all::<Vec<TimelineEvent>>("/v1/operator/timeline")?
-    {
+    for asked in cx.fleet.ask_all::<Vec<TimelineEvent>>("/v1/operator/timeline")? {
         names.insert(asked.host.id, asked.host.name.clone());
         match asked.answer {
             Ok(found) => events.extend(found),
@@ -46,9 +38,7 @@
     for event in &events {
         rows.push(vec![
             format!("{}.{}", event.stamp.wall.0, event.stamp.count),
-            names
-                .get(&event.host)
-                .map_or_else(String::new, ToString::to_string),
+            names.get(&event.host).map_or_else(String::new, ToString::to_string),
             kind_name(event),
             event.subject.to_string(),
             event.detail.to_string(),
@@ -71,17 +61,8 @@
 }
 
 fn wanted(cx: &Context, event: &TimelineEvent, host: Option<&str>) -> bool {
-    let subject = cx
-        .matches
-        .opt_str("subject")
-        .is_none_or(|text| event.subject.contains(&text));
-    let kind = cx
-        .matches
-        .opt_str("kind")
-        .is_none_or(|kind| kind_name(event) == kind);
-    let on = cx
-        .matches
-        .opt_str("on")
-        .is_none_or(|name| host.is_some_and(|host| host == name));
+    let subject = cx.matches.opt_str("subject").is_none_or(|text| event.subject.contains(&text));
+    let kind = cx.matches.opt_str("kind").is_none_or(|kind| kind_name(event) == kind);
+    let on = cx.matches.opt_str("on").is_none_or(|name| host.is_some_and(|host| host == name));
     subject && kind && on
 }
--- a/crates/cli/src/command/trainers.rs
+++ b/crates/cli/src/command/trainers.rs
@@ -10,10 +10,7 @@
 /// Prints the trainers, as their zones record them.
 pub(super) fn run(cx: &Context) -> anyhow::Result<()> {
     let mut trainers: BTreeMap<Box<str>, (Box<str>, TrainerReport)> = BTreeMap::new();
-    for asked in cx
-        .fleet
-        .ask_all::<Vec<TrainerReport>>("/v1/operator/trainers")?
-    {
+    for asked in cx.fleet.ask_all::<Vec<TrainerReport>>("/v1/operator/trainers")? {
         for report in asked.answer.unwrap_or_default() {
             let newer = trainers
                 .get(&report.name)
@@ -38,11 +35,7 @@
             counts.stale,
             counts.failed,
         ];
-        let mut row = vec![
-            report.name.to_string(),
-            zone.to_string(),
-            report.service.to_string(),
-        ];
+        let mut row = vec![report.name.to_string(), zone.to_string(), report.service.to_string()];
         row.extend(numbers.iter().map(ToString::to_string));
         rows.push(row);
     }
--- a/crates/cli/src/command/upstreams.rs
+++ b/crates/cli/src/command/upstreams.rs
@@ -7,9 +7,7 @@
 
 /// Prints the upstreams, as each host sees them.
 pub(super) fn run(cx: &Context) -> anyhow::Result<()> {
-    let asked = cx
-        .fleet
-        .ask_all::<Vec<UpstreamReport>>("/v1/operator/upstreams")?;
+    let asked = cx.fleet.ask_all::<Vec<UpstreamReport>>("/v1/operator/upstreams")?;
     let mut rows = Vec::new();
     let mut all = Vec::new();
     for asked in asked {
@@ -38,15 +36,7 @@
         return cx.print_json(&all);
     }
     rows.sort();
-    let head = [
-        "zone",
-        "upstream",
-        "service",
-        "version",
-        "state",
-        "seen by",
-        "in flight",
-    ];
+    let head = ["zone", "upstream", "service", "version", "state", "seen by", "in flight"];
     table::print(&head, &rows);
     Ok(())
 }
--- a/crates/cli/src/fleet.rs
+++ b/crates/cli/src/fleet.rs
@@ -33,10 +33,7 @@
             .http_status_as_error(false)
             .timeout_global(Some(TIMEOUT))
             .build();
-        Self {
-            entry: entry.into(),
-            agent: config.new_agent(),
-        }
+        Self { entry: entry.into(), agent: config.new_agent() }
     }
 
     /// Fetches from the entry host.
@@ -52,10 +49,7 @@
     ) -> anyhow::Result<T> {
         let url = format!("http://{address}{path}");
         let answer = self.agent.get(&url).call();
-        read(
-            answer.with_context(|| format!("host {address} does not answer"))?,
-            &[200],
-        )
+        read(answer.with_context(|| format!("host {address} does not answer"))?, &[200])
     }
 
     /// Posts to a host, taking any of the statuses as an answer.
@@ -68,10 +62,7 @@
     ) -> anyhow::Result<T> {
         let url = format!("http://{address}{path}");
         let answer = self.agent.post(&url).send_json(body);
-        read(
-            answer.with_context(|| format!("host {address} does not answer"))?,
-            statuses,
-        )
+        read(answer.with_context(|| format!("host {address} does not answer"))?, statuses)
     }
 
     /// Posts to the entry host, taking any of the statuses as an answer.
@@ -103,10 +94,7 @@
                     Asked { host, answer }
                 }));
             }
-            threads
-                .into_iter()
-                .filter_map(|thread| thread.join().ok())
-                .collect()
+            threads.into_iter().filter_map(|thread| thread.join().ok()).collect()
         });
         Ok(asked)
     }
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -64,10 +64,7 @@
 
 /// Takes the options before the command off the command line.
 fn split(args: &[String]) -> Result<(Head, &[String]), String> {
-    let mut head = Head {
-        host: std::env::var(HOST_VARIABLE).ok(),
-        json: false,
-    };
+    let mut head = Head { host: std::env::var(HOST_VARIABLE).ok(), json: false };
     let mut rest = args;
     loop {
         match rest {
@@ -88,10 +85,7 @@
 fn run(command: &Command, head: Head, args: &[String]) -> ExitCode {
     let options = (command.options)();
     if args.iter().any(|arg| arg == "--help" || arg == "-h") {
-        let brief = format!(
-            "usage: chestnutdrift {} {}",
-            command.name, command.arguments
-        );
+        let brief = format!("usage: chestnutdrift {} {}", command.name, command.arguments);
         print!("{}\n\n{}", command.what, options.usage(&brief));
         return ExitCode::SUCCESS;
     }
@@ -106,11 +100,7 @@
         eprintln!("chestnutdrift: name a host with --host or {HOST_VARIABLE}");
         return ExitCode::from(BAD_USAGE);
     };
-    let cx = Context {
-        fleet: Fleet::new(host),
-        json: head.json,
-        matches,
-    };
+    let cx = Context { fleet: Fleet::new(host), json: head.json, matches };
     match (command.run)(&cx) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
--- a/crates/core/src/action.rs
+++ b/crates/core/src/action.rs
@@ -137,6 +137,8 @@
         hops: u8,
         /// Whether the one run of a recorded non-idempotent request is handed over.
         granted: bool,
+        /// Whether another host may have run the call already.
+        maybe_ran: bool,
     },
 }
 
--- a/crates/core/src/agreement/election.rs
+++ b/crates/core/src/agreement/election.rs
@@ -23,7 +23,8 @@
             return;
         }
         self.put_off_election(now, jitter);
-        if self.resigned {
+        self.tick_reform(now);
+        if self.resigned || self.reform.is_some() {
             return;
         }
         self.start_pre_vote(now, out);
@@ -73,12 +74,7 @@
             if voter.host == self.me.host {
                 continue;
             }
-            let message = GroupMessage::Vote {
-                term,
-                last_index,
-                last_term,
-                pre,
-            };
+            let message = GroupMessage::Vote { term, last_index, last_term, pre };
             out.after_sync.push((voter.host, message));
         }
     }
@@ -102,11 +98,7 @@
         }
         let up_to_date = last >= (self.log.last_term(), self.log.last_index());
         let free = pre || self.voted_for.is_none_or(|host| host == from);
-        let current = if pre {
-            term > self.term
-        } else {
-            term == self.term
-        };
+        let current = if pre { term > self.term } else { term == self.term };
         let granted = current && free && up_to_date;
         if granted && !pre {
             self.voted_for = Some(from);
@@ -114,8 +106,7 @@
             self.election_at = now.mono + self.election + self.election;
         }
         let term = if granted { term } else { self.term };
-        out.after_sync
-            .push((from, GroupMessage::VoteReply { term, granted, pre }));
+        out.after_sync.push((from, GroupMessage::VoteReply { term, granted, pre }));
     }
 
     /// Tells whether a leader was heard so lately that no other may be elected.
@@ -166,10 +157,7 @@
 
     fn count_votes(&mut self, now: Now, out: &mut Outbox) {
         let voters = self.voters();
-        let won = voters
-            .iter()
-            .filter(|voter| self.votes.contains(&voter.host))
-            .count();
+        let won = voters.iter().filter(|voter| self.votes.contains(&voter.host)).count();
         if won * 2 <= voters.len() {
             return;
         }
@@ -188,11 +176,7 @@
         self.progress.clear();
         for voter in self.voters().to_vec() {
             let incarnation = voter.incarnation;
-            let progress = super::replica::Progress {
-                next,
-                incarnation,
-                ..Default::default()
-            };
+            let progress = super::replica::Progress { next, incarnation, ..Default::default() };
             self.progress.insert(voter.host, progress);
         }
         self.append_own(Command::Noop, out);
--- a/crates/core/src/agreement/formation.rs
+++ b/crates/core/src/agreement/formation.rs
@@ -25,9 +25,7 @@
             self.form(now, out);
             return;
         }
-        let message = GroupMessage::Blank {
-            incarnation: self.me.incarnation,
-        };
+        let message = GroupMessage::Blank { incarnation: self.me.incarnation };
         self.send_members(&message, out);
     }
 
@@ -44,9 +42,7 @@
         if self.members.first() != Some(&self.me.host) {
             return false;
         }
-        self.members
-            .iter()
-            .all(|host| *host == self.me.host || self.is_blank(*host, now))
+        self.members.iter().all(|host| *host == self.me.host || self.is_blank(*host, now))
     }
 
     fn is_blank(&self, host: HostId, now: Now) -> bool {
@@ -69,17 +65,44 @@
         self.send_members(&GroupMessage::Form { voters }, out);
     }
 
-    fn adopt(&mut self, formation: u64, voters: Vec<Voter>, out: &mut Outbox) {
+    pub(super) fn adopt(&mut self, formation: u64, voters: Vec<Voter>, out: &mut Outbox) {
         self.formation = formation;
         self.formed_with.clone_from(&voters);
         self.base_voters.clone_from(&voters);
         if self.durable {
-            out.records.push(Record::Formed {
-                group: self.group,
-                formation,
-                voters,
-            });
+            out.records.push(Record::Formed { group: self.group, formation, voters });
+        }
+    }
+
+    /// Takes the group over where this member's disk holds all that is left of its state: every
+    /// other member has lost its memory, as after a loss of power in the whole zone.
+    ///
+    /// All entries of the log count as committed, since any of them may have been. The group gets
+    /// a new formation number and a voter set of the members as they are now.
+    pub(super) fn tick_reform(&mut self, now: Now) {
+        let alone_on_disk = self.durable && self.on_disk == [self.me.host];
+        let formed = self.formation != 0 && self.members.len() > 1;
+        if !alone_on_disk || !formed || self.reform.is_some() {
+            return;
+        }
+        let old: Vec<Voter> = self.voters().to_vec();
+        let lost = |host: &HostId| {
+            let Some((incarnation, heard)) = self.blanks.get(host) else { return false };
+            let fresh = now.mono.since(*heard) <= BLANK_VALID;
+            fresh && !old.contains(&Voter::new(*host, *incarnation))
+        };
+        if !self.members.iter().all(|host| *host == self.me.host || lost(host)) {
+            return;
         }
+        const MILLIS_PER_SECOND: u64 = 1_000;
+        let formation = (now.wall.0 / MILLIS_PER_SECOND).max(self.formation + 1);
+        let mut voters = vec![self.me];
+        for (&host, &(incarnation, _)) in &self.blanks {
+            voters.push(Voter::new(host, incarnation));
+        }
+        voters.sort_unstable();
+        self.commit = self.log.last_index();
+        self.reform = Some((formation, voters));
     }
 
     /// Takes in that a member has no state: forms on it later, shows it in, or lets it in again.
@@ -89,9 +112,7 @@
             return;
         }
         if self.formed_with.contains(&Voter::new(from, incarnation)) {
-            let message = GroupMessage::Form {
-                voters: self.formed_with.clone(),
-            };
+            let message = GroupMessage::Form { voters: self.formed_with.clone() };
             out.after_sync.push((from, message));
         }
         self.admit(now, from, incarnation, out);
@@ -116,10 +137,8 @@
         if formation == self.formation {
             return formation != 0;
         }
-        let from_leader = matches!(
-            message,
-            GroupMessage::Append { .. } | GroupMessage::Install { .. }
-        );
+        let from_leader =
+            matches!(message, GroupMessage::Append { .. } | GroupMessage::Install { .. });
         if !from_leader || self.log.last_index() != 0 || formation < self.formation {
             return false;
         }
@@ -134,11 +153,7 @@
         }
         let progress = self.progress.entry(host).or_default();
         if progress.incarnation != incarnation {
-            *progress = super::replica::Progress {
-                next: 1,
-                incarnation,
-                ..Default::default()
-            };
+            *progress = super::replica::Progress { next: 1, incarnation, ..Default::default() };
         }
         let caught_up = progress.matched >= self.commit && progress.matched > 0;
         let mut voters = self.voters().to_vec();
@@ -161,8 +176,6 @@
             return false;
         }
         let uncommitted = self.log.from(self.commit + 1, usize::MAX);
-        !uncommitted
-            .into_iter()
-            .any(|entry| matches!(entry.command, Command::Voters(_)))
+        !uncommitted.into_iter().any(|entry| matches!(entry.command, Command::Voters(_)))
     }
 }
--- a/crates/core/src/agreement/log.rs
+++ b/crates/core/src/agreement/log.rs
@@ -22,9 +22,7 @@
     /// Returns the term of the last entry, or of the base.
     #[must_use]
     pub fn last_term(&self) -> u64 {
-        self.entries
-            .back()
-            .map_or(self.base_term, |entry| entry.term)
+        self.entries.back().map_or(self.base_term, |entry| entry.term)
     }
 
     /// Returns the index that the snapshot reaches to.
@@ -52,10 +50,7 @@
     /// Returns up to `max` entries from `index` on.
     pub fn from(&self, index: u64, max: usize) -> impl Iterator<Item = &Entry> {
         let offset = index.saturating_sub(self.base_index + 1);
-        self.entries
-            .iter()
-            .skip(usize::try_from(offset).unwrap_or(usize::MAX))
-            .take(max)
+        self.entries.iter().skip(usize::try_from(offset).unwrap_or(usize::MAX)).take(max)
     }
 
     /// Returns the entries of the tail, newest first.
@@ -72,8 +67,7 @@
     /// Removes the entries from `index` on.
     pub fn truncate(&mut self, index: u64) {
         let keep = index.saturating_sub(self.base_index + 1);
-        self.entries
-            .truncate(usize::try_from(keep).unwrap_or(usize::MAX));
+        self.entries.truncate(usize::try_from(keep).unwrap_or(usize::MAX));
     }
 
     /// Drops the entries up to and with `index`, which a snapshot now holds.
--- a/crates/core/src/agreement/replica.rs
+++ b/crates/core/src/agreement/replica.rs
@@ -71,6 +71,8 @@
     pub(super) wants_install: BTreeSet<HostId>,
     pub(super) started: Option<Millis>,
     pub(super) resigned: bool,
+    pub(super) on_disk: Vec<HostId>,
+    pub(super) reform: Option<(u64, Vec<Voter>)>,
 }
 
 impl Replica {
@@ -117,22 +119,27 @@
             wants_install: BTreeSet::new(),
             started: None,
             resigned: false,
+            on_disk: Vec::new(),
+            reform: None,
         }
     }
 
+    /// Sets the members that have a disk; the default is none.
+    #[must_use]
+    pub fn on_disk(mut self, hosts: impl Into<Vec<HostId>>) -> Self {
+        self.on_disk = hosts.into();
+        self
+    }
+
     /// Takes in one record from the disk; the records come in the order in which they were written.
     pub fn restore(&mut self, record: Record) {
         match record {
-            Record::Formed {
-                formation, voters, ..
-            } => {
+            Record::Formed { formation, voters, .. } => {
                 self.formation = formation;
                 self.formed_with.clone_from(&voters);
                 self.base_voters = voters;
             }
-            Record::Term {
-                term, voted_for, ..
-            } => {
+            Record::Term { term, voted_for, .. } => {
                 self.term = term;
                 self.voted_for = voted_for;
             }
@@ -272,6 +279,14 @@
         }
     }
 
+    /// Tells whether an entry that this leader wrote is synced on a disk, where any member has one.
+    #[must_use]
+    pub fn is_on_disk(&self, index: u64) -> bool {
+        let voters = self.voters().iter().filter(|voter| self.on_disk.contains(&voter.host));
+        self.on_disk.is_empty()
+            || voters.map(|voter| self.held_by(*voter)).any(|held| held >= index)
+    }
+
     /// Tells whether an entry of this leader's own term is committed.
     pub(super) fn term_committed(&self) -> bool {
         self.log.term_at(self.commit) == Some(self.term)
@@ -298,11 +313,7 @@
 
     pub(super) fn append_own(&mut self, command: Command, out: &mut Outbox) -> u64 {
         let index = self.log.last_index() + 1;
-        let entry = Entry {
-            index,
-            term: self.term,
-            command,
-        };
+        let entry = Entry { index, term: self.term, command };
         self.write_entry(entry, out);
         index
     }
@@ -310,10 +321,7 @@
     pub(super) fn write_entry(&mut self, entry: Entry, out: &mut Outbox) {
         self.log.push(entry.clone());
         if self.durable {
-            out.records.push(Record::Entry {
-                group: self.group,
-                entry,
-            });
+            out.records.push(Record::Entry { group: self.group, entry });
         } else {
             self.synced = self.log.last_index();
         }
@@ -324,11 +332,7 @@
             return;
         }
         let (group, term, voted_for) = (self.group, self.term, self.voted_for);
-        out.records.push(Record::Term {
-            group,
-            term,
-            voted_for,
-        });
+        out.records.push(Record::Term { group, term, voted_for });
     }
 
     /// Takes in that every record up to `index` of the log is synced.
@@ -355,19 +359,21 @@
     /// Tells whether enough entries have been applied to take a snapshot.
     #[must_use]
     pub fn wants_snapshot(&self) -> bool {
-        self.applied - self.log.base_index() >= ENTRIES_PER_SNAPSHOT
+        let reforms = self.reform.is_some() && self.applied == self.log.last_index();
+        reforms || self.applied - self.log.base_index() >= ENTRIES_PER_SNAPSHOT
     }
 
     /// Takes the applied state as the new base of the log.
     pub fn take_snapshot(&mut self, state: GroupState, out: &mut Outbox) {
-        let snapshot = self.snapshot_of(state);
+        let mut snapshot = self.snapshot_of(state);
+        if let Some((formation, voters)) = self.reform.take() {
+            snapshot.voters.clone_from(&voters);
+            self.adopt(formation, voters, out);
+        }
         self.base_voters.clone_from(&snapshot.voters);
         self.log.compact(snapshot.index);
         if self.durable {
-            out.records.push(Record::Snapshot {
-                group: self.group,
-                snapshot,
-            });
+            out.records.push(Record::Snapshot { group: self.group, snapshot });
         }
     }
 
@@ -376,12 +382,7 @@
     pub fn snapshot_of(&self, state: GroupState) -> Snapshot {
         let index = self.applied;
         let term = self.log.term_at(index).unwrap_or(0);
-        Snapshot {
-            index,
-            term,
-            voters: self.voters_at(index),
-            state,
-        }
+        Snapshot { index, term, voters: self.voters_at(index), state }
     }
 
     fn voters_at(&self, index: u64) -> Vec<Voter> {
@@ -441,25 +442,13 @@
         out: &mut Outbox,
     ) {
         match message {
-            GroupMessage::Vote {
-                term,
-                last_index,
-                last_term,
-                pre,
-            } => {
+            GroupMessage::Vote { term, last_index, last_term, pre } => {
                 self.on_vote(now, from, (term, pre), (last_term, last_index), out);
             }
             GroupMessage::VoteReply { term, granted, pre } => {
                 self.on_vote_reply(now, from, (term, granted, pre), out);
             }
-            GroupMessage::Append {
-                term,
-                prev_index,
-                prev_term,
-                entries,
-                commit,
-                sent_at,
-            } => {
+            GroupMessage::Append { term, prev_index, prev_term, entries, commit, sent_at } => {
                 if self.follow(now, from, term, out) {
                     let previous = (prev_index, prev_term);
                     self.on_append(from, previous, entries, commit, sent_at, out);
@@ -467,24 +456,14 @@
                     self.refuse_append(from, sent_at, out);
                 }
             }
-            GroupMessage::Install {
-                term,
-                snapshot,
-                sent_at,
-            } => {
+            GroupMessage::Install { term, snapshot, sent_at } => {
                 if self.follow(now, from, term, out) {
                     self.on_install(from, snapshot, sent_at, out);
                 } else {
                     self.refuse_append(from, sent_at, out);
                 }
             }
-            GroupMessage::AppendReply {
-                term,
-                incarnation,
-                accepted,
-                matched,
-                sent_at,
-            } => {
+            GroupMessage::AppendReply { term, incarnation, accepted, matched, sent_at } => {
                 if term > self.term {
                     self.step_down(now, term, out);
                     return;
--- a/crates/core/src/agreement/replication.rs
+++ b/crates/core/src/agreement/replication.rs
@@ -56,36 +56,21 @@
             progress.sent_at = now.mono;
         }
         let (term, commit, sent_at) = (self.term, self.commit, now.mono);
-        let message = GroupMessage::Append {
-            term,
-            prev_index,
-            prev_term,
-            entries,
-            commit,
-            sent_at,
-        };
+        let message =
+            GroupMessage::Append { term, prev_index, prev_term, entries, commit, sent_at };
         out.prompt.push((host, message));
     }
 
     /// Returns the hosts that lag behind the log and need the state sent whole.
     #[must_use]
     pub fn take_install_wanted(&mut self) -> Vec<HostId> {
-        std::mem::take(&mut self.wants_install)
-            .into_iter()
-            .collect()
+        std::mem::take(&mut self.wants_install).into_iter().collect()
     }
 
     /// Sends the state whole to a replica that lags behind the log.
     pub fn send_install(&mut self, now: Now, host: HostId, state: Snapshot, out: &mut Outbox) {
         let (term, sent_at) = (self.term, now.mono);
-        out.prompt.push((
-            host,
-            GroupMessage::Install {
-                term,
-                snapshot: state,
-                sent_at,
-            },
-        ));
+        out.prompt.push((host, GroupMessage::Install { term, snapshot: state, sent_at }));
     }
 
     pub(super) fn refuse_append(&mut self, from: HostId, sent_at: Millis, out: &mut Outbox) {
@@ -101,13 +86,7 @@
         out: &mut Outbox,
     ) {
         let (term, incarnation) = (self.term, self.me.incarnation);
-        let reply = GroupMessage::AppendReply {
-            term,
-            incarnation,
-            accepted,
-            matched,
-            sent_at,
-        };
+        let reply = GroupMessage::AppendReply { term, incarnation, accepted, matched, sent_at };
         out.after_sync.push((to, reply));
     }
 
@@ -124,11 +103,7 @@
         let (prev_index, prev_term) = previous;
         let behind_base = prev_index < self.log.base_index();
         if !behind_base && self.log.term_at(prev_index) != Some(prev_term) {
-            let hint = self
-                .log
-                .last_index()
-                .min(prev_index.saturating_sub(1))
-                .max(self.commit);
+            let hint = self.log.last_index().min(prev_index.saturating_sub(1)).max(self.commit);
             self.reply_append(from, false, hint, sent_at, out);
             return;
         }
@@ -157,10 +132,7 @@
         self.log.truncate(index);
         self.synced = self.synced.min(self.log.last_index());
         if self.durable {
-            out.records.push(Record::Truncate {
-                group: self.group,
-                index,
-            });
+            out.records.push(Record::Truncate { group: self.group, index });
         }
     }
 
@@ -180,10 +152,7 @@
             self.synced = snapshot.index;
             self.installed = Some(snapshot.state.clone());
             if self.durable {
-                out.records.push(Record::Snapshot {
-                    group: self.group,
-                    snapshot,
-                });
+                out.records.push(Record::Snapshot { group: self.group, snapshot });
             }
         }
         self.reply_append(from, true, self.commit, sent_at, out);
@@ -228,11 +197,7 @@
         if self.role != Role::Leader {
             return;
         }
-        let mut held: Vec<u64> = self
-            .voters()
-            .iter()
-            .map(|voter| self.held_by(*voter))
-            .collect();
+        let mut held: Vec<u64> = self.voters().iter().map(|voter| self.held_by(*voter)).collect();
         held.sort_unstable();
         let Some(&index) = held.get(held.len().saturating_sub(1) / 2) else {
             return;
@@ -242,18 +207,14 @@
         }
     }
 
-    fn held_by(&self, voter: Voter) -> u64 {
+    pub(super) fn held_by(&self, voter: Voter) -> u64 {
         if voter == self.me {
             return self.synced;
         }
         let Some(progress) = self.progress.get(&voter.host) else {
             return 0;
         };
-        if progress.incarnation == voter.incarnation {
-            progress.matched
-        } else {
-            0
-        }
+        if progress.incarnation == voter.incarnation { progress.matched } else { 0 }
     }
 
     /// Returns the latest time at which a heartbeat left that a majority has answered.
--- a/crates/core/src/board.rs
+++ b/crates/core/src/board.rs
@@ -33,6 +33,7 @@
     AttemptKey, HostId, HostKey, OrderKey, RequestKey, RequestTag, ServiceKey, UpstreamKey, ZoneKey,
 };
 use crate::message::{Envelope, Message};
+use crate::records::Outcome;
 use crate::time::{Millis, Now};
 use crate::timeline::{EventKind, HybridClock, Stamp, Timeline, TimelineEvent};
 
@@ -42,7 +43,7 @@
 pub use host::Host;
 pub use in_force::InForce;
 pub use order::Order;
-pub use request::{Class, Origin, Request, RequestState, Route};
+pub use request::{Class, LEADER_LOOK, LEADER_WAIT, Origin, Request, RequestState, Route};
 pub use service::Service;
 pub use upstream::{Upstream, UpstreamState};
 pub use wish::{Fate, GroupResult, Purpose, Wish};
@@ -119,18 +120,12 @@
         let mut zones: SlotMap<ZoneKey, Zone> = SlotMap::with_key();
         let mut hosts: SlotMap<HostKey, Host> = SlotMap::with_key();
         for peer in &cfg.fleet {
-            let known = zones
-                .iter()
-                .find(|(_, zone)| zone.name == peer.zone)
-                .map(|(key, _)| key);
+            let known = zones.iter().find(|(_, zone)| zone.name == peer.zone).map(|(key, _)| key);
             let zone = known.unwrap_or_else(|| zones.insert(Zone::new(peer.zone.clone())));
             let host = hosts.insert(Host::new(peer, zone));
             zones[zone].hosts.push(host);
         }
-        let mine = zones
-            .iter()
-            .find(|(_, zone)| zone.name == cfg.zone)
-            .map(|(key, _)| key);
+        let mine = zones.iter().find(|(_, zone)| zone.name == cfg.zone).map(|(key, _)| key);
         let my_zone = mine.unwrap_or_else(|| zones.insert(Zone::new(cfg.zone.clone())));
         Self {
             now,
@@ -165,11 +160,7 @@
     /// Returns the value of a setting on this host.
     #[must_use]
     pub fn setting(&self, key: SettingKey, service: Option<&str>) -> u64 {
-        let place = Place {
-            zone: &self.cfg.zone,
-            host: &self.cfg.name,
-            service,
-        };
+        let place = Place { zone: &self.cfg.zone, host: &self.cfg.name, service };
         self.in_force.settings.value(key, place)
     }
 
@@ -182,13 +173,7 @@
     ) {
         let stamp = self.stamp();
         let (subject, detail) = (subject.into(), detail.into());
-        let event = TimelineEvent {
-            stamp,
-            host: self.cfg.id,
-            kind,
-            subject,
-            detail,
-        };
+        let event = TimelineEvent { stamp, host: self.cfg.id, kind, subject, detail };
         self.timeline.push(event.clone());
         self.actions.push(Action::Note(event));
     }
@@ -200,11 +185,7 @@
 
     /// Sends a message to another host.
     pub fn send(&mut self, to: HostId, message: Message) {
-        let envelope = Envelope {
-            from: self.cfg.id,
-            stamp: self.stamp(),
-            message,
-        };
+        let envelope = Envelope { from: self.cfg.id, stamp: self.stamp(), message };
         self.actions.push(Action::Send { to, envelope });
     }
 
@@ -218,39 +199,26 @@
         if problem.ran == Ran::No {
             self.counters.refused += 1;
         }
-        self.note(
-            EventKind::Refused,
-            trace,
-            format!("{:?}: {}", problem.kind, problem.detail),
-        );
+        self.note(EventKind::Refused, trace, format!("{:?}: {}", problem.kind, problem.detail));
         self.answer(tag, Answer::Problem(problem));
     }
 
     /// Looks a host up by its number.
     #[must_use]
     pub fn host_key(&self, id: HostId) -> Option<HostKey> {
-        self.hosts
-            .iter()
-            .find(|(_, host)| host.id == id)
-            .map(|(key, _)| key)
+        self.hosts.iter().find(|(_, host)| host.id == id).map(|(key, _)| key)
     }
 
     /// Looks a zone up by its name.
     #[must_use]
     pub fn zone_key(&self, name: &str) -> Option<ZoneKey> {
-        self.zones
-            .iter()
-            .find(|(_, zone)| &*zone.name == name)
-            .map(|(key, _)| key)
+        self.zones.iter().find(|(_, zone)| &*zone.name == name).map(|(key, _)| key)
     }
 
     /// Looks a service up by its name.
     #[must_use]
     pub fn service_key(&self, name: &str) -> Option<ServiceKey> {
-        self.services
-            .iter()
-            .find(|(_, service)| &*service.name == name)
-            .map(|(key, _)| key)
+        self.services.iter().find(|(_, service)| &*service.name == name).map(|(key, _)| key)
     }
 
     /// Looks a service up by its name, and makes it where it is new.
@@ -264,10 +232,7 @@
     /// Looks an upstream of this zone up by its name.
     #[must_use]
     pub fn upstream_key(&self, name: &str) -> Option<UpstreamKey> {
-        self.upstreams
-            .iter()
-            .find(|(_, upstream)| &*upstream.spec.name == name)
-            .map(|(key, _)| key)
+        self.upstreams.iter().find(|(_, upstream)| &*upstream.spec.name == name).map(|(key, _)| key)
     }
 
     /// Returns the hosts of this zone that take work, this one included where it does.
@@ -276,11 +241,7 @@
         let mut ids = Vec::new();
         for key in &self.zones[self.my_zone].hosts {
             let host = &self.hosts[*key];
-            let works = if host.id == self.cfg.id {
-                self.ready
-            } else {
-                host.works(self.now.mono)
-            };
+            let works = if host.id == self.cfg.id { self.ready } else { host.works(self.now.mono) };
             if works {
                 ids.push(host.id);
             }
@@ -329,6 +290,15 @@
         }
     }
 
+    /// Ends a request that was never dispatched, and frees the key under which it is recorded.
+    pub fn refuse_unsent(&mut self, key: RequestKey, problem: Problem) {
+        let intent = self.requests.get(key).and_then(|request| request.intent.clone());
+        if let Some(intent) = intent {
+            self.work.conclusions.entry(intent).or_insert(Outcome::NotRun);
+        }
+        self.fail_request(key, problem);
+    }
+
     /// Puts a request at the end of its service's queue, or among those to be handed on.
     pub fn enqueue(&mut self, key: RequestKey) {
         let Some(request) = self.requests.get_mut(key) else {
@@ -337,9 +307,7 @@
         request.state = RequestState::Queued;
         match (request.route, request.service) {
             (Route::Upstream, Some(service)) => {
-                self.services[service]
-                    .queue_mut(request.class)
-                    .push_back(key);
+                self.services[service].queue_mut(request.class).push_back(key);
             }
             _ => self.work.forwards.push_back(key),
         }
@@ -356,10 +324,7 @@
 
     /// Removes and returns the calls that a controller takes.
     pub fn take_arrivals(&mut self, takes: impl Fn(&Call) -> bool) -> Vec<Arrival> {
-        let (taken, left) = self
-            .arrivals
-            .drain(..)
-            .partition(|arrival| takes(&arrival.call));
+        let (taken, left) = self.arrivals.drain(..).partition(|arrival| takes(&arrival.call));
         self.arrivals = left;
         taken
     }
@@ -384,7 +349,8 @@
         let request = Request::new(origin, arrival.trace, self.now.mono, deadline)
             .route(route)
             .call(arrival.call)
-            .hops(arrival.hops);
+            .hops(arrival.hops)
+            .maybe_ran(arrival.maybe_ran);
         let key = self.add_request(request);
         self.enqueue(key);
     }
@@ -406,9 +372,7 @@
     /// Tells whether this host leads a group and may act on it alone.
     #[must_use]
     pub fn leads(&self, group: GroupId) -> bool {
-        self.groups
-            .group(group)
-            .is_some_and(|group| group.replica.holds_lease(self.now))
+        self.groups.group(group).is_some_and(|group| group.replica.holds_lease(self.now))
     }
 
     /// Returns the zone that decides about a name: the same on every host, for all time.
--- a/crates/core/src/board/due.rs
+++ b/crates/core/src/board/due.rs
@@ -14,6 +14,8 @@
     pub far_heartbeat: Millis,
     /// Asking another host for newer settings.
     pub settings_pull: Millis,
+    /// Asking the fleet group's leader whether the settings are the newest.
+    pub settings_confirm: Millis,
     /// Looking for silent upstreams and sharing out their slots.
     pub registry: Millis,
     /// Looking after assigned samples.
--- a/crates/core/src/board/groups.rs
+++ b/crates/core/src/board/groups.rs
@@ -130,8 +130,10 @@
 impl GroupBox {
     fn new(cfg: &HostSettings, group: GroupId, members: Vec<HostId>) -> Self {
         let me = Voter::new(cfg.id, cfg.incarnation);
+        let disks = cfg.fleet.iter().filter(|peer| peer.disk && members.contains(&peer.id));
+        let on_disk: Vec<HostId> = disks.map(|peer| peer.id).collect();
         Self {
-            replica: Replica::new(group, me, members, cfg.disk, cfg.election),
+            replica: Replica::new(group, me, members, cfg.disk, cfg.election).on_disk(on_disk),
             written: BTreeMap::new(),
             out: Outbox::default(),
             led: false,
--- a/crates/core/src/board/host.rs
+++ b/crates/core/src/board/host.rs
@@ -64,8 +64,7 @@
     /// Tells whether the host was heard from lately.
     #[must_use]
     pub fn is_up(&self, now: Millis) -> bool {
-        self.heard
-            .is_some_and(|heard| now.since(heard) < SILENT_AFTER)
+        self.heard.is_some_and(|heard| now.since(heard) < SILENT_AFTER)
     }
 
     /// Tells whether the host is up and takes work.
--- a/crates/core/src/board/in_force.rs
+++ b/crates/core/src/board/in_force.rs
@@ -17,4 +17,17 @@
     pub offered: Option<FleetSettings>,
     /// Whether other hosts are still to be told of a new version.
     pub tell: bool,
+    /// Whether the fleet group's leader has said that nothing newer was accepted when this process
+    /// had started.
+    pub confirmed: bool,
+}
+
+impl InForce {
+    /// Offers settings, of which the newest are taken.
+    pub fn offer(&mut self, settings: FleetSettings) {
+        if self.offered.as_ref().is_some_and(|other| other.version >= settings.version) {
+            return;
+        }
+        self.offered = Some(settings);
+    }
 }
--- a/crates/core/src/board/request.rs
+++ b/crates/core/src/board/request.rs
@@ -9,6 +9,12 @@
 use crate::records::IntentKey;
 use crate::time::Millis;
 
+/// How long a call waits for the leader that is to decide it.
+pub const LEADER_WAIT: Millis = Millis(5_000);
+
+/// The least time between two looks for that leader.
+pub const LEADER_LOOK: Millis = Millis(50);
+
 /// The two classes of work.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "lowercase")]
@@ -155,6 +161,13 @@
         self
     }
 
+    /// Sets whether an upstream or host may have run it; the default is no.
+    #[must_use]
+    pub fn maybe_ran(mut self, maybe_ran: bool) -> Self {
+        self.maybe_ran = maybe_ran;
+        self
+    }
+
     /// Returns the exchange, where it comes from one.
     #[must_use]
     pub fn tag(&self) -> Option<RequestTag> {
--- a/crates/core/src/board/service.rs
+++ b/crates/core/src/board/service.rs
@@ -27,11 +27,7 @@
     /// Makes a service without upstreams.
     #[must_use]
     pub fn new(name: impl Into<Box<str>>) -> Self {
-        Self {
-            name: name.into(),
-            repeatable: true,
-            ..Default::default()
-        }
+        Self { name: name.into(), repeatable: true, ..Default::default() }
     }
 
     /// Returns the queue of a class.
--- a/crates/core/src/board/wish.rs
+++ b/crates/core/src/board/wish.rs
@@ -48,6 +48,8 @@
 pub struct GroupResult {
     /// What it was for.
     pub purpose: Purpose,
+    /// Its index in the log, or zero where it was not written.
+    pub index: u64,
     /// Its fate.
     pub fate: Fate,
 }
--- a/crates/core/src/board/work.rs
+++ b/crates/core/src/board/work.rs
@@ -35,6 +35,8 @@
     pub polls: Vec<RequestKey>,
     /// Ends of non-idempotent requests that the log does not have yet.
     pub conclusions: BTreeMap<IntentKey, Outcome>,
+    /// Recorded non-idempotent requests that are not on a disk yet, by index in the log.
+    pub undispatched: Vec<(u64, RequestKey, IntentKey)>,
     /// Requests that wait for the end of a non-idempotent request recorded before.
     pub waiters: BTreeMap<IntentKey, Vec<RequestKey>>,
     /// Requests that are to be handed to another host.
@@ -50,11 +52,7 @@
         output: Result<Arc<Output>, Box<str>>,
     ) {
         self.running.remove(&job.sample);
-        let result = SampleResult {
-            sample: job.sample,
-            round: job.round,
-            output,
-        };
+        let result = SampleResult { sample: job.sample, round: job.round, output };
         if result.output.is_ok() {
             self.kept.push_back(result.clone());
         }
@@ -67,8 +65,6 @@
     /// Returns the kept result of a job.
     #[must_use]
     pub fn kept_result(&self, job: &SampleJob) -> Option<&SampleResult> {
-        self.kept
-            .iter()
-            .find(|result| result.sample == job.sample && result.round == job.round)
+        self.kept.iter().find(|result| result.sample == job.sample && result.round == job.round)
     }
 }
--- a/crates/core/src/board/zone.rs
+++ b/crates/core/src/board/zone.rs
@@ -22,25 +22,14 @@
     #[must_use]
     pub fn new(name: impl Into<Box<str>>) -> Self {
         let name = name.into();
-        let digest = ZoneDigest {
-            zone: name.clone(),
-            ..Default::default()
-        };
-        Self {
-            name,
-            hosts: Vec::new(),
-            digest,
-        }
+        let digest = ZoneDigest { zone: name.clone(), ..Default::default() };
+        Self { name, hosts: Vec::new(), digest }
     }
 
     /// Returns the number of upstreams of a service that the zone reported.
     #[must_use]
     pub fn upstreams_of(&self, service: &str) -> u32 {
-        let found = self
-            .digest
-            .services
-            .iter()
-            .find(|(name, _)| &**name == service);
+        let found = self.digest.services.iter().find(|(name, _)| &**name == service);
         found.map_or(0, |(_, count)| *count)
     }
 }
--- a/crates/core/src/controller/admission.rs
+++ b/crates/core/src/controller/admission.rs
@@ -31,11 +31,7 @@
 
 fn admit(board: &mut Board, arrival: Arrival, call: &RunCall) {
     if !board.ready {
-        let detail = if board.draining.is_some() {
-            "stopping"
-        } else {
-            "starting"
-        };
+        let detail = if board.draining.is_some() { "stopping" } else { "starting" };
         let problem = Problem::not_run(ErrorKind::NotReady, detail).retry_after(COME_AGAIN);
         board.refuse(arrival.tag, &arrival.trace, problem);
         return;
@@ -59,16 +55,12 @@
     }
     let deadline = board.deadline_of(&arrival, Some(&call.service));
     let trace = arrival.trace.clone();
-    let request = Request::new(
-        Origin::Exchange(arrival.tag),
-        arrival.trace,
-        board.now.mono,
-        deadline,
-    )
-    .service(service, Class::Interactive)
-    .route(Route::Upstream)
-    .idempotent(!arrival.granted)
-    .hops(arrival.hops);
+    let request =
+        Request::new(Origin::Exchange(arrival.tag), arrival.trace, board.now.mono, deadline)
+            .service(service, Class::Interactive)
+            .route(Route::Upstream)
+            .idempotent(!arrival.granted)
+            .hops(arrival.hops);
     let key = board.add_request(request);
     board.note(EventKind::Arrived, trace, format!("for {}", call.service));
     board.enqueue(key);
@@ -76,9 +68,7 @@
 
 /// Chooses where a request goes: an upstream of this zone, or a host of a zone that has one.
 fn route(board: &Board, arrival: &Arrival, call: &RunCall) -> Option<Route> {
-    let here = board
-        .service_key(&call.service)
-        .is_some_and(|key| has_upstream(board, key));
+    let here = board.service_key(&call.service).is_some_and(|key| has_upstream(board, key));
     if here {
         return Some(Route::Upstream);
     }
@@ -102,10 +92,7 @@
 pub(super) fn zone_with(board: &Board, service: &str) -> Option<ZoneKey> {
     let others = board.zones.iter().filter(|(key, _)| *key != board.my_zone);
     let offers = others.map(|(key, zone)| (zone.upstreams_of(service), key));
-    offers
-        .filter(|(count, _)| *count > 0)
-        .max()
-        .map(|(_, key)| key)
+    offers.filter(|(count, _)| *count > 0).max().map(|(_, key)| key)
 }
 
 fn queue_is_full(board: &Board, service: ServiceKey, name: &str) -> bool {
--- a/crates/core/src/controller/agreement.rs
+++ b/crates/core/src/controller/agreement.rs
@@ -44,11 +44,7 @@
 
     fn next_deadline(&self, board: &Board) -> Millis {
         let zone = board.groups.zone.replica.next_deadline();
-        let fleet = board
-            .groups
-            .fleet
-            .as_ref()
-            .map(|group| group.replica.next_deadline());
+        let fleet = board.groups.fleet.as_ref().map(|group| group.replica.next_deadline());
         fleet.map_or(zone, |fleet| fleet.min(zone))
     }
 }
@@ -56,7 +52,7 @@
 fn restore(board: &mut Board, records: &[Record]) {
     for record in records {
         if let Record::InForce { settings } = record {
-            board.in_force.offered = Some(settings.clone());
+            board.in_force.offer(settings.clone());
             continue;
         }
         let Some(group) = board.groups.group_mut(record.group()) else {
@@ -96,13 +92,7 @@
     let Some(group) = board.groups.group_mut(frame.group) else {
         return;
     };
-    group.replica.receive(
-        now,
-        from,
-        frame.formation,
-        frame.message.clone(),
-        &mut group.out,
-    );
+    group.replica.receive(now, from, frame.formation, frame.message.clone(), &mut group.out);
 }
 
 fn tick(board: &mut Board, group: GroupId) {
@@ -135,7 +125,7 @@
         Command::Noop | Command::Voters(_) => None,
         Command::Change(change) => {
             let answer = board.groups.fleet_state.apply(change);
-            board.in_force.offered = Some(board.groups.fleet_state.settings.clone());
+            board.in_force.offer(board.groups.fleet_state.settings.clone());
             Some(Fate::Changed(answer))
         }
         Command::Zone(command) => {
@@ -151,7 +141,7 @@
         Some(fate) if term == entry.term => fate,
         _ => Fate::Replaced,
     };
-    board.groups.results.push(GroupResult { purpose, fate });
+    board.groups.results.push(GroupResult { purpose, index: entry.index, fate });
 }
 
 fn take_installed(board: &mut Board, group: GroupId) {
@@ -160,7 +150,7 @@
     };
     match group.replica.take_installed() {
         Some(GroupState::Fleet(state)) => {
-            board.in_force.offered = Some(state.settings.clone());
+            board.in_force.offer(state.settings.clone());
             board.groups.fleet_state = state;
         }
         Some(GroupState::Zone(records)) => board.groups.records = records,
@@ -188,9 +178,7 @@
     };
     for host in wanted {
         let snapshot = group_box.replica.snapshot_of(state.clone());
-        group_box
-            .replica
-            .send_install(now, host, snapshot, &mut group_box.out);
+        group_box.replica.send_install(now, host, snapshot, &mut group_box.out);
     }
     if long {
         group_box.replica.take_snapshot(state, &mut group_box.out);
@@ -213,9 +201,5 @@
 
 fn describe(replica: &Replica, leads: bool) -> String {
     let verb = if leads { "leads" } else { "no longer leads" };
-    format!(
-        "{verb} in term {}, fence {}",
-        replica.term(),
-        replica.fence()
-    )
+    format!("{verb} in term {}, fence {}", replica.term(), replica.fence())
 }
--- a/crates/core/src/controller/assignment.rs
+++ b/crates/core/src/controller/assignment.rs
@@ -48,11 +48,7 @@
     }
 
     fn next_deadline(&self, board: &Board) -> Millis {
-        if board.work.assigned.is_empty() {
-            Millis::MAX
-        } else {
-            board.due.assignment
-        }
+        if board.work.assigned.is_empty() { Millis::MAX } else { board.due.assignment }
     }
 }
 
@@ -90,12 +86,8 @@
             *load += 1;
         }
     }
-    let pending: Vec<SampleId> = board
-        .groups
-        .records
-        .pending()
-        .filter(|id| !board.work.assigned.contains_key(id))
-        .collect();
+    let pending: Vec<SampleId> =
+        board.groups.records.pending().filter(|id| !board.work.assigned.contains_key(id)).collect();
     for id in pending {
         let least = loads.iter_mut().min_by_key(|(_, load)| **load);
         let Some((&host, load)) = least.filter(|(_, load)| **load < window) else {
@@ -121,13 +113,7 @@
         prompt: Arc::clone(&sample.prompt),
         max_tokens: sample.max_tokens,
     };
-    board.work.assigned.insert(
-        id,
-        Assigned {
-            host,
-            told: board.now.mono,
-        },
-    );
+    board.work.assigned.insert(id, Assigned { host, told: board.now.mono });
     if host == board.cfg.id {
         take_job(board, &job, host);
     } else {
@@ -174,28 +160,13 @@
     let id = result.sample;
     match &result.output {
         Ok(output) => {
-            board.note(
-                EventKind::SampleReady,
-                format!("sample-{}", id.0),
-                "generated",
-            );
-            let command = ZoneCommand::Finish {
-                sample: id,
-                output: Arc::clone(output),
-            };
+            board.note(EventKind::SampleReady, format!("sample-{}", id.0), "generated");
+            let command = ZoneCommand::Finish { sample: id, output: Arc::clone(output) };
             let (command, purpose) = (Command::Zone(command), Purpose::Record);
-            board.groups.wishes.push(Wish {
-                group: GroupId::Zone,
-                command,
-                purpose,
-            });
+            board.groups.wishes.push(Wish { group: GroupId::Zone, command, purpose });
         }
         Err(reason) => {
-            board.note(
-                EventKind::AttemptFailed,
-                format!("sample-{}", id.0),
-                reason.clone(),
-            );
+            board.note(EventKind::AttemptFailed, format!("sample-{}", id.0), reason.clone());
         }
     }
 }
--- a/crates/core/src/controller/attempts.rs
+++ b/crates/core/src/controller/attempts.rs
@@ -9,7 +9,9 @@
 
 use super::Controller;
 use crate::action::Action;
-use crate::board::{Attempt, AttemptTarget, Board, Origin, Request, RequestState};
+use crate::board::{
+    Attempt, AttemptTarget, Board, LEADER_LOOK, LEADER_WAIT, Origin, Request, RequestState,
+};
 use crate::error::{ErrorKind, Problem, Ran};
 use crate::event::{AttemptEnd, Event, RecordedAnswer};
 use crate::fleet::SettingKey;
@@ -69,8 +71,7 @@
         }
         request.state = RequestState::Deciding;
         if request.attempts == 1 {
-            self.retry
-                .first_attempt(board.setting(SettingKey::RetryPercent, None));
+            self.retry.first_attempt(board.setting(SettingKey::RetryPercent, None));
         }
         match end {
             AttemptEnd::Whole { output, answer } => {
@@ -108,6 +109,9 @@
         if !may_send_again(request, attempt) {
             return None;
         }
+        if request.call.is_some() {
+            return before_next_host(board, request);
+        }
         let question = RetryQuestion {
             attempts: request.attempts,
             most: u32::try_from(board.setting(SettingKey::Attempts, None)).unwrap_or(1),
@@ -118,6 +122,14 @@
     }
 }
 
+/// Returns the wait before a call is handed on again, while its leader may still be found.
+fn before_next_host(board: &Board, request: &Request) -> Option<Millis> {
+    const MOST_DOUBLINGS: u32 = 3;
+    let waited = board.now.mono.since(request.arrived);
+    let wait = Millis(LEADER_LOOK.0 << request.attempts.min(MOST_DOUBLINGS));
+    (waited + wait < LEADER_WAIT).then_some(wait)
+}
+
 /// Tells whether a request whose attempt failed may be sent again.
 ///
 /// A call that another host decides may always be: that host knows it by its key or its cursor.
@@ -166,11 +178,7 @@
         Origin::Exchange(tag) => {
             board.counters.answered += 1;
             let took = board.now.mono.since(request.arrived);
-            board.note(
-                EventKind::Answered,
-                request.trace,
-                format!("after {} ms", took.0),
-            );
+            board.note(EventKind::Answered, request.trace, format!("after {} ms", took.0));
             board.actions.push(Action::Finish { tag, attempt: key });
         }
         Origin::Sample(job, leader) => {
@@ -198,11 +206,7 @@
     };
     let (maybe_ran, idempotent) = (request.maybe_ran, request.idempotent);
     if let Some(intent) = request.intent.clone() {
-        let outcome = if maybe_ran {
-            Outcome::Unknown
-        } else {
-            Outcome::NotRun
-        };
+        let outcome = if maybe_ran { Outcome::Unknown } else { Outcome::NotRun };
         board.work.conclusions.insert(intent, outcome);
         if maybe_ran {
             return;
--- a/crates/core/src/controller/changes.rs
+++ b/crates/core/src/controller/changes.rs
@@ -46,15 +46,9 @@
     let deadline = board.deadline_of(&arrival, None);
     let origin = Origin::Exchange(arrival.tag);
     let request = Request::new(origin, arrival.trace, board.now.mono, deadline).call(arrival.call);
-    let (purpose, command) = (
-        Purpose::Request(board.add_request(request)),
-        Command::Change(change),
-    );
-    board.groups.wishes.push(Wish {
-        group: GroupId::Fleet,
-        command,
-        purpose,
-    });
+    let (purpose, command) =
+        (Purpose::Request(board.add_request(request)), Command::Change(change));
+    board.groups.wishes.push(Wish { group: GroupId::Fleet, command, purpose });
 }
 
 fn decided(board: &mut Board, key: RequestKey, fate: &Fate) {
--- a/crates/core/src/controller/deadlines.rs
+++ b/crates/core/src/controller/deadlines.rs
@@ -8,7 +8,6 @@
 use crate::error::{ErrorKind, Problem, Ran};
 use crate::event::{Call, Event};
 use crate::key::{RequestKey, RequestTag};
-use crate::records::Outcome;
 use crate::time::Millis;
 use crate::timeline::EventKind;
 
@@ -62,10 +61,7 @@
     if let (Some(tag), Some(Call::Fetch { cursor, .. }), RequestState::Deciding) =
         (request.tag(), &request.call, request.state)
     {
-        let batch = SampleBatch {
-            next: *cursor,
-            ..Default::default()
-        };
+        let batch = SampleBatch { next: *cursor, ..Default::default() };
         board.remove_request(key);
         board.answer(tag, Answer::Samples(batch));
         return;
@@ -91,15 +87,8 @@
     let (tag, trace, state) = (request.tag(), request.trace.clone(), request.state);
     let never_sent = !request.maybe_ran && !matches!(state, RequestState::Running(_));
     if never_sent {
-        if let Some(intent) = request.intent.clone() {
-            board
-                .work
-                .conclusions
-                .entry(intent)
-                .or_insert(Outcome::NotRun);
-        }
         let detail = "the deadline passed before it was dispatched";
-        board.fail_request(key, Problem::not_run(ErrorKind::DeadlineExceeded, detail));
+        board.refuse_unsent(key, Problem::not_run(ErrorKind::DeadlineExceeded, detail));
         return;
     }
     let Some(tag) = tag else { return };
@@ -130,11 +119,7 @@
         return;
     };
     let trace = request.trace.clone();
-    board.note(
-        EventKind::CallerGone,
-        trace,
-        "the caller closed the connection",
-    );
+    board.note(EventKind::CallerGone, trace, "the caller closed the connection");
     let Some(request) = board.requests.get(key) else {
         return;
     };
--- a/crates/core/src/controller/dispatch.rs
+++ b/crates/core/src/controller/dispatch.rs
@@ -8,7 +8,9 @@
 use super::Controller;
 use crate::action::{Action, Dispatch, Source, Target};
 use crate::agreement::GroupId;
-use crate::board::{Attempt, AttemptTarget, Board, Class, Origin, RequestState, Route};
+use crate::board::{
+    Attempt, AttemptTarget, Board, Class, LEADER_LOOK, LEADER_WAIT, Origin, RequestState, Route,
+};
 use crate::error::{ErrorKind, Problem};
 use crate::event::{Arrival, Event};
 use crate::fleet::SettingKey;
@@ -20,11 +22,8 @@
 /// How old a load report may be and still count.
 const REPORT_VALID: Millis = Millis(1_000);
 
-/// How long a call waits for the leader that is to decide it.
-const LEADER_WAIT: Millis = Millis(5_000);
-
-/// The time between two looks for that leader.
-const LEADER_LOOK: Millis = Millis(50);
+/// The least time that a request must have left to be dispatched.
+const LEAST_TIME: Millis = Millis(5);
 
 /// Starts attempts.
 #[derive(Debug)]
@@ -70,19 +69,15 @@
             return false;
         };
         let avoid = board.requests.get(key).and_then(|request| request.avoid);
-        let others: Vec<Candidate> = candidates
-            .iter()
-            .copied()
-            .filter(|other| Some(other.upstream) != avoid)
-            .collect();
-        let among = if others.is_empty() {
-            &candidates
-        } else {
-            &others
-        };
-        let Some(at) = self.placement.choose(among, &mut board.rng) else {
-            return false;
-        };
+        let others: Vec<Candidate> =
+            candidates.iter().copied().filter(|other| Some(other.upstream) != avoid).collect();
+        let among = if others.is_empty() { &candidates } else { &others };
+        let Some(at) = self.placement.choose(among, &mut board.rng) else { return false };
+        if is_too_late(board, key, &among[at]) {
+            let detail = "too little time was left to run it";
+            board.refuse_unsent(key, Problem::not_run(ErrorKind::DeadlineExceeded, detail));
+            return true;
+        }
         start_on_upstream(board, key, among[at].upstream);
         true
     }
@@ -93,24 +88,25 @@
         let interactive = head(board, service, Class::Interactive);
         let rollout = head(board, service, Class::Rollout);
         let rollout_next = self.order.rollout_next(interactive, rollout, share);
-        let class = if rollout_next {
-            Class::Rollout
-        } else {
-            Class::Interactive
-        };
+        let class = if rollout_next { Class::Rollout } else { Class::Interactive };
         board.services[service].queue_mut(class).pop_front()
     }
 }
 
+/// Tells whether a request could hardly end in time, going by half the upstream's usual time.
+fn is_too_late(board: &Board, key: RequestKey, candidate: &Candidate) -> bool {
+    let Some(request) = board.requests.get(key) else { return false };
+    let left = request.deadline.since(board.now.mono);
+    left < LEAST_TIME.max(Millis(u64::from(candidate.pace_ms) / 2))
+}
+
 fn calls_used_up(board: &Board) -> bool {
     board.attempts.len() >= board.cfg.calls as usize
 }
 
 fn head(board: &Board, service: ServiceKey, class: Class) -> Option<Head> {
     let key = board.services[service].queue(class).front()?;
-    board.requests.get(*key).map(|request| Head {
-        arrived: request.arrived,
-    })
+    board.requests.get(*key).map(|request| Head { arrived: request.arrived })
 }
 
 fn candidates(board: &Board, service: ServiceKey) -> Vec<Candidate> {
@@ -136,10 +132,7 @@
 
 fn start_on_upstream(board: &mut Board, key: RequestKey, upstream: UpstreamKey) {
     let spec = &board.upstreams[upstream].spec;
-    let target = Target::Upstream {
-        address: spec.address.clone(),
-        kind: spec.kind,
-    };
+    let target = Target::Upstream { address: spec.address.clone(), kind: spec.kind };
     let name = spec.name.clone();
     board.upstreams[upstream].in_flight += 1;
     start(board, key, AttemptTarget::Upstream(upstream), target, &name);
@@ -147,11 +140,7 @@
 
 fn start(board: &mut Board, key: RequestKey, at: AttemptTarget, target: Target, name: &str) {
     let started = board.now.mono;
-    let attempt = board.attempts.insert(Attempt {
-        request: key,
-        target: at,
-        started,
-    });
+    let attempt = board.attempts.insert(Attempt { request: key, target: at, started });
     let Some(request) = board.requests.get_mut(key) else {
         return;
     };
@@ -162,11 +151,7 @@
         Origin::Exchange(tag) => Source::Exchange { tag: *tag },
         Origin::Sample(job, _) => {
             let (sample, prompt) = (job.sample, job.prompt.clone());
-            Source::Sample {
-                sample,
-                prompt,
-                max_tokens: job.max_tokens,
-            }
+            Source::Sample { sample, prompt, max_tokens: job.max_tokens }
         }
     };
     let dispatch = Dispatch {
@@ -223,13 +208,13 @@
         return;
     };
     let deadline = Some(request.deadline.since(board.now.mono));
-    let (trace, hops) = (request.trace, request.hops);
     board.arrivals.push(Arrival {
         tag,
-        trace,
+        trace: request.trace,
         deadline,
-        hops,
+        hops: request.hops,
         granted: false,
+        maybe_ran: request.maybe_ran,
         call,
     });
 }
@@ -239,14 +224,9 @@
         return;
     };
     let (hops, granted) = (request.hops + 1, request.intent.is_some());
-    let name = board
-        .host_key(host)
-        .map_or_else(Box::default, |key| board.hosts[key].name.clone());
-    let target = Target::Host {
-        host,
-        hops,
-        granted,
-    };
+    let name = board.host_key(host).map_or_else(Box::default, |key| board.hosts[key].name.clone());
+    let maybe_ran = request.maybe_ran;
+    let target = Target::Host { host, hops, granted, maybe_ran };
     start(board, key, AttemptTarget::Host(host), target, &name);
 }
 
@@ -270,19 +250,13 @@
 }
 
 fn fleet_leader(board: &Board) -> Option<HostId> {
-    let own = board
-        .groups
-        .group(GroupId::Fleet)
-        .and_then(|group| group.replica.leader());
+    let own = board.groups.group(GroupId::Fleet).and_then(|group| group.replica.leader());
     own.or(board.groups.fleet_leader.map(|(_, leader)| leader))
 }
 
 fn any_disk_host(board: &mut Board) -> Option<HostId> {
     let me = board.cfg.id;
-    let others = board
-        .hosts
-        .values()
-        .filter(|host| host.disk && host.id != me);
+    let others = board.hosts.values().filter(|host| host.disk && host.id != me);
     let ids: Vec<HostId> = others.map(|host| host.id).collect();
     draw(board, &ids)
 }
--- a/crates/core/src/controller/drain.rs
+++ b/crates/core/src/controller/drain.rs
@@ -51,11 +51,7 @@
     board.due.near_heartbeat = board.now.mono;
     board.groups.resign();
     let name = board.cfg.name.clone();
-    board.note(
-        EventKind::Draining,
-        name,
-        format!("{} requests are held", board.requests.len()),
-    );
+    board.note(EventKind::Draining, name, format!("{} requests are held", board.requests.len()));
 }
 
 /// Drops samples that wait; the zone's leader gives them to another host.
--- a/crates/core/src/controller/intents.rs
+++ b/crates/core/src/controller/intents.rs
@@ -10,7 +10,7 @@
 
 use super::Controller;
 use crate::action::Answer;
-use crate::agreement::{Command, GroupId};
+use crate::agreement::{Command, GroupId, Role};
 use crate::board::{Board, Class, Fate, Origin, Purpose, Request, Route, Wish};
 use crate::error::{ErrorKind, Problem};
 use crate::event::{Arrival, Call, Event, RecordedAnswer, RunCall};
@@ -38,7 +38,7 @@
             let Purpose::Request(key) = result.purpose else {
                 continue;
             };
-            decided(board, key, &result.fate);
+            decided(board, key, result.index, &result.fate);
         }
         for applied in board.groups.applied.clone() {
             let Applied::Concluded(key) = applied else {
@@ -46,6 +46,7 @@
             };
             concluded(board, &key);
         }
+        release(board);
         for arrival in board.take_arrivals(|call| matches!(call, Call::Run(_))) {
             arrived(board, arrival);
         }
@@ -54,11 +55,7 @@
     }
 
     fn next_deadline(&self, board: &Board) -> Millis {
-        if board.work.conclusions.is_empty() {
-            Millis::MAX
-        } else {
-            board.due.conclusions
-        }
+        if board.work.conclusions.is_empty() { Millis::MAX } else { board.due.conclusions }
     }
 }
 
@@ -67,9 +64,8 @@
     let Call::Run(call) = &arrival.call else {
         return;
     };
-    let repeatable = board
-        .service_key(&call.service)
-        .is_none_or(|key| board.services[key].repeatable);
+    let repeatable =
+        board.service_key(&call.service).is_none_or(|key| board.services[key].repeatable);
     if (call.idempotent && repeatable) || arrival.granted || !board.ready {
         board.arrivals.push(arrival);
         return;
@@ -81,11 +77,7 @@
         return;
     };
     let (caller, service) = (call.caller.clone(), call.service.clone());
-    let key = IntentKey {
-        caller,
-        service,
-        key,
-    };
+    let key = IntentKey { caller, service, key };
     let home = board.home_of(&format!("{}/{}/{}", key.caller, key.service, key.key));
     if home != board.my_zone || !board.leads(GroupId::Zone) {
         let known_here = home == board.my_zone && answer_known(board, &arrival, &key);
@@ -135,28 +127,14 @@
     let mut request = recorded_request(board, arrival, call);
     request.maybe_ran = recorded;
     let request = board.add_request(request);
-    board
-        .work
-        .waiters
-        .entry(key.clone())
-        .or_default()
-        .push(request);
+    board.work.waiters.entry(key.clone()).or_default().push(request);
     if recorded {
         return;
     }
     let (owner, life) = (board.cfg.id, board.life);
-    let command = ZoneCommand::Intend {
-        key,
-        fingerprint,
-        owner,
-        life,
-    };
+    let command = ZoneCommand::Intend { key, fingerprint, owner, life };
     let purpose = Purpose::Request(request);
-    let wish = Wish {
-        group: GroupId::Zone,
-        command: Command::Zone(command),
-        purpose,
-    };
+    let wish = Wish { group: GroupId::Zone, command: Command::Zone(command), purpose };
     board.groups.wishes.push(wish);
 }
 
@@ -175,39 +153,29 @@
 }
 
 /// Takes in what became of an intent that this host wrote.
-fn decided(board: &mut Board, key: RequestKey, fate: &Fate) {
+fn decided(board: &mut Board, key: RequestKey, index: u64, fate: &Fate) {
     match fate {
-        Fate::Zone(Applied::Intended(intent)) => intended(board, key, intent),
+        Fate::Zone(Applied::Intended(intent)) => {
+            board.work.undispatched.push((index, key, intent.clone()));
+        }
         Fate::NotWritten(problem) if waits_for_intent(board, key) => {
             refuse_waiters(board, key, problem);
         }
         Fate::Replaced if waits_for_intent(board, key) => {
             let detail = "the leader changed before the request was recorded";
-            refuse_waiters(
-                board,
-                key,
-                &Problem::not_run(ErrorKind::HomeUnreachable, detail),
-            );
+            refuse_waiters(board, key, &Problem::not_run(ErrorKind::HomeUnreachable, detail));
         }
         _ => {}
     }
 }
 
 fn waits_for_intent(board: &Board, key: RequestKey) -> bool {
-    board
-        .work
-        .waiters
-        .values()
-        .any(|waiters| waiters.contains(&key))
+    board.work.waiters.values().any(|waiters| waiters.contains(&key))
 }
 
 /// Refuses every request that waited for an intent which was not written.
 fn refuse_waiters(board: &mut Board, key: RequestKey, problem: &Problem) {
-    let found = board
-        .work
-        .waiters
-        .iter()
-        .find(|(_, waiters)| waiters.contains(&key));
+    let found = board.work.waiters.iter().find(|(_, waiters)| waiters.contains(&key));
     let Some(intent) = found.map(|(intent, _)| intent.clone()) else {
         return;
     };
@@ -216,13 +184,29 @@
     }
 }
 
+/// Lets recorded requests be dispatched once their records are on a disk; one whose host no
+/// longer leads can't know that, and is not run.
+fn release(board: &mut Board) {
+    for (index, key, intent) in std::mem::take(&mut board.work.undispatched) {
+        let replica = &board.groups.zone.replica;
+        if replica.role() != Role::Leader {
+            board.work.conclusions.insert(intent, Outcome::NotRun);
+            let detail = "the leader changed before the record was on a disk";
+            board.fail_request(key, Problem::not_run(ErrorKind::HomeUnreachable, detail));
+            continue;
+        }
+        if replica.is_on_disk(index) {
+            intended(board, key, &intent);
+        } else {
+            board.work.undispatched.push((index, key, intent));
+        }
+    }
+}
+
 /// Puts a recorded request in the queue, or records that it is not run where it was given up.
 fn intended(board: &mut Board, key: RequestKey, intent: &IntentKey) {
     let Some(request) = board.requests.get_mut(key) else {
-        board
-            .work
-            .conclusions
-            .insert(intent.clone(), Outcome::NotRun);
+        board.work.conclusions.insert(intent.clone(), Outcome::NotRun);
         return;
     };
     request.intent = Some(intent.clone());
@@ -242,21 +226,14 @@
 /// Answers everyone who waited for a recorded request that has ended.
 fn concluded(board: &mut Board, key: &IntentKey) {
     board.work.conclusions.remove(key);
-    let state = board
-        .groups
-        .records
-        .intent(key)
-        .map(|intent| intent.state.clone());
+    let state = board.groups.records.intent(key).map(|intent| intent.state.clone());
     let outcome = match state {
         Some(IntentState::Ended(outcome)) => Some(outcome),
         Some(IntentState::Intended) => return,
         None => None,
     };
     for waiter in board.work.waiters.remove(key).unwrap_or_default() {
-        let replayed = board
-            .requests
-            .get(waiter)
-            .is_some_and(|request| request.intent.is_none());
+        let replayed = board.requests.get(waiter).is_some_and(|request| request.intent.is_none());
         let answered_before = board
             .requests
             .get(waiter)
@@ -281,22 +258,10 @@
     replayed: bool,
 ) {
     match outcome {
-        Some(Outcome::Answered {
-            status,
-            content_type,
-            body,
-        }) => {
+        Some(Outcome::Answered { status, content_type, body }) => {
             board.counters.answered += 1;
-            board.note(
-                EventKind::Answered,
-                trace,
-                if replayed { "replayed" } else { "recorded" },
-            );
-            let answer = RecordedAnswer {
-                status,
-                content_type,
-                body,
-            };
+            board.note(EventKind::Answered, trace, if replayed { "replayed" } else { "recorded" });
+            let answer = RecordedAnswer { status, content_type, body };
             board.answer(tag, Answer::Recorded { answer, replayed });
         }
         Some(Outcome::Unknown) => {
@@ -305,11 +270,7 @@
         }
         Some(Outcome::NotRun) | None => {
             let detail = "the request was not dispatched";
-            board.refuse(
-                tag,
-                trace,
-                Problem::not_run(ErrorKind::UpstreamFailed, detail),
-            );
+            board.refuse(tag, trace, Problem::not_run(ErrorKind::UpstreamFailed, detail));
         }
     }
 }
@@ -330,11 +291,7 @@
         orphans.push(key.clone());
     }
     for key in orphans {
-        board
-            .work
-            .conclusions
-            .entry(key)
-            .or_insert(Outcome::Unknown);
+        board.work.conclusions.entry(key).or_insert(Outcome::Unknown);
     }
 }
 
@@ -368,10 +325,6 @@
 
 fn wish_conclusion(board: &mut Board, key: IntentKey, outcome: Outcome) {
     let command = Command::Zone(ZoneCommand::Conclude { key, outcome });
-    let wish = Wish {
-        group: GroupId::Zone,
-        command,
-        purpose: Purpose::Record,
-    };
+    let wish = Wish { group: GroupId::Zone, command, purpose: Purpose::Record };
     board.groups.wishes.push(wish);
 }
--- a/crates/core/src/controller/journal.rs
+++ b/crates/core/src/controller/journal.rs
@@ -29,12 +29,6 @@
             return;
         }
     }
-    let problem = Problem::not_run(
-        ErrorKind::HomeUnreachable,
-        "this host does not lead the group",
-    );
-    board.groups.refused.push(GroupResult {
-        purpose,
-        fate: Fate::NotWritten(problem),
-    });
+    let problem = Problem::not_run(ErrorKind::HomeUnreachable, "this host does not lead the group");
+    board.groups.refused.push(GroupResult { purpose, index: 0, fate: Fate::NotWritten(problem) });
 }
--- a/crates/core/src/controller/membership.rs
+++ b/crates/core/src/controller/membership.rs
@@ -27,8 +27,8 @@
 /// One heartbeat in this many carries everything.
 const WHOLE_ONE_IN: u32 = 20;
 
-/// How long a starting host waits for the hosts of its zone before it serves without them.
-const WAIT_FOR_ZONE: Millis = Millis(3_000);
+/// How long a starting host waits for the fleet group's leader before it goes by its zone.
+const WAIT_FOR_FLEET: Millis = Millis(3_000);
 
 /// Keeps track of hosts and zones.
 #[derive(Debug)]
@@ -126,7 +126,9 @@
     }
 }
 
-/// Lets the host serve once it can't be behind what its zone has served.
+/// Lets the host serve once it can't be behind what it or its zone has served: the fleet group's
+/// leader says so or, where the zone is cut off from it, most hosts of the zone. Within a zone a
+/// version spreads in far less than the time that is waited.
 fn judge_ready(board: &mut Board) {
     if board.draining.is_some() {
         board.ready = false;
@@ -135,25 +137,30 @@
     if board.ready {
         return;
     }
+    board.ready = board.in_force.confirmed || zone_confirms(board);
+}
+
+/// Tells whether most hosts of the zone are up, and none of them has newer settings than this one.
+fn zone_confirms(board: &Board) -> bool {
     let now = board.now.mono;
-    let mut all_heard = true;
-    let mut newest = None;
-    for key in &board.zones[board.my_zone].hosts {
+    let hosts = &board.zones[board.my_zone].hosts;
+    let waited = now.since(board.started) >= WAIT_FOR_FLEET;
+    if hosts.len() > 1 && !waited {
+        return false;
+    }
+    let have = board.in_force.settings.version;
+    let mut up = 1;
+    for key in hosts {
         let host = &board.hosts[*key];
-        if host.id == board.cfg.id {
+        if host.id == board.cfg.id || !host.is_up(now) {
             continue;
         }
-        all_heard &= host.is_up(now);
-        if host.works(now) {
-            newest = newest.max(Some(host.settings));
+        if host.settings > have {
+            return false;
         }
+        up += 1;
     }
-    let have = board.in_force.settings.version;
-    let waited = now.since(board.started) >= WAIT_FOR_ZONE;
-    board.ready = match newest {
-        Some(version) => have >= version,
-        None => all_heard || waited,
-    };
+    up * 2 > hosts.len()
 }
 
 /// Brings the summary of this zone up to date and tells whether it changed.
@@ -170,10 +177,7 @@
         let up = |key| board.upstreams[key].state == UpstreamState::Up;
         let count = service.upstreams.iter().filter(|key| up(**key)).count();
         if count > 0 {
-            digest.services.push((
-                service.name.clone(),
-                u32::try_from(count).unwrap_or(u32::MAX),
-            ));
+            digest.services.push((service.name.clone(), u32::try_from(count).unwrap_or(u32::MAX)));
         }
     }
     for (service, version) in board.groups.records.wanted() {
@@ -204,11 +208,7 @@
 }
 
 fn beat_far(board: &mut Board) {
-    let zones: Vec<ZoneKey> = board
-        .zones
-        .keys()
-        .filter(|key| *key != board.my_zone)
-        .collect();
+    let zones: Vec<ZoneKey> = board.zones.keys().filter(|key| *key != board.my_zone).collect();
     for zone in zones {
         let Some(key) = contact_in(board, zone) else {
             continue;
@@ -226,11 +226,7 @@
         .copied()
         .filter(|key| zone.digest.hosts.contains(&board.hosts[*key].id))
         .collect();
-    let among = if working.is_empty() {
-        &zone.hosts
-    } else {
-        &working
-    };
+    let among = if working.is_empty() { &zone.hosts } else { &working };
     if among.is_empty() {
         return None;
     }
--- a/crates/core/src/controller/outbox.rs
+++ b/crates/core/src/controller/outbox.rs
@@ -43,16 +43,9 @@
     }
     let token = SyncToken(board.groups.token.0 + 1);
     board.groups.token = token;
-    let fleet = board
-        .groups
-        .fleet
-        .as_ref()
-        .map_or(0, |group| group.replica.log().last_index());
+    let fleet = board.groups.fleet.as_ref().map_or(0, |group| group.replica.log().last_index());
     let zone = board.groups.zone.replica.log().last_index();
-    board
-        .groups
-        .syncing
-        .push_back(SyncBatch { token, fleet, zone });
+    board.groups.syncing.push_back(SyncBatch { token, fleet, zone });
     board.actions.push(Action::Persist { token, records });
 }
 
@@ -79,16 +72,9 @@
 
 fn hold(board: &mut Board, to: HostId, message: Message) {
     let token = board.groups.token;
-    board
-        .groups
-        .held
-        .push_back(HeldMessage { token, to, message });
+    board.groups.held.push_back(HeldMessage { token, to, message });
 }
 
 fn frame(group: GroupId, formation: u64, message: GroupMessage) -> Message {
-    Message::Group(GroupFrame {
-        group,
-        formation,
-        message,
-    })
+    Message::Group(GroupFrame { group, formation, message })
 }
--- a/crates/core/src/controller/queries.rs
+++ b/crates/core/src/controller/queries.rs
@@ -42,15 +42,9 @@
 }
 
 fn settings(board: &Board, service: Option<&str>) -> SettingsReport {
-    let place = Place {
-        zone: &board.cfg.zone,
-        host: &board.cfg.name,
-        service,
-    };
+    let place = Place { zone: &board.cfg.zone, host: &board.cfg.name, service };
     let in_force = &board.in_force;
-    let effective = SettingKey::all()
-        .map(|key| in_force.settings.effective(key, place))
-        .collect();
+    let effective = SettingKey::all().map(|key| in_force.settings.effective(key, place)).collect();
     SettingsReport {
         host: board.cfg.name.clone(),
         zone: board.cfg.zone.clone(),
@@ -76,11 +70,7 @@
             () => "unknown",
         };
         let mut leads = Vec::new();
-        if zone
-            .digest
-            .leader
-            .is_some_and(|(_, leader)| leader == host.id)
-        {
+        if zone.digest.leader.is_some_and(|(_, leader)| leader == host.id) {
             leads.push(format!("zone {}", zone.name).into());
         }
         if fleet_leader(board).is_some_and(|leader| leader == host.id) {
@@ -101,10 +91,7 @@
 }
 
 fn fleet_leader(board: &Board) -> Option<crate::HostId> {
-    let own = board
-        .groups
-        .group(GroupId::Fleet)
-        .and_then(|group| group.replica.leader());
+    let own = board.groups.group(GroupId::Fleet).and_then(|group| group.replica.leader());
     own.or(board.groups.fleet_leader.map(|(_, leader)| leader))
 }
 
@@ -146,11 +133,7 @@
 }
 
 fn gauge(board: &mut Board) {
-    let waiting = board
-        .services
-        .values()
-        .map(crate::board::Service::waiting)
-        .sum::<usize>();
+    let waiting = board.services.values().map(crate::board::Service::waiting).sum::<usize>();
     board.counters.queued = waiting as u64;
     board.counters.running = board.attempts.len() as u64;
     board.counters.settings = board.in_force.settings.version;
--- a/crates/core/src/controller/registry.rs
+++ b/crates/core/src/controller/registry.rs
@@ -57,16 +57,11 @@
         remove(board, key);
     }
     let service = board.ensure_service(&spec.service);
-    let key = board
-        .upstreams
-        .insert(Upstream::new(spec.clone(), service, now));
+    let key = board.upstreams.insert(Upstream::new(spec.clone(), service, now));
     board.services[service].upstreams.push(key);
     board.services[service].repeatable = spec.idempotent;
     board.due.registry = now;
-    let detail = format!(
-        "{} at {}, version {}",
-        spec.service, spec.address, spec.version
-    );
+    let detail = format!("{} at {}, version {}", spec.service, spec.address, spec.version);
     board.note(EventKind::UpstreamJoined, spec.name.clone(), detail);
 }
 
@@ -77,11 +72,7 @@
     upstream.spec = spec.clone();
     if upstream.state == UpstreamState::Silent {
         upstream.state = UpstreamState::Up;
-        board.note(
-            EventKind::UpstreamJoined,
-            spec.name.clone(),
-            "announces itself again",
-        );
+        board.note(EventKind::UpstreamJoined, spec.name.clone(), "announces itself again");
     }
 }
 
@@ -127,9 +118,7 @@
     let Some(upstream) = board.upstreams.remove(key) else {
         return;
     };
-    board.services[upstream.service]
-        .upstreams
-        .retain(|other| *other != key);
+    board.services[upstream.service].upstreams.retain(|other| *other != key);
 }
 
 /// Divides each upstream's slots among the working hosts of the zone.
--- a/crates/core/src/controller/settings.rs
+++ b/crates/core/src/controller/settings.rs
@@ -6,7 +6,7 @@
 //! A version in force is only ever followed by a greater one.
 
 use super::Controller;
-use crate::agreement::Record;
+use crate::agreement::{GroupId, Record};
 use crate::board::Board;
 use crate::event::Event;
 use crate::key::HostId;
@@ -17,6 +17,9 @@
 /// The least time between two questions for newer settings.
 const PULL_EVERY: Millis = Millis(100);
 
+/// The time between two questions whether settings are the newest.
+const CONFIRM_EVERY: Millis = Millis(250);
+
 /// Keeps the settings in force.
 #[derive(Debug)]
 pub(super) struct Settings;
@@ -26,6 +29,7 @@
         if let Some(Event::Received(envelope)) = event {
             take_message(board, envelope.from, &envelope.message);
         }
+        confirm(board);
         let Some(offered) = board.in_force.offered.take() else {
             return;
         };
@@ -33,19 +37,39 @@
             return;
         }
         if board.cfg.disk {
-            board.groups.records_out.push(Record::InForce {
-                settings: offered.clone(),
-            });
+            board.groups.records_out.push(Record::InForce { settings: offered.clone() });
         }
         let version = offered.version;
         board.in_force.settings = offered;
         board.in_force.since = board.now.wall;
         board.in_force.tell = true;
-        board.note(
-            EventKind::SettingsInForce,
-            format!("version {version}"),
-            "in force",
-        );
+        board.note(EventKind::SettingsInForce, format!("version {version}"), "in force");
+    }
+
+    fn next_deadline(&self, board: &Board) -> Millis {
+        let waits = !board.in_force.confirmed && !board.ready && board.draining.is_none();
+        if waits { board.due.settings_confirm } else { Millis::MAX }
+    }
+}
+
+/// Has the fleet group's leader confirm the settings of a host that has just started.
+fn confirm(board: &mut Board) {
+    let now = board.now.mono;
+    if board.in_force.confirmed || board.ready || now < board.due.settings_confirm {
+        return;
+    }
+    if board.leads(GroupId::Fleet) {
+        board.in_force.confirmed = true;
+        return;
+    }
+    board.due.settings_confirm = now + CONFIRM_EVERY;
+    let have = board.in_force.settings.version;
+    let members: Vec<HostId> =
+        board.hosts.values().filter(|host| host.disk).map(|host| host.id).collect();
+    for host in members {
+        if host != board.cfg.id {
+            board.send(host, Message::SettingsPull { have });
+        }
     }
 }
 
@@ -59,19 +83,17 @@
             board.due.settings_pull = board.now.mono + PULL_EVERY;
             board.send(from, Message::SettingsPull { have });
         }
-        Message::SettingsPull { have: theirs } if *theirs < have => {
+        Message::SettingsPull { have: theirs } => {
+            let confirmed = board.leads(GroupId::Fleet);
+            if *theirs >= have && !confirmed {
+                return;
+            }
             let settings = board.in_force.settings.clone();
-            board.send(from, Message::SettingsPush(settings));
+            board.send(from, Message::SettingsPush { settings, confirmed });
         }
-        Message::SettingsPush(settings) => {
-            let newest = board
-                .in_force
-                .offered
-                .as_ref()
-                .map_or(0, |other| other.version);
-            if settings.version > newest {
-                board.in_force.offered = Some(settings.clone());
-            }
+        Message::SettingsPush { settings, confirmed } => {
+            board.in_force.offer(settings.clone());
+            board.in_force.confirmed |= confirmed;
         }
         _ => {}
     }
--- a/crates/core/src/controller/trainers.rs
+++ b/crates/core/src/controller/trainers.rs
@@ -42,10 +42,7 @@
 }
 
 fn is_trainers(call: &Call) -> bool {
-    matches!(
-        call,
-        Call::Submit { .. } | Call::Fetch { .. } | Call::Publish { .. }
-    )
+    matches!(call, Call::Submit { .. } | Call::Fetch { .. } | Call::Publish { .. })
 }
 
 fn trainer_of(call: &Call) -> &str {
@@ -74,26 +71,12 @@
     let request = Request::new(origin, arrival.trace, board.now.mono, deadline);
     let key = board.add_request(request.call(arrival.call.clone()).hops(arrival.hops));
     let command = match arrival.call {
-        Call::Submit {
-            trainer,
-            service,
-            step,
-            groups,
-        } => ZoneCommand::Submit {
-            trainer,
-            service,
-            step,
-            groups,
-        },
-        Call::Publish {
-            trainer,
-            service,
-            version,
-        } => ZoneCommand::Publish {
-            trainer,
-            service,
-            version,
-        },
+        Call::Submit { trainer, service, step, groups } => {
+            ZoneCommand::Submit { trainer, service, step, groups }
+        }
+        Call::Publish { trainer, service, version } => {
+            ZoneCommand::Publish { trainer, service, version }
+        }
         _ => {
             board.work.polls.push(key);
             return;
@@ -104,11 +87,7 @@
 
 fn wish(board: &mut Board, key: RequestKey, command: ZoneCommand) {
     let (command, purpose) = (Command::Zone(command), Purpose::Request(key));
-    board.groups.wishes.push(Wish {
-        group: GroupId::Zone,
-        command,
-        purpose,
-    });
+    board.groups.wishes.push(Wish { group: GroupId::Zone, command, purpose });
 }
 
 /// Has samples delivered to the fetches that wait for some.
@@ -118,13 +97,7 @@
         let Some(request) = board.requests.get(key) else {
             continue;
         };
-        let Some(Call::Fetch {
-            trainer,
-            cursor,
-            max,
-            ..
-        }) = &request.call
-        else {
+        let Some(Call::Fetch { trainer, cursor, max, .. }) = &request.call else {
             continue;
         };
         let (cursor, max) = (*cursor, *max);
@@ -134,9 +107,7 @@
             continue;
         }
         let records = &board.groups.records;
-        let found = records
-            .trainer_named(trainer)
-            .and_then(|id| Some((id, records.trainer(id)?)));
+        let found = records.trainer_named(trainer).and_then(|id| Some((id, records.trainer(id)?)));
         let Some((id, trainer)) = found.filter(|(_, trainer)| trainer.has_from(cursor)) else {
             board.work.polls.push(key);
             continue;
@@ -144,16 +115,7 @@
         let service = trainer.service.clone();
         let staleness = board.setting(SettingKey::Staleness, Some(&service));
         allow_for_log(board, key);
-        wish(
-            board,
-            key,
-            ZoneCommand::Deliver {
-                trainer: id,
-                cursor,
-                max,
-                staleness,
-            },
-        );
+        wish(board, key, ZoneCommand::Deliver { trainer: id, cursor, max, staleness });
     }
 }
 
@@ -181,23 +143,11 @@
     match fate {
         Fate::Zone(Applied::Submitted(added)) => {
             let detail = format!("{added} new samples");
-            answer(
-                board,
-                key,
-                EventKind::Submitted,
-                &detail,
-                Answer::Submitted(*added),
-            );
+            answer(board, key, EventKind::Submitted, &detail, Answer::Submitted(*added));
         }
         Fate::Zone(Applied::Published(version)) => {
             let detail = format!("version {version}");
-            answer(
-                board,
-                key,
-                EventKind::Published,
-                &detail,
-                Answer::Published(*version),
-            );
+            answer(board, key, EventKind::Published, &detail, Answer::Published(*version));
         }
         Fate::Zone(Applied::Delivered { trainer, stale }) => {
             delivered(board, key, *trainer, *stale);
@@ -230,13 +180,7 @@
     let Some(request) = board.requests.get(key) else {
         return;
     };
-    let Some(Call::Fetch {
-        trainer,
-        cursor,
-        max,
-        wait,
-    }) = request.call.clone()
-    else {
+    let Some(Call::Fetch { trainer, cursor, max, wait }) = request.call.clone() else {
         return;
     };
     if stale > 0 {
@@ -250,20 +194,11 @@
         return;
     }
     let detail = format!("{} samples from cursor {cursor}", batch.samples.len());
-    answer(
-        board,
-        key,
-        EventKind::Delivered,
-        &detail,
-        Answer::Samples(batch),
-    );
+    answer(board, key, EventKind::Delivered, &detail, Answer::Samples(batch));
 }
 
 fn request_arrived(board: &Board, key: RequestKey) -> Millis {
-    board
-        .requests
-        .get(key)
-        .map_or(Millis(0), |request| request.arrived)
+    board.requests.get(key).map_or(Millis(0), |request| request.arrived)
 }
 
 fn batch(board: &Board, id: TrainerId, cursor: u64, max: u32) -> SampleBatch {
@@ -271,10 +206,7 @@
     let Some(trainer) = records.trainer(id) else {
         return SampleBatch::default();
     };
-    let mut batch = SampleBatch {
-        next: cursor,
-        ..Default::default()
-    };
+    let mut batch = SampleBatch { next: cursor, ..Default::default() };
     for delivery in trainer.from(cursor, max) {
         let Some(sample) = records.sample(delivery.sample) else {
             continue;
@@ -286,13 +218,7 @@
         };
         let (step, group, index) = (sample.step, sample.group.clone(), sample.index);
         let cursor = delivery.cursor;
-        batch.samples.push(DeliveredSample {
-            cursor,
-            step,
-            group,
-            index,
-            output,
-        });
+        batch.samples.push(DeliveredSample { cursor, step, group, index, output });
         batch.next = cursor + 1;
     }
     let unacknowledged = trainer.counts.submitted - trainer.counts.acknowledged;
--- a/crates/core/src/controller/weights.rs
+++ b/crates/core/src/controller/weights.rs
@@ -73,23 +73,15 @@
     let name = upstream.spec.name.clone();
     let took = now.since(order.given);
     let detail = if loaded { "loaded" } else { "not loaded" };
-    board.note(
-        EventKind::OrderEnded,
-        name,
-        format!("{detail} after {} ms", took.0),
-    );
+    board.note(EventKind::OrderEnded, name, format!("{detail} after {} ms", took.0));
 }
 
 fn forget_lost_orders(board: &mut Board) {
     let timeout = Millis(board.setting(SettingKey::LoadTimeoutMs, None));
     let now = board.now.mono;
     let late = |order: &Order| now.since(order.given) > timeout + timeout;
-    let lost: Vec<OrderKey> = board
-        .orders
-        .iter()
-        .filter(|(_, order)| late(order))
-        .map(|(key, _)| key)
-        .collect();
+    let lost: Vec<OrderKey> =
+        board.orders.iter().filter(|(_, order)| late(order)).map(|(key, _)| key).collect();
     for key in lost {
         ended(board, key, None);
     }
@@ -113,18 +105,12 @@
             continue;
         };
         let upstreams = board.services[key].upstreams.clone();
-        let loading = upstreams
-            .iter()
-            .filter(|key| board.upstreams[**key].order.is_some())
-            .count();
+        let loading = upstreams.iter().filter(|key| board.upstreams[**key].order.is_some()).count();
         let most = board.setting(SettingKey::LoadsAtOnce, Some(&service));
         let room = most.saturating_sub(loading as u64);
-        let old = upstreams
-            .into_iter()
-            .filter(|key| may_load(board, *key, version));
-        let chosen: Vec<UpstreamKey> = old
-            .take(usize::try_from(room).unwrap_or(usize::MAX))
-            .collect();
+        let old = upstreams.into_iter().filter(|key| may_load(board, *key, version));
+        let chosen: Vec<UpstreamKey> =
+            old.take(usize::try_from(room).unwrap_or(usize::MAX)).collect();
         for key in chosen {
             order(board, key, version);
         }
@@ -143,26 +129,12 @@
 
 fn order(board: &mut Board, key: UpstreamKey, version: u64) {
     let given = board.now.mono;
-    let order = board.orders.insert(Order {
-        upstream: key,
-        version,
-        given,
-    });
+    let order = board.orders.insert(Order { upstream: key, version, given });
     let fence = board.groups.zone.replica.fence();
     let timeout = Millis(board.setting(SettingKey::LoadTimeoutMs, None));
     let upstream = &mut board.upstreams[key];
     upstream.order = Some(order);
     let (name, address) = (upstream.spec.name.clone(), upstream.spec.address.clone());
-    board.note(
-        EventKind::Ordered,
-        name,
-        format!("to load version {version}, fence {fence}"),
-    );
-    board.actions.push(Action::Order {
-        order,
-        address,
-        version,
-        fence,
-        timeout,
-    });
+    board.note(EventKind::Ordered, name, format!("to load version {version}, fence {fence}"));
+    board.actions.push(Action::Order { order, address, version, fence, timeout });
 }
--- a/crates/core/src/core.rs
+++ b/crates/core/src/core.rs
@@ -69,10 +69,7 @@
     /// Returns when the core wants to be told the time at the latest, on the monotonic clock.
     #[must_use]
     pub fn next_deadline(&self) -> Millis {
-        let deadlines = self
-            .rounds
-            .iter()
-            .map(|controller| controller.next_deadline(&self.board));
+        let deadlines = self.rounds.iter().map(|controller| controller.next_deadline(&self.board));
         deadlines.min().unwrap_or(Millis::MAX)
     }
 
--- a/crates/core/src/error.rs
+++ b/crates/core/src/error.rs
@@ -66,88 +66,23 @@
 }
 
 const TABLE: [(ErrorKind, u16, &str, bool); 17] = [
-    (
-        ErrorKind::BadRequest,
-        400,
-        "The request can't be read",
-        false,
-    ),
+    (ErrorKind::BadRequest, 400, "The request can't be read", false),
     (ErrorKind::BodyTooLarge, 413, "The body is too large", false),
-    (
-        ErrorKind::SlowSender,
-        408,
-        "The body did not arrive in time",
-        true,
-    ),
+    (ErrorKind::SlowSender, 408, "The body did not arrive in time", true),
     (ErrorKind::NotFound, 404, "There is no such resource", false),
-    (
-        ErrorKind::MethodNotAllowed,
-        405,
-        "The method is not allowed here",
-        false,
-    ),
-    (
-        ErrorKind::UnknownService,
-        404,
-        "The service is not known",
-        true,
-    ),
-    (
-        ErrorKind::KeyRequired,
-        400,
-        "An Idempotency-Key is required",
-        false,
-    ),
-    (
-        ErrorKind::KeyReused,
-        422,
-        "The Idempotency-Key belongs to another body",
-        false,
-    ),
-    (
-        ErrorKind::KeyInFlight,
-        409,
-        "The first request with this key is still running",
-        true,
-    ),
+    (ErrorKind::MethodNotAllowed, 405, "The method is not allowed here", false),
+    (ErrorKind::UnknownService, 404, "The service is not known", true),
+    (ErrorKind::KeyRequired, 400, "An Idempotency-Key is required", false),
+    (ErrorKind::KeyReused, 422, "The Idempotency-Key belongs to another body", false),
+    (ErrorKind::KeyInFlight, 409, "The first request with this key is still running", true),
     (ErrorKind::Overloaded, 429, "The host is at its limit", true),
-    (
-        ErrorKind::DeadlineExceeded,
-        504,
-        "The deadline passed",
-        true,
-    ),
-    (
-        ErrorKind::NotReady,
-        503,
-        "The host is starting or stopping",
-        true,
-    ),
-    (
-        ErrorKind::HomeUnreachable,
-        503,
-        "The deciding zone can't be reached",
-        true,
-    ),
+    (ErrorKind::DeadlineExceeded, 504, "The deadline passed", true),
+    (ErrorKind::NotReady, 503, "The host is starting or stopping", true),
+    (ErrorKind::HomeUnreachable, 503, "The deciding zone can't be reached", true),
     (ErrorKind::UpstreamFailed, 502, "The upstream failed", true),
-    (
-        ErrorKind::OutcomeUnknown,
-        502,
-        "The outcome is not known",
-        false,
-    ),
-    (
-        ErrorKind::ChangeConflict,
-        409,
-        "Another change was accepted first",
-        false,
-    ),
-    (
-        ErrorKind::ChangeInvalid,
-        422,
-        "The change is not valid",
-        false,
-    ),
+    (ErrorKind::OutcomeUnknown, 502, "The outcome is not known", false),
+    (ErrorKind::ChangeConflict, 409, "Another change was accepted first", false),
+    (ErrorKind::ChangeInvalid, 422, "The change is not valid", false),
 ];
 
 impl ErrorKind {
@@ -163,17 +98,9 @@
             if kind != self {
                 continue;
             }
-            return ErrorAnswer {
-                status,
-                title,
-                retry,
-            };
-        }
-        ErrorAnswer {
-            status: 500,
-            title: "The kind is missing from the table",
-            retry: false,
+            return ErrorAnswer { status, title, retry };
         }
+        ErrorAnswer { status: 500, title: "The kind is missing from the table", retry: false }
     }
 }
 
@@ -195,24 +122,14 @@
     /// Makes a problem of a request that did not run.
     #[must_use]
     pub fn not_run(kind: ErrorKind, detail: impl Into<Box<str>>) -> Self {
-        Self {
-            kind,
-            ran: Ran::No,
-            detail: detail.into(),
-            retry_after_ms: None,
-        }
+        Self { kind, ran: Ran::No, detail: detail.into(), retry_after_ms: None }
     }
 
     /// Makes a problem of a request that may have run.
     #[must_use]
     pub fn unknown(detail: impl Into<Box<str>>) -> Self {
         let kind = ErrorKind::OutcomeUnknown;
-        Self {
-            kind,
-            ran: Ran::Unknown,
-            detail: detail.into(),
-            retry_after_ms: None,
-        }
+        Self { kind, ran: Ran::Unknown, detail: detail.into(), retry_after_ms: None }
     }
 
     /// Sets whether the request ran; the default is `No`.
--- a/crates/core/src/event.rs
+++ b/crates/core/src/event.rs
@@ -86,6 +86,8 @@
     pub hops: u8,
     /// Whether another host has recorded this non-idempotent request and hands over its one run.
     pub granted: bool,
+    /// Whether a host to which this one handed the call may have run it.
+    pub maybe_ran: bool,
     /// What is asked.
     pub call: Call,
 }
--- a/crates/core/src/fleet/key.rs
+++ b/crates/core/src/fleet/key.rs
@@ -32,21 +32,9 @@
 
 /// The name, default, least and greatest value of each setting.
 const TABLE: [(SettingKey, &str, u64, u64, u64); 11] = [
-    (
-        SettingKey::InteractiveQueue,
-        "interactive_queue",
-        512,
-        1,
-        100_000,
-    ),
+    (SettingKey::InteractiveQueue, "interactive_queue", 512, 1, 100_000),
     (SettingKey::RolloutQueue, "rollout_queue", 256, 1, 100_000),
-    (
-        SettingKey::RolloutSharePercent,
-        "rollout_share_percent",
-        20,
-        0,
-        100,
-    ),
+    (SettingKey::RolloutSharePercent, "rollout_share_percent", 20, 0, 100),
     (SettingKey::UpstreamSlots, "upstream_slots", 16, 1, 4_096),
     (SettingKey::DeadlineMs, "deadline_ms", 60_000, 10, 3_600_000),
     (SettingKey::Attempts, "attempts", 3, 1, 10),
@@ -54,13 +42,7 @@
     (SettingKey::SilenceMs, "silence_ms", 1_500, 100, 60_000),
     (SettingKey::Staleness, "staleness", 2, 0, 1_000),
     (SettingKey::LoadsAtOnce, "loads_at_once", 2, 1, 1_000),
-    (
-        SettingKey::LoadTimeoutMs,
-        "load_timeout_ms",
-        30_000,
-        100,
-        600_000,
-    ),
+    (SettingKey::LoadTimeoutMs, "load_timeout_ms", 30_000, 100, 600_000),
 ];
 
 impl SettingKey {
--- a/crates/core/src/fleet/settings.rs
+++ b/crates/core/src/fleet/settings.rs
@@ -64,10 +64,7 @@
         if let Some(exception) = self.exception(key, place) {
             return exception.value;
         }
-        self.defaults
-            .get(&key)
-            .copied()
-            .unwrap_or_else(|| key.built_in())
+        self.defaults.get(&key).copied().unwrap_or_else(|| key.built_in())
     }
 
     /// Returns the value of a setting at a place, with where it comes from.
@@ -81,12 +78,7 @@
             None => "built-in".into(),
         };
         let reason = exception.map_or_else(Box::default, |exception| exception.reason.clone());
-        Effective {
-            key,
-            value,
-            from,
-            reason,
-        }
+        Effective { key, value, from, reason }
     }
 
     /// Finds the narrowest exception for a place: host before service before zone.
--- a/crates/core/src/fleet/state.rs
+++ b/crates/core/src/fleet/state.rs
@@ -49,9 +49,7 @@
             self.settings.edit(edit);
         }
         self.settings.version = version + 1;
-        ChangeAnswer::Accepted {
-            version: version + 1,
-        }
+        ChangeAnswer::Accepted { version: version + 1 }
     }
 
     fn winner_after(&self, base: u64) -> Box<str> {
@@ -80,31 +78,17 @@
 impl FleetSettings {
     fn edit(&mut self, edit: &Edit) {
         match edit {
-            Edit::Default {
-                key,
-                value: Some(value),
-            } => {
+            Edit::Default { key, value: Some(value) } => {
                 self.defaults.insert(*key, *value);
             }
             Edit::Default { key, value: None } => {
                 self.defaults.remove(key);
             }
-            Edit::Exception {
-                scope,
-                key,
-                value,
-                reason,
-            } => {
-                self.exceptions
-                    .retain(|old| old.scope != *scope || old.key != *key);
+            Edit::Exception { scope, key, value, reason } => {
+                self.exceptions.retain(|old| old.scope != *scope || old.key != *key);
                 let Some(value) = *value else { return };
                 let (scope, key, reason) = (scope.clone(), *key, reason.clone());
-                self.exceptions.push(Exception {
-                    scope,
-                    key,
-                    value,
-                    reason,
-                });
+                self.exceptions.push(Exception { scope, key, value, reason });
             }
         }
     }
--- a/crates/core/src/host_settings.rs
+++ b/crates/core/src/host_settings.rs
@@ -54,13 +54,7 @@
         let (name, zone) = (name.into(), zone.into());
         let id = HostId(1);
         let (http, disk) = (Box::default(), false);
-        let me = PeerSpec {
-            id,
-            name: name.clone(),
-            zone: zone.clone(),
-            disk,
-            http,
-        };
+        let me = PeerSpec { id, name: name.clone(), zone: zone.clone(), disk, http };
         Self {
             name,
             zone,
--- a/crates/core/src/message.rs
+++ b/crates/core/src/message.rs
@@ -34,7 +34,12 @@
         have: u64,
     },
     /// Settings in force.
-    SettingsPush(FleetSettings),
+    SettingsPush {
+        /// The settings.
+        settings: FleetSettings,
+        /// Whether the sender leads the fleet group, so that nothing newer has been accepted.
+        confirmed: bool,
+    },
     /// A message between replicas.
     Group(GroupFrame),
     /// The zone's leader gives the receiver a sample to generate.
--- a/crates/core/src/policy/retry.rs
+++ b/crates/core/src/policy/retry.rs
@@ -52,9 +52,7 @@
 impl Default for BudgetedRetry {
     fn default() -> Self {
         const AT_START: u64 = 10;
-        Self {
-            budget: AT_START * RETRY_COST,
-        }
+        Self { budget: AT_START * RETRY_COST }
     }
 }
 
--- a/crates/core/src/records/trainer.rs
+++ b/crates/core/src/records/trainer.rs
@@ -76,18 +76,12 @@
     /// Returns whether a fetch from `cursor` would find anything.
     #[must_use]
     pub fn has_from(&self, cursor: u64) -> bool {
-        !self.ready.is_empty()
-            || self
-                .delivered
-                .iter()
-                .any(|delivery| delivery.cursor >= cursor)
+        !self.ready.is_empty() || self.delivered.iter().any(|delivery| delivery.cursor >= cursor)
     }
 
     /// Returns up to `max` deliveries from `cursor` on.
     pub fn from(&self, cursor: u64, max: u32) -> impl Iterator<Item = Delivery> + '_ {
         let delivered = self.delivered.iter().copied();
-        delivered
-            .filter(move |delivery| delivery.cursor >= cursor)
-            .take(max as usize)
+        delivered.filter(move |delivery| delivery.cursor >= cursor).take(max as usize)
     }
 }
--- a/crates/core/src/records/zone_records.rs
+++ b/crates/core/src/records/zone_records.rs
@@ -39,42 +39,21 @@
     /// Applies one command.
     pub fn apply(&mut self, command: &ZoneCommand) -> Applied {
         match command {
-            ZoneCommand::Submit {
-                trainer,
-                service,
-                step,
-                groups,
-            } => self.submit(trainer, service, *step, groups),
+            ZoneCommand::Submit { trainer, service, step, groups } => {
+                self.submit(trainer, service, *step, groups)
+            }
             ZoneCommand::Finish { sample, output } => self.finish(*sample, output),
             ZoneCommand::Fail { sample, reason } => self.fail(*sample, reason),
-            ZoneCommand::Deliver {
-                trainer,
-                cursor,
-                max,
-                staleness,
-            } => self.deliver(*trainer, *cursor, *max, *staleness),
-            ZoneCommand::Publish {
-                trainer,
-                service,
-                version,
-            } => self.publish(trainer, service, *version),
-            ZoneCommand::Intend {
-                key,
-                fingerprint,
-                owner,
-                life,
-            } => {
+            ZoneCommand::Deliver { trainer, cursor, max, staleness } => {
+                self.deliver(*trainer, *cursor, *max, *staleness)
+            }
+            ZoneCommand::Publish { trainer, service, version } => {
+                self.publish(trainer, service, *version)
+            }
+            ZoneCommand::Intend { key, fingerprint, owner, life } => {
                 let state = IntentState::Intended;
                 let (fingerprint, owner, life) = (*fingerprint, *owner, *life);
-                self.intend(
-                    key,
-                    Intent {
-                        fingerprint,
-                        owner,
-                        life,
-                        state,
-                    },
-                )
+                self.intend(key, Intent { fingerprint, owner, life, state })
             }
             ZoneCommand::Conclude { key, outcome } => self.conclude(key, outcome),
         }
@@ -82,10 +61,7 @@
 
     /// Returns the trainers, in the order in which they were first seen.
     pub fn trainers(&self) -> impl Iterator<Item = (TrainerId, &Trainer)> {
-        self.trainers
-            .iter()
-            .enumerate()
-            .map(|(at, trainer)| (trainer_id(at), trainer))
+        self.trainers.iter().enumerate().map(|(at, trainer)| (trainer_id(at), trainer))
     }
 
     /// Looks a trainer up by name.
@@ -167,9 +143,7 @@
             return Applied::Nothing;
         };
         trainer.counts.submitted += u64::from(added);
-        trainer
-            .groups
-            .retain(|(old, _), _| old + REMEMBERED_STEPS >= step);
+        trainer.groups.retain(|(old, _), _| old + REMEMBERED_STEPS >= step);
         Applied::Submitted(added)
     }
 
@@ -183,32 +157,19 @@
         let trainer = self.trainer(id)?;
         let bad = |detail: String| Some(Problem::not_run(ErrorKind::BadRequest, detail));
         if &*trainer.service != service {
-            return bad(format!(
-                "trainer {} uses service {}",
-                trainer.name, trainer.service
-            ));
+            return bad(format!("trainer {} uses service {}", trainer.name, trainer.service));
         }
-        let newest = trainer
-            .groups
-            .keys()
-            .next_back()
-            .map_or(0, |(step, _)| *step);
+        let newest = trainer.groups.keys().next_back().map_or(0, |(step, _)| *step);
         if step + REMEMBERED_STEPS < newest {
             return bad(format!("step {step} is too far behind step {newest}"));
         }
         for group in groups {
             if group.samples == 0 || group.samples > SAMPLES_PER_GROUP {
-                return bad(format!(
-                    "group {} asks for {} samples",
-                    group.group, group.samples
-                ));
+                return bad(format!("group {} asks for {} samples", group.group, group.samples));
             }
             let known = trainer.groups.get(&(step, group.group.clone()));
             if known.is_some_and(|sum| *sum != group_sum(group)) {
-                return bad(format!(
-                    "group {} of step {step} was another before",
-                    group.group
-                ));
+                return bad(format!("group {} of step {step} was another before", group.group));
             }
         }
         None
@@ -396,10 +357,7 @@
         if matches!(intent.state, IntentState::Ended(Outcome::Answered { .. })) {
             return Applied::Concluded(key.clone());
         }
-        if matches!(
-            (&intent.state, outcome),
-            (IntentState::Ended(_), Outcome::NotRun)
-        ) {
+        if matches!((&intent.state, outcome), (IntentState::Ended(_), Outcome::NotRun)) {
             return Applied::Concluded(key.clone());
         }
         if *outcome == Outcome::NotRun {
--- a/crates/core/src/timeline.rs
+++ b/crates/core/src/timeline.rs
@@ -121,10 +121,7 @@
     /// Makes an empty ring of `capacity` events.
     #[must_use]
     pub fn new(capacity: usize) -> Self {
-        Self {
-            events: VecDeque::new(),
-            capacity,
-        }
+        Self { events: VecDeque::new(), capacity }
     }
 
     /// Adds an event and drops the oldest where the ring is full.
--- /dev/null
+++ b/crates/core/tests/it/fleet_settings.rs
@@ -0,0 +1,172 @@
+//! Settings: one winner, one answer for a resend, in force everywhere, never back.
+
+use std::collections::BTreeMap;
+
+use chestnutdrift_core::action::Answer;
+use chestnutdrift_core::event::Call;
+use chestnutdrift_core::fleet::{Change, ChangeAnswer, Edit, Scope, SettingKey};
+use rand::Rng;
+use test_case::test_case;
+
+use crate::bookings::{SEEDS, seeds};
+use crate::lifecycle;
+use crate::world::World;
+
+fn change(id: impl Into<Box<str>>, base: u64, value: u64) -> Call {
+    let edits = vec![Edit::Default { key: SettingKey::Staleness, value: Some(value) }];
+    Call::Change(Change { id: id.into(), base, by: "test".into(), edits })
+}
+
+fn version(world: &World, at: usize) -> u64 {
+    let core = world.nodes[at].core.as_ref();
+    core.map_or(0, |core| core.board().in_force.settings.version)
+}
+
+fn accepted(answer: &Answer) -> Option<u64> {
+    match answer {
+        Answer::Changed(ChangeAnswer::Accepted { version }) => Some(*version),
+        _ => None,
+    }
+}
+
+/// Checks a whole history: each version has one change, each change one answer, nothing accepted
+/// is lost.
+fn check(world: &World) {
+    let mut winners: BTreeMap<u64, Box<str>> = BTreeMap::new();
+    let mut answers: BTreeMap<Box<str>, ChangeAnswer> = BTreeMap::new();
+    for send in &world.sends {
+        let Call::Change(change) = &send.call else { continue };
+        let Some(Answer::Changed(answer)) = send.answer() else { continue };
+        let known = answers.entry(change.id.clone()).or_insert_with(|| answer.clone());
+        assert_eq!(known, answer, "two answers for {}", change.id);
+        let ChangeAnswer::Accepted { version } = answer else { continue };
+        let winner = winners.entry(*version).or_insert_with(|| change.id.clone());
+        assert_eq!(*winner, change.id, "two changes made version {version}");
+    }
+    let newest = winners.keys().next_back().copied().unwrap_or(0);
+    for at in 0..world.nodes.len() {
+        let in_force = version(world, at);
+        assert!(in_force >= newest, "{}: {in_force} < {newest}", world.nodes[at].name);
+        assert_eq!(in_force, version(world, 0), "{}", world.show());
+    }
+}
+
+#[test]
+fn invariant_9_a_change_is_in_force_everywhere_within_five_seconds() {
+    let mut world = World::new(1, 3, 3, 1);
+    world.settle();
+    for base in 0..20 {
+        let at = world.rng.random_range(0..9);
+        let answer = world.ask(at, change(format!("c{base}"), base, base));
+        assert_eq!(accepted(&answer), Some(base + 1));
+        world.run_until("in force everywhere", 5_000, |world| {
+            (0..9).all(|at| version(world, at) == base + 1)
+        });
+    }
+}
+
+#[test]
+fn invariant_9_a_host_that_missed_changes_has_them_five_seconds_after_it_is_back() {
+    let mut world = World::new(2, 3, 3, 1);
+    world.settle();
+    world.kill(8);
+    world.kill(3);
+    for base in 0..300 {
+        let answer = world.ask(0, change(format!("c{base}"), base, base % 9));
+        assert_eq!(accepted(&answer), Some(base + 1));
+    }
+    world.start(8);
+    world.start(3);
+    world.run_until("both are up to date", 5_000, |world| {
+        version(world, 8) == 300 && version(world, 3) == 300
+    });
+}
+
+#[test]
+fn of_two_operators_one_wins_and_the_other_is_told_who() {
+    let mut world = World::new(3, 3, 3, 1);
+    world.settle();
+    let first = world.send(0, change("left", 0, 1));
+    let second = world.send(5, change("right", 0, 2));
+    world.run(3_000);
+    let answers = [first, second].map(|number| world.sends[number].answer().cloned().unwrap());
+    let won = answers.iter().filter(|answer| accepted(answer).is_some()).count();
+    assert_eq!(won, 1, "{answers:?}");
+    let lost = answers.iter().find(|answer| accepted(answer).is_none()).unwrap();
+    let Answer::Changed(ChangeAnswer::Conflict { version, winner }) = lost else { panic!() };
+    assert_eq!(*version, 1);
+    assert!(["left", "right"].contains(&&**winner));
+}
+
+#[test]
+fn a_change_sent_again_after_hundreds_of_others_gets_its_first_answer() {
+    let mut world = World::new(4, 3, 3, 1);
+    world.settle();
+    let first = world.ask(0, change("again", 0, 5));
+    for base in 1..400 {
+        world.ask(0, change(format!("c{base}"), base, base % 9));
+    }
+    assert_eq!(world.ask(7, change("again", 0, 5)), first);
+    assert_eq!(version(&world, 0), 400);
+}
+
+#[test]
+fn a_change_older_than_the_window_is_refused_and_not_applied_again() {
+    let mut state = chestnutdrift_core::fleet::FleetState::default();
+    let make = |id: String, base| {
+        let Call::Change(change) = change(id, base, 1) else { panic!() };
+        change
+    };
+    let first = state.apply(&make("first".into(), 0));
+    assert_eq!(first, ChangeAnswer::Accepted { version: 1 });
+    for base in 1..5_000 {
+        state.apply(&make(format!("c{base}"), base));
+    }
+    let again = state.apply(&make("first".into(), 0));
+    assert!(matches!(again, ChangeAnswer::Conflict { version: 5_000, .. }), "{again:?}");
+}
+
+#[test]
+fn an_exception_without_a_reason_is_refused() {
+    let mut world = World::new(5, 3, 3, 1);
+    world.settle();
+    let edits = vec![Edit::Exception {
+        scope: Scope::Zone("z1".into()),
+        key: SettingKey::UpstreamSlots,
+        value: Some(4),
+        reason: " ".into(),
+    }];
+    let call = Call::Change(Change { id: "x".into(), base: 0, by: "test".into(), edits });
+    let Answer::Problem(problem) = world.ask(0, call) else { panic!() };
+    assert_eq!(problem.kind, chestnutdrift_core::ErrorKind::ChangeInvalid);
+    assert_eq!(version(&world, 0), 0);
+}
+
+#[test_case(&["kill"]; "kill")]
+#[test_case(&["lose_disk"]; "lost disk")]
+#[test_case(&["cut", "one_way", "cut_zone"]; "cut")]
+#[test_case(&["freeze"]; "freeze")]
+#[test_case(&["kill", "lose_disk", "freeze", "cut", "one_way", "cut_zone"]; "any two at once")]
+fn invariant_9_an_accepted_change_stays(faults: &[&str]) {
+    for seed in seeds(SEEDS) {
+        let mut world = World::new(seed, 3, 3, 1);
+        world.settle();
+        world.network.lost_replies_percent = 20;
+        world.network.drop_percent = 2;
+        for round in 0..24 {
+            let at = world.rng.random_range(0..9);
+            let base = version(&world, at);
+            let id = format!("c{}", world.rng.random_range(0..=round));
+            let value = world.rng.random_range(0..9);
+            world.send(at, change(id, base, value));
+            if round % 4 == 0 {
+                let fault = faults[world.rng.random_range(0..faults.len())];
+                lifecycle::fault(&mut world, fault);
+            }
+            let pause = world.rng.random_range(5..800);
+            world.run(pause);
+        }
+        lifecycle::recover(&mut world);
+        check(&world);
+    }
+}
--- /dev/null
+++ b/crates/core/tests/it/main.rs
@@ -0,0 +1,12 @@
+//! Tests of the core as a whole, on a small in-memory driver.
+
+mod world;
+
+mod bookings;
+mod determinism;
+mod fleet_settings;
+mod lifecycle;
+mod records_check;
+mod routing;
+mod samples;
+mod tables;
--- /dev/null
+++ b/crates/core/tests/it/routing.rs
@@ -0,0 +1,181 @@
+//! Which upstream a request goes to, and which it does not.
+
+use chestnutdrift_core::action::Answer;
+use chestnutdrift_core::event::{Call, Event, RunCall};
+use chestnutdrift_core::{ErrorKind, Ran};
+
+use crate::world::World;
+
+/// Makes a chat.
+pub(crate) fn chat(service: &str) -> Call {
+    Call::Run(RunCall {
+        caller: "clerk".into(),
+        service: service.into(),
+        idempotent: true,
+        key: None,
+        fingerprint: 0,
+        tokens: 8,
+        prefix: 0,
+    })
+}
+
+#[test]
+fn a_service_that_nobody_offers_is_refused_as_not_run() {
+    let mut world = World::new(1, 3, 3, 1);
+    world.settle();
+    let Answer::Problem(problem) = world.ask(0, chat("nowhere")) else { panic!() };
+    assert_eq!((problem.kind, problem.ran), (ErrorKind::UnknownService, Ran::No));
+}
+
+#[test]
+fn a_request_goes_to_the_zone_that_has_the_service() {
+    let mut world = World::new(2, 3, 3, 1);
+    world.add_engine("z3", "model");
+    world.settle();
+    world.run(3_000);
+    let answer = world.ask(0, chat("model"));
+    assert!(matches!(answer, Answer::Recorded { .. }), "{answer:?}");
+    assert_eq!(world.upstreams[0].started, 1);
+}
+
+#[test]
+fn a_request_stays_in_its_zone_where_it_can() {
+    let mut world = World::new(3, 3, 3, 1);
+    for zone in ["z1", "z2", "z3"] {
+        world.add_engine(zone, "model");
+    }
+    world.settle();
+    world.run(3_000);
+    for _ in 0..10 {
+        world.ask(1, chat("model"));
+    }
+    let started: Vec<u64> = world.upstreams.iter().map(|upstream| upstream.started).collect();
+    assert_eq!(started, [10, 0, 0]);
+}
+
+#[test]
+fn invariant_8_a_leaving_upstream_gets_no_new_work() {
+    let mut world = World::new(4, 1, 3, 1);
+    world.add_engine("z1", "model");
+    world.add_engine("z1", "model");
+    world.settle();
+    world.run(1_000);
+    let name = world.upstreams[0].spec.name.clone();
+    for at in 0..3 {
+        world.tell(at, Event::Leaving { name: name.clone() });
+    }
+    let before = world.upstreams[0].started;
+    for round in 0..30 {
+        world.ask(round % 3, chat("model"));
+    }
+    assert_eq!(world.upstreams[0].started, before);
+    assert!(world.upstreams[1].started >= 30);
+}
+
+#[test]
+fn an_upstream_that_falls_silent_gets_no_new_work_after_two_seconds() {
+    let mut world = World::new(5, 1, 3, 1);
+    world.add_engine("z1", "model");
+    world.add_engine("z1", "model");
+    world.settle();
+    world.run(1_000);
+    world.upstreams[0].up = false;
+    world.run(2_000);
+    let before = world.upstreams[0].started;
+    for round in 0..30 {
+        let answer = world.ask(round % 3, chat("model"));
+        assert!(matches!(answer, Answer::Recorded { .. }), "{answer:?}");
+    }
+    assert_eq!(world.upstreams[0].started, before);
+}
+
+#[test]
+fn a_request_whose_upstream_breaks_is_run_on_another() {
+    let mut world = World::new(6, 1, 1, 1);
+    world.add_engine("z1", "model");
+    world.add_engine("z1", "model");
+    world.upstreams[0].break_percent = 100;
+    world.settle();
+    world.run(1_000);
+    for _ in 0..5 {
+        let answer = world.ask(0, chat("model"));
+        assert!(matches!(answer, Answer::Recorded { .. }), "{answer:?}");
+    }
+    assert!(world.upstreams[0].started > 0, "the broken upstream was never chosen");
+}
+
+#[test]
+fn retries_stay_within_their_share_when_everything_breaks() {
+    let mut world = World::new(7, 1, 1, 1);
+    world.add_engine("z1", "model");
+    world.upstreams[0].break_percent = 100;
+    world.settle();
+    world.run(1_000);
+    const REQUESTS: u64 = 400;
+    for _ in 0..REQUESTS {
+        world.send(0, chat("model"));
+        world.run(50);
+    }
+    world.run(10_000);
+    let started = world.upstreams[0].started;
+    let most = REQUESTS + REQUESTS / 5 + 10;
+    assert!(started <= most, "{started} attempts for {REQUESTS} requests");
+    assert!(started > REQUESTS, "there were no retries at all");
+}
+
+#[test]
+fn the_hosts_of_a_zone_together_stay_within_an_upstreams_slots() {
+    let mut world = World::new(8, 1, 3, 1);
+    world.add_engine("z1", "model");
+    world.upstreams[0].work = (400, 400);
+    world.settle();
+    world.run(1_000);
+    for round in 0..60 {
+        world.send(round % 3, chat("model"));
+    }
+    world.run(100);
+    let in_flight: u32 = world
+        .nodes
+        .iter()
+        .filter_map(|node| node.core.as_ref())
+        .flat_map(|core| core.board().upstreams.values())
+        .map(|upstream| upstream.in_flight)
+        .sum();
+    assert_eq!(in_flight, 8);
+}
+
+#[test]
+fn a_full_queue_refuses_at_once_and_as_not_run() {
+    let mut world = World::new(9, 1, 1, 1);
+    world.add_engine("z1", "model");
+    world.upstreams[0].work = (60_000, 60_000);
+    world.settle();
+    world.run(1_000);
+    let numbers: Vec<usize> = (0..600).map(|_| world.send(0, chat("model"))).collect();
+    world.run(100);
+    let refused = numbers.iter().filter(|number| {
+        let answer = world.sends[**number].answer();
+        matches!(answer, Some(Answer::Problem(problem))
+            if problem.kind == ErrorKind::Overloaded && problem.ran == Ran::No)
+    });
+    assert_eq!(refused.count(), 600 - 512 - 8);
+}
+
+#[test]
+fn a_queued_request_is_refused_as_not_run_at_its_deadline() {
+    let mut world = World::new(10, 1, 1, 1);
+    world.add_engine("z1", "model");
+    world.upstreams[0].work = (60_000, 60_000);
+    world.settle();
+    world.run(1_000);
+    let numbers: Vec<usize> = (0..9).map(|_| world.send(0, chat("model"))).collect();
+    world.run(9_000);
+    let mut ran = Vec::new();
+    for number in numbers {
+        let Some(Answer::Problem(problem)) = world.sends[number].answer() else { panic!() };
+        assert_eq!(problem.kind, ErrorKind::DeadlineExceeded);
+        ran.push(problem.ran);
+    }
+    assert_eq!(ran.iter().filter(|ran| **ran == Ran::No).count(), 1, "one waited in the queue");
+    assert_eq!(ran.iter().filter(|ran| **ran == Ran::Unknown).count(), 8, "eight were running");
+}
--- /dev/null
+++ b/crates/core/tests/it/tables.rs
@@ -0,0 +1,133 @@
+//! Tables, clocks and policies by themselves.
+
+use chestnutdrift_core::board::Class;
+use chestnutdrift_core::error::ErrorKind;
+use chestnutdrift_core::fleet::{Effective, Exception, FleetSettings, Place, Scope, SettingKey};
+use chestnutdrift_core::policy::{
+    ArrivalOrder, BudgetedRetry, Candidate, ClassShare, Head, Placement, PowerOfTwo, QueueOrder,
+    Retry, RetryQuestion, RoundRobin,
+};
+use chestnutdrift_core::records::{Output, Span};
+use chestnutdrift_core::timeline::{HybridClock, Stamp};
+use chestnutdrift_core::{Millis, UpstreamKey};
+use rand::SeedableRng;
+use rand_pcg::Pcg64Mcg;
+use test_case::test_case;
+
+#[test]
+fn every_error_kind_has_one_answer() {
+    let mut seen = std::collections::BTreeSet::new();
+    for kind in ErrorKind::all() {
+        assert!(seen.insert(kind), "{kind:?} stands twice");
+        let answer = kind.answer();
+        assert!((400..600).contains(&answer.status), "{kind:?}: {answer:?}");
+    }
+    assert_eq!(seen.len(), 17);
+}
+
+#[test]
+fn every_setting_has_a_default_within_its_range_and_is_found_by_its_name() {
+    for key in SettingKey::all() {
+        let (least, most) = key.range();
+        assert!(least <= key.built_in() && key.built_in() <= most, "{key:?}");
+        assert_eq!(SettingKey::named(key.name()), Some(key));
+    }
+}
+
+#[test_case("z1", "h1", Some("model"), 4, "host:h1"; "host before service")]
+#[test_case("z1", "h2", Some("model"), 3, "service:model"; "service before zone")]
+#[test_case("z1", "h2", None, 2, "zone:z1"; "zone before default")]
+#[test_case("z2", "h2", None, 1, "default"; "default before built-in")]
+fn the_narrowest_exception_holds(
+    zone: &str,
+    host: &str,
+    service: Option<&str>,
+    value: u64,
+    from: &str,
+) {
+    let key = SettingKey::UpstreamSlots;
+    let reason: Box<str> = "because".into();
+    let exception = |scope, value| Exception { scope, key, value, reason: reason.clone() };
+    let settings = FleetSettings {
+        version: 1,
+        defaults: [(key, 1)].into(),
+        exceptions: vec![
+            exception(Scope::Host("h1".into()), 4),
+            exception(Scope::Zone("z1".into()), 2),
+            exception(Scope::Service("model".into()), 3),
+        ],
+    };
+    let effective = settings.effective(key, Place { zone, host, service });
+    let reason = if from == "default" { "".into() } else { reason };
+    assert_eq!(effective, Effective { key, value, from: from.into(), reason });
+}
+
+#[test]
+fn a_stamp_is_later_than_all_that_it_was_caused_by() {
+    let mut clock = HybridClock::default();
+    let first = clock.next(Millis(100));
+    clock.observe(Stamp { wall: Millis(900), count: 3 });
+    let second = clock.next(Millis(101));
+    let third = clock.next(Millis(901));
+    assert_eq!(first, Stamp { wall: Millis(100), count: 0 });
+    assert_eq!(second, Stamp { wall: Millis(900), count: 4 });
+    assert_eq!(third, Stamp { wall: Millis(901), count: 0 });
+}
+
+#[test_case(&[], None; "no tokens")]
+#[test_case(&[(3, 0, 4), (4, 4, 9)], Some(3); "a swap in the middle")]
+#[test_case(&[(3, 0, 4), (4, 5, 9)], None; "a gap")]
+#[test_case(&[(3, 1, 4)], None; "a missing start")]
+fn the_oldest_version_is_known_only_where_the_spans_are_whole(
+    spans: &[(u64, u32, u32)],
+    oldest: Option<u64>,
+) {
+    let spans = spans.iter().map(|&(version, from, to)| Span { version, from, to }).collect();
+    assert_eq!(Output { text: "".into(), spans }.oldest_version(), oldest);
+}
+
+#[test]
+fn rollout_work_gets_its_share_and_no_more_while_interactive_work_waits() {
+    let head = Some(Head { arrived: Millis(0) });
+    let mut order = ClassShare::default();
+    let rollout = (0..1_000).filter(|_| order.rollout_next(head, head, 20)).count();
+    assert_eq!(rollout, 200);
+    assert!(order.rollout_next(None, head, 0));
+    assert!(!order.rollout_next(head, None, 100));
+    assert!(!ArrivalOrder.rollout_next(head, head, 100));
+    let _ = Class::Rollout;
+}
+
+#[test]
+fn power_of_two_sends_less_to_the_slower_of_two_than_round_robin_does() {
+    let candidate = |pace_ms, in_flight| Candidate {
+        upstream: UpstreamKey::default(),
+        in_flight,
+        limit: 8,
+        waiting: 0,
+        pace_ms,
+    };
+    let candidates = [candidate(10, 0), candidate(50, 0)];
+    let mut rng = Pcg64Mcg::seed_from_u64(1);
+    let mut count = |policy: &mut dyn Placement| {
+        (0..1_000).filter(|_| policy.choose(&candidates, &mut rng) == Some(1)).count()
+    };
+    let turns = count(&mut RoundRobin::default());
+    let draws = count(&mut PowerOfTwo);
+    assert_eq!(turns, 500);
+    assert!(draws < 300, "{draws} of 1,000 went to the slower one");
+}
+
+#[test]
+fn retries_wait_longer_each_time_and_never_past_the_deadline() {
+    let mut rng = Pcg64Mcg::seed_from_u64(1);
+    let mut retry = BudgetedRetry::default();
+    let question =
+        |attempts, left| RetryQuestion { attempts, most: 3, percent: 20, left: Millis(left) };
+    let first = retry.after(question(1, 1_000), &mut rng).unwrap();
+    let second = retry.after(question(2, 1_000), &mut rng).unwrap();
+    assert!((5..=10).contains(&first.0), "{first:?}");
+    assert!((10..=20).contains(&second.0), "{second:?}");
+    assert_eq!(retry.after(question(3, 1_000), &mut rng), None);
+    assert_eq!(retry.after(question(1, 1), &mut rng), None);
+}
--- a/crates/daemon/src/call/adaptor.rs
+++ b/crates/daemon/src/call/adaptor.rs
@@ -52,10 +52,7 @@
 
     /// Reports the tokens that the caller has.
     pub fn report_progress(&self, tokens: u32) {
-        let event = Event::Progress {
-            attempt: self.attempt(),
-            tokens,
-        };
+        let event = Event::Progress { attempt: self.attempt(), tokens };
         let _ = self.inputs.send(Input::Event(event));
     }
 }
--- a/crates/daemon/src/call/agents.rs
+++ b/crates/daemon/src/call/agents.rs
@@ -46,10 +46,7 @@
             .max_idle_connections(0)
             .max_redirects(0)
             .build();
-        Self {
-            pooled: pooled.new_agent(),
-            fresh: fresh.new_agent(),
-        }
+        Self { pooled: pooled.new_agent(), fresh: fresh.new_agent() }
     }
 }
 
@@ -68,9 +65,5 @@
         Error::Io(error) => error.kind() == io::ErrorKind::ConnectionRefused,
         _ => false,
     };
-    if not_sent {
-        AttemptEnd::NotSent { detail }
-    } else {
-        AttemptEnd::Broken { detail }
-    }
+    if not_sent { AttemptEnd::NotSent { detail } } else { AttemptEnd::Broken { detail } }
 }
--- a/crates/daemon/src/call/engine.rs
+++ b/crates/daemon/src/call/engine.rs
@@ -42,47 +42,30 @@
 
     fn cancel(&self, address: &str, id: &str) {
         let url = format!("http://{address}/cancel");
-        let _ = self
-            .agents
-            .pooled
-            .post(&url)
-            .send_json(CancelBody { id: id.into() });
+        let _ = self.agents.pooled.post(&url).send_json(CancelBody { id: id.into() });
     }
 }
 
 impl Adaptor for EngineAdaptor {
     fn run(&self, cx: &CallContext<'_>) -> AttemptEnd {
         let Target::Upstream { address, .. } = &cx.dispatch.target else {
-            return AttemptEnd::NotSent {
-                detail: "an engine is an upstream".into(),
-            };
+            return AttemptEnd::NotSent { detail: "an engine is an upstream".into() };
         };
         let Some(body) = generate_body(cx) else {
-            return AttemptEnd::NotSent {
-                detail: "the exchange has no prompt".into(),
-            };
+            return AttemptEnd::NotSent { detail: "the exchange has no prompt".into() };
         };
         let url = format!("http://{address}/generate");
-        let request = self
-            .agents
-            .pooled
-            .post(&url)
-            .config()
-            .timeout_global(Some(cx.timeout()));
+        let request = self.agents.pooled.post(&url).config().timeout_global(Some(cx.timeout()));
         let answer = match request.build().send_json(&body) {
             Ok(answer) => answer,
             Err(error) => return end_of(&error),
         };
         let status = answer.status().as_u16();
         if BUSY.contains(&status) {
-            return AttemptEnd::Refused {
-                detail: format!("the engine answered {status}").into(),
-            };
+            return AttemptEnd::Refused { detail: format!("the engine answered {status}").into() };
         }
         if status != 200 {
-            return AttemptEnd::Broken {
-                detail: format!("the engine answered {status}").into(),
-            };
+            return AttemptEnd::Broken { detail: format!("the engine answered {status}").into() };
         }
         let reader = answer.into_body().into_reader();
         let end = Stream::new(cx, body.resume_at).read(reader);
@@ -104,28 +87,16 @@
     let id = attempt_name(cx.attempt(), cx.exchange);
     let resume_at = cx.dispatch.resume_at;
     match &cx.dispatch.source {
-        Source::Sample {
-            prompt, max_tokens, ..
-        } => {
+        Source::Sample { prompt, max_tokens, .. } => {
             let (prompt, max_tokens) = (Box::from(&**prompt), *max_tokens);
-            Some(GenerateBody {
-                id,
-                prompt,
-                max_tokens,
-                resume_at,
-            })
+            Some(GenerateBody { id, prompt, max_tokens, resume_at })
         }
         Source::Exchange { .. } => {
             let Shape::Chat { body, .. } = &cx.exchange?.inbound.shape else {
                 return None;
             };
             let (prompt, max_tokens) = (body.prompt().into(), body.tokens());
-            Some(GenerateBody {
-                id,
-                prompt,
-                max_tokens,
-                resume_at,
-            })
+            Some(GenerateBody { id, prompt, max_tokens, resume_at })
         }
     }
 }
@@ -133,20 +104,11 @@
 impl<'a> Stream<'a> {
     /// Takes up what earlier attempts have generated, up to the token where this one begins.
     fn new(cx: &'a CallContext<'a>, began: u32) -> Self {
-        Self {
-            cx,
-            sample: Generated::default(),
-            count: began,
-            began,
-        }
+        Self { cx, sample: Generated::default(), count: began, began }
     }
 
     fn read(mut self, reader: impl Read) -> AttemptEnd {
-        if self
-            .cx
-            .exchange
-            .is_some_and(|exchange| !exchange.resume_generated(self.began))
-        {
+        if self.cx.exchange.is_some_and(|exchange| !exchange.resume_generated(self.began)) {
             return self.broken("what was generated before is not at hand");
         }
         let mut lines = BufReader::new(reader);
@@ -178,9 +140,7 @@
         if self.cx.exchange.is_some() && self.count > self.began {
             self.cx.report_progress(self.count);
         }
-        AttemptEnd::Broken {
-            detail: detail.into(),
-        }
+        AttemptEnd::Broken { detail: detail.into() }
     }
 
     /// Takes a line of tokens; returns an end where the stream can't go on.
@@ -216,10 +176,7 @@
         if first && !exchange.write(self.cx.attempt(), start) {
             return false;
         }
-        exchange.write(
-            self.cx.attempt(),
-            Reply::Data(Bytes::from(writer.piece(piece))),
-        )
+        exchange.write(self.cx.attempt(), Reply::Data(Bytes::from(writer.piece(piece))))
     }
 
     fn end(self, end: &End) -> AttemptEnd {
@@ -229,20 +186,11 @@
         }
         let Some(exchange) = self.cx.exchange else {
             let text = Arc::from(self.sample.text);
-            let output = Arc::new(Output {
-                text,
-                spans: self.sample.spans,
-            });
-            return AttemptEnd::Whole {
-                output: Some(output),
-                answer: None,
-            };
+            let output = Arc::new(Output { text, spans: self.sample.spans });
+            return AttemptEnd::Whole { output: Some(output), answer: None };
         };
         if write_end(self.cx.attempt(), exchange, end) {
-            AttemptEnd::Whole {
-                output: None,
-                answer: None,
-            }
+            AttemptEnd::Whole { output: None, answer: None }
         } else {
             AttemptEnd::Cancelled
         }
--- a/crates/daemon/src/call/host.rs
+++ b/crates/daemon/src/call/host.rs
@@ -38,15 +38,8 @@
 
 impl Adaptor for HostAdaptor {
     fn run(&self, cx: &CallContext<'_>) -> AttemptEnd {
-        let not_sent = |detail: &str| AttemptEnd::NotSent {
-            detail: detail.into(),
-        };
-        let Target::Host {
-            host,
-            hops,
-            granted,
-        } = cx.dispatch.target
-        else {
+        let not_sent = |detail: &str| AttemptEnd::NotSent { detail: detail.into() };
+        let Target::Host { host, hops, granted, maybe_ran } = cx.dispatch.target else {
             return not_sent("the target is not a host");
         };
         let Some(address) = self.addresses.get(&host) else {
@@ -55,18 +48,12 @@
         let Some(exchange) = cx.exchange else {
             return not_sent("there is no exchange");
         };
-        let Some(request) = request(&exchange.inbound, *address, cx, (hops, granted)) else {
+        let Some(request) = request(&exchange.inbound, *address, cx, (hops, granted, maybe_ran))
+        else {
             return not_sent("the call can't be handed on");
         };
-        let agent = if granted {
-            &self.agents.fresh
-        } else {
-            &self.agents.pooled
-        };
-        let request = agent
-            .configure_request(request)
-            .timeout_global(Some(cx.timeout()))
-            .build();
+        let agent = if granted { &self.agents.fresh } else { &self.agents.pooled };
+        let request = agent.configure_request(request).timeout_global(Some(cx.timeout())).build();
         let answer = match agent.run(request) {
             Ok(answer) => answer,
             Err(error) => return end_of(&error),
@@ -82,15 +69,15 @@
     }
 }
 
-/// Builds the request that hands a call on; `onward` is how often it will have been handed on and
-/// whether its one run is handed over.
+/// Builds the request that hands a call on; `onward` is how often it will have been handed on,
+/// whether its one run is handed over, and whether another host may have run it already.
 fn request(
     inbound: &Inbound,
     address: SocketAddr,
     cx: &CallContext<'_>,
-    onward: (u8, bool),
+    onward: (u8, bool, bool),
 ) -> Option<Request<Vec<u8>>> {
-    let (hops, granted) = onward;
+    let (hops, granted, maybe_ran) = onward;
     let url = format!("http://{address}{}", inbound.path);
     let mut builder = Request::builder().method(&*inbound.method).uri(url);
     for (name, value) in &inbound.headers {
@@ -102,6 +89,9 @@
     if granted {
         builder = builder.header(header::GRANTED, "yes");
     }
+    if maybe_ran {
+        builder = builder.header(header::MAYBE_RAN, "yes");
+    }
     builder.body(inbound.body.to_vec()).ok()
 }
 
@@ -121,25 +111,17 @@
         let read = match reader.read(&mut buf) {
             Ok(read) => read,
             Err(error) => {
-                return AttemptEnd::Broken {
-                    detail: error.to_string().into(),
-                };
+                return AttemptEnd::Broken { detail: error.to_string().into() };
             }
         };
         let last = read == 0;
-        let piece = if last {
-            Reply::End
-        } else {
-            Reply::Data(Bytes::copy_from_slice(&buf[..read]))
-        };
+        let piece =
+            if last { Reply::End } else { Reply::Data(Bytes::copy_from_slice(&buf[..read])) };
         if cx.is_cancelled() || !exchange.write(attempt, piece) {
             return AttemptEnd::Cancelled;
         }
         if last {
-            return AttemptEnd::Whole {
-                output: None,
-                answer: None,
-            };
+            return AttemptEnd::Whole { output: None, answer: None };
         }
     }
 }
@@ -150,10 +132,7 @@
         return end;
     }
     if cx.dispatch.recorded {
-        return AttemptEnd::Whole {
-            output: None,
-            answer: Some(answer),
-        };
+        return AttemptEnd::Whole { output: None, answer: Some(answer) };
     }
     let Some(exchange) = cx.exchange else {
         return AttemptEnd::Cancelled;
@@ -163,10 +142,7 @@
         reply.headers.push((header::REPLAYED, "yes".into()));
     }
     if exchange.write(cx.attempt(), Reply::Whole(reply)) {
-        AttemptEnd::Whole {
-            output: None,
-            answer: None,
-        }
+        AttemptEnd::Whole { output: None, answer: None }
     } else {
         AttemptEnd::Cancelled
     }
@@ -183,10 +159,7 @@
 /// Returns the end of an attempt whose answer is an error that this host's core should deal with.
 fn end_of_problem(problem: &Problem, recorded: bool) -> Option<AttemptEnd> {
     let detail = problem.detail.clone();
-    let elsewhere = matches!(
-        problem.kind,
-        ErrorKind::HomeUnreachable | ErrorKind::NotReady
-    );
+    let elsewhere = matches!(problem.kind, ErrorKind::HomeUnreachable | ErrorKind::NotReady);
     match problem.ran {
         Ran::No if elsewhere || recorded => Some(AttemptEnd::Refused { detail }),
         Ran::Unknown if recorded => Some(AttemptEnd::Broken { detail }),
--- a/crates/daemon/src/call/plain.rs
+++ b/crates/daemon/src/call/plain.rs
@@ -28,19 +28,13 @@
     }
 
     fn agent(&self, cx: &CallContext<'_>) -> &Agent {
-        if cx.dispatch.recorded {
-            &self.agents.fresh
-        } else {
-            &self.agents.pooled
-        }
+        if cx.dispatch.recorded { &self.agents.fresh } else { &self.agents.pooled }
     }
 }
 
 impl Adaptor for PlainAdaptor {
     fn run(&self, cx: &CallContext<'_>) -> AttemptEnd {
-        let not_sent = |detail: &str| AttemptEnd::NotSent {
-            detail: detail.into(),
-        };
+        let not_sent = |detail: &str| AttemptEnd::NotSent { detail: detail.into() };
         let Target::Upstream { address, .. } = &cx.dispatch.target else {
             return not_sent("a plain service is an upstream");
         };
@@ -69,25 +63,17 @@
         Err(end) => return end,
     };
     if cx.dispatch.recorded {
-        return AttemptEnd::Whole {
-            output: None,
-            answer: Some(answer),
-        };
+        return AttemptEnd::Whole { output: None, answer: Some(answer) };
     }
     if WORTH_REPEATING.contains(&answer.status) {
-        return AttemptEnd::Broken {
-            detail: format!("it answered {}", answer.status).into(),
-        };
+        return AttemptEnd::Broken { detail: format!("it answered {}", answer.status).into() };
     }
     let reply = WholeReply::from_recorded(&answer);
     let Some(exchange) = cx.exchange else {
         return AttemptEnd::Cancelled;
     };
     if exchange.write(cx.attempt(), Reply::Whole(reply)) {
-        AttemptEnd::Whole {
-            output: None,
-            answer: None,
-        }
+        AttemptEnd::Whole { output: None, answer: None }
     } else {
         AttemptEnd::Cancelled
     }
@@ -101,22 +87,13 @@
     let content_type = content_type(&answer);
     let mut body = answer.into_body();
     match body.with_config().limit(MOST_ANSWER_BYTES).read_to_vec() {
-        Ok(bytes) => Ok(RecordedAnswer {
-            status,
-            content_type,
-            body: bytes.into(),
-        }),
-        Err(error) => Err(AttemptEnd::Broken {
-            detail: error.to_string().into(),
-        }),
+        Ok(bytes) => Ok(RecordedAnswer { status, content_type, body: bytes.into() }),
+        Err(error) => Err(AttemptEnd::Broken { detail: error.to_string().into() }),
     }
 }
 
 /// Returns the content type of an answer.
 pub(super) fn content_type(answer: &ureq::http::Response<ureq::Body>) -> Box<str> {
-    let value = answer
-        .headers()
-        .get("content-type")
-        .and_then(|value| value.to_str().ok());
+    let value = answer.headers().get("content-type").and_then(|value| value.to_str().ok());
     value.unwrap_or("application/octet-stream").into()
 }
--- a/crates/daemon/src/call/pool.rs
+++ b/crates/daemon/src/call/pool.rs
@@ -75,18 +75,8 @@
     #[must_use]
     pub fn new(adaptors: Adaptors, side: SidePool, inputs: Sender<Input>, calls: u32) -> Self {
         let (jobs, queue) = channel::bounded(calls as usize);
-        let shared = Shared {
-            adaptors,
-            inputs,
-            idle: AtomicUsize::new(0),
-        };
-        Self {
-            jobs,
-            queue,
-            shared: Arc::new(shared),
-            running: BTreeMap::new(),
-            side,
-        }
+        let shared = Shared { adaptors, inputs, idle: AtomicUsize::new(0) };
+        Self { jobs, queue, shared: Arc::new(shared), running: BTreeMap::new(), side }
     }
 
     /// Starts an attempt.
@@ -94,10 +84,7 @@
         let attempt = job.dispatch.attempt;
         let cancelled = Arc::new(AtomicBool::new(false));
         let engine = engine_name(&job);
-        let running = Running {
-            cancelled: Arc::clone(&cancelled),
-            engine,
-        };
+        let running = Running { cancelled: Arc::clone(&cancelled), engine };
         self.running.insert(attempt, running);
         if self.shared.idle.load(Ordering::Acquire) <= self.queue.len() {
             self.spawn();
@@ -110,9 +97,7 @@
 
     fn spawn(&self) {
         let (queue, shared) = (self.queue.clone(), Arc::clone(&self.shared));
-        let builder = std::thread::Builder::new()
-            .name("call".into())
-            .stack_size(STACK);
+        let builder = std::thread::Builder::new().name("call".into()).stack_size(STACK);
         if let Err(error) = builder.spawn(move || work(&queue, &shared)) {
             log::error!(event = "no-thread"; "a thread for a call can't be started: {error}");
         }
@@ -148,11 +133,7 @@
 
 /// Returns where an engine runs an attempt and by which name, to be able to tell it to stop.
 fn engine_name(job: &CallJob) -> Option<(Box<str>, Box<str>)> {
-    let Target::Upstream {
-        address,
-        kind: UpstreamKind::Engine,
-    } = &job.dispatch.target
-    else {
+    let Target::Upstream { address, kind: UpstreamKind::Engine } = &job.dispatch.target else {
         return None;
     };
     let name = attempt_name(job.dispatch.attempt, job.exchange.as_deref());
@@ -175,21 +156,10 @@
 
 fn run(job: &CallJob, cancelled: &AtomicBool, shared: &Shared) -> AttemptEnd {
     let (dispatch, exchange) = (&job.dispatch, job.exchange.as_deref());
-    let cx = CallContext {
-        dispatch,
-        exchange,
-        cancelled,
-        inputs: &shared.inputs,
-    };
+    let cx = CallContext { dispatch, exchange, cancelled, inputs: &shared.inputs };
     let adaptor = match &dispatch.target {
-        Target::Upstream {
-            kind: UpstreamKind::Engine,
-            ..
-        } => &shared.adaptors.engine,
-        Target::Upstream {
-            kind: UpstreamKind::Plain,
-            ..
-        } => &shared.adaptors.plain,
+        Target::Upstream { kind: UpstreamKind::Engine, .. } => &shared.adaptors.engine,
+        Target::Upstream { kind: UpstreamKind::Plain, .. } => &shared.adaptors.plain,
         Target::Host { .. } => &shared.adaptors.host,
     };
     adaptor.run(&cx)
--- a/crates/daemon/src/call/side.rs
+++ b/crates/daemon/src/call/side.rs
@@ -61,19 +61,13 @@
         let mut threads = Vec::new();
         for _ in 0..LOAD_THREADS {
             let (agents, jobs, inputs) = (agents.clone(), load_jobs.clone(), inputs.clone());
-            threads.push(std::thread::spawn(move || {
-                run_loads(&agents, &jobs, &inputs)
-            }));
+            threads.push(std::thread::spawn(move || run_loads(&agents, &jobs, &inputs)));
         }
         for _ in 0..CANCEL_THREADS {
             let (agents, jobs) = (agents.clone(), cancel_jobs.clone());
             threads.push(std::thread::spawn(move || run_cancels(&agents, &jobs)));
         }
-        Self {
-            loads,
-            cancels,
-            threads,
-        }
+        Self { loads, cancels, threads }
     }
 
     /// Gives an order; one that finds no room is lost, and the core gives it again.
@@ -95,10 +89,7 @@
 fn run_loads(agents: &Agents, jobs: &Receiver<OrderJob>, inputs: &Sender<Input>) {
     for job in jobs {
         let version = load(agents, &job);
-        let event = Event::OrderEnded {
-            order: job.order,
-            version,
-        };
+        let event = Event::OrderEnded { order: job.order, version };
         if inputs.send(Input::Event(event)).is_err() {
             return;
         }
@@ -109,24 +100,11 @@
 fn load(agents: &Agents, job: &OrderJob) -> Option<u64> {
     let timeout = Duration::from_millis(job.timeout.0.max(1));
     let url = format!("http://{}/load", job.address);
-    let body = LoadBody {
-        version: job.version,
-        fence: job.fence,
-    };
-    let request = agents
-        .fresh
-        .post(&url)
-        .config()
-        .timeout_global(Some(timeout))
-        .build();
+    let body = LoadBody { version: job.version, fence: job.fence };
+    let request = agents.fresh.post(&url).config().timeout_global(Some(timeout)).build();
     let _ = request.send_json(body);
     let url = format!("http://{}/state", job.address);
-    let request = agents
-        .fresh
-        .get(&url)
-        .config()
-        .timeout_global(Some(SMALL_TIMEOUT))
-        .build();
+    let request = agents.fresh.get(&url).config().timeout_global(Some(SMALL_TIMEOUT)).build();
     let state: EngineState = request.call().ok()?.body_mut().read_json().ok()?;
     Some(state.version)
 }
@@ -134,11 +112,7 @@
 fn run_cancels(agents: &Agents, jobs: &Receiver<CancelJob>) {
     for job in jobs {
         let url = format!("http://{}/cancel", job.address);
-        let request = agents
-            .fresh
-            .post(&url)
-            .config()
-            .timeout_global(Some(SMALL_TIMEOUT));
+        let request = agents.fresh.post(&url).config().timeout_global(Some(SMALL_TIMEOUT));
         let _ = request.build().send_json(CancelBody { id: job.id });
     }
 }
--- a/crates/daemon/src/clock.rs
+++ b/crates/daemon/src/clock.rs
@@ -14,9 +14,7 @@
     /// Starts the monotonic clock at zero.
     #[must_use]
     pub fn start() -> Self {
-        Self {
-            start: Instant::now(),
-        }
+        Self { start: Instant::now() }
     }
 
     /// Reads both clocks.
@@ -29,16 +27,13 @@
     /// Returns the instant of a point on the monotonic clock.
     #[must_use]
     pub fn instant(&self, at: Millis) -> Option<Instant> {
-        self.start
-            .checked_add(std::time::Duration::from_millis(at.0))
+        self.start.checked_add(std::time::Duration::from_millis(at.0))
     }
 }
 
 /// Returns the wall time.
 #[must_use]
 pub fn wall() -> Millis {
-    let since = SystemTime::now()
-        .duration_since(UNIX_EPOCH)
-        .unwrap_or_default();
+    let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
     Millis(u64::try_from(since.as_millis()).unwrap_or(u64::MAX))
 }
--- a/crates/daemon/src/control.rs
+++ b/crates/daemon/src/control.rs
@@ -105,8 +105,7 @@
         let Some(at) = self.clock.instant(self.core.next_deadline()) else {
             return LONGEST_WAIT;
         };
-        at.saturating_duration_since(Instant::now())
-            .min(LONGEST_WAIT)
+        at.saturating_duration_since(Instant::now()).min(LONGEST_WAIT)
     }
 
     fn feed(&mut self, event: Event) {
@@ -136,10 +135,7 @@
             return;
         }
         self.sweep_at = now + SWEEP_EVERY;
-        let gone = self
-            .exchanges
-            .values()
-            .filter(|exchange| exchange.is_gone());
+        let gone = self.exchanges.values().filter(|exchange| exchange.is_gone());
         let tags: Vec<RequestTag> = gone.map(|exchange| exchange.tag).collect();
         for tag in tags {
             self.exchanges.remove(&tag);
@@ -162,20 +158,8 @@
                 };
                 let _ = disk.send(DiskJob { token, records });
             }
-            Action::Order {
-                order,
-                address,
-                version,
-                fence,
-                timeout,
-            } => {
-                self.outlets.calls.order(OrderJob {
-                    order,
-                    address,
-                    version,
-                    fence,
-                    timeout,
-                });
+            Action::Order { order, address, version, fence, timeout } => {
+                self.outlets.calls.order(OrderJob { order, address, version, fence, timeout });
             }
             Action::Note(event) => note(&event),
             Action::Exit => self.ended = true,
@@ -205,11 +189,8 @@
     /// Makes the input for a call that can't be taken because too many events wait.
     #[must_use]
     pub fn too_many() -> Problem {
-        Problem::not_run(
-            ErrorKind::Overloaded,
-            "the host has too many events waiting",
-        )
-        .retry_after(Millis(1_000))
+        Problem::not_run(ErrorKind::Overloaded, "the host has too many events waiting")
+            .retry_after(Millis(1_000))
     }
 }
 
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -51,11 +51,7 @@
         watch_signals(inputs)?;
         let mut control = Control::new(core, clock, events, outlets);
         control.perform_all(restore_actions);
-        Ok(Self {
-            control,
-            http,
-            disk: restored.thread,
-        })
+        Ok(Self { control, http, disk: restored.thread })
     }
 
     /// Runs until the host is told to stop and holds nothing any more.
@@ -68,9 +64,7 @@
             .name("control".into())
             .spawn(move || self.control.run())
             .context("the control thread can't be started")?;
-        let ran = thread
-            .join()
-            .map_err(|_| anyhow::anyhow!("the control thread panicked"))?;
+        let ran = thread.join().map_err(|_| anyhow::anyhow!("the control thread panicked"))?;
         self.http.close();
         if let Some(disk) = self.disk.filter(|_| ran.is_ok()) {
             disk.close();
@@ -82,31 +76,17 @@
 fn restore(settings: &Settings, inputs: &Sender<Input>) -> anyhow::Result<Restored> {
     let Some(path) = &settings.host.data else {
         let incarnation = clock::wall().0;
-        return Ok(Restored {
-            incarnation,
-            records: Vec::new(),
-            thread: None,
-            jobs: None,
-        });
+        return Ok(Restored { incarnation, records: Vec::new(), thread: None, jobs: None });
     };
     let (folder, identity, records) = DataFolder::open(path, &settings.host.name)?;
     let (thread, jobs) = DiskThread::start(folder, inputs.clone())?;
     let incarnation = identity.incarnation;
-    Ok(Restored {
-        incarnation,
-        records,
-        thread: Some(thread),
-        jobs: Some(jobs),
-    })
+    Ok(Restored { incarnation, records, thread: Some(thread), jobs: Some(jobs) })
 }
 
 fn host_settings(settings: &Settings, incarnation: u64) -> HostSettings {
     let me = &settings.me().spec;
-    let fleet: Vec<_> = settings
-        .fleet
-        .iter()
-        .map(|peer| peer.spec.clone())
-        .collect();
+    let fleet: Vec<_> = settings.fleet.iter().map(|peer| peer.spec.clone()).collect();
     let election = u64::try_from(settings.host.election.as_millis()).unwrap_or(u64::MAX);
     HostSettings::new(me.name.clone(), me.zone.clone())
         .fleet(me.id, fleet)
@@ -124,16 +104,10 @@
     disk: Option<Sender<DiskJob>>,
 ) -> anyhow::Result<Outlets> {
     let agents = Agents::new();
-    let http: BTreeMap<HostId, _> = settings
-        .fleet
-        .iter()
-        .map(|peer| (peer.spec.id, peer.http))
-        .collect();
-    let links: BTreeMap<HostId, _> = settings
-        .fleet
-        .iter()
-        .map(|peer| (peer.spec.id, peer.link))
-        .collect();
+    let http: BTreeMap<HostId, _> =
+        settings.fleet.iter().map(|peer| (peer.spec.id, peer.http)).collect();
+    let links: BTreeMap<HostId, _> =
+        settings.fleet.iter().map(|peer| (peer.spec.id, peer.link)).collect();
     let adaptors = Adaptors {
         engine: Box::new(EngineAdaptor::new(agents.clone())),
         plain: Box::new(PlainAdaptor::new(agents.clone())),
--- a/crates/daemon/src/disk/codec.rs
+++ b/crates/daemon/src/disk/codec.rs
@@ -40,11 +40,8 @@
             break;
         };
         let sum = u32::from_le_bytes([bytes[at + 4], bytes[at + 5], bytes[at + 6], bytes[at + 7]]);
-        let record = if crc32fast::hash(body) == sum {
-            ciborium::from_reader(body).ok()
-        } else {
-            None
-        };
+        let record =
+            if crc32fast::hash(body) == sum { ciborium::from_reader(body).ok() } else { None };
         match record {
             Some(record) => records.push(record),
             None if next == bytes.len() => break,
--- a/crates/daemon/src/disk/condenser.rs
+++ b/crates/daemon/src/disk/condenser.rs
@@ -54,10 +54,7 @@
                 records.push(Record::Snapshot { group, snapshot });
             }
             for entry in kept.entries.values() {
-                records.push(Record::Entry {
-                    group,
-                    entry: entry.clone(),
-                });
+                records.push(Record::Entry { group, entry: entry.clone() });
             }
         }
         records
@@ -70,11 +67,7 @@
     fn take_snapshot(&mut self, snapshot: &Snapshot) {
         let after = self.entries.split_off(&(snapshot.index + 1));
         let joins = self.entries.get(&snapshot.index).map(|entry| entry.term);
-        self.entries = if joins == Some(snapshot.term) {
-            after
-        } else {
-            BTreeMap::new()
-        };
+        self.entries = if joins == Some(snapshot.term) { after } else { BTreeMap::new() };
         self.snapshot = Some(snapshot.clone());
     }
 }
--- a/crates/daemon/src/disk/folder.rs
+++ b/crates/daemon/src/disk/folder.rs
@@ -54,11 +54,7 @@
         fs::create_dir_all(path).with_context(|| format!("{} can't be made", path.display()))?;
         let identity = identity(path, host)?;
         let name = path.join(JOURNAL);
-        let bytes = if name.exists() {
-            fs::read(&name)?
-        } else {
-            Vec::new()
-        };
+        let bytes = if name.exists() { fs::read(&name)? } else { Vec::new() };
         let (records, length) =
             codec::decode_all(&bytes).with_context(|| format!("{}", name.display()))?;
         let mut journal = OpenOptions::new()
@@ -76,11 +72,7 @@
         sync_folder(path)?;
         let mut condenser = Condenser::default();
         records.iter().for_each(|record| condenser.take(record));
-        let folder = Self {
-            path: path.into(),
-            journal,
-            condenser,
-        };
+        let folder = Self { path: path.into(), journal, condenser };
         Ok((folder, identity, records))
     }
 
@@ -99,21 +91,12 @@
 
 impl Disk for DataFolder {
     fn write(&mut self, records: &[Record]) -> anyhow::Result<()> {
-        records
-            .iter()
-            .for_each(|record| self.condenser.take(record));
-        if records
-            .iter()
-            .any(|record| matches!(record, Record::Snapshot { .. }))
-        {
+        records.iter().for_each(|record| self.condenser.take(record));
+        if records.iter().any(|record| matches!(record, Record::Snapshot { .. })) {
             return self.condense().context("the journal can't be written anew");
         }
-        self.journal
-            .write_all(&codec::encode(records)?)
-            .context("the journal can't be written")?;
-        self.journal
-            .sync_data()
-            .context("the journal can't be synced")
+        self.journal.write_all(&codec::encode(records)?).context("the journal can't be written")?;
+        self.journal.sync_data().context("the journal can't be synced")
     }
 }
 
@@ -123,10 +106,7 @@
         if path.join(JOURNAL).exists() {
             bail!("{} has a journal but no {IDENTITY}", path.display());
         }
-        let identity = Identity {
-            host: host.into(),
-            incarnation: clock::wall().0,
-        };
+        let identity = Identity { host: host.into(), incarnation: clock::wall().0 };
         let mut file = File::create(&name)?;
         file.write_all(&serde_json::to_vec(&identity)?)?;
         file.sync_all()?;
@@ -136,17 +116,11 @@
     let identity: Identity = serde_json::from_slice(&fs::read(&name)?)
         .with_context(|| format!("{} can't be read", name.display()))?;
     if &*identity.host != host {
-        bail!(
-            "{} belongs to host {}, not to {host}",
-            path.display(),
-            identity.host
-        );
+        bail!("{} belongs to host {}, not to {host}", path.display(), identity.host);
     }
     Ok(identity)
 }
 
 fn sync_folder(path: &Path) -> anyhow::Result<()> {
-    File::open(path)?
-        .sync_all()
-        .with_context(|| format!("{} can't be synced", path.display()))
+    File::open(path)?.sync_all().with_context(|| format!("{} can't be synced", path.display()))
 }
--- a/crates/daemon/src/exchange.rs
+++ b/crates/daemon/src/exchange.rs
@@ -125,12 +125,7 @@
     #[must_use]
     pub fn json(status: u16, body: &impl Serialize) -> Self {
         let body = serde_json::to_vec(body).unwrap_or_default().into();
-        Self {
-            status,
-            content_type: header::JSON.into(),
-            headers: Vec::new(),
-            body,
-        }
+        Self { status, content_type: header::JSON.into(), headers: Vec::new(), body }
     }
 
     /// Makes an answer of one that an upstream gave.
@@ -138,12 +133,7 @@
     pub fn from_recorded(answer: &RecordedAnswer) -> Self {
         let body = Bytes::copy_from_slice(&answer.body);
         let content_type = answer.content_type.clone();
-        Self {
-            status: answer.status,
-            content_type,
-            headers: Vec::new(),
-            body,
-        }
+        Self { status: answer.status, content_type, headers: Vec::new(), body }
     }
 }
 
@@ -153,22 +143,12 @@
     pub fn open(tag: RequestTag, inbound: Inbound) -> (Self, mpsc::Receiver<Reply>) {
         let (replies, rx) = mpsc::channel(PIECES_WAITING);
         let (writer, generated) = (AtomicU64::new(0), Mutex::default());
-        (
-            Self {
-                tag,
-                inbound,
-                replies,
-                writer,
-                generated,
-            },
-            rx,
-        )
+        (Self { tag, inbound, replies, writer, generated }, rx)
     }
 
     /// Makes an attempt the only one that may write.
     pub fn let_write(&self, attempt: AttemptKey) {
-        self.writer
-            .store(attempt_number(attempt), Ordering::Release);
+        self.writer.store(attempt_number(attempt), Ordering::Release);
     }
 
     /// Sends a piece on behalf of an attempt and tells whether anyone still takes it.
@@ -186,10 +166,7 @@
     /// Returns what has been generated so far.
     #[must_use]
     pub fn generated(&self) -> Generated {
-        self.generated
-            .lock()
-            .map(|generated| generated.clone())
-            .unwrap_or_default()
+        self.generated.lock().map(|generated| generated.clone()).unwrap_or_default()
     }
 
     /// Tells whether an attempt can go on at a token; one that begins anew voids what was there.
--- a/crates/daemon/src/http/calls.rs
+++ b/crates/daemon/src/http/calls.rs
@@ -44,31 +44,18 @@
         Route::Submit { trainer, step } => {
             let body: SubmitBody = parse(intake)?;
             let (service, groups) = (body.service, body.groups);
-            core(Call::Submit {
-                trainer,
-                service,
-                step,
-                groups,
-            })
+            core(Call::Submit { trainer, service, step, groups })
         }
         Route::Fetch { trainer } => fetch(intake, trainer),
         Route::Publish { trainer } => {
             let body: PublishBody = parse(intake)?;
-            core(Call::Publish {
-                trainer,
-                service: body.service,
-                version: body.version,
-            })
+            core(Call::Publish { trainer, service: body.service, version: body.version })
         }
         Route::Announce => announce(intake),
         Route::Load => {
             let body: LoadReportBody = parse(intake)?;
             let (name, running, waiting) = (body.name, body.running, body.waiting);
-            Ok(Intent::Event(Event::Load {
-                name,
-                running,
-                waiting,
-            }))
+            Ok(Intent::Event(Event::Load { name, running, waiting }))
         }
         Route::Leave => {
             let body: LeaveBody = parse(intake)?;
@@ -100,8 +87,7 @@
     let Some(text) = intake.query(name) else {
         return Ok(default);
     };
-    text.parse()
-        .map_err(|_| bad(format!("{name}={text} is not a whole number")))
+    text.parse().map_err(|_| bad(format!("{name}={text} is not a whole number")))
 }
 
 fn chat(intake: &Intake) -> Result<Intent, Problem> {
@@ -113,20 +99,12 @@
         return Err(bad("the answer may have no tokens"));
     }
     let prompt = body.prompt();
-    let cut = (0..=PREFIX.min(prompt.len()))
-        .rev()
-        .find(|at| prompt.is_char_boundary(*at));
+    let cut = (0..=PREFIX.min(prompt.len())).rev().find(|at| prompt.is_char_boundary(*at));
     let prefix = checksum(&[&prompt[..cut.unwrap_or(0)]]);
     let call = run_call(intake, body.model.clone(), body.tokens(), prefix);
     let created = clock::wall().0 / 1_000;
     let writer = ChatWriter::new(intake.trace.clone(), &body, created);
-    Ok(Intent::Call(
-        Call::Run(call),
-        Shape::Chat {
-            body: Box::new(body),
-            writer,
-        },
-    ))
+    Ok(Intent::Call(Call::Run(call), Shape::Chat { body: Box::new(body), writer }))
 }
 
 fn service_call(intake: &Intake, service: Box<str>, path: Box<str>) -> Intent {
@@ -152,45 +130,31 @@
     let max = number(intake, "max", u64::from(DEFAULT_SAMPLES))?.min(u64::from(MOST_SAMPLES));
     let wait = Millis(number(intake, "wait_ms", 0)?).min(LONGEST_FETCH);
     let max = u32::try_from(max).unwrap_or(MOST_SAMPLES);
-    core(Call::Fetch {
-        trainer,
-        cursor,
-        max,
-        wait,
-    })
+    core(Call::Fetch { trainer, cursor, max, wait })
 }
 
 fn announce(intake: &Intake) -> Result<Intent, Problem> {
     let body: AnnounceBody = parse(intake)?;
     let address: Result<std::net::SocketAddr, _> = body.address.parse();
     if address.is_err() {
-        return Err(bad(format!(
-            "address {} is not an IP number and port",
-            body.address
-        )));
+        return Err(bad(format!("address {} is not an IP number and port", body.address)));
     }
     if body.name.is_empty() || body.service.is_empty() || body.slots == 0 {
-        return Err(bad(
-            "an announcement needs a name, a service and at least one slot",
-        ));
+        return Err(bad("an announcement needs a name, a service and at least one slot"));
     }
     Ok(Intent::Event(Event::Announced(UpstreamSpec::from(body))))
 }
 
 fn query(route: &Route, intake: &Intake) -> Result<Query, Problem> {
     let query = match route {
-        Route::Settings => Query::Settings {
-            service: intake.query("service").map(Into::into),
-        },
+        Route::Settings => Query::Settings { service: intake.query("service").map(Into::into) },
         Route::Hosts => Query::Hosts,
         Route::Upstreams => Query::Upstreams,
         Route::Trainers => Query::Trainers,
         Route::Timeline => {
             let wall = Millis(number(intake, "after_ms", 0)?);
             let count = u32::try_from(number(intake, "after_count", 0)?).unwrap_or(u32::MAX);
-            Query::Timeline {
-                after: Stamp { wall, count },
-            }
+            Query::Timeline { after: Stamp { wall, count } }
         }
         _ => Query::Counters,
     };
--- a/crates/daemon/src/http/intake.rs
+++ b/crates/daemon/src/http/intake.rs
@@ -62,9 +62,7 @@
         if let Some(trace) = intake.header(header::REQUEST_ID) {
             intake.trace = trace.into();
         }
-        intake
-            .headers
-            .insert(header::REQUEST_ID, intake.trace_value());
+        intake.headers.insert(header::REQUEST_ID, intake.trace_value());
         Ok(intake)
     }
 
@@ -97,23 +95,14 @@
         let Some(text) = self.header(header::DEADLINE_MS) else {
             return Ok(None);
         };
-        let wrong = || {
-            format!(
-                "{} {text} is not a number of milliseconds",
-                header::DEADLINE_MS
-            )
-        };
-        let read = text
-            .parse()
-            .map_err(|_| Problem::not_run(ErrorKind::BadRequest, wrong()));
+        let wrong = || format!("{} {text} is not a number of milliseconds", header::DEADLINE_MS);
+        let read = text.parse().map_err(|_| Problem::not_run(ErrorKind::BadRequest, wrong()));
         Ok(Some(Millis(read?)))
     }
 
     /// Returns how many hosts have handed the call on.
     pub(super) fn hops(&self) -> u8 {
-        self.header(header::HOPS)
-            .and_then(|text| text.parse().ok())
-            .unwrap_or(0)
+        self.header(header::HOPS).and_then(|text| text.parse().ok()).unwrap_or(0)
     }
 
     /// Tells whether the one run of a recorded request is handed over.
@@ -121,6 +110,11 @@
         self.header(header::GRANTED) == Some("yes")
     }
 
+    /// Tells whether another host may have run the call already.
+    pub(super) fn maybe_ran(&self) -> bool {
+        self.header(header::MAYBE_RAN) == Some("yes")
+    }
+
     /// Returns the headers that are handed on.
     pub(super) fn handed_on(&self) -> Vec<(Box<str>, Box<str>)> {
         let mut headers = Vec::new();
@@ -145,10 +139,7 @@
     let mut buf = BytesMut::new();
     while let Some(frame) = body.frame().await {
         let broken = |error: hyper::Error| {
-            Problem::not_run(
-                ErrorKind::BadRequest,
-                format!("the body broke off: {error}"),
-            )
+            Problem::not_run(ErrorKind::BadRequest, format!("the body broke off: {error}"))
         };
         let Ok(data) = frame.map_err(broken)?.into_data() else {
             continue;
--- a/crates/daemon/src/http/metrics.rs
+++ b/crates/daemon/src/http/metrics.rs
@@ -9,9 +9,7 @@
 use crate::exchange::WholeReply;
 
 /// The buckets of the answering time, in seconds.
-const BUCKETS: [f64; 12] = [
-    0.001, 0.002, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 5.0, 30.0,
-];
+const BUCKETS: [f64; 12] = [0.001, 0.002, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 5.0, 30.0];
 
 struct Metrics {
     registry: Registry,
@@ -24,21 +22,14 @@
 impl Metrics {
     fn new() -> Result<Self, prometheus::Error> {
         let registry = Registry::new();
-        let opts = Opts::new(
-            "chestnutdrift_core",
-            "Counters and gauges of the core, by name",
-        );
+        let opts = Opts::new("chestnutdrift_core", "Counters and gauges of the core, by name");
         let core = IntGaugeVec::new(opts, &["name"])?;
         let help = "Time from the head of a request to the start of its answer";
         let opts = HistogramOpts::new("chestnutdrift_answer_seconds", help);
         let seconds = Histogram::with_opts(opts.buckets(BUCKETS.to_vec()))?;
         registry.register(Box::new(core.clone()))?;
         registry.register(Box::new(seconds.clone()))?;
-        Ok(Self {
-            registry,
-            core,
-            seconds,
-        })
+        Ok(Self { registry, core, seconds })
     }
 }
 
@@ -58,12 +49,7 @@
         let _ = TextEncoder::new().encode(&metrics.registry.gather(), &mut body);
     }
     let content_type = "text/plain; version=0.0.4".into();
-    WholeReply {
-        status: 200,
-        content_type,
-        headers: Vec::new(),
-        body: Bytes::from(body),
-    }
+    WholeReply { status: 200, content_type, headers: Vec::new(), body: Bytes::from(body) }
 }
 
 fn set(core: &IntGaugeVec, counters: &Counters) {
@@ -80,7 +66,6 @@
         ("ready", u64::from(counters.ready)),
     ];
     for (name, value) in values {
-        core.with_label_values(&[name])
-            .set(i64::try_from(value).unwrap_or(i64::MAX));
+        core.with_label_values(&[name]).set(i64::try_from(value).unwrap_or(i64::MAX));
     }
 }
--- a/crates/daemon/src/http/reply.rs
+++ b/crates/daemon/src/http/reply.rs
@@ -47,11 +47,7 @@
         Answer::Counters(counters) if &*inbound.path == "/metrics" => metrics::reply(&counters),
         Answer::Counters(counters) => {
             let status = if counters.ready { 200 } else { NOT_READY };
-            let status = if &*inbound.path == "/healthz" {
-                200
-            } else {
-                status
-            };
+            let status = if &*inbound.path == "/healthz" { 200 } else { status };
             WholeReply::json(status, &json!({ "ready": counters.ready }))
         }
         Answer::Draining => WholeReply::json(202, &json!({ "draining": true })),
--- a/crates/daemon/src/http/router.rs
+++ b/crates/daemon/src/http/router.rs
@@ -29,11 +29,7 @@
 pub(super) fn route(method: &str, path: &str) -> Result<Route, ErrorKind> {
     let segments: Vec<&str> = path.trim_matches('/').split('/').collect();
     let (wanted, route) = find(&segments).ok_or(ErrorKind::NotFound)?;
-    if wanted == method {
-        Ok(route)
-    } else {
-        Err(ErrorKind::MethodNotAllowed)
-    }
+    if wanted == method { Ok(route) } else { Err(ErrorKind::MethodNotAllowed) }
 }
 
 fn find(segments: &[&str]) -> Option<(&'static str, Route)> {
@@ -42,13 +38,9 @@
         ["readyz"] => ("GET", Route::Ready),
         ["metrics"] => ("GET", Route::Metrics),
         ["v1", "chat", "completions"] => ("POST", Route::Chat),
-        ["v1", "services", service, path @ ..] if !service.is_empty() => (
-            "POST",
-            Route::Service {
-                service: (*service).into(),
-                path: path.join("/").into(),
-            },
-        ),
+        ["v1", "services", service, path @ ..] if !service.is_empty() => {
+            ("POST", Route::Service { service: (*service).into(), path: path.join("/").into() })
+        }
         ["v1", "trainers", trainer, rest @ ..] if !trainer.is_empty() => {
             return find_trainers(trainer, rest);
         }
--- a/crates/daemon/src/http/server.rs
+++ b/crates/daemon/src/http/server.rs
@@ -99,28 +99,14 @@
         let (stop, stopped) = watch::channel(false);
         let connections = cfg.limits.connections;
         let open = Arc::new(Semaphore::new(connections as usize));
-        let front = Arc::new(Front {
-            cfg,
-            inputs,
-            tags: AtomicU64::new(1),
-        });
+        let front = Arc::new(Front { cfg, inputs, tags: AtomicU64::new(1) });
         runtime.spawn(accept(listener, front, Arc::clone(&open), stopped));
-        Ok(Self {
-            runtime,
-            stop,
-            open,
-            connections,
-        })
+        Ok(Self { runtime, stop, open, connections })
     }
 
     /// Stops listening, lets open connections finish what they hold, and ends the threads.
     pub fn close(self) {
-        let Self {
-            runtime,
-            stop,
-            open,
-            connections,
-        } = self;
+        let Self { runtime, stop, open, connections } = self;
         let _ = stop.send(true);
         runtime.block_on(async {
             let all = open.acquire_many(connections);
@@ -214,10 +200,7 @@
         })?;
         let trace = format!("{}-{:x}-{}", self.cfg.host, self.cfg.life, tag.0).into();
         let limits = &self.cfg.limits;
-        let bounds = BodyBounds {
-            bytes: limits.body,
-            timeout: limits.body_timeout,
-        };
+        let bounds = BodyBounds { bytes: limits.body, timeout: limits.body_timeout };
         let intake = Intake::read(request, trace, bounds).await?;
         match calls::intent(route, &intake)? {
             Intent::Event(event) => self.tell(event),
@@ -228,6 +211,7 @@
                     deadline: intake.deadline()?,
                     hops: intake.hops(),
                     granted: intake.granted(),
+                    maybe_ran: intake.maybe_ran(),
                     call,
                 };
                 let inbound = Inbound {
@@ -252,10 +236,9 @@
         match self.inputs.try_send(input) {
             Ok(()) => Ok(()),
             Err(TrySendError::Full(_)) => Err(Input::too_many()),
-            Err(TrySendError::Disconnected(_)) => Err(Problem::not_run(
-                ErrorKind::NotReady,
-                "the host has stopped",
-            )),
+            Err(TrySendError::Disconnected(_)) => {
+                Err(Problem::not_run(ErrorKind::NotReady, "the host has stopped"))
+            }
         }
     }
 
@@ -267,11 +250,7 @@
         let tag = arrival.tag;
         let (exchange, mut replies) = Exchange::open(tag, inbound);
         self.send(Input::Open(arrival, Arc::new(exchange)))?;
-        let mut gone = Gone {
-            inputs: &self.inputs,
-            tag,
-            answered: false,
-        };
+        let mut gone = Gone { inputs: &self.inputs, tag, answered: false };
         let first = replies.recv().await;
         gone.answered = true;
         match first {
@@ -302,15 +281,12 @@
 }
 
 fn whole(reply: WholeReply) -> Response<ReplyBody> {
-    let mut builder = Response::builder()
-        .status(reply.status)
-        .header("content-type", &*reply.content_type);
+    let mut builder =
+        Response::builder().status(reply.status).header("content-type", &*reply.content_type);
     for (name, value) in &reply.headers {
         builder = builder.header(*name, &**value);
     }
-    let body = Full::new(reply.body)
-        .map_err(|never| match never {})
-        .boxed_unsync();
+    let body = Full::new(reply.body).map_err(|never| match never {}).boxed_unsync();
     builder.body(body).unwrap_or_default()
 }
 
--- a/crates/daemon/src/link.rs
+++ b/crates/daemon/src/link.rs
@@ -56,11 +56,7 @@
             .block_on(TcpListener::bind(address))
             .with_context(|| format!("{address} can't be bound"))?;
         runtime.spawn(inbound::accept(listener, inputs));
-        Ok(Self {
-            runtime,
-            peers,
-            queues: BTreeMap::new(),
-        })
+        Ok(Self { runtime, peers, queues: BTreeMap::new() })
     }
 
     /// Sends a message, or drops it where the queue of its link is full.
--- a/crates/daemon/src/link/inbound.rs
+++ b/crates/daemon/src/link/inbound.rs
@@ -48,10 +48,7 @@
                 continue;
             }
         };
-        if inputs
-            .try_send(Input::Event(Event::Received(envelope)))
-            .is_err()
-        {
+        if inputs.try_send(Input::Event(Event::Received(envelope))).is_err() {
             log::debug!(event = "message-dropped"; "too many events wait");
         }
     }
--- a/crates/daemon/src/logging.rs
+++ b/crates/daemon/src/logging.rs
@@ -24,11 +24,9 @@
 ///
 /// Returns an error where the file can't be opened or a log was started before.
 pub fn start(settings: &LogSettings) -> anyhow::Result<()> {
-    let dispatch = fern::Dispatch::new()
-        .level(settings.level)
-        .format(|out, message, record| {
-            out.finish(format_args!("{}", line(message, record)));
-        });
+    let dispatch = fern::Dispatch::new().level(settings.level).format(|out, message, record| {
+        out.finish(format_args!("{}", line(message, record)));
+    });
     let dispatch = match &settings.file {
         Some(path) => {
             let file = fern::log_file(path)
@@ -43,14 +41,9 @@
 fn line(message: &Arguments<'_>, record: &Record<'_>) -> Value {
     let mut fields = Fields(Map::new());
     fields.0.insert("wall_ms".into(), clock::wall().0.into());
-    fields.0.insert(
-        "level".into(),
-        record.level().as_str().to_lowercase().into(),
-    );
+    fields.0.insert("level".into(), record.level().as_str().to_lowercase().into());
     let _ = record.key_values().visit(&mut fields);
-    fields
-        .0
-        .insert("message".into(), message.to_string().into());
+    fields.0.insert("message".into(), message.to_string().into());
     Value::Object(fields.0)
 }
 
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -26,10 +26,7 @@
     let args: Vec<String> = std::env::args().skip(1).collect();
     let options = options();
     if args.iter().any(|arg| arg == "-h" || arg == "--help") {
-        print!(
-            "{}",
-            options.usage("usage: chestnutdriftd --settings FILE [--check]")
-        );
+        print!("{}", options.usage("usage: chestnutdriftd --settings FILE [--check]"));
         return ExitCode::SUCCESS;
     }
     let matches = match options.parse(&args) {
@@ -52,11 +49,7 @@
         return ExitCode::from(BAD_SETTINGS);
     }
     if matches.opt_present("check") {
-        println!(
-            "{}: the settings of {} can be used",
-            path.display(),
-            settings.host.name
-        );
+        println!("{}: the settings of {} can be used", path.display(), settings.host.name);
         return ExitCode::SUCCESS;
     }
     run(&settings)
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -82,10 +82,7 @@
     /// Returns this host among the peers.
     #[must_use]
     pub fn me(&self) -> &Peer {
-        let found = self
-            .fleet
-            .iter()
-            .find(|peer| peer.spec.name == self.host.name);
+        let found = self.fleet.iter().find(|peer| peer.spec.name == self.host.name);
         found.unwrap_or(&self.fleet[0])
     }
 
--- a/crates/daemon/src/settings/reader.rs
+++ b/crates/daemon/src/settings/reader.rs
@@ -34,25 +34,13 @@
         right: impl Into<Box<str>>,
     ) -> Self {
         let (section, key) = (section.into(), key.into());
-        Self {
-            path: path.into(),
-            section,
-            key,
-            wrong: wrong.into(),
-            right: right.into(),
-        }
+        Self { path: path.into(), section, key, wrong: wrong.into(), right: right.into() }
     }
 }
 
 impl Display for SettingsError {
     fn fmt(&self, f: &mut Formatter<'_>) -> std::fmt::Result {
-        write!(
-            f,
-            "{}: [{}] {}: ",
-            self.path.display(),
-            self.section,
-            self.key
-        )?;
+        write!(f, "{}: [{}] {}: ", self.path.display(), self.section, self.key)?;
         write!(f, "{}; expected {}", self.wrong, self.right)
     }
 }
@@ -60,14 +48,8 @@
 impl std::error::Error for SettingsError {}
 
 const HOST_KEYS: [&str; 4] = ["name", "data", "seed", "election"];
-const LIMIT_KEYS: [&str; 6] = [
-    "calls",
-    "connections",
-    "body",
-    "head_timeout",
-    "body_timeout",
-    "timeline",
-];
+const LIMIT_KEYS: [&str; 6] =
+    ["calls", "connections", "body", "head_timeout", "body_timeout", "timeline"];
 const LOG_KEYS: [&str; 2] = ["level", "file"];
 const PEER_KEYS: [&str; 5] = ["id", "zone", "http", "link", "disk"];
 
@@ -95,25 +77,13 @@
             continue;
         }
         let right = "[host], [limits], [log] or [peer NAME]";
-        return Err(SettingsError::new(
-            path,
-            name,
-            "-",
-            "no such section",
-            right,
-        ));
+        return Err(SettingsError::new(path, name, "-", "no such section", right));
     }
     let outside = ini.general_section().iter().next();
     let Some((key, _)) = outside else {
         return Ok(());
     };
-    Err(SettingsError::new(
-        path,
-        "",
-        key,
-        "stands outside every section",
-        "a section before it",
-    ))
+    Err(SettingsError::new(path, "", key, "stands outside every section", "a section before it"))
 }
 
 /// One section, whose keys have been checked.
@@ -130,11 +100,7 @@
         name: &'a str,
         known: &[&str],
     ) -> Result<Self, SettingsError> {
-        let section = Self {
-            path,
-            name,
-            keys: ini.section(Some(name)),
-        };
+        let section = Self { path, name, keys: ini.section(Some(name)) };
         for (key, _) in section.keys.into_iter().flat_map(Properties::iter) {
             if known.contains(&key) {
                 continue;
@@ -180,21 +146,14 @@
     }
 
     fn duration(&self, key: &str, default: Duration) -> Result<Duration, SettingsError> {
-        self.with(
-            key,
-            default,
-            "a time with its unit, such as 250ms, 10s or 5min",
-            parse_duration,
-        )
+        self.with(key, default, "a time with its unit, such as 250ms, 10s or 5min", parse_duration)
     }
 }
 
 fn host(section: &Section<'_>) -> Result<HostSection, SettingsError> {
     const ELECTION: Duration = Duration::from_millis(1_000);
     Ok(HostSection {
-        name: section
-            .required("name", "the NAME of one of the [peer NAME] sections")?
-            .into(),
+        name: section.required("name", "the NAME of one of the [peer NAME] sections")?.into(),
         data: section.text("data").map(PathBuf::from),
         seed: section.number("seed", 0)?,
         election: section.duration("election", ELECTION)?,
@@ -208,12 +167,7 @@
     Ok(Limits {
         calls: section.number("calls", 256)?,
         connections: section.number("connections", 1_024)?,
-        body: section.with(
-            "body",
-            BODY,
-            "a size with its unit, such as 4MiB",
-            parse_bytes,
-        )?,
+        body: section.with("body", BODY, "a size with its unit, such as 4MiB", parse_bytes)?,
         head_timeout: section.duration("head_timeout", HEAD_TIMEOUT)?,
         body_timeout: section.duration("body_timeout", BODY_TIMEOUT)?,
         timeline: section.number("timeline", 4_096)?,
@@ -247,16 +201,13 @@
     let id = id.ok_or_else(|| section.fault("id", "can't be used", "a number from 1 to 65535"))?;
     let read = |key: &str| -> Result<SocketAddr, SettingsError> {
         let text = section.required(key, address)?;
-        text.parse()
-            .map_err(|_| section.fault(key, format!("{text:?} can't be read"), address))
+        text.parse().map_err(|_| section.fault(key, format!("{text:?} can't be read"), address))
     };
     let http = read("http")?;
     let spec = PeerSpec {
         id: HostId(id),
         name: name.into(),
-        zone: section
-            .required("zone", "the name of its availability zone")?
-            .into(),
+        zone: section.required("zone", "the name of its availability zone")?.into(),
         disk: section.with("disk", false, "yes or no", |text| match text {
             "yes" => Some(true),
             "no" => Some(false),
@@ -264,11 +215,7 @@
         })?,
         http: http.to_string().into(),
     };
-    Ok(Peer {
-        spec,
-        http,
-        link: read("link")?,
-    })
+    Ok(Peer { spec, http, link: read("link")? })
 }
 
 fn check_whole(path: &Path, settings: &Settings) -> Result<(), SettingsError> {
@@ -278,41 +225,20 @@
         let section = format!("peer {}", peer.spec.name);
         if !ids.insert(peer.spec.id) {
             let right = "a number that no other peer has";
-            return Err(SettingsError::new(
-                path,
-                &section,
-                "id",
-                "is used twice",
-                right,
-            ));
+            return Err(SettingsError::new(path, &section, "id", "is used twice", right));
         }
         for (key, address) in [("http", peer.http), ("link", peer.link)] {
             if addresses.insert(address) {
                 continue;
             }
             let right = "an address that no other key has";
-            return Err(SettingsError::new(
-                path,
-                &section,
-                key,
-                "is used twice",
-                right,
-            ));
+            return Err(SettingsError::new(path, &section, key, "is used twice", right));
         }
     }
-    let me = settings
-        .fleet
-        .iter()
-        .find(|peer| peer.spec.name == settings.host.name);
+    let me = settings.fleet.iter().find(|peer| peer.spec.name == settings.host.name);
     let Some(me) = me else {
         let wrong = format!("there is no [peer {}]", settings.host.name);
-        return Err(SettingsError::new(
-            path,
-            "host",
-            "name",
-            wrong,
-            "a section for this host",
-        ));
+        return Err(SettingsError::new(path, "host", "name", wrong, "a section for this host"));
     };
     if me.spec.disk == settings.host.data.is_some() {
         return Ok(());
