--- a/crates/daemon/src/settings/units.rs
+++ b/crates/daemon/src/settings/units.rs
@@ -2,12 +2,8 @@
 
 use std::time::Duration;
 
-const BYTE_UNITS: [(&str, u64); 4] = [
-    ("KiB", 1 << 10),
-    ("MiB", 1 << 20),
-    ("GiB", 1 << 30),
-    ("B", 1),
-];
+const BYTE_UNITS: [(&str, u64); 4] =
+    [("KiB", 1 << 10), ("MiB", 1 << 20), ("GiB", 1 << 30), ("B", 1)];
 
 const TIME_UNITS: [(&str, u64); 4] = [("ms", 1), ("s", 1_000), ("min", 60_000), ("h", 3_600_000)];
 
--- a/crates/standins/src/announcer.rs
+++ b/crates/standins/src/announcer.rs
@@ -28,12 +28,7 @@
         let stop = Arc::new(AtomicBool::new(false));
         let (stopped, to, name) = (Arc::clone(&stop), hosts.clone(), body.name.clone());
         let thread = std::thread::spawn(move || run(&to, body, &version, &stopped));
-        Self {
-            stop,
-            thread,
-            hosts,
-            name,
-        }
+        Self { stop, thread, hosts, name }
     }
 
     /// Falls silent without a word, as a process that is killed does.
@@ -49,12 +44,7 @@
         let client = Client::new(Duration::from_secs(1));
         for host in &self.hosts {
             let url = format!("http://{host}/v1/upstreams/leave");
-            let _ = client.post(
-                &url,
-                &LeaveBody {
-                    name: self.name.clone(),
-                },
-            );
+            let _ = client.post(&url, &LeaveBody { name: self.name.clone() });
         }
     }
 }
--- a/crates/standins/src/balancer.rs
+++ b/crates/standins/src/balancer.rs
@@ -60,11 +60,7 @@
             }
         });
         runtime.spawn(accept(listener, Arc::clone(&shared)));
-        Ok(Self {
-            runtime,
-            address,
-            shared,
-        })
+        Ok(Self { runtime, address, shared })
     }
 
     /// Returns where it listens.
@@ -99,11 +95,7 @@
         let Ok((mut caller, _)) = listener.accept().await else {
             continue;
         };
-        let ready = shared
-            .ready
-            .lock()
-            .map(|ready| ready.clone())
-            .unwrap_or_default();
+        let ready = shared.ready.lock().map(|ready| ready.clone()).unwrap_or_default();
         if ready.is_empty() {
             continue;
         }
--- a/crates/standins/src/client.rs
+++ b/crates/standins/src/client.rs
@@ -42,10 +42,7 @@
     /// Returns a header.
     #[must_use]
     pub fn header(&self, name: &str) -> Option<&str> {
-        self.headers
-            .iter()
-            .find(|(other, _)| &**other == name)
-            .map(|(_, value)| &**value)
+        self.headers.iter().find(|(other, _)| &**other == name).map(|(_, value)| &**value)
     }
 
     /// Returns the answer where its status is 200.
@@ -76,9 +73,7 @@
             .timeout_global(Some(timeout))
             .max_idle_age(Duration::from_secs(3))
             .build();
-        Self {
-            agent: config.new_agent(),
-        }
+        Self { agent: config.new_agent() }
     }
 
     /// Fetches.
@@ -123,12 +118,7 @@
     ///
     /// Returns an error where no whole answer came.
     pub fn post_bytes(&self, url: &str, body: &[u8]) -> anyhow::Result<Answer> {
-        read(
-            self.agent
-                .post(url)
-                .content_type("application/json")
-                .send(body)?,
-        )
+        read(self.agent.post(url).content_type("application/json").send(body)?)
     }
 
     /// Fetches JSON.
@@ -145,16 +135,9 @@
     let status = answer.status().as_u16();
     let mut headers = Vec::new();
     for (name, value) in answer.headers() {
-        headers.push((
-            name.as_str().into(),
-            value.to_str().unwrap_or_default().into(),
-        ));
+        headers.push((name.as_str().into(), value.to_str().unwrap_or_default().into()));
     }
     let mut body = answer.into_body();
     let body = body.with_config().limit(MOST_BYTES).read_to_vec()?;
-    Ok(Answer {
-        status,
-        headers,
-        body,
-    })
+    Ok(Answer { status, headers, body })
 }
--- a/crates/standins/src/desk.rs
+++ b/crates/standins/src/desk.rs
@@ -66,11 +66,7 @@
             idempotent: false,
         };
         let announcer = Announcer::start(cfg.hosts, body, Arc::new(AtomicU64::new(0)));
-        Ok(Self {
-            server,
-            announcer,
-            bookings,
-        })
+        Ok(Self { server, announcer, bookings })
     }
 
     /// Returns where it listens.
@@ -82,10 +78,7 @@
     /// Returns how often each key was booked.
     #[must_use]
     pub fn bookings(&self) -> BTreeMap<Box<str>, u32> {
-        self.bookings
-            .lock()
-            .map(|bookings| bookings.clone())
-            .unwrap_or_default()
+        self.bookings.lock().map(|bookings| bookings.clone()).unwrap_or_default()
     }
 
     /// Leaves and stops.
@@ -102,10 +95,7 @@
     incomer: Incomer,
 ) -> Response<Body> {
     if &*incomer.path == "/bookings" && &*incomer.method == "GET" {
-        let all = bookings
-            .lock()
-            .map(|bookings| bookings.clone())
-            .unwrap_or_default();
+        let all = bookings.lock().map(|bookings| bookings.clone()).unwrap_or_default();
         return json(200, &all);
     }
     let count = {
--- a/crates/standins/src/engine.rs
+++ b/crates/standins/src/engine.rs
@@ -191,11 +191,7 @@
             idempotent: true,
         };
         let announcer = Announcer::start(cfg.hosts, body, version);
-        Ok(Self {
-            server,
-            announcer,
-            name: cfg.name,
-        })
+        Ok(Self { server, announcer, name: cfg.name })
     }
 
     /// Returns where it listens.
@@ -225,9 +221,7 @@
 
 /// Returns a number that grows with each start.
 pub(crate) fn life() -> u64 {
-    let since = SystemTime::now()
-        .duration_since(UNIX_EPOCH)
-        .unwrap_or_default();
+    let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
     u64::try_from(since.as_micros()).unwrap_or(u64::MAX)
 }
 
@@ -275,9 +269,7 @@
     }
 
     fn is_cancelled(&self, id: &str) -> bool {
-        self.cancelled
-            .lock()
-            .is_ok_and(|mut cancelled| cancelled.remove(id))
+        self.cancelled.lock().is_ok_and(|mut cancelled| cancelled.remove(id))
     }
 
     fn token_time(&self) -> Duration {
@@ -320,12 +312,8 @@
     if fault.slow_times > 0 {
         state.slow_times.store(fault.slow_times, Ordering::Release);
     }
-    state
-        .break_streams
-        .fetch_add(fault.break_streams, Ordering::AcqRel);
-    state
-        .fail_loads
-        .fetch_add(fault.fail_loads, Ordering::AcqRel);
+    state.break_streams.fetch_add(fault.break_streams, Ordering::AcqRel);
+    state.fail_loads.fetch_add(fault.fail_loads, Ordering::AcqRel);
     json(200, &"done")
 }
 
@@ -340,11 +328,7 @@
 
 /// Takes one from a count of faults, and tells whether there was one.
 fn take_one(count: &AtomicU32) -> bool {
-    count
-        .fetch_update(Ordering::AcqRel, Ordering::Acquire, |left| {
-            left.checked_sub(1)
-        })
-        .is_ok()
+    count.fetch_update(Ordering::AcqRel, Ordering::Acquire, |left| left.checked_sub(1)).is_ok()
 }
 
 async fn load(state: &State, body: LoadBody) -> Response<Body> {
@@ -388,11 +372,7 @@
     state.started.fetch_add(1, Ordering::AcqRel);
     let whole = run_tokens(&state, &body, &tx).await;
     state.running.fetch_sub(1, Ordering::AcqRel);
-    let count = if whole {
-        &state.finished
-    } else {
-        &state.dropped
-    };
+    let count = if whole { &state.finished } else { &state.dropped };
     count.fetch_add(1, Ordering::AcqRel);
 }
 
@@ -408,16 +388,7 @@
         }
         let version = state.version.load(Ordering::Acquire);
         let tokens = vec![token(&body.prompt, at).into()];
-        if !send(
-            tx,
-            &Tokens {
-                at,
-                tokens,
-                version,
-            },
-        )
-        .await
-        {
+        if !send(tx, &Tokens { at, tokens, version }).await {
             return false;
         }
         state.tokens.fetch_add(1, Ordering::AcqRel);
@@ -425,14 +396,7 @@
     if ended.load(Ordering::Acquire) {
         return false;
     }
-    send(
-        tx,
-        &End {
-            end: "length".into(),
-            count: body.max_tokens,
-        },
-    )
-    .await
+    send(tx, &End { end: "length".into(), count: body.max_tokens }).await
 }
 
 async fn send(tx: &mpsc::Sender<Bytes>, line: &impl Serialize) -> bool {
--- a/crates/standins/src/experiment.rs
+++ b/crates/standins/src/experiment.rs
@@ -43,25 +43,11 @@
     let stat = std::fs::read_to_string(format!("/proc/{id}/stat"))?;
     let (_, fields) = stat.rsplit_once(')').unwrap_or(("", ""));
     let fields: Vec<&str> = fields.split_whitespace().collect();
-    let ticks = |at: usize| {
-        fields
-            .get(at)
-            .and_then(|text| text.parse().ok())
-            .unwrap_or(0.0)
-    };
+    let ticks = |at: usize| fields.get(at).and_then(|text| text.parse().ok()).unwrap_or(0.0);
     let cpu_seconds = (ticks(11) + ticks(12)) / TICKS_PER_SECOND;
     let status = std::fs::read_to_string(format!("/proc/{id}/status"))?;
-    let line = status
-        .lines()
-        .find(|line| line.starts_with("VmRSS:"))
-        .unwrap_or_default();
-    let kilobytes: u64 = line
-        .split_whitespace()
-        .nth(1)
-        .and_then(|text| text.parse().ok())
-        .unwrap_or(0);
-    Ok(Usage {
-        cpu_seconds,
-        resident: kilobytes * BYTES_PER_KB,
-    })
+    let line = status.lines().find(|line| line.starts_with("VmRSS:")).unwrap_or_default();
+    let kilobytes: u64 =
+        line.split_whitespace().nth(1).and_then(|text| text.parse().ok()).unwrap_or(0);
+    Ok(Usage { cpu_seconds, resident: kilobytes * BYTES_PER_KB })
 }
--- a/crates/standins/src/experiment/control.rs
+++ b/crates/standins/src/experiment/control.rs
@@ -25,9 +25,7 @@
 fn measure(folder: &Path, zones: usize, hosts: usize) -> anyhow::Result<()> {
     let names: Vec<String> = (0..zones).map(|at| format!("zone-{at}")).collect();
     let names: Vec<&str> = names.iter().map(String::as_str).collect();
-    let plan = FleetPlan::new(&names)
-        .hosts_per_zone(hosts)
-        .log_level("warn");
+    let plan = FleetPlan::new(&names).hosts_per_zone(hosts).log_level("warn");
     let mut fleet = Fleet::start(&plan, folder)?;
     fleet.wait_ready(WAIT)?;
     let count = fleet.hosts.len();
@@ -36,18 +34,12 @@
     let after = read(&mut fleet, count)?;
     let seconds = MEASURED.as_secs_f64();
     let rate = |at: usize| {
-        let mut rates: Vec<f64> = before
-            .iter()
-            .zip(&after)
-            .map(|(old, new)| (new[at] - old[at]) / seconds)
-            .collect();
+        let mut rates: Vec<f64> =
+            before.iter().zip(&after).map(|(old, new)| (new[at] - old[at]) / seconds).collect();
         spread(&mut rates)
     };
     let (cpu, sent, messages) = (rate(0), rate(2), rate(3));
-    let mut resident: Vec<f64> = after
-        .iter()
-        .map(|row| row[1] / f64::from(1 << 20))
-        .collect();
+    let mut resident: Vec<f64> = after.iter().map(|row| row[1] / f64::from(1 << 20)).collect();
     let resident = spread(&mut resident);
     println!(
         "{zones:<5} {count:<6} {:<5.2} {:<6.2} {:<5.1} {:<6.1} {:<7.0} {:<7.0} {:<5.1} {:.1}",
--- a/crates/standins/src/experiment/overhead.rs
+++ b/crates/standins/src/experiment/overhead.rs
@@ -30,20 +30,15 @@
 /// Runs the experiment.
 pub(super) fn run(folder: &Path, seed: u64) -> anyhow::Result<()> {
     let limits = "calls = 512\nconnections = 4096";
-    let plan = FleetPlan::new(&["zone-a"])
-        .hosts_per_zone(1)
-        .limits(limits)
-        .log_level("warn");
+    let plan = FleetPlan::new(&["zone-a"]).hosts_per_zone(1).limits(limits).log_level("warn");
     let mut fleet = Fleet::prepare(&plan, folder)?;
     fleet.start_host(0)?;
     let id = fleet.process(0)?.id();
     pin(id)?;
     fleet.wait_ready(WAIT)?;
     let engines = engines(&fleet)?;
-    let addresses: Vec<Box<str>> = engines
-        .iter()
-        .map(|engine| engine.address().to_string().into())
-        .collect();
+    let addresses: Vec<Box<str>> =
+        engines.iter().map(|engine| engine.address().to_string().into()).collect();
     compare(&fleet, &addresses, id, seed)?;
     saturate(&fleet, id, seed)?;
     for engine in engines {
@@ -59,10 +54,7 @@
         .args(["-a", "-p", "-c", "0,1", &id])
         .stdout(std::process::Stdio::null())
         .status()?;
-    anyhow::ensure!(
-        status.success(),
-        "the daemon can't be kept to two processors"
-    );
+    anyhow::ensure!(status.success(), "the daemon can't be kept to two processors");
     Ok(())
 }
 
@@ -77,25 +69,13 @@
         engines.push(Engine::start(cfg)?);
     }
     wait_until("the engines are known", WAIT, || {
-        let listed = fleet
-            .client
-            .get_json(&fleet.url(0, "/v1/operator/upstreams"));
+        let listed = fleet.client.get_json(&fleet.url(0, "/v1/operator/upstreams"));
         listed.is_ok_and(|list| list.as_array().is_some_and(|list| list.len() == ENGINES))
     })?;
     let base = fleet.settings_version(0)?;
     let (key, value, reason) = ("upstream_slots".into(), Some(256), "".into());
-    let edits = vec![EditBody {
-        key,
-        value,
-        scope: None,
-        reason,
-    }];
-    let change = ChangeBody {
-        id: "overhead".into(),
-        base,
-        by: "overhead".into(),
-        edits,
-    };
+    let edits = vec![EditBody { key, value, scope: None, reason }];
+    let change = ChangeBody { id: "overhead".into(), base, by: "overhead".into(), edits };
     let answer = fleet.change(0, &change)?;
     anyhow::ensure!(answer.accepted, "{answer:?}");
     Ok(engines)
@@ -108,16 +88,10 @@
     for pair in 0..PAIRS {
         let seed = seed + pair;
         let direct = LoadTarget::Engines(engines.to_vec());
-        let plan = LoadPlan::new(direct, SERVICE)
-            .requests(rate, count)
-            .senders(128)
-            .seed(seed);
+        let plan = LoadPlan::new(direct, SERVICE).requests(rate, count).senders(128).seed(seed);
         row(seed, "direct", &load::run(&plan)?, None);
         let entry = LoadTarget::Entry(fleet.zone_hosts("zone-a"));
-        let plan = LoadPlan {
-            target: entry,
-            ..plan
-        };
+        let plan = LoadPlan { target: entry, ..plan };
         let before = usage(id)?.cpu_seconds;
         let report = load::run(&plan)?;
         let used = usage(id)?.cpu_seconds - before;
@@ -144,10 +118,7 @@
     for rate in OFFERED {
         let entry = LoadTarget::Entry(fleet.zone_hosts("zone-a"));
         let count = (rate * OFFER_SECONDS) as usize;
-        let plan = LoadPlan::new(entry, SERVICE)
-            .requests(rate, count)
-            .senders(512)
-            .seed(seed);
+        let plan = LoadPlan::new(entry, SERVICE).requests(rate, count).senders(512).seed(seed);
         let before = usage(id)?.cpu_seconds;
         let report = load::run(&plan)?;
         let used = (usage(id)?.cpu_seconds - before) / report.took.as_secs_f64();
--- a/crates/standins/src/experiment/spread.rs
+++ b/crates/standins/src/experiment/spread.rs
@@ -30,12 +30,7 @@
         };
         let base = fleet.settings_version(entry)?;
         let id = format!("spread-{seed}-{at}").into();
-        let change = ChangeBody {
-            id,
-            base,
-            by: "spread".into(),
-            edits: vec![edit],
-        };
+        let change = ChangeBody { id, base, by: "spread".into(), edits: vec![edit] };
         let start = Instant::now();
         let answer = fleet.change(entry, &change)?;
         anyhow::ensure!(answer.accepted, "{answer:?}");
@@ -43,9 +38,7 @@
         let accepted = Instant::now();
         wait_until("the change is in force everywhere", WAIT, || {
             (0..count).all(|host| {
-                fleet
-                    .settings_version(host)
-                    .is_ok_and(|version| version >= answer.version)
+                fleet.settings_version(host).is_ok_and(|version| version >= answer.version)
             })
         })?;
         in_force.record(u64::try_from(accepted.elapsed().as_micros())?)?;
@@ -61,10 +54,5 @@
 fn row(name: &str, times: &Histogram<u64>) {
     const US_PER_MS: f64 = 1_000.0;
     let millis = |quantile| times.value_at_quantile(quantile) as f64 / US_PER_MS;
-    println!(
-        "{name:<23} {:<8.1} {:<8.1} {:.1}",
-        millis(0.5),
-        millis(0.99),
-        millis(1.0)
-    );
+    println!("{name:<23} {:<8.1} {:<8.1} {:.1}", millis(0.5), millis(0.99), millis(1.0));
 }
--- a/crates/standins/src/fleet.rs
+++ b/crates/standins/src/fleet.rs
@@ -141,10 +141,7 @@
             });
         }
         for host in &hosts {
-            let data = host
-                .data
-                .as_ref()
-                .map(|path| format!("data = {}\n", path.display()));
+            let data = host.data.as_ref().map(|path| format!("data = {}\n", path.display()));
             let text = format!(
                 "[host]\nname = {}\n{}\n[limits]\n{}\n\n[log]\nlevel = {}\n\n{peers}",
                 host.name,
@@ -155,10 +152,7 @@
             std::fs::write(&host.settings, text)
                 .with_context(|| format!("{} can't be written", host.settings.display()))?;
         }
-        Ok(Self {
-            hosts,
-            client: Client::new(CALL_TIMEOUT),
-        })
+        Ok(Self { hosts, client: Client::new(CALL_TIMEOUT) })
     }
 
     /// Starts the daemon of a host.
@@ -171,12 +165,7 @@
         let host = &mut self.hosts[at];
         let settings = host.settings.display().to_string();
         let args = ["--settings", &settings];
-        host.process = Some(Process::start(
-            host.name.clone(),
-            &program,
-            &args,
-            &host.log,
-        )?);
+        host.process = Some(Process::start(host.name.clone(), &program, &args, &host.log)?);
         Ok(())
     }
 
@@ -187,9 +176,7 @@
     /// Returns an error where it does not run.
     pub fn process(&mut self, at: usize) -> anyhow::Result<&mut Process> {
         let host = &mut self.hosts[at];
-        host.process
-            .as_mut()
-            .with_context(|| format!("{} does not run", host.name))
+        host.process.as_mut().with_context(|| format!("{} does not run", host.name))
     }
 
     /// Kills the daemon of a host.
@@ -198,10 +185,7 @@
     ///
     /// Returns an error where it does not run.
     pub fn kill_host(&mut self, at: usize) -> anyhow::Result<()> {
-        let process = self.hosts[at]
-            .process
-            .take()
-            .context("the host does not run")?;
+        let process = self.hosts[at].process.take().context("the host does not run")?;
         process.kill()
     }
 
@@ -221,9 +205,7 @@
     /// Tells whether a host takes work.
     #[must_use]
     pub fn is_ready(&self, at: usize) -> bool {
-        self.client
-            .get(&self.url(at, "/readyz"))
-            .is_ok_and(|answer| answer.status == 200)
+        self.client.get(&self.url(at, "/readyz")).is_ok_and(|answer| answer.status == 200)
     }
 
     /// Waits until every host takes work and the zones and the fleet have their leaders.
@@ -259,9 +241,7 @@
     ///
     /// Returns an error where the host does not answer.
     pub fn settings_version(&self, at: usize) -> anyhow::Result<u64> {
-        let report = self
-            .client
-            .get_json(&self.url(at, "/v1/operator/settings"))?;
+        let report = self.client.get_json(&self.url(at, "/v1/operator/settings"))?;
         report["version"].as_u64().context("no version")
     }
 
@@ -271,9 +251,7 @@
     ///
     /// Returns an error where no whole answer came.
     pub fn change(&self, at: usize, change: &ChangeBody) -> anyhow::Result<ChangedAnswer> {
-        let answer: Answer = self
-            .client
-            .post(&self.url(at, "/v1/operator/changes"), change)?;
+        let answer: Answer = self.client.post(&self.url(at, "/v1/operator/changes"), change)?;
         answer.json()
     }
 
@@ -330,9 +308,6 @@
             addresses.push(address);
         }
     }
-    anyhow::ensure!(
-        addresses.len() == count,
-        "there are not {count} free ports from {first} on"
-    );
+    anyhow::ensure!(addresses.len() == count, "there are not {count} free ports from {first} on");
     Ok(addresses)
 }
--- a/crates/standins/src/load.rs
+++ b/crates/standins/src/load.rs
@@ -54,15 +54,7 @@
     #[must_use]
     pub fn new(target: LoadTarget, service: impl Into<Box<str>>) -> Self {
         let service = service.into();
-        Self {
-            target,
-            service,
-            rate: 50.0,
-            count: 100,
-            tokens: 8,
-            senders: 64,
-            seed: 1,
-        }
+        Self { target, service, rate: 50.0, count: 100, tokens: 8, senders: 64, seed: 1 }
     }
 
     /// Sets the requests a second and in all; the default is 50 and 100.
@@ -144,9 +136,7 @@
     let mut threads = Vec::new();
     for _ in 0..plan.senders {
         let (plan, starts, next) = (plan.clone(), Arc::clone(&starts), Arc::clone(&next));
-        threads.push(std::thread::spawn(move || {
-            send(&plan, &starts, &next, begin)
-        }));
+        threads.push(std::thread::spawn(move || send(&plan, &starts, &next, begin)));
     }
     let mut report = LoadReport {
         times: Histogram::new_with_bounds(1, LONGEST_US, 3)?,
@@ -159,9 +149,7 @@
         for (ended, took) in thread.join().unwrap_or_default() {
             match ended {
                 Ended::Right => {
-                    report
-                        .times
-                        .saturating_record(u64::try_from(took.as_micros())?);
+                    report.times.saturating_record(u64::try_from(took.as_micros())?);
                 }
                 Ended::Refused => report.refused += 1,
                 Ended::Failed => report.failed += 1,
@@ -227,11 +215,7 @@
     };
     if answer.status != 200 {
         let refused = answer.text().contains("\"ran\":\"no\"");
-        return if refused {
-            Ended::Refused
-        } else {
-            Ended::Failed
-        };
+        return if refused { Ended::Refused } else { Ended::Failed };
     }
     let Ok(answer) = answer.json::<ChatAnswer>() else {
         return Ended::Wrong;
@@ -245,12 +229,7 @@
 fn generate(plan: &LoadPlan, client: &Client, engine: &str, prompt: &str) -> Ended {
     let prompt: Box<str> = format!("user: {prompt}\n").into();
     let wanted = whole_answer(&prompt, plan.tokens);
-    let body = GenerateBody {
-        id: "direct".into(),
-        prompt,
-        max_tokens: plan.tokens,
-        resume_at: 0,
-    };
+    let body = GenerateBody { id: "direct".into(), prompt, max_tokens: plan.tokens, resume_at: 0 };
     let Ok(answer) = client.post(&format!("http://{engine}/generate"), &body) else {
         return Ended::Failed;
     };
@@ -260,9 +239,5 @@
             text.push_str(&tokens.tokens.concat());
         }
     }
-    if text == wanted {
-        Ended::Right
-    } else {
-        Ended::Wrong
-    }
+    if text == wanted { Ended::Right } else { Ended::Wrong }
 }
--- a/crates/standins/src/main.rs
+++ b/crates/standins/src/main.rs
@@ -28,23 +28,14 @@
     options.optopt("", "name", "the stand-in's name", "NAME");
     options.optopt("", "service", "its service", "NAME");
     options.optopt("", "address", "where it listens", "IP:PORT");
-    options.optmulti(
-        "",
-        "host",
-        "HTTP address of a host, again for each",
-        "IP:PORT",
-    );
+    options.optmulti("", "host", "HTTP address of a host, again for each", "IP:PORT");
     options.optopt("", "store", "the weight store", "IP:PORT");
     options.optopt("", "slots", "requests that it runs at a time", "N");
     options.optopt("", "token-ms", "the time of one token", "MS");
     options.optopt("", "work-ms", "the time of one call or fetch", "MS");
     options.optopt("", "folder", "where files go", "DIR");
     options.optopt("", "seed", "the seed of an experiment", "N");
-    options.optflag(
-        "",
-        "ignores-fence",
-        "the engine does not check fencing numbers",
-    );
+    options.optflag("", "ignores-fence", "the engine does not check fencing numbers");
     options.optflag("h", "help", "print this help");
     options
 }
@@ -103,22 +94,16 @@
     let Some(text) = matches.opt_str(name) else {
         return Ok(default);
     };
-    text.parse()
-        .with_context(|| format!("--{name} {text} is not a whole number"))
+    text.parse().with_context(|| format!("--{name} {text} is not a whole number"))
 }
 
 fn address(matches: &Matches) -> anyhow::Result<SocketAddr> {
     let text = matches.opt_str("address").context("--address is missing")?;
-    text.parse()
-        .with_context(|| format!("--address {text} is not an IP number and port"))
+    text.parse().with_context(|| format!("--address {text} is not an IP number and port"))
 }
 
 fn hosts(matches: &Matches) -> Vec<Box<str>> {
-    matches
-        .opt_strs("host")
-        .into_iter()
-        .map(Into::into)
-        .collect()
+    matches.opt_strs("host").into_iter().map(Into::into).collect()
 }
 
 fn socket_hosts(matches: &Matches) -> anyhow::Result<Vec<SocketAddr>> {
@@ -147,10 +132,7 @@
 fn desk(matches: &Matches) -> anyhow::Result<DeskSettings> {
     Ok(DeskSettings {
         name: matches.opt_str("name").context("--name is missing")?.into(),
-        service: matches
-            .opt_str("service")
-            .context("--service is missing")?
-            .into(),
+        service: matches.opt_str("service").context("--service is missing")?.into(),
         address: address(matches)?,
         hosts: hosts(matches),
         work: Duration::from_millis(number(matches, "work-ms", 20)?),
--- a/crates/standins/src/process.rs
+++ b/crates/standins/src/process.rs
@@ -28,10 +28,7 @@
         args: &[&str],
         log: &Path,
     ) -> anyhow::Result<Self> {
-        let log = std::fs::File::options()
-            .create(true)
-            .append(true)
-            .open(log)?;
+        let log = std::fs::File::options().create(true).append(true).open(log)?;
         let child = Command::new(program)
             .args(args)
             .stdin(Stdio::null())
@@ -39,10 +36,7 @@
             .stderr(log)
             .spawn()
             .with_context(|| format!("{} can't be started", program.display()))?;
-        Ok(Self {
-            name: name.into(),
-            child,
-        })
+        Ok(Self { name: name.into(), child })
     }
 
     /// Returns its name.
--- a/crates/standins/src/quickstart.rs
+++ b/crates/standins/src/quickstart.rs
@@ -43,18 +43,13 @@
     let fleet = Fleet::start(&FleetPlan::new(&ZONES), &folder)?;
     println!("files of this run: {}", folder.display());
     let took = fleet.wait_ready(STAGE)?;
-    println!(
-        "9 of 9 hosts ready, every zone and the fleet led, after {} ms",
-        took.as_millis()
-    );
+    println!("9 of 9 hosts ready, every zone and the fleet led, after {} ms", took.as_millis());
     let surroundings = Surroundings::start(&fleet, &folder)?;
     wait_for_upstreams(&fleet)?;
     let entry = surroundings.entry.clone();
     let chats = std::thread::spawn(move || interactive(entry));
     train(&surroundings.entry)?;
-    let chats = chats
-        .join()
-        .map_err(|_| anyhow::anyhow!("the chats panicked"))??;
+    let chats = chats.join().map_err(|_| anyhow::anyhow!("the chats panicked"))??;
     println!("{chats}");
     stream_once(&surroundings.entry)?;
     book_twice(&surroundings)?;
@@ -89,59 +84,27 @@
             for at in 0..ENGINES_PER_ZONE {
                 let name = format!("drafter-{zone}-{at}");
                 let address = next()?;
-                let own = [
-                    "engine",
-                    "--name",
-                    &name,
-                    "--service",
-                    MODEL,
-                    "--address",
-                    &address,
-                ];
+                let own = ["engine", "--name", &name, "--service", MODEL, "--address", &address];
                 let args = [&own[..], &["--store", &store], &told].concat();
                 start(&name, &args)?;
             }
             let name = format!("desk-{zone}");
             let address = next()?;
-            let own = [
-                "desk",
-                "--name",
-                &name,
-                "--service",
-                DESK,
-                "--address",
-                &address,
-            ];
+            let own = ["desk", "--name", &name, "--service", DESK, "--address", &address];
             start(&name, &[&own[..], &told].concat())?;
             desks.push(address.into());
         }
         let entry = next()?;
-        let hosts: Vec<String> = fleet
-            .hosts
-            .iter()
-            .map(|host| host.http.to_string())
-            .collect();
-        let told: Vec<&str> = hosts
-            .iter()
-            .flat_map(|host| ["--host", host.as_str()])
-            .collect();
-        start(
-            "balancer",
-            &[&["balancer", "--address", &entry][..], &told].concat(),
-        )?;
-        Ok(Self {
-            processes,
-            entry: entry.into(),
-            desks,
-        })
+        let hosts: Vec<String> = fleet.hosts.iter().map(|host| host.http.to_string()).collect();
+        let told: Vec<&str> = hosts.iter().flat_map(|host| ["--host", host.as_str()]).collect();
+        start("balancer", &[&["balancer", "--address", &entry][..], &told].concat())?;
+        Ok(Self { processes, entry: entry.into(), desks })
     }
 
     fn close(self) -> anyhow::Result<()> {
         for process in self.processes {
             let (name, id) = (process.name().to_string(), process.id());
-            process
-                .kill()
-                .with_context(|| format!("{name} ({id}) can't be stopped"))?;
+            process.kill().with_context(|| format!("{name} ({id}) can't be stopped"))?;
         }
         Ok(())
     }
@@ -151,12 +114,9 @@
     let count = fleet.hosts.len();
     wait_until("every host knows its zone's upstreams", STAGE, || {
         (0..count).all(|at| {
-            let listed = fleet
-                .client
-                .get_json(&fleet.url(at, "/v1/operator/upstreams"));
+            let listed = fleet.client.get_json(&fleet.url(at, "/v1/operator/upstreams"));
             listed.is_ok_and(|list| {
-                list.as_array()
-                    .is_some_and(|list| list.len() == ENGINES_PER_ZONE + 1)
+                list.as_array().is_some_and(|list| list.len() == ENGINES_PER_ZONE + 1)
             })
         })
     })?;
@@ -172,10 +132,7 @@
         let groups = groups(step, GROUPS, SAMPLES, TOKENS);
         trainer.submit(step, &groups, STAGE)?;
         trainer.fetch_until(per_step * usize::try_from(step)?, STAGE)?;
-        println!(
-            "step {step}: {per_step} samples after {} ms",
-            start.elapsed().as_millis()
-        );
+        println!("step {step}: {per_step} samples after {} ms", start.elapsed().as_millis());
         if step == 1 {
             let version = trainer.publish(2, STAGE)?;
             println!("published version {version}");
@@ -186,11 +143,7 @@
 }
 
 fn check_samples(trainer: &Trainer, count: usize) -> anyhow::Result<()> {
-    ensure!(
-        trainer.received().len() == count,
-        "{} of {count} samples",
-        trainer.received().len()
-    );
+    ensure!(trainer.received().len() == count, "{} of {count} samples", trainer.received().len());
     let mut by_version = std::collections::BTreeMap::new();
     for ((step, group, index), samples) in trainer.received() {
         let place = format!("sample {step}/{group}/{index}");
@@ -198,24 +151,15 @@
         let sample = &samples[0];
         let at: u32 = group.trim_start_matches('g').parse()?;
         let prompt = format!("draft a quote for order {at} of step {step}");
-        let text = sample
-            .text
-            .as_deref()
-            .with_context(|| format!("{place} failed"))?;
-        ensure!(
-            *text == *whole_answer(&prompt, TOKENS),
-            "{place} is not its prompt's answer"
-        );
+        let text = sample.text.as_deref().with_context(|| format!("{place} failed"))?;
+        ensure!(*text == *whole_answer(&prompt, TOKENS), "{place} is not its prompt's answer");
         let mut covered = 0;
         for span in &sample.versions {
             ensure!(span.from == covered, "{place}: a gap in its versions");
             covered = span.to;
             *by_version.entry(span.version).or_insert(0_u32) += span.to - span.from;
         }
-        ensure!(
-            covered == TOKENS,
-            "{place}: versions for {covered} of {TOKENS} tokens"
-        );
+        ensure!(covered == TOKENS, "{place}: versions for {covered} of {TOKENS} tokens");
     }
     println!("{count} samples, each once and whole; tokens by version: {by_version:?}");
     Ok(())
@@ -224,10 +168,7 @@
 /// Offers chats through the balancer while the trainer works.
 fn interactive(entry: Box<str>) -> anyhow::Result<String> {
     let target = LoadTarget::Entry(vec![entry]);
-    let plan = LoadPlan::new(target, MODEL)
-        .requests(40.0, 80)
-        .tokens(8)
-        .seed(7);
+    let plan = LoadPlan::new(target, MODEL).requests(40.0, 80).tokens(8).seed(7);
     let report = load::run(&plan)?;
     ensure!(report.wrong == 0 && report.failed == 0, "{report:?}");
     ensure!(report.refused == 0, "{} chats were refused", report.refused);
@@ -255,21 +196,11 @@
             continue;
         };
         let chunk: Value = serde_json::from_str(data)?;
-        answer.push_str(
-            chunk["choices"][0]["delta"]["content"]
-                .as_str()
-                .unwrap_or_default(),
-        );
+        answer.push_str(chunk["choices"][0]["delta"]["content"].as_str().unwrap_or_default());
     }
     let wanted = whole_answer("user: two stretcher bars\n", 6);
-    ensure!(
-        answer == wanted,
-        "the stream gave {answer:?}, not {wanted:?}"
-    );
-    ensure!(
-        text.trim_end().ends_with("data: [DONE]"),
-        "the stream has no end mark"
-    );
+    ensure!(answer == wanted, "the stream gave {answer:?}, not {wanted:?}");
+    ensure!(text.trim_end().ends_with("data: [DONE]"), "the stream has no end mark");
     println!("a streamed chat came whole, with its end mark");
     Ok(())
 }
@@ -278,40 +209,26 @@
 fn book_twice(surroundings: &Surroundings) -> anyhow::Result<()> {
     let client = Client::new(STAGE);
     let url = format!("http://{}/v1/services/{DESK}/pallets", surroundings.entry);
-    let headers = [
-        ("idempotency-key", "pallet-1"),
-        ("chestnutdrift-caller", "shop-7"),
-    ];
+    let headers = [("idempotency-key", "pallet-1"), ("chestnutdrift-caller", "shop-7")];
     let mut answers = Vec::new();
     for _ in 0..2 {
         let body = json!({ "canvas": 40 });
         answers.push(client.post_with(&url, &body, &headers)?.ok()?.text());
     }
-    ensure!(
-        answers[0] == answers[1],
-        "two answers for one booking: {answers:?}"
-    );
+    ensure!(answers[0] == answers[1], "two answers for one booking: {answers:?}");
     let mut ran = 0;
     for desk in &surroundings.desks {
         let bookings = client.get_json(&format!("http://{desk}/bookings"))?;
         ran += bookings["pallet-1"].as_u64().unwrap_or(0);
     }
     ensure!(ran == 1, "the booking ran {ran} times");
-    println!(
-        "a booking sent twice ran once, both answers: {}",
-        answers[0]
-    );
+    println!("a booking sent twice ran once, both answers: {}", answers[0]);
     Ok(())
 }
 
 fn change_once(fleet: &Fleet) -> anyhow::Result<()> {
     let edits = vec![
-        EditBody {
-            key: "staleness".into(),
-            value: Some(3),
-            scope: None,
-            reason: "".into(),
-        },
+        EditBody { key: "staleness".into(), value: Some(3), scope: None, reason: "".into() },
         EditBody {
             key: "upstream_slots".into(),
             value: Some(6),
@@ -321,40 +238,23 @@
     ];
     let base = fleet.settings_version(0)?;
     let id = "quickstart-1".into();
-    let change = ChangeBody {
-        id,
-        base,
-        by: "quickstart".into(),
-        edits,
-    };
+    let change = ChangeBody { id, base, by: "quickstart".into(), edits };
     let start = Instant::now();
     let answer = fleet.change(4, &change)?;
     ensure!(answer.accepted, "the change was not accepted: {answer:?}");
     let again = fleet.change(8, &change)?;
-    ensure!(
-        again == answer,
-        "the change sent again got {again:?}, not {answer:?}"
-    );
+    ensure!(again == answer, "the change sent again got {again:?}, not {answer:?}");
     let count = fleet.hosts.len();
-    wait_until(
-        "the change is in force everywhere",
-        Duration::from_secs(5),
-        || {
-            (0..count).all(|at| {
-                fleet
-                    .settings_version(at)
-                    .is_ok_and(|in_force| in_force == answer.version)
-            })
-        },
-    )?;
+    wait_until("the change is in force everywhere", Duration::from_secs(5), || {
+        (0..count)
+            .all(|at| fleet.settings_version(at).is_ok_and(|in_force| in_force == answer.version))
+    })?;
     println!(
         "settings version {} in force on {count} of {count} hosts after {} ms",
         answer.version,
         start.elapsed().as_millis()
     );
-    let report = fleet
-        .client
-        .get_json(&fleet.url(3, "/v1/operator/settings"))?;
+    let report = fleet.client.get_json(&fleet.url(3, "/v1/operator/settings"))?;
     for effective in report["effective"].as_array().into_iter().flatten() {
         if effective["from"] == "built-in" {
             continue;
@@ -370,19 +270,9 @@
     let output = std::process::Command::new(program)
         .args(["--host", &entry, "timeline", "--kind", "settings-in-force"])
         .output()?;
-    ensure!(
-        output.status.success(),
-        "{}",
-        String::from_utf8_lossy(&output.stderr)
-    );
+    ensure!(output.status.success(), "{}", String::from_utf8_lossy(&output.stderr));
     let text = String::from_utf8_lossy(&output.stdout);
-    ensure!(
-        text.lines().count() == fleet.hosts.len(),
-        "the time line gave:\n{text}"
-    );
-    println!(
-        "time line of all processes, when the change came into force:\n{}",
-        text.trim_end()
-    );
+    ensure!(text.lines().count() == fleet.hosts.len(), "the time line gave:\n{text}");
+    println!("time line of all processes, when the change came into force:\n{}", text.trim_end());
     Ok(())
 }
--- a/crates/standins/src/server.rs
+++ b/crates/standins/src/server.rs
@@ -97,9 +97,7 @@
             async move { Ok::<_, Infallible>(answer(request, handler).await) }
         });
         tokio::spawn(async move {
-            let _ = http1::Builder::new()
-                .serve_connection(TokioIo::new(stream), service)
-                .await;
+            let _ = http1::Builder::new().serve_connection(TokioIo::new(stream), service).await;
         });
     }
 }
@@ -113,10 +111,7 @@
     let Ok(body) = body.collect().await else {
         return json(400, &"the body broke off");
     };
-    let key = parts
-        .headers
-        .get("idempotency-key")
-        .and_then(|value| value.to_str().ok());
+    let key = parts.headers.get("idempotency-key").and_then(|value| value.to_str().ok());
     let incomer = Incomer {
         method: parts.method.as_str().into(),
         path: parts.uri.path().into(),
@@ -131,8 +126,6 @@
 pub fn json(status: u16, body: &impl Serialize) -> Response<Body> {
     let bytes = serde_json::to_vec(body).unwrap_or_default();
     let body = Full::new(Bytes::from(bytes)).boxed_unsync();
-    let builder = Response::builder()
-        .status(status)
-        .header("content-type", "application/json");
+    let builder = Response::builder().status(status).header("content-type", "application/json");
     builder.body(body).unwrap_or_default()
 }
--- a/crates/standins/src/store.rs
+++ b/crates/standins/src/store.rs
@@ -79,8 +79,6 @@
 /// Returns an error where the store does not give it.
 pub fn fetch(store: &str, version: u64) -> anyhow::Result<()> {
     let client = Client::new(FETCH_TIMEOUT);
-    client
-        .get(&format!("http://{store}/weights/{version}"))?
-        .ok()?;
+    client.get(&format!("http://{store}/weights/{version}"))?.ok()?;
     Ok(())
 }
--- a/crates/standins/src/trainer.rs
+++ b/crates/standins/src/trainer.rs
@@ -69,14 +69,8 @@
         groups: &[PromptGroup],
         within: Duration,
     ) -> anyhow::Result<u32> {
-        let url = format!(
-            "http://{}/v1/trainers/{}/steps/{step}/groups",
-            self.entry, self.name
-        );
-        let body = SubmitBody {
-            service: self.service.clone(),
-            groups: groups.to_vec(),
-        };
+        let url = format!("http://{}/v1/trainers/{}/steps/{step}/groups", self.entry, self.name);
+        let body = SubmitBody { service: self.service.clone(), groups: groups.to_vec() };
         let answer: SubmitAnswer = again(within, || self.client.post(&url, &body)?.ok()?.json())?;
         Ok(answer.added)
     }
@@ -88,10 +82,7 @@
     /// Returns the last answer where none was a success in time.
     pub fn publish(&self, version: u64, within: Duration) -> anyhow::Result<u64> {
         let url = format!("http://{}/v1/trainers/{}/versions", self.entry, self.name);
-        let body = PublishBody {
-            service: self.service.clone(),
-            version,
-        };
+        let body = PublishBody { service: self.service.clone(), version };
         let answer: PublishAnswer = again(within, || self.client.post(&url, &body)?.ok()?.json())?;
         Ok(answer.version)
     }
@@ -126,10 +117,7 @@
         let end = Instant::now() + within;
         while self.received.len() < count {
             if Instant::now() > end {
-                bail!(
-                    "{} of {count} samples after {within:?}",
-                    self.received.len()
-                );
+                bail!("{} of {count} samples after {within:?}", self.received.len());
             }
             if self.fetch(MAX).is_err() {
                 std::thread::sleep(PAUSE);
--- a/crates/wire/src/api/chat.rs
+++ b/crates/wire/src/api/chat.rs
@@ -72,9 +72,7 @@
     /// Returns the most tokens of the answer.
     #[must_use]
     pub fn tokens(&self) -> u32 {
-        self.max_completion_tokens
-            .or(self.max_tokens)
-            .unwrap_or(DEFAULT_MAX_TOKENS)
+        self.max_completion_tokens.or(self.max_tokens).unwrap_or(DEFAULT_MAX_TOKENS)
     }
 }
 
@@ -177,21 +175,14 @@
     pub fn new(id: impl Into<Box<str>>, body: &ChatBody, created: u64) -> Self {
         let words = body.prompt().split_whitespace().count();
         let prompt_tokens = u32::try_from(words).unwrap_or(u32::MAX);
-        Self {
-            id: id.into(),
-            model: body.model.clone(),
-            created,
-            prompt_tokens,
-        }
+        Self { id: id.into(), model: body.model.clone(), created, prompt_tokens }
     }
 
     /// Writes a whole answer of `tokens` tokens.
     #[must_use]
     pub fn whole(&self, text: &str, tokens: u32, finish: &str, versions: Vec<Span>) -> ChatAnswer {
-        let message = ChatMessage {
-            role: "assistant".into(),
-            content: ChatContent::Text(text.into()),
-        };
+        let message =
+            ChatMessage { role: "assistant".into(), content: ChatContent::Text(text.into()) };
         let usage = ChatUsage {
             prompt_tokens: self.prompt_tokens,
             completion_tokens: tokens,
@@ -202,11 +193,7 @@
             object: "chat.completion".into(),
             created: self.created,
             model: self.model.clone(),
-            choices: vec![ChatChoice {
-                index: 0,
-                message,
-                finish_reason: finish.into(),
-            }],
+            choices: vec![ChatChoice { index: 0, message, finish_reason: finish.into() }],
             usage,
             versions,
         }
@@ -215,13 +202,7 @@
     /// Writes a piece of a streamed answer as one server-sent event.
     #[must_use]
     pub fn piece(&self, text: &str) -> String {
-        self.event(
-            ChatDelta {
-                content: Some(text.into()),
-            },
-            None,
-            Vec::new(),
-        )
+        self.event(ChatDelta { content: Some(text.into()) }, None, Vec::new())
     }
 
     /// Writes the last piece and the end mark as server-sent events.
@@ -237,11 +218,7 @@
             object: "chat.completion.chunk".into(),
             created: self.created,
             model: self.model.clone(),
-            choices: vec![ChatChunkChoice {
-                index: 0,
-                delta,
-                finish_reason: finish,
-            }],
+            choices: vec![ChatChunkChoice { index: 0, delta, finish_reason: finish }],
             versions,
         };
         let json = serde_json::to_string(&chunk).unwrap_or_default();
--- a/crates/wire/src/api/operator.rs
+++ b/crates/wire/src/api/operator.rs
@@ -44,12 +44,7 @@
         for edit in self.edits {
             edits.push(edit.into_edit()?);
         }
-        Ok(Change {
-            id: self.id,
-            base: self.base,
-            by: self.by,
-            edits,
-        })
+        Ok(Change { id: self.id, base: self.base, by: self.by, edits })
     }
 }
 
@@ -61,21 +56,13 @@
             return Err(format!("no setting is named {}; there are {all}", self.key).into());
         };
         let Some(scope) = self.scope else {
-            return Ok(Edit::Default {
-                key,
-                value: self.value,
-            });
+            return Ok(Edit::Default { key, value: self.value });
         };
         let Some(scope) = Scope::parse(&scope) else {
             let right = "zone:NAME, host:NAME or service:NAME";
             return Err(format!("scope {scope} is not of the form {right}").into());
         };
-        Ok(Edit::Exception {
-            scope,
-            key,
-            value: self.value,
-            reason: self.reason,
-        })
+        Ok(Edit::Exception { scope, key, value: self.value, reason: self.reason })
     }
 }
 
@@ -94,16 +81,10 @@
 impl From<ChangeAnswer> for ChangedAnswer {
     fn from(answer: ChangeAnswer) -> Self {
         match answer {
-            ChangeAnswer::Accepted { version } => Self {
-                accepted: true,
-                version,
-                winner: None,
-            },
-            ChangeAnswer::Conflict { version, winner } => Self {
-                accepted: false,
-                version,
-                winner: Some(winner),
-            },
+            ChangeAnswer::Accepted { version } => Self { accepted: true, version, winner: None },
+            ChangeAnswer::Conflict { version, winner } => {
+                Self { accepted: false, version, winner: Some(winner) }
+            }
         }
     }
 }
--- a/crates/wire/src/api/trainer.rs
+++ b/crates/wire/src/api/trainer.rs
@@ -85,9 +85,7 @@
         let samples = batch.samples.into_iter();
         Self {
             trainer: trainer.into(),
-            samples: samples
-                .map(|sample| SampleBody::new(trainer, sample))
-                .collect(),
+            samples: samples.map(|sample| SampleBody::new(trainer, sample)).collect(),
             next: batch.next,
             outstanding: batch.outstanding,
         }
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -43,9 +43,7 @@
 /// Returns an error where the bytes are no message of this version or are too long.
 pub fn decode(bytes: &[u8]) -> Result<Envelope, FrameError> {
     if bytes.len() > MOST_BYTES {
-        return Err(FrameError(
-            format!("{} bytes are too many", bytes.len()).into(),
-        ));
+        return Err(FrameError(format!("{} bytes are too many", bytes.len()).into()));
     }
     ciborium::from_reader(bytes).map_err(|error| FrameError(error.to_string().into()))
 }
--- a/crates/wire/src/header.rs
+++ b/crates/wire/src/header.rs
@@ -21,6 +21,9 @@
 /// `yes` hands over the one run of a recorded request; set by hosts only.
 pub const GRANTED: &str = "chestnutdrift-granted";
 
+/// `yes` says that another host may have run the request already; set by hosts only.
+pub const MAYBE_RAN: &str = "chestnutdrift-maybe-ran";
+
 /// `yes` marks an answer that was given before.
 pub const REPLAYED: &str = "idempotent-replayed";
 
