--- a/crates/core/src/action.rs
+++ b/crates/core/src/action.rs
@@ -307,4 +307,8 @@
     pub settings: u64,
     /// Whether the host takes new work.
     pub ready: bool,
+    /// The groups in which the host votes.
+    pub votes: u64,
+    /// The groups that the host leads.
+    pub leads: u64,
 }
--- a/crates/core/src/agreement/replica.rs
+++ b/crates/core/src/agreement/replica.rs
@@ -237,6 +237,12 @@
         &self.base_voters
     }
 
+    /// Tells whether this host belongs to the group at all.
+    #[must_use]
+    pub fn is_member(&self) -> bool {
+        self.members.contains(&self.me.host)
+    }
+
     /// Tells whether this host, in this life of its state, is a voter.
     #[must_use]
     pub fn is_voter(&self) -> bool {
@@ -401,6 +407,9 @@
     /// Returns the next time at which [`Replica::tick`] has something to do.
     #[must_use]
     pub fn next_deadline(&self) -> Millis {
+        if !self.is_member() {
+            return Millis::MAX;
+        }
         if self.formation == 0 || !self.is_voter() {
             return self.hello_at;
         }
--- a/crates/core/src/board.rs
+++ b/crates/core/src/board.rs
@@ -369,6 +369,20 @@
             || !self.work.results.is_empty()
     }
 
+    /// Returns the leader of the fleet group with its fencing number, as far as it is known.
+    #[must_use]
+    pub fn fleet_leader(&self) -> Option<(u64, HostId)> {
+        let own = self.groups.fleet.as_ref().and_then(GroupBox::known_leader);
+        own.max(self.groups.fleet_leader)
+    }
+
+    /// Returns the leader of this zone's group with its fencing number, as far as it is known.
+    #[must_use]
+    pub fn zone_leader(&self) -> Option<(u64, HostId)> {
+        let zone = &self.groups.zone;
+        if zone.replica.is_member() { zone.known_leader() } else { self.groups.zone_leader }
+    }
+
     /// Tells whether this host leads a group and may act on it alone.
     #[must_use]
     pub fn leads(&self, group: GroupId) -> bool {
--- a/crates/core/src/board/groups.rs
+++ b/crates/core/src/board/groups.rs
@@ -72,7 +72,11 @@
     pub syncing: VecDeque<SyncBatch>,
     /// Messages that wait for a batch.
     pub held: VecDeque<HeldMessage>,
-    /// The term and leader of the fleet group, as far as this host has heard.
+    /// The hosts that agree on the fleet's settings.
+    pub fleet_members: Vec<HostId>,
+    /// The fencing number and leader of the zone group, as far as this host has heard from others.
+    pub zone_leader: Option<(u64, HostId)>,
+    /// The fencing number and leader of the fleet group, as far as this host has heard.
     pub fleet_leader: Option<(u64, HostId)>,
 }
 
@@ -80,13 +84,14 @@
     /// Makes the replicas that a host's settings name.
     #[must_use]
     pub fn new(cfg: &HostSettings) -> Self {
-        let in_zone = cfg.fleet.iter().filter(|peer| peer.zone == cfg.zone);
-        let zone: Vec<HostId> = in_zone.map(|peer| peer.id).collect();
-        let on_disk = cfg.fleet.iter().filter(|peer| peer.disk);
-        let fleet: Vec<HostId> = on_disk.map(|peer| peer.id).collect();
+        let fleet_members = cfg.fleet_members();
+        let agrees = fleet_members.contains(&cfg.id);
+        let fleet = fleet_members.clone();
         Self {
-            fleet: cfg.disk.then(|| GroupBox::new(cfg, GroupId::Fleet, fleet)),
-            zone: GroupBox::new(cfg, GroupId::Zone, zone),
+            fleet: agrees.then(|| GroupBox::new(cfg, GroupId::Fleet, fleet)),
+            zone: GroupBox::new(cfg, GroupId::Zone, cfg.zone_members()),
+            fleet_members,
+            zone_leader: None,
             fleet_state: FleetState::default(),
             records: ZoneRecords::default(),
             wishes: Vec::new(),
@@ -128,6 +133,12 @@
 }
 
 impl GroupBox {
+    /// Returns the leader that the replica knows, with the fencing number of its term.
+    #[must_use]
+    pub fn known_leader(&self) -> Option<(u64, HostId)> {
+        self.replica.leader().map(|leader| (self.replica.fence(), leader))
+    }
+
     fn new(cfg: &HostSettings, group: GroupId, members: Vec<HostId>) -> Self {
         let me = Voter::new(cfg.id, cfg.incarnation);
         let disks = cfg.fleet.iter().filter(|peer| peer.disk && members.contains(&peer.id));
--- a/crates/core/src/board/host.rs
+++ b/crates/core/src/board/host.rs
@@ -8,8 +8,8 @@
 use crate::key::{HostId, ZoneKey};
 use crate::time::Millis;
 
-/// How long a host may be silent before it is taken for down.
-const SILENT_AFTER: Millis = Millis(2_000);
+/// How long a host may be silent before it is taken for down; two heartbeats may be lost.
+const SILENT_AFTER: Millis = Millis(2_800);
 
 /// One host of the fleet.
 #[derive(Debug, Clone, Serialize, Deserialize)]
--- a/crates/core/src/board/in_force.rs
+++ b/crates/core/src/board/in_force.rs
@@ -3,6 +3,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::fleet::FleetSettings;
+use crate::key::HostId;
 use crate::time::Millis;
 
 /// The settings in force, and since when.
@@ -15,6 +16,8 @@
     pub since: Millis,
     /// Settings that came in and are to be taken where they are newer.
     pub offered: Option<FleetSettings>,
+    /// A host that serves under newer settings, and their version.
+    pub newer: Option<(HostId, u64)>,
     /// Whether other hosts are still to be told of a new version.
     pub tell: bool,
     /// Whether the fleet group's leader has said that nothing newer was accepted when this process
--- a/crates/core/src/controller/attempts.rs
+++ b/crates/core/src/controller/attempts.rs
@@ -81,7 +81,7 @@
                 self.failed(board, &attempt, detail, false);
             }
             AttemptEnd::Broken { detail } => self.failed(board, &attempt, detail, true),
-            AttemptEnd::Cancelled => self.failed(board, &attempt, "cancelled", true),
+            AttemptEnd::Cancelled => abandon(board, attempt.request),
         }
     }
 
@@ -200,6 +200,12 @@
     board.work.conclusions.insert(intent, outcome);
 }
 
+/// Ends a request whose answer nobody takes any more.
+fn abandon(board: &mut Board, key: RequestKey) {
+    let Some(request) = board.remove_request(key) else { return };
+    board.note(EventKind::CallerGone, request.trace, "nobody takes the answer");
+}
+
 fn give_up(board: &mut Board, key: RequestKey, detail: &str) {
     let Some(request) = board.requests.get(key) else {
         return;
--- a/crates/core/src/controller/dispatch.rs
+++ b/crates/core/src/controller/dispatch.rs
@@ -234,8 +234,8 @@
 fn leader(board: &mut Board, group: GroupId, zone: ZoneKey, attempts: u32) -> Option<HostId> {
     let me = board.cfg.id;
     let known = match group {
-        GroupId::Fleet => fleet_leader(board),
-        GroupId::Zone if zone == board.my_zone => board.groups.zone.replica.leader(),
+        GroupId::Fleet => board.fleet_leader().map(|(_, leader)| leader),
+        GroupId::Zone if zone == board.my_zone => board.zone_leader().map(|(_, leader)| leader),
         GroupId::Zone => board.zones[zone].digest.leader.map(|(_, leader)| leader),
     };
     let known = known.filter(|host| *host != me);
@@ -243,21 +243,16 @@
         return known;
     }
     match group {
-        GroupId::Fleet => any_disk_host(board),
+        GroupId::Fleet => any_fleet_member(board),
         GroupId::Zone if zone == board.my_zone => known,
         GroupId::Zone => any_host(board, zone),
     }
 }
 
-fn fleet_leader(board: &Board) -> Option<HostId> {
-    let own = board.groups.group(GroupId::Fleet).and_then(|group| group.replica.leader());
-    own.or(board.groups.fleet_leader.map(|(_, leader)| leader))
-}
-
-fn any_disk_host(board: &mut Board) -> Option<HostId> {
+fn any_fleet_member(board: &mut Board) -> Option<HostId> {
     let me = board.cfg.id;
-    let others = board.hosts.values().filter(|host| host.disk && host.id != me);
-    let ids: Vec<HostId> = others.map(|host| host.id).collect();
+    let mut ids = board.groups.fleet_members.clone();
+    ids.retain(|id| *id != me);
     draw(board, &ids)
 }
 
--- a/crates/core/src/controller/intents.rs
+++ b/crates/core/src/controller/intents.rs
@@ -312,7 +312,7 @@
         return;
     }
     board.due.conclusions = board.now.mono + CONCLUDE_EVERY;
-    let leader = board.groups.zone.replica.leader();
+    let leader = board.zone_leader().map(|(_, leader)| leader);
     for (key, outcome) in board.work.conclusions.clone() {
         if leader == Some(board.cfg.id) {
             wish_conclusion(board, key, outcome);
--- a/crates/core/src/controller/membership.rs
+++ b/crates/core/src/controller/membership.rs
@@ -10,7 +10,6 @@
 use rand::Rng;
 
 use super::Controller;
-use crate::agreement::GroupId;
 use crate::board::{Board, UpstreamState};
 use crate::event::Event;
 use crate::key::{HostId, HostKey, ZoneKey};
@@ -21,6 +20,12 @@
 /// The time between heartbeats within a zone.
 const NEAR_EVERY: Millis = Millis(500);
 
+/// The time between heartbeats within a zone of many hosts.
+const NEAR_EVERY_IN_LARGE_ZONE: Millis = Millis(900);
+
+/// The most hosts of a zone that is not large.
+const SMALL_ZONE: usize = 6;
+
 /// The time between heartbeats to other zones.
 const FAR_EVERY: Millis = Millis(1_000);
 
@@ -47,7 +52,7 @@
         let changed = summarise_zone(board);
         let now = board.now.mono;
         if now >= board.due.near_heartbeat || board.in_force.tell {
-            board.due.near_heartbeat = now + NEAR_EVERY;
+            board.due.near_heartbeat = now + near_every(board);
             beat_near(board);
         }
         let speaks = board.working_hosts().first() == Some(&board.cfg.id);
@@ -65,6 +70,12 @@
     }
 }
 
+/// Returns the time between heartbeats, which keeps their bytes within bounds in large zones.
+fn near_every(board: &Board) -> Millis {
+    let large = board.zones[board.my_zone].hosts.len() > SMALL_ZONE;
+    if large { NEAR_EVERY_IN_LARGE_ZONE } else { NEAR_EVERY }
+}
+
 fn heard(board: &mut Board, from: HostId) {
     let Some(key) = board.host_key(from) else {
         return;
@@ -84,6 +95,7 @@
     let Some(key) = board.host_key(from) else {
         return;
     };
+    let same_zone = board.hosts[key].zone == board.my_zone;
     let host = &mut board.hosts[key];
     host.incarnation = heartbeat.incarnation;
     host.life = heartbeat.life;
@@ -92,6 +104,9 @@
     if heartbeat.fleet_leader > board.groups.fleet_leader {
         board.groups.fleet_leader = heartbeat.fleet_leader;
     }
+    if same_zone && heartbeat.zone_leader > board.groups.zone_leader {
+        board.groups.zone_leader = heartbeat.zone_leader;
+    }
     for digest in &heartbeat.digests {
         take_digest(board, digest);
     }
@@ -169,7 +184,7 @@
         zone: board.cfg.zone.clone(),
         sequence: 0,
         hosts: board.working_hosts(),
-        leader: zone_leader(board),
+        leader: board.zone_leader(),
         services: Vec::new(),
         wanted: Vec::new(),
     };
@@ -193,11 +208,6 @@
     true
 }
 
-fn zone_leader(board: &Board) -> Option<(u64, HostId)> {
-    let replica = &board.groups.zone.replica;
-    replica.leader().map(|leader| (replica.term(), leader))
-}
-
 fn beat_near(board: &mut Board) {
     for key in board.zones[board.my_zone].hosts.clone() {
         if board.hosts[key].id == board.cfg.id {
@@ -252,16 +262,9 @@
         life: board.life,
         ready: board.ready,
         settings: board.in_force.settings.version,
-        fleet_leader: fleet_leader(board),
+        fleet_leader: board.fleet_leader(),
+        zone_leader: board.zone_leader(),
         digests,
     };
     board.send(id, Message::Heartbeat(heartbeat));
 }
-
-fn fleet_leader(board: &Board) -> Option<(u64, HostId)> {
-    let own = board.groups.group(GroupId::Fleet).and_then(|group| {
-        let leader = group.replica.leader()?;
-        Some((group.replica.fence(), leader))
-    });
-    own.max(board.groups.fleet_leader)
-}
--- a/crates/core/src/controller/queries.rs
+++ b/crates/core/src/controller/queries.rs
@@ -73,7 +73,7 @@
         if zone.digest.leader.is_some_and(|(_, leader)| leader == host.id) {
             leads.push(format!("zone {}", zone.name).into());
         }
-        if fleet_leader(board).is_some_and(|leader| leader == host.id) {
+        if board.fleet_leader().is_some_and(|(_, leader)| leader == host.id) {
             leads.push("fleet".into());
         }
         reports.push(HostReport {
@@ -90,11 +90,6 @@
     reports
 }
 
-fn fleet_leader(board: &Board) -> Option<crate::HostId> {
-    let own = board.groups.group(GroupId::Fleet).and_then(|group| group.replica.leader());
-    own.or(board.groups.fleet_leader.map(|(_, leader)| leader))
-}
-
 fn upstreams(board: &Board) -> Vec<UpstreamReport> {
     let mut reports = Vec::new();
     for upstream in board.upstreams.values() {
@@ -138,4 +133,10 @@
     board.counters.running = board.attempts.len() as u64;
     board.counters.settings = board.in_force.settings.version;
     board.counters.ready = board.ready;
+    let groups = [GroupId::Fleet, GroupId::Zone];
+    let votes = |group: &&GroupId| {
+        board.groups.group(**group).is_some_and(|group| group.replica.is_voter())
+    };
+    board.counters.votes = groups.iter().filter(votes).count() as u64;
+    board.counters.leads = groups.iter().filter(|group| board.leads(**group)).count() as u64;
 }
--- a/crates/core/src/controller/settings.rs
+++ b/crates/core/src/controller/settings.rs
@@ -15,7 +15,7 @@
 use crate::timeline::EventKind;
 
 /// The least time between two questions for newer settings.
-const PULL_EVERY: Millis = Millis(100);
+const PULL_EVERY: Millis = Millis(20);
 
 /// The time between two questions whether settings are the newest.
 const CONFIRM_EVERY: Millis = Millis(250);
@@ -29,6 +29,7 @@
         if let Some(Event::Received(envelope)) = event {
             take_message(board, envelope.from, &envelope.message);
         }
+        pull(board);
         confirm(board);
         let Some(offered) = board.in_force.offered.take() else {
             return;
@@ -47,11 +48,29 @@
     }
 
     fn next_deadline(&self, board: &Board) -> Millis {
-        let waits = !board.in_force.confirmed && !board.ready && board.draining.is_none();
-        if waits { board.due.settings_confirm } else { Millis::MAX }
+        let starts = !board.in_force.confirmed && !board.ready && board.draining.is_none();
+        let confirm = if starts { board.due.settings_confirm } else { Millis::MAX };
+        let behind = board.in_force.newer.is_some();
+        let pull = if behind { board.due.settings_pull } else { Millis::MAX };
+        confirm.min(pull)
     }
 }
 
+/// Asks the host that serves under newer settings for them, again until they are there.
+fn pull(board: &mut Board) {
+    let have = board.in_force.settings.version;
+    let Some((host, version)) = board.in_force.newer else { return };
+    if version <= have {
+        board.in_force.newer = None;
+        return;
+    }
+    if board.now.mono < board.due.settings_pull {
+        return;
+    }
+    board.due.settings_pull = board.now.mono + PULL_EVERY;
+    board.send(host, Message::SettingsPull { have });
+}
+
 /// Has the fleet group's leader confirm the settings of a host that has just started.
 fn confirm(board: &mut Board) {
     let now = board.now.mono;
@@ -64,9 +83,7 @@
     }
     board.due.settings_confirm = now + CONFIRM_EVERY;
     let have = board.in_force.settings.version;
-    let members: Vec<HostId> =
-        board.hosts.values().filter(|host| host.disk).map(|host| host.id).collect();
-    for host in members {
+    for host in board.groups.fleet_members.clone() {
         if host != board.cfg.id {
             board.send(host, Message::SettingsPull { have });
         }
@@ -77,11 +94,7 @@
     let have = board.in_force.settings.version;
     match message {
         Message::Heartbeat(heartbeat) if heartbeat.settings > have => {
-            if board.now.mono < board.due.settings_pull {
-                return;
-            }
-            board.due.settings_pull = board.now.mono + PULL_EVERY;
-            board.send(from, Message::SettingsPull { have });
+            board.in_force.newer = Some((from, heartbeat.settings));
         }
         Message::SettingsPull { have: theirs } => {
             let confirmed = board.leads(GroupId::Fleet);
--- a/crates/core/src/host_settings.rs
+++ b/crates/core/src/host_settings.rs
@@ -1,10 +1,18 @@
 //! What a host is told about itself and its peers before it starts.
 
+use std::collections::BTreeSet;
+
 use serde::{Deserialize, Serialize};
 
 use crate::key::HostId;
 use crate::time::Millis;
 
+/// The most hosts that agree on the fleet's settings.
+const MOST_FLEET_VOTERS: usize = 7;
+
+/// The most hosts that keep a zone's records.
+const MOST_ZONE_VOTERS: usize = 5;
+
 /// One host of the fleet, as written in every host's settings.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -69,6 +77,41 @@
         }
     }
 
+    /// Returns the hosts that agree on the fleet's settings: the first with a disk of each zone, an
+    /// odd number of them and no more than seven, so that agreement costs the same however large
+    /// the fleet is.
+    #[must_use]
+    pub fn fleet_members(&self) -> Vec<HostId> {
+        let mut zones = BTreeSet::new();
+        let mut members = Vec::new();
+        for peer in self.by_number() {
+            if peer.disk && members.len() < MOST_FLEET_VOTERS && zones.insert(&peer.zone) {
+                members.push(peer.id);
+            }
+        }
+        if members.len() % 2 == 0 {
+            members.pop();
+        }
+        members
+    }
+
+    /// Returns the hosts that keep this zone's records: those with a disk before those without, no
+    /// more than five.
+    #[must_use]
+    pub fn zone_members(&self) -> Vec<HostId> {
+        let mut peers = self.by_number();
+        peers.retain(|peer| peer.zone == self.zone);
+        peers.sort_by_key(|peer| (!peer.disk, peer.id));
+        peers.truncate(MOST_ZONE_VOTERS);
+        peers.iter().map(|peer| peer.id).collect()
+    }
+
+    fn by_number(&self) -> Vec<&PeerSpec> {
+        let mut peers: Vec<&PeerSpec> = self.fleet.iter().collect();
+        peers.sort_by_key(|peer| peer.id);
+        peers
+    }
+
     /// Sets the hosts of the fleet and which of them this is; the default is this host alone.
     #[must_use]
     pub fn fleet(mut self, id: HostId, fleet: impl Into<Vec<PeerSpec>>) -> Self {
--- a/crates/core/src/message.rs
+++ b/crates/core/src/message.rs
@@ -67,8 +67,10 @@
     pub ready: bool,
     /// The version of the settings that the sender serves under.
     pub settings: u64,
-    /// The term and leader of the fleet group, as far as the sender knows.
+    /// The fencing number and leader of the fleet group, as far as the sender knows.
     pub fleet_leader: Option<(u64, HostId)>,
+    /// The fencing number and leader of the sender's zone group, as far as the sender knows.
+    pub zone_leader: Option<(u64, HostId)>,
     /// What the sender knows of the zones.
     pub digests: Vec<ZoneDigest>,
 }
--- a/crates/core/tests/it/determinism.rs
+++ b/crates/core/tests/it/determinism.rs
@@ -21,8 +21,8 @@
     for _ in 0..20 {
         world.ask(0, chat("model"));
     }
-    let cfg = world.nodes[0].core.as_ref().unwrap().board().cfg.clone();
-    (world.nodes[0].recording.take().unwrap(), cfg)
+    let cfg = world.nodes[0].core.as_ref().expect("it runs").board().cfg.clone();
+    (world.nodes[0].recording.take().expect("it was recorded"), cfg)
 }
 
 #[test]
--- a/crates/core/tests/it/world.rs
+++ b/crates/core/tests/it/world.rs
@@ -102,7 +102,7 @@
         let mut fleet = Vec::new();
         for at in 0..zones * hosts {
             fleet.push(PeerSpec {
-                id: HostId(u16::try_from(at + 1).unwrap()),
+                id: HostId(u16::try_from(at + 1).expect("a small fleet")),
                 name: format!("h{}", at + 1).into(),
                 zone: format!("z{}", at / hosts + 1).into(),
                 disk: at % hosts < disks,
@@ -326,7 +326,7 @@
             }
             Action::Answer { tag, answer } => self.answer(at, tag, answer),
             Action::Finish { tag, .. } => self.finish(at, tag),
-            Action::Dispatch(dispatch) => self.dispatch(at, dispatch),
+            Action::Dispatch(dispatch) => self.dispatch(at, &dispatch),
             Action::Order { order, address, version, fence, .. } => {
                 let version = self.order(&address, version, fence);
                 self.push(self.now + 50, Item::OrderEnded(at, life, order, version));
@@ -348,15 +348,15 @@
         self.push(self.now + delay, Item::Deliver(to, envelope));
     }
 
-    fn dispatch(&mut self, at: usize, dispatch: Dispatch) {
+    fn dispatch(&mut self, at: usize, dispatch: &Dispatch) {
         match &dispatch.target {
             Target::Upstream { address, .. } => {
                 let address = address.clone();
-                self.dispatch_upstream(at, &address, &dispatch);
+                self.dispatch_upstream(at, &address, dispatch);
             }
             Target::Host { host, hops, granted, maybe_ran } => {
                 let to = usize::from(host.0) - 1;
-                self.hand_on(at, to, (*hops, *granted, *maybe_ran), &dispatch);
+                self.hand_on(at, to, (*hops, *granted, *maybe_ran), dispatch);
             }
         }
     }
--- a/crates/core/tests/it/world/upstreams.rs
+++ b/crates/core/tests/it/world/upstreams.rs
@@ -91,7 +91,10 @@
     }
 
     fn upstream_at(&self, address: &str) -> usize {
-        self.upstreams.iter().position(|upstream| &*upstream.spec.address == address).unwrap()
+        self.upstreams
+            .iter()
+            .position(|upstream| &*upstream.spec.address == address)
+            .expect("a known address")
     }
 
     pub(super) fn order(&mut self, address: &str, version: u64, fence: u64) -> Option<u64> {
--- a/crates/daemon/src/http/metrics.rs
+++ b/crates/daemon/src/http/metrics.rs
@@ -1,12 +1,16 @@
 //! The metrics page.
 
 use std::sync::LazyLock;
+use std::sync::atomic::{AtomicU64, Ordering};
 
 use bytes::Bytes;
 use chestnutdrift_core::action::Counters;
-use prometheus::{Encoder, Histogram, HistogramOpts, IntGaugeVec, Opts, Registry, TextEncoder};
+use prometheus::{
+    Encoder, Histogram, HistogramOpts, IntGauge, IntGaugeVec, Opts, Registry, TextEncoder,
+};
 
 use crate::exchange::WholeReply;
+use crate::link::SENT;
 
 /// The buckets of the answering time, in seconds.
 const BUCKETS: [f64; 12] = [0.001, 0.002, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 5.0, 30.0];
@@ -15,6 +19,8 @@
     registry: Registry,
     core: IntGaugeVec,
     seconds: Histogram,
+    sent_bytes: IntGauge,
+    sent_messages: IntGauge,
 }
 
 static METRICS: LazyLock<Option<Metrics>> = LazyLock::new(|| Metrics::new().ok());
@@ -27,9 +33,14 @@
         let help = "Time from the head of a request to the start of its answer";
         let opts = HistogramOpts::new("chestnutdrift_answer_seconds", help);
         let seconds = Histogram::with_opts(opts.buckets(BUCKETS.to_vec()))?;
+        let sent_bytes = IntGauge::new("chestnutdrift_link_sent_bytes", "Bytes sent to hosts")?;
+        let sent_messages =
+            IntGauge::new("chestnutdrift_link_sent_messages", "Messages sent to hosts")?;
+        registry.register(Box::new(sent_bytes.clone()))?;
+        registry.register(Box::new(sent_messages.clone()))?;
         registry.register(Box::new(core.clone()))?;
         registry.register(Box::new(seconds.clone()))?;
-        Ok(Self { registry, core, seconds })
+        Ok(Self { registry, core, seconds, sent_bytes, sent_messages })
     }
 }
 
@@ -46,12 +57,20 @@
     let mut body = Vec::new();
     if let Some(metrics) = METRICS.as_ref() {
         set(&metrics.core, counters);
+        set_sent(metrics);
         let _ = TextEncoder::new().encode(&metrics.registry.gather(), &mut body);
     }
     let content_type = "text/plain; version=0.0.4".into();
     WholeReply { status: 200, content_type, headers: Vec::new(), body: Bytes::from(body) }
 }
 
+fn set_sent(metrics: &Metrics) {
+    let value =
+        |count: &AtomicU64| i64::try_from(count.load(Ordering::Relaxed)).unwrap_or(i64::MAX);
+    metrics.sent_bytes.set(value(&SENT.bytes));
+    metrics.sent_messages.set(value(&SENT.messages));
+}
+
 fn set(core: &IntGaugeVec, counters: &Counters) {
     let values = [
         ("arrived", counters.arrived),
@@ -64,6 +83,8 @@
         ("running", counters.running),
         ("settings_version", counters.settings),
         ("ready", u64::from(counters.ready)),
+        ("votes", counters.votes),
+        ("leads", counters.leads),
     ];
     for (name, value) in values {
         core.with_label_values(&[name]).set(i64::try_from(value).unwrap_or(i64::MAX));
--- a/crates/daemon/src/link.rs
+++ b/crates/daemon/src/link.rs
@@ -9,6 +9,7 @@
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::sync::atomic::AtomicU64;
 
 use anyhow::Context;
 use chestnutdrift_core::HostId;
@@ -27,6 +28,18 @@
 /// The size of the buffers of one link, in bytes.
 const BUFFER: usize = 16 * 1024;
 
+/// What this process has sent over its links.
+#[derive(Debug)]
+pub struct Sent {
+    /// Bytes of messages, without the frames round them.
+    pub bytes: AtomicU64,
+    /// Messages.
+    pub messages: AtomicU64,
+}
+
+/// Counts of what this process has sent over its links.
+pub static SENT: Sent = Sent { bytes: AtomicU64::new(0), messages: AtomicU64::new(0) };
+
 /// The links of a host.
 #[derive(Debug)]
 pub struct Links {
--- a/crates/daemon/src/link/outbound.rs
+++ b/crates/daemon/src/link/outbound.rs
@@ -1,6 +1,7 @@
 //! Links that this host makes to others.
 
 use std::net::SocketAddr;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use chestnutdrift_core::message::Envelope;
@@ -36,8 +37,11 @@
             while queue.try_recv().is_ok() {}
             continue;
         };
+        let length = bytes.len() as u64;
         let written = tokio::time::timeout(WRITE, write(&mut ready, bytes)).await;
         if written == Ok(true) {
+            super::SENT.bytes.fetch_add(length, Ordering::Relaxed);
+            super::SENT.messages.fetch_add(1, Ordering::Relaxed);
             link = Some(ready);
         }
     }
--- /dev/null
+++ b/crates/daemon/tests/process/disk.rs
@@ -0,0 +1,155 @@
+//! What a damaged, foreign or failing disk leads to.
+
+use chestnutdrift_core::agreement::GroupState;
+use chestnutdrift_core::agreement::{Command, Entry, GroupId, Record, Snapshot};
+use chestnutdrift_core::event::Event;
+use chestnutdrift_core::fleet::FleetState;
+use chestnutdrift_core::key::SyncToken;
+use chestnutdrift_daemon::control::Input;
+use chestnutdrift_daemon::disk::{
+    Condenser, DataFolder, Disk, DiskJob, DiskThread, decode_all, encode,
+};
+use crossbeam::channel;
+
+use crate::frame::{Folder, WAIT, one_host};
+
+fn entry(index: u64, term: u64) -> Record {
+    let entry = Entry { index, term, command: Command::Noop };
+    Record::Entry { group: GroupId::Zone, entry }
+}
+
+fn records() -> Vec<Record> {
+    (1..=5).map(|index| entry(index, 1)).collect()
+}
+
+#[test]
+fn records_come_back_as_they_were_written() {
+    let bytes = encode(&records()).unwrap();
+    assert_eq!(decode_all(&bytes).unwrap(), (records(), bytes.len()));
+}
+
+#[test]
+fn a_torn_last_record_is_left_out_wherever_it_was_torn() {
+    let whole = encode(&records()).unwrap();
+    let four = encode(&records()[..4]).unwrap().len();
+    for length in four..whole.len() {
+        let (found, used) = decode_all(&whole[..length]).unwrap();
+        assert_eq!((found, used), (records()[..4].to_vec(), four), "cut at {length}");
+    }
+}
+
+#[test]
+fn a_flipped_bit_before_the_last_record_is_an_error_wherever_it_is() {
+    let whole = encode(&records()).unwrap();
+    let four = encode(&records()[..4]).unwrap().len();
+    for at in 0..four {
+        for bit in 0..8 {
+            let mut bytes = whole.clone();
+            bytes[at] ^= 1 << bit;
+            let decoded = decode_all(&bytes);
+            let short = decoded.as_ref().is_ok_and(|(found, _)| found.len() < 5);
+            let length_field = at % (four / 4) < 4;
+            assert!(decoded.is_err() || (length_field && short), "byte {at} bit {bit}");
+        }
+    }
+}
+
+#[test]
+fn a_folder_keeps_its_records_over_a_restart() {
+    let folder = Folder::new();
+    let path = folder.0.join("data");
+    let (mut disk, first, found) = DataFolder::open(&path, "host-1").unwrap();
+    assert!(found.is_empty());
+    disk.write(&records()).unwrap();
+    drop(disk);
+    let (_, again, found) = DataFolder::open(&path, "host-1").unwrap();
+    assert_eq!((again, found), (first, records()));
+}
+
+#[test]
+fn a_folder_of_another_host_is_refused() {
+    let folder = Folder::new();
+    let path = folder.0.join("data");
+    DataFolder::open(&path, "host-1").unwrap();
+    let error = DataFolder::open(&path, "host-2").unwrap_err().to_string();
+    assert!(error.contains("belongs to host host-1"), "{error}");
+}
+
+#[test]
+fn a_folder_whose_identity_is_gone_is_refused() {
+    let folder = Folder::new();
+    let path = folder.0.join("data");
+    let (mut disk, ..) = DataFolder::open(&path, "host-1").unwrap();
+    disk.write(&records()).unwrap();
+    std::fs::remove_file(path.join("identity.json")).unwrap();
+    assert!(DataFolder::open(&path, "host-1").is_err());
+}
+
+#[test]
+fn a_damaged_folder_is_refused_by_the_daemon_with_code_1() {
+    let folder = Folder::new();
+    let mut fleet = one_host(&folder);
+    fleet.kill_host(0).unwrap();
+    let journal = fleet.hosts[0].data.clone().unwrap().join("journal");
+    let mut bytes = std::fs::read(&journal).unwrap();
+    bytes[10] ^= 1;
+    std::fs::write(&journal, bytes).unwrap();
+    fleet.start_host(0).unwrap();
+    let status = fleet.process(0).unwrap().wait(WAIT).unwrap();
+    assert_eq!(status.code(), Some(1));
+    let log = std::fs::read_to_string(folder.0.join("host-1.log")).unwrap();
+    assert!(log.contains("is damaged"), "{log}");
+}
+
+#[test]
+fn after_a_snapshot_the_journal_holds_only_what_counts() {
+    let folder = Folder::new();
+    let path = folder.0.join("data");
+    let (mut disk, ..) = DataFolder::open(&path, "host-1").unwrap();
+    disk.write(&records()).unwrap();
+    let state = GroupState::Fleet(FleetState::default());
+    let snapshot = Snapshot { index: 4, term: 1, voters: Vec::new(), state };
+    let snapshot = Record::Snapshot { group: GroupId::Zone, snapshot };
+    disk.write(std::slice::from_ref(&snapshot)).unwrap();
+    disk.write(&[entry(6, 1)]).unwrap();
+    drop(disk);
+    let (_, _, found) = DataFolder::open(&path, "host-1").unwrap();
+    assert_eq!(found, [snapshot, entry(5, 1), entry(6, 1)]);
+}
+
+#[test]
+fn a_truncation_voids_what_came_before_it_only() {
+    let mut condenser = Condenser::default();
+    records().iter().for_each(|record| condenser.take(record));
+    condenser.take(&Record::Truncate { group: GroupId::Zone, index: 3 });
+    condenser.take(&entry(3, 2));
+    assert_eq!(condenser.records(), [entry(1, 1), entry(2, 1), entry(3, 2)]);
+}
+
+/// A disk that fails after some batches.
+#[derive(Debug)]
+struct FailingDisk {
+    left: u32,
+}
+
+impl Disk for FailingDisk {
+    fn write(&mut self, _records: &[Record]) -> anyhow::Result<()> {
+        anyhow::ensure!(self.left > 0, "no space left");
+        self.left -= 1;
+        Ok(())
+    }
+}
+
+#[test]
+fn a_failed_sync_is_reported_once_and_never_tried_again() {
+    let (inputs, events) = channel::unbounded();
+    let (thread, jobs) = DiskThread::start(FailingDisk { left: 1 }, inputs).unwrap();
+    jobs.send(DiskJob { token: SyncToken(1), records: records() }).unwrap();
+    let first = events.recv_timeout(WAIT).unwrap();
+    assert!(matches!(first, Input::Event(Event::Synced(SyncToken(1)))), "{first:?}");
+    jobs.send(DiskJob { token: SyncToken(2), records: records() }).unwrap();
+    let second = events.recv_timeout(WAIT).unwrap();
+    assert!(matches!(second, Input::DiskFailed(_)), "{second:?}");
+    thread.close();
+    assert!(events.try_recv().is_err(), "the disk went on after it had failed");
+}
--- /dev/null
+++ b/crates/daemon/tests/process/frame.rs
@@ -0,0 +1,99 @@
+//! A fleet with its stand-ins, for one test.
+
+use std::path::PathBuf;
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::time::Duration;
+
+use chestnutdrift_standins::desk::{Desk, DeskSettings};
+use chestnutdrift_standins::engine::{Engine, EngineSettings};
+use chestnutdrift_standins::fleet::{Fleet, FleetPlan};
+use chestnutdrift_standins::process::wait_until;
+use serde_json::{Value, json};
+
+/// How long a condition may take to come true; tests go on as soon as it does.
+pub(crate) const WAIT: Duration = Duration::from_secs(60);
+
+pub(crate) const MODEL: &str = "quote-drafters";
+pub(crate) const DESK: &str = "order-desk";
+
+static FOLDERS: AtomicU32 = AtomicU32::new(0);
+
+/// Returns a new empty folder, which is removed when it is dropped.
+pub(crate) struct Folder(pub(crate) PathBuf);
+
+impl Folder {
+    pub(crate) fn new() -> Self {
+        let number = FOLDERS.fetch_add(1, Ordering::Relaxed);
+        let name = format!("chestnutdrift-test-{}-{number}", std::process::id());
+        let path = std::env::temp_dir().join(name);
+        let _ = std::fs::remove_dir_all(&path);
+        std::fs::create_dir_all(&path).expect("a folder");
+        Self(path)
+    }
+}
+
+impl Drop for Folder {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_dir_all(&self.0);
+    }
+}
+
+/// Starts a fleet and waits until it works.
+pub(crate) fn fleet(plan: &FleetPlan, folder: &Folder) -> Fleet {
+    let fleet = Fleet::start(plan, &folder.0).expect("the fleet starts");
+    fleet.wait_ready(WAIT).expect("the fleet works");
+    fleet
+}
+
+/// Starts one host.
+pub(crate) fn one_host(folder: &Folder) -> Fleet {
+    fleet(&FleetPlan::new(&["zone-a"]).hosts_per_zone(1), folder)
+}
+
+/// Starts an engine before every host of a zone and waits until they know it.
+pub(crate) fn engine(fleet: &Fleet, zone: &str, name: &str) -> Engine {
+    let cfg = EngineSettings::new(name, MODEL).hosts(fleet.zone_hosts(zone));
+    let engine = Engine::start(cfg).expect("the engine starts");
+    wait_known(fleet, zone, name);
+    engine
+}
+
+/// Starts a desk before every host of a zone and waits until they know it.
+pub(crate) fn desk(fleet: &Fleet, zone: &str, name: &str, work: Duration) -> Desk {
+    let desk = Desk::start(DeskSettings {
+        name: name.into(),
+        service: DESK.into(),
+        address: std::net::SocketAddr::from(([127, 0, 0, 1], 0)),
+        hosts: fleet.zone_hosts(zone),
+        work,
+    });
+    wait_known(fleet, zone, name);
+    desk.expect("the desk starts")
+}
+
+fn wait_known(fleet: &Fleet, zone: &str, name: &str) {
+    for host in fleet.zone_hosts(zone) {
+        wait_until("the upstream is known", WAIT, || {
+            let url = format!("http://{host}/v1/operator/upstreams");
+            let listed = fleet.client.get_json(&url).unwrap_or_default();
+            let mut listed = listed.as_array().into_iter().flatten();
+            listed.any(|upstream| upstream["name"] == name && upstream["state"] == "up")
+        })
+        .expect("the upstream is known");
+    }
+}
+
+/// Makes the body of a chat.
+pub(crate) fn chat(text: &str, tokens: u32, stream: bool) -> Value {
+    json!({
+        "model": MODEL,
+        "max_tokens": tokens,
+        "stream": stream,
+        "messages": [{ "role": "user", "content": text }],
+    })
+}
+
+/// Returns the text that the stand-in engines answer to a chat.
+pub(crate) fn right_answer(text: &str, tokens: u32) -> String {
+    chestnutdrift_standins::engine::whole_answer(&format!("user: {text}\n"), tokens)
+}
--- /dev/null
+++ b/crates/daemon/tests/process/lifecycle.rs
@@ -0,0 +1,125 @@
+//! Hosts and upstreams that come and go.
+
+use chestnutdrift_standins::fleet::FleetPlan;
+use chestnutdrift_standins::process::wait_until;
+use chestnutdrift_wire::api::operator::{ChangeBody, EditBody};
+
+use crate::frame::{Folder, WAIT, chat, engine, fleet, one_host, right_answer};
+
+fn change(id: &str, base: u64, value: u64) -> ChangeBody {
+    let (key, value) = ("staleness".into(), Some(value));
+    let edits = vec![EditBody { key, value, scope: None, reason: "".into() }];
+    ChangeBody { id: id.into(), base, by: "test".into(), edits }
+}
+
+#[test]
+fn invariant_8_a_stopping_host_finishes_the_stream_that_it_holds() {
+    let folder = Folder::new();
+    let mut fleet = one_host(&folder);
+    let engine = engine(&fleet, "zone-a", "engine-1");
+    let url = fleet.url(0, "/v1/chat/completions");
+    let client = fleet.client.clone();
+    let held = std::thread::spawn(move || client.post(&url, &chat("canvas", 400, true)));
+    let metrics = fleet.url(0, "/metrics");
+    wait_until("the chat runs", WAIT, || {
+        let page = fleet.client.get(&metrics).map(|answer| answer.text()).unwrap_or_default();
+        page.contains("chestnutdrift_core{name=\"running\"} 1")
+    })
+    .unwrap();
+    fleet.process(0).unwrap().signal("TERM").unwrap();
+    wait_until("the host is not ready", WAIT, || !fleet.is_ready(0)).unwrap();
+    let answer = held.join().unwrap().unwrap();
+    assert!(answer.text().ends_with("data: [DONE]\n\n"), "the stream was cut");
+    let pieces = answer.text().matches("\"content\":").count();
+    assert_eq!(pieces, 400);
+    let status = fleet.process(0).unwrap().wait(WAIT).unwrap();
+    assert!(status.success(), "{status}");
+    engine.close();
+}
+
+#[test]
+fn invariant_8_a_leaving_engine_finishes_its_work_and_gets_no_more() {
+    let folder = Folder::new();
+    let fleet = one_host(&folder);
+    let leaving = engine(&fleet, "zone-a", "engine-1");
+    let staying = engine(&fleet, "zone-a", "engine-2");
+    let address = leaving.address();
+    let leave = fleet.url(0, "/v1/upstreams/leave");
+    let body = serde_json::json!({ "name": "engine-1" });
+    fleet.client.post(&leave, &body).unwrap().ok().unwrap();
+    let started = || {
+        let stats = fleet.client.get_json(&format!("http://{address}/stats")).unwrap();
+        stats["started"].as_u64().unwrap()
+    };
+    let before = started();
+    for _ in 0..20 {
+        let url = fleet.url(0, "/v1/chat/completions");
+        let answer = fleet.client.post(&url, &chat("canvas", 2, false)).unwrap().ok().unwrap();
+        assert!(answer.text().contains(right_answer("canvas", 2).trim_end()));
+    }
+    assert_eq!(started(), before);
+    leaving.close();
+    staying.close();
+}
+
+#[test]
+fn a_killed_engine_costs_no_answer() {
+    let folder = Folder::new();
+    let fleet = one_host(&folder);
+    let doomed = engine(&fleet, "zone-a", "engine-1");
+    let staying = engine(&fleet, "zone-a", "engine-2");
+    doomed.kill();
+    for _ in 0..20 {
+        let url = fleet.url(0, "/v1/chat/completions");
+        let answer = fleet.client.post(&url, &chat("canvas", 2, false)).unwrap().ok().unwrap();
+        assert!(answer.text().contains(right_answer("canvas", 2).trim_end()));
+    }
+    staying.close();
+}
+
+#[test]
+fn a_fleet_that_is_killed_whole_comes_back_with_its_settings() {
+    let folder = Folder::new();
+    let plan = FleetPlan::new(&["zone-a", "zone-b", "zone-c"]);
+    let mut fleet = fleet(&plan, &folder);
+    for base in 0..5 {
+        let answer = fleet.change(base as usize, &change(&format!("c{base}"), base, base)).unwrap();
+        assert!(answer.accepted, "{answer:?}");
+    }
+    for at in 0..9 {
+        fleet.kill_host(at).unwrap();
+    }
+    for at in 0..9 {
+        fleet.start_host(at).unwrap();
+    }
+    fleet.wait_ready(WAIT).unwrap();
+    for at in 0..9 {
+        assert_eq!(fleet.settings_version(at).unwrap(), 5);
+    }
+    let answer = fleet.change(8, &change("c5", 5, 1)).unwrap();
+    assert!(answer.accepted, "{answer:?}");
+}
+
+#[test]
+fn invariant_9_a_host_whose_disk_is_lost_is_let_in_again_and_the_next_loss_costs_nothing() {
+    let folder = Folder::new();
+    let plan = FleetPlan::new(&["zone-a", "zone-b", "zone-c"]);
+    let mut fleet = fleet(&plan, &folder);
+    let mut base = 0;
+    for at in [0, 3, 6] {
+        let answer = fleet.change(1, &change(&format!("c{base}"), base, base % 9)).unwrap();
+        assert!(answer.accepted, "{answer:?}");
+        base += 1;
+        fleet.kill_host(at).unwrap();
+        std::fs::remove_dir_all(fleet.hosts[at].data.clone().unwrap()).unwrap();
+        fleet.start_host(at).unwrap();
+        wait_until("the host votes again", WAIT, || {
+            let page = fleet.client.get(&fleet.url(at, "/metrics"));
+            let page = page.map(|answer| answer.text()).unwrap_or_default();
+            page.contains("chestnutdrift_core{name=\"votes\"} 2")
+        })
+        .unwrap();
+        fleet.wait_ready(WAIT).unwrap();
+        assert_eq!(fleet.settings_version(at).unwrap(), base);
+    }
+}
--- a/crates/standins/src/experiment/overhead.rs
+++ b/crates/standins/src/experiment/overhead.rs
@@ -22,7 +22,7 @@
 const PAIRS: u64 = 5;
 
 /// Requests a second that are offered to find the most that one host serves.
-const OFFERED: [f64; 6] = [500.0, 1_000.0, 1_500.0, 2_000.0, 2_500.0, 3_000.0];
+const OFFERED: [f64; 5] = [1_000.0, 2_000.0, 4_000.0, 6_000.0, 8_000.0];
 
 /// Seconds of each offer.
 const OFFER_SECONDS: f64 = 4.0;
--- a/crates/standins/src/quickstart.rs
+++ b/crates/standins/src/quickstart.rs
@@ -48,7 +48,7 @@
     wait_for_upstreams(&fleet)?;
     let entry = surroundings.entry.clone();
     let chats = std::thread::spawn(move || interactive(entry));
-    train(&surroundings.entry)?;
+    train(&fleet, &surroundings.entry)?;
     let chats = chats.join().map_err(|_| anyhow::anyhow!("the chats panicked"))??;
     println!("{chats}");
     stream_once(&surroundings.entry)?;
@@ -124,7 +124,7 @@
 }
 
 /// Runs two training steps with a change of weights between them.
-fn train(entry: &str) -> anyhow::Result<()> {
+fn train(fleet: &Fleet, entry: &str) -> anyhow::Result<()> {
     let mut trainer = Trainer::new("quote-trainer", MODEL, entry);
     let per_step = (GROUPS * SAMPLES) as usize;
     for step in 1..=2 {
@@ -135,7 +135,7 @@
         println!("step {step}: {per_step} samples after {} ms", start.elapsed().as_millis());
         if step == 1 {
             let version = trainer.publish(2, STAGE)?;
-            println!("published version {version}");
+            wait_for_version(fleet, version)?;
         }
     }
     check_samples(&trainer, per_step * 2)?;
@@ -165,6 +165,23 @@
     Ok(())
 }
 
+/// Waits until every engine reports a version.
+fn wait_for_version(fleet: &Fleet, version: u64) -> anyhow::Result<()> {
+    let count = fleet.hosts.len();
+    let took = wait_until("every engine runs the published version", STAGE, || {
+        (0..count).all(|at| {
+            let listed = fleet.client.get_json(&fleet.url(at, "/v1/operator/upstreams"));
+            let Ok(Value::Array(list)) = listed else { return false };
+            let engines = list.iter().filter(|upstream| upstream["service"] == MODEL);
+            engines.clone().count() == ENGINES_PER_ZONE
+                && engines.clone().all(|engine| engine["version"] == version)
+        })
+    })?;
+    let engines = ENGINES_PER_ZONE * ZONES.len();
+    println!("version {version} on {engines} of {engines} engines after {} ms", took.as_millis());
+    Ok(())
+}
+
 /// Offers chats through the balancer while the trainer works.
 fn interactive(entry: Box<str>) -> anyhow::Result<String> {
     let target = LoadTarget::Entry(vec![entry]);
