--- a/crates/cli/src/command.rs
+++ b/crates/cli/src/command.rs
@@ -3,6 +3,7 @@
 mod change;
 mod drain;
 mod hosts;
+mod order;
 mod settings;
 mod timeline;
 mod trainers;
@@ -38,7 +39,7 @@
 }
 
 /// Every command.
-pub(crate) const COMMANDS: [Command; 7] = [
+pub(crate) const COMMANDS: [Command; 8] = [
     Command {
         name: "settings",
         arguments: "[--service NAME] [--all]",
@@ -74,6 +75,13 @@
         options: Options::new,
         run: trainers::run,
     },
+    Command {
+        name: "order",
+        arguments: "--zone ZONE --upstream NAME (--adapter NAME | --role NAME)",
+        what: "orders an engine to take an adapter or a role",
+        options: order::options,
+        run: order::run,
+    },
     Command {
         name: "drain",
         arguments: "HOST",
--- a/crates/core/src/action.rs
+++ b/crates/core/src/action.rs
@@ -6,7 +6,7 @@
 
 use crate::agreement::Record;
 use crate::error::Problem;
-use crate::event::{RecordedAnswer, UpstreamKind};
+use crate::event::{OrderTask, RecordedAnswer, UpstreamKind};
 use crate::fleet::{ChangeAnswer, Effective, FleetSettings};
 use crate::key::{AttemptKey, HostId, OrderKey, RequestTag, SyncToken};
 use crate::message::Envelope;
@@ -53,16 +53,18 @@
         /// The records, in order.
         records: Vec<Record>,
     },
-    /// Order an upstream to load a version, then read back what it runs.
+    /// Give an order to an upstream, then read back what it runs.
     Order {
         /// The order.
         order: OrderKey,
         /// The upstream's address.
         address: Box<str>,
-        /// The version.
-        version: u64,
+        /// What it is to do.
+        task: OrderTask,
         /// The fencing number.
         fence: u64,
+        /// The point on the monotonic clock after which it must not be sent.
+        valid_until: Millis,
         /// How long to wait for the answer.
         timeout: Millis,
     },
@@ -161,6 +163,8 @@
     Samples(SampleBatch),
     /// The version that the engines are to run.
     Published(u64),
+    /// Whether an upstream obeyed an order.
+    Ordered(bool),
     /// What became of a change.
     Changed(ChangeAnswer),
     /// The settings in force.
--- a/crates/core/src/agreement/replica.rs
+++ b/crates/core/src/agreement/replica.rs
@@ -255,13 +255,17 @@
     /// shorter than the time for which those hosts refuse to elect another leader.
     #[must_use]
     pub fn holds_lease(&self, now: Now) -> bool {
+        self.lease_end(now).is_some()
+    }
+
+    /// Returns when the lease that this replica holds ends, on the monotonic clock.
+    #[must_use]
+    pub fn lease_end(&self, now: Now) -> Option<Millis> {
         if self.role != Role::Leader || !self.term_committed() {
-            return false;
+            return None;
         }
-        let Some(heard) = self.majority_heard(now.mono) else {
-            return false;
-        };
-        now.mono.since(heard) < self.lease()
+        let end = self.majority_heard(now.mono)? + self.lease();
+        (now.mono < end).then_some(end)
     }
 
     /// Returns how long the lease lasts: three quarters of the shortest election time.
--- a/crates/core/src/board.rs
+++ b/crates/core/src/board.rs
@@ -47,7 +47,7 @@
 pub use service::Service;
 pub use upstream::{Upstream, UpstreamState};
 pub use wish::{Fate, GroupResult, Purpose, Wish};
-pub use work::{Assigned, Work};
+pub use work::{Assigned, Task, Work};
 pub use zone::Zone;
 
 /// How often a call may be handed from host to host.
@@ -367,6 +367,7 @@
             || !self.groups.wishes.is_empty()
             || !self.arrivals.is_empty()
             || !self.work.results.is_empty()
+            || !self.work.tasks.is_empty()
     }
 
     /// Returns the leader of the fleet group with its fencing number, as far as it is known.
--- a/crates/core/src/board/order.rs
+++ b/crates/core/src/board/order.rs
@@ -2,17 +2,20 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::key::UpstreamKey;
+use crate::event::OrderTask;
+use crate::key::{RequestKey, UpstreamKey};
 use crate::time::Millis;
 
-/// An order to load a version.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+/// An order that has not been answered.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub struct Order {
     /// The upstream.
     pub upstream: UpstreamKey,
-    /// The version.
-    pub version: u64,
+    /// What it is to do.
+    pub task: OrderTask,
     /// When it was given.
     pub given: Millis,
+    /// The operator's request that waits for it, where one does.
+    pub request: Option<RequestKey>,
 }
--- a/crates/core/src/board/work.rs
+++ b/crates/core/src/board/work.rs
@@ -3,7 +3,8 @@
 use std::collections::{BTreeMap, VecDeque};
 use std::sync::Arc;
 
-use crate::key::{HostId, RequestKey};
+use crate::event::OrderTask;
+use crate::key::{HostId, RequestKey, UpstreamKey};
 use crate::message::{SampleJob, SampleResult};
 use crate::records::{IntentKey, Outcome, Output, SampleId};
 use crate::time::Millis;
@@ -20,7 +21,18 @@
     pub told: Millis,
 }
 
-/// Samples that are being generated.
+/// An order that is to be given.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Task {
+    /// The engine.
+    pub upstream: UpstreamKey,
+    /// What it is to do.
+    pub order: OrderTask,
+    /// The operator's request that waits for it, where one does.
+    pub request: Option<RequestKey>,
+}
+
+/// Samples that are being generated, and what else controllers leave for one another.
 #[derive(Debug, Default)]
 pub struct Work {
     /// On the leader: who generates which sample.
@@ -39,6 +51,8 @@
     pub undispatched: Vec<(u64, RequestKey, IntentKey)>,
     /// Requests that wait for the end of a non-idempotent request recorded before.
     pub waiters: BTreeMap<IntentKey, Vec<RequestKey>>,
+    /// Orders that are to be given.
+    pub tasks: Vec<Task>,
     /// Requests that are to be handed to another host.
     pub forwards: VecDeque<RequestKey>,
 }
--- a/crates/core/src/controller.rs
+++ b/crates/core/src/controller.rs
@@ -15,6 +15,7 @@
 mod intents;
 mod journal;
 mod membership;
+mod orders;
 mod outbox;
 mod queries;
 mod registry;
@@ -59,6 +60,7 @@
         Box::new(deadlines::Deadlines),
         Box::new(dispatch::Dispatcher::new(placement, order)),
         Box::new(weights::Weights),
+        Box::new(orders::Orders),
         Box::new(drain::Drain),
         Box::new(journal::Journal),
     ]
--- /dev/null
+++ b/crates/core/src/controller/orders.rs
@@ -0,0 +1,147 @@
+//! Orders to engines: gives them, takes their answers in, and answers operators who asked.
+//!
+//! Reads: arrivals, answers to orders, `work.tasks`, `groups`, `in_force`.
+//! Writes: `orders`, `upstreams`, `requests`, `actions`.
+//!
+//! Only the leader of the zone group orders, and only while it holds its lease; every order
+//! carries the fencing number of its term and the end of the lease, after which it is not sent.
+//! An upstream that does not check the number is ordered only by a leader that has led for a whole
+//! lease, one order at a time, and the version that it reports afterwards is the one that counts.
+
+use super::Controller;
+use crate::action::{Action, Answer};
+use crate::agreement::GroupId;
+use crate::board::{Board, Order, Origin, Request, Route, Task};
+use crate::error::{ErrorKind, Problem, Ran};
+use crate::event::{Arrival, Call, Event, OrderTask, UpstreamKind};
+use crate::fleet::SettingKey;
+use crate::key::OrderKey;
+use crate::time::Millis;
+use crate::timeline::EventKind;
+
+/// The wait after a failed order; it grows with each further failure.
+const AFTER_FAILURE: Millis = Millis(1_000);
+
+/// Gives orders.
+#[derive(Debug)]
+pub(super) struct Orders;
+
+impl Controller for Orders {
+    fn run(&mut self, board: &mut Board, event: Option<&Event>) {
+        if let Some(Event::OrderEnded { order, obeyed, version }) = event {
+            ended(board, *order, *obeyed, *version);
+            board.due.weights = board.now.mono;
+        }
+        forget_lost(board);
+        for arrival in board.take_arrivals(|call| matches!(call, Call::Order { .. })) {
+            arrived(board, arrival);
+        }
+        for task in std::mem::take(&mut board.work.tasks) {
+            give(board, task);
+        }
+    }
+}
+
+fn arrived(board: &mut Board, arrival: Arrival) {
+    let Call::Order { zone, upstream, task } = arrival.call.clone() else { return };
+    let Some(home) = board.zone_key(&zone) else {
+        let problem = Problem::not_run(ErrorKind::NotFound, format!("no zone is named {zone}"));
+        board.refuse(arrival.tag, &arrival.trace, problem);
+        return;
+    };
+    if home != board.my_zone || !board.leads(GroupId::Zone) {
+        board.hand_on(arrival, Route::Leader(GroupId::Zone, home));
+        return;
+    }
+    let known = board.upstream_key(&upstream);
+    let engine = known.filter(|key| board.upstreams[*key].spec.kind == UpstreamKind::Engine);
+    let Some(engine) = engine else {
+        let detail = format!("no engine of {zone} is named {upstream}");
+        board.refuse(arrival.tag, &arrival.trace, Problem::not_run(ErrorKind::NotFound, detail));
+        return;
+    };
+    if board.upstreams[engine].order.is_some() {
+        let detail = format!("{upstream} has not answered its last order");
+        let problem = Problem::not_run(ErrorKind::Overloaded, detail).retry_after(AFTER_FAILURE);
+        board.refuse(arrival.tag, &arrival.trace, problem);
+        return;
+    }
+    let deadline = board.deadline_of(&arrival, None);
+    let origin = Origin::Exchange(arrival.tag);
+    let request = Request::new(origin, arrival.trace, board.now.mono, deadline).call(arrival.call);
+    let request = Some(board.add_request(request));
+    give(board, Task { upstream: engine, order: task, request });
+}
+
+fn give(board: &mut Board, task: Task) {
+    let Some(valid_until) = board.groups.zone.replica.lease_end(board.now) else { return };
+    let given = board.now.mono;
+    let fence = board.groups.zone.replica.fence();
+    let timeout = Millis(board.setting(SettingKey::LoadTimeoutMs, None));
+    let Task { upstream, order, request } = task;
+    let key = board.orders.insert(Order { upstream, task: order.clone(), given, request });
+    let Some(upstream) = board.upstreams.get_mut(upstream) else { return };
+    upstream.order = Some(key);
+    let (name, address) = (upstream.spec.name.clone(), upstream.spec.address.clone());
+    board.note(EventKind::Ordered, name, format!("{order:?}, fence {fence}"));
+    board.actions.push(Action::Order {
+        order: key,
+        address,
+        task: order,
+        fence,
+        valid_until,
+        timeout,
+    });
+}
+
+fn ended(board: &mut Board, key: OrderKey, obeyed: bool, version: Option<u64>) {
+    let Some(order) = board.orders.remove(key) else { return };
+    let loaded = match order.task {
+        OrderTask::Version(wanted) => version.is_some_and(|version| version >= wanted),
+        OrderTask::Adapter(_) | OrderTask::Role(_) => obeyed,
+    };
+    take_report(board, &order, loaded, version);
+    let Some(request) = order.request.and_then(|key| board.remove_request(key)) else { return };
+    let Some(tag) = request.tag() else { return };
+    board.answer(tag, Answer::Ordered(loaded));
+}
+
+/// Takes in what an engine reports after an order.
+fn take_report(board: &mut Board, order: &Order, loaded: bool, version: Option<u64>) {
+    let now = board.now.mono;
+    let Some(upstream) = board.upstreams.get_mut(order.upstream) else { return };
+    upstream.order = None;
+    if let Some(version) = version {
+        upstream.spec.version = version;
+    }
+    if loaded {
+        upstream.failed_loads = 0;
+    } else {
+        upstream.failed_loads += 1;
+        upstream.order_after = now + Millis(AFTER_FAILURE.0 * u64::from(upstream.failed_loads));
+    }
+    let name = upstream.spec.name.clone();
+    let took = now.since(order.given);
+    let detail = if loaded { "obeyed" } else { "not obeyed" };
+    board.note(EventKind::OrderEnded, name, format!("{detail} after {} ms", took.0));
+}
+
+/// Ends orders whose answer is long overdue, and those that an operator no longer waits for.
+fn forget_lost(board: &mut Board) {
+    if board.orders.is_empty() {
+        return;
+    }
+    let timeout = Millis(board.setting(SettingKey::LoadTimeoutMs, None));
+    let now = board.now.mono;
+    let late = |order: &Order| now.since(order.given) > timeout + timeout;
+    let lost: Vec<OrderKey> =
+        board.orders.iter().filter(|(_, order)| late(order)).map(|(key, _)| key).collect();
+    for key in lost {
+        let waits = board.orders.get(key).and_then(|order| order.request);
+        if let Some(request) = waits {
+            let problem = Problem::unknown("the engine did not answer").ran(Ran::Unknown);
+            board.fail_request(request, problem);
+        }
+        ended(board, key, false, None);
+    }
+}
--- a/crates/core/src/event.rs
+++ b/crates/core/src/event.rs
@@ -61,7 +61,9 @@
     OrderEnded {
         /// The order.
         order: OrderKey,
-        /// The version that the upstream reports afterwards, or none where it failed.
+        /// Whether the upstream obeyed.
+        obeyed: bool,
+        /// The version that it reports afterwards, or none where it does not answer.
         version: Option<u64>,
     },
     /// A message from another host.
@@ -129,6 +131,15 @@
         /// The version.
         version: u64,
     },
+    /// Order an engine to take an adapter or a role.
+    Order {
+        /// The engine's zone.
+        zone: Box<str>,
+        /// The engine.
+        upstream: Box<str>,
+        /// What it is to do.
+        task: OrderTask,
+    },
     /// Change the fleet's settings.
     Change(Change),
     /// Read back.
@@ -247,6 +258,18 @@
     pub idempotent: bool,
 }
 
+/// What an engine can be ordered to do.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum OrderTask {
+    /// Load a version of its weights.
+    Version(u64),
+    /// Load an adapter.
+    Adapter(Box<str>),
+    /// Take a role, such as `prefill` or `decode`.
+    Role(Box<str>),
+}
+
 /// The kinds of upstreams.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 #[serde(rename_all = "lowercase")]
--- a/crates/core/tests/it/world.rs
+++ b/crates/core/tests/it/world.rs
@@ -280,7 +280,8 @@
             }
             Item::OrderEnded(node, life, order, version) => {
                 if self.nodes[node].life == life {
-                    self.feed(node, Event::OrderEnded { order, version });
+                    let obeyed = version.is_some();
+                    self.feed(node, Event::OrderEnded { order, obeyed, version });
                 }
             }
             Item::Announce(upstream) => self.announce(upstream),
@@ -327,8 +328,8 @@
             Action::Answer { tag, answer } => self.answer(at, tag, answer),
             Action::Finish { tag, .. } => self.finish(at, tag),
             Action::Dispatch(dispatch) => self.dispatch(at, &dispatch),
-            Action::Order { order, address, version, fence, .. } => {
-                let version = self.order(&address, version, fence);
+            Action::Order { order, address, task, fence, .. } => {
+                let version = self.order(&address, &task, fence);
                 self.push(self.now + 50, Item::OrderEnded(at, life, order, version));
             }
             Action::Note(event) => self.notes.push(event),
--- a/crates/core/tests/it/world/upstreams.rs
+++ b/crates/core/tests/it/world/upstreams.rs
@@ -4,7 +4,7 @@
 
 use chestnutdrift_core::action::{Dispatch, Source};
 use chestnutdrift_core::event::{
-    AttemptEnd, Call, Event, RecordedAnswer, UpstreamKind, UpstreamSpec,
+    AttemptEnd, Call, Event, OrderTask, RecordedAnswer, UpstreamKind, UpstreamSpec,
 };
 use chestnutdrift_core::records::{Output, Span};
 use rand::Rng;
@@ -97,7 +97,7 @@
             .expect("a known address")
     }
 
-    pub(super) fn order(&mut self, address: &str, version: u64, fence: u64) -> Option<u64> {
+    pub(super) fn order(&mut self, address: &str, task: &OrderTask, fence: u64) -> Option<u64> {
         let number = self.upstream_at(address);
         let upstream = &mut self.upstreams[number];
         if !upstream.up {
@@ -105,7 +105,9 @@
         }
         if fence >= upstream.fence {
             upstream.fence = fence;
-            upstream.spec.version = version;
+            if let OrderTask::Version(version) = task {
+                upstream.spec.version = *version;
+            }
         }
         Some(upstream.spec.version)
     }
--- a/crates/daemon/src/call/side.rs
+++ b/crates/daemon/src/call/side.rs
@@ -1,8 +1,9 @@
 //! Small calls beside the attempts: orders to engines, and word that an attempt is given up.
 
 use std::thread::JoinHandle;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
+use chestnutdrift_core::event::OrderTask;
 use chestnutdrift_core::key::OrderKey;
 use chestnutdrift_core::{Event, Millis};
 use chestnutdrift_wire::api::engine::{CancelBody, EngineState, LoadBody};
@@ -30,10 +31,12 @@
     pub order: OrderKey,
     /// The engine's address.
     pub address: Box<str>,
-    /// The version to load.
-    pub version: u64,
+    /// What it is to do.
+    pub task: OrderTask,
     /// The fencing number.
     pub fence: u64,
+    /// When the lease ends under which it is given; it is not sent afterwards.
+    pub valid_until: Option<Instant>,
     /// How long to wait.
     pub timeout: Millis,
 }
@@ -88,22 +91,30 @@
 
 fn run_loads(agents: &Agents, jobs: &Receiver<OrderJob>, inputs: &Sender<Input>) {
     for job in jobs {
-        let version = load(agents, &job);
-        let event = Event::OrderEnded { order: job.order, version };
+        let obeyed = give(agents, &job);
+        let version = read_back(agents, &job.address);
+        let event = Event::OrderEnded { order: job.order, obeyed, version };
         if inputs.send(Input::Event(event)).is_err() {
             return;
         }
     }
 }
 
-/// Orders a load and reads back what the engine runs afterwards.
-fn load(agents: &Agents, job: &OrderJob) -> Option<u64> {
+/// Gives an order while its lease lasts, and tells whether the engine obeyed.
+fn give(agents: &Agents, job: &OrderJob) -> bool {
+    if job.valid_until.is_none_or(|end| Instant::now() >= end) {
+        return false;
+    }
     let timeout = Duration::from_millis(job.timeout.0.max(1));
     let url = format!("http://{}/load", job.address);
-    let body = LoadBody { version: job.version, fence: job.fence };
+    let body = LoadBody::new(&job.task, job.fence);
     let request = agents.fresh.post(&url).config().timeout_global(Some(timeout)).build();
-    let _ = request.send_json(body);
-    let url = format!("http://{}/state", job.address);
+    request.send_json(body).is_ok_and(|answer| answer.status().is_success())
+}
+
+/// Reads back what an engine runs.
+fn read_back(agents: &Agents, address: &str) -> Option<u64> {
+    let url = format!("http://{address}/state");
     let request = agents.fresh.get(&url).config().timeout_global(Some(SMALL_TIMEOUT)).build();
     let state: EngineState = request.call().ok()?.body_mut().read_json().ok()?;
     Some(state.version)
--- a/crates/daemon/src/control.rs
+++ b/crates/daemon/src/control.rs
@@ -158,8 +158,10 @@
                 };
                 let _ = disk.send(DiskJob { token, records });
             }
-            Action::Order { order, address, version, fence, timeout } => {
-                self.outlets.calls.order(OrderJob { order, address, version, fence, timeout });
+            Action::Order { order, address, task, fence, valid_until, timeout } => {
+                let valid_until = self.clock.instant(valid_until);
+                let job = OrderJob { order, address, task, fence, valid_until, timeout };
+                self.outlets.calls.order(job);
             }
             Action::Note(event) => note(&event),
             Action::Exit => self.ended = true,
--- a/crates/daemon/src/http/calls.rs
+++ b/crates/daemon/src/http/calls.rs
@@ -4,7 +4,7 @@
 use chestnutdrift_core::timeline::Stamp;
 use chestnutdrift_core::{ErrorKind, Millis, Problem, checksum};
 use chestnutdrift_wire::api::chat::{ChatBody, ChatWriter};
-use chestnutdrift_wire::api::operator::ChangeBody;
+use chestnutdrift_wire::api::operator::{ChangeBody, OrderBody};
 use chestnutdrift_wire::api::trainer::{PublishBody, SubmitBody};
 use chestnutdrift_wire::api::upstream::{AnnounceBody, LeaveBody, LoadReportBody};
 use chestnutdrift_wire::header;
@@ -66,6 +66,11 @@
             let invalid = |detail| Problem::not_run(ErrorKind::ChangeInvalid, detail);
             core(Call::Change(body.into_change().map_err(invalid)?))
         }
+        Route::Order => {
+            let body: OrderBody = parse(intake)?;
+            let task = body.task().map_err(bad)?;
+            core(Call::Order { zone: body.zone, upstream: body.upstream, task })
+        }
         Route::Drain => core(Call::Drain),
         other => core(Call::Query(query(&other, intake)?)),
     }
--- a/crates/daemon/src/http/reply.rs
+++ b/crates/daemon/src/http/reply.rs
@@ -3,7 +3,7 @@
 use bytes::Bytes;
 use chestnutdrift_core::Problem;
 use chestnutdrift_core::action::Answer;
-use chestnutdrift_wire::api::operator::ChangedAnswer;
+use chestnutdrift_wire::api::operator::{ChangedAnswer, OrderAnswer};
 use chestnutdrift_wire::api::problem::ProblemBody;
 use chestnutdrift_wire::api::trainer::{PublishAnswer, SamplesAnswer, SubmitAnswer};
 use chestnutdrift_wire::header;
@@ -39,6 +39,7 @@
             let body = ChangedAnswer::from(answer);
             WholeReply::json(if body.accepted { 200 } else { CONFLICT }, &body)
         }
+        Answer::Ordered(obeyed) => WholeReply::json(200, &OrderAnswer { obeyed }),
         Answer::Settings(report) => WholeReply::json(200, &report),
         Answer::Hosts(reports) => WholeReply::json(200, &reports),
         Answer::Upstreams(reports) => WholeReply::json(200, &reports),
--- a/crates/daemon/tests/process/booking.rs
+++ b/crates/daemon/tests/process/booking.rs
@@ -5,7 +5,7 @@
 use chestnutdrift_standins::client::Answer;
 use chestnutdrift_standins::desk::Desk;
 use chestnutdrift_standins::fleet::{Fleet, FleetPlan};
-use chestnutdrift_standins::process::wait_until;
+use chestnutdrift_standins::process::{Signal, wait_until};
 use serde_json::json;
 
 use crate::frame::{DESK, Folder, WAIT, desk, fleet};
@@ -77,13 +77,13 @@
     let desk = desk(&fleet, "zone-a", "desk-1", Duration::from_millis(5));
     let owner = leader(&fleet, 0);
     let other = (owner + 1) % 3;
-    fleet.process(owner).unwrap().signal("STOP").unwrap();
+    fleet.process(owner).unwrap().signal(Signal::STOP).unwrap();
     wait_until("another host leads", WAIT, || leader(&fleet, other) != owner).unwrap();
     wait_until("a booking is taken", WAIT, || {
         book(&fleet, other, "three").is_ok_and(|answer| answer.status == 200)
     })
     .unwrap();
-    fleet.process(owner).unwrap().signal("CONT").unwrap();
+    fleet.process(owner).unwrap().signal(Signal::CONT).unwrap();
     wait_until("the woken host answers as the others do", WAIT, || {
         book(&fleet, owner, "three").is_ok_and(|answer| answer.status == 200)
     })
--- a/crates/daemon/tests/process/lifecycle.rs
+++ b/crates/daemon/tests/process/lifecycle.rs
@@ -1,7 +1,7 @@
 //! Hosts and upstreams that come and go.
 
 use chestnutdrift_standins::fleet::FleetPlan;
-use chestnutdrift_standins::process::wait_until;
+use chestnutdrift_standins::process::{Signal, wait_until};
 use chestnutdrift_wire::api::operator::{ChangeBody, EditBody};
 
 use crate::frame::{Folder, WAIT, chat, engine, fleet, one_host, right_answer};
@@ -26,7 +26,7 @@
         page.contains("chestnutdrift_core{name=\"running\"} 1")
     })
     .unwrap();
-    fleet.process(0).unwrap().signal("TERM").unwrap();
+    fleet.process(0).unwrap().signal(Signal::TERM).unwrap();
     wait_until("the host is not ready", WAIT, || !fleet.is_ready(0)).unwrap();
     let answer = held.join().unwrap().unwrap();
     assert!(answer.text().ends_with("data: [DONE]\n\n"), "the stream was cut");
--- a/crates/standins/src/engine.rs
+++ b/crates/standins/src/engine.rs
@@ -139,6 +139,13 @@
     pub tokens: u64,
 }
 
+/// What the engine has taken on by order.
+#[derive(Debug, Clone, Default)]
+struct Taken {
+    adapters: Vec<Box<str>>,
+    role: Box<str>,
+}
+
 #[derive(Debug)]
 struct State {
     cfg: EngineSettings,
@@ -149,6 +156,7 @@
     running: AtomicU32,
     waiting: AtomicU32,
     cancelled: Mutex<BTreeSet<Box<str>>>,
+    taken: Mutex<Taken>,
     slow_times: AtomicU32,
     break_streams: AtomicU32,
     fail_loads: AtomicU32,
@@ -249,6 +257,7 @@
             running: AtomicU32::new(0),
             waiting: AtomicU32::new(0),
             cancelled: Mutex::default(),
+            taken: Mutex::default(),
             slow_times: AtomicU32::new(1),
             break_streams: AtomicU32::new(0),
             fail_loads: AtomicU32::new(0),
@@ -260,7 +269,10 @@
     }
 
     fn report(&self) -> EngineState {
+        let taken = self.taken.lock().map(|taken| taken.clone()).unwrap_or_default();
         EngineState {
+            adapters: taken.adapters,
+            role: taken.role,
             version: self.version.load(Ordering::Acquire),
             fence: self.fence.load(Ordering::Acquire),
             running: self.running.load(Ordering::Acquire),
@@ -336,18 +348,28 @@
         return json(409, &state.report());
     }
     state.fence.fetch_max(body.fence, Ordering::AcqRel);
+    let Some(version) = body.version else { return obey(state, body) };
     let _one_at_a_time = state.loading.lock().await;
     if take_one(&state.fail_loads) {
         return json(500, &state.report());
     }
     if let Some(store) = state.cfg.store.clone() {
-        let fetched = tokio::task::spawn_blocking(move || store::fetch(&store, body.version)).await;
+        let fetched = tokio::task::spawn_blocking(move || store::fetch(&store, version)).await;
         if !matches!(fetched, Ok(Ok(()))) {
             return json(502, &state.report());
         }
     }
     tokio::time::sleep(state.cfg.load).await;
-    state.version.store(body.version, Ordering::Release);
+    state.version.store(version, Ordering::Release);
+    json(200, &state.report())
+}
+
+/// Takes an adapter or a role.
+fn obey(state: &State, body: LoadBody) -> Response<Body> {
+    if let Ok(mut taken) = state.taken.lock() {
+        taken.adapters.extend(body.adapter);
+        taken.role = body.role.unwrap_or_else(|| taken.role.clone());
+    }
     json(200, &state.report())
 }
 
--- a/crates/standins/src/fleet.rs
+++ b/crates/standins/src/fleet.rs
@@ -10,7 +10,7 @@
 use chestnutdrift_wire::api::operator::{ChangeBody, ChangedAnswer};
 
 use crate::client::{Answer, Client};
-use crate::process::{Process, sibling, wait_until};
+use crate::process::{Process, Signal, sibling, wait_until};
 
 /// How long a call to a host may take.
 const CALL_TIMEOUT: Duration = Duration::from_secs(20);
@@ -266,7 +266,7 @@
             let Some(process) = host.process.take() else {
                 continue;
             };
-            process.signal("TERM")?;
+            process.signal(Signal::TERM)?;
             processes.push(process);
         }
         for process in &mut processes {
--- a/crates/standins/src/process.rs
+++ b/crates/standins/src/process.rs
@@ -5,6 +5,9 @@
 use std::time::{Duration, Instant};
 
 use anyhow::{Context, bail};
+use rustix::process::{Pid, kill_process};
+
+pub use rustix::process::Signal;
 
 /// The pause between two looks at a child.
 const LOOK_EVERY: Duration = Duration::from_millis(20);
@@ -51,18 +54,15 @@
         self.child.id()
     }
 
-    /// Sends it a signal by name, such as `TERM` or `STOP`.
+    /// Sends it a signal.
     ///
     /// # Errors
     ///
     /// Returns an error where the signal can't be sent.
-    pub fn signal(&self, signal: &str) -> anyhow::Result<()> {
-        let id = self.child.id().to_string();
-        let status = Command::new("kill").args(["-s", signal, &id]).status()?;
-        if !status.success() {
-            bail!("signal {signal} to {} ({id}) failed", self.name);
-        }
-        Ok(())
+    pub fn signal(&self, signal: Signal) -> anyhow::Result<()> {
+        let id = Pid::from_child(&self.child);
+        kill_process(id, signal)
+            .with_context(|| format!("signal {signal:?} to {} ({}) failed", self.name, self.id()))
     }
 
     /// Waits for it to end.
--- a/crates/wire/src/api/engine.rs
+++ b/crates/wire/src/api/engine.rs
@@ -3,6 +3,7 @@
 //! `POST /generate` answers with JSON lines: [`Tokens`] lines and, at the end, one [`End`] line.
 //! `POST /cancel`, `POST /load` and `GET /state` answer with one JSON document.
 
+use chestnutdrift_core::event::OrderTask;
 use serde::{Deserialize, Serialize};
 
 /// The body of `POST /generate`.
@@ -59,22 +60,47 @@
     pub id: Box<str>,
 }
 
-/// The body of `POST /load`.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(rename_all = "snake_case")]
+/// The body of `POST /load`: one of a version, an adapter or a role.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default)]
 pub struct LoadBody {
     /// The version to load.
-    pub version: u64,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub version: Option<u64>,
+    /// The adapter to load.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub adapter: Option<Box<str>>,
+    /// The role to take.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub role: Option<Box<str>>,
     /// The fencing number; an engine that checks refuses a number lower than one it has seen.
     pub fence: u64,
 }
 
+impl LoadBody {
+    /// Makes the body of an order.
+    #[must_use]
+    pub fn new(task: &OrderTask, fence: u64) -> Self {
+        let mut body = Self { fence, ..Self::default() };
+        match task {
+            OrderTask::Version(version) => body.version = Some(*version),
+            OrderTask::Adapter(adapter) => body.adapter = Some(adapter.clone()),
+            OrderTask::Role(role) => body.role = Some(role.clone()),
+        }
+        body
+    }
+}
+
 /// What an engine reports: the answer to `POST /load` and `GET /state`.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(default)]
 pub struct EngineState {
     /// The version that it runs.
     pub version: u64,
+    /// The adapters that it has loaded.
+    pub adapters: Vec<Box<str>>,
+    /// Its role, where it has taken one.
+    pub role: Box<str>,
     /// The greatest fencing number that it has seen.
     pub fence: u64,
     /// Requests running.
--- a/crates/wire/src/api/operator.rs
+++ b/crates/wire/src/api/operator.rs
@@ -1,5 +1,6 @@
 //! What operators say and read. The reports themselves are the core's own types.
 
+use chestnutdrift_core::event::OrderTask;
 use chestnutdrift_core::fleet::{Change, ChangeAnswer, Edit, Scope, SettingKey};
 use serde::{Deserialize, Serialize};
 
@@ -66,6 +67,45 @@
     }
 }
 
+/// The body of `POST /v1/operator/orders`: an order to one engine.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct OrderBody {
+    /// The engine's zone.
+    pub zone: Box<str>,
+    /// The engine.
+    pub upstream: Box<str>,
+    /// The adapter to load.
+    #[serde(default)]
+    pub adapter: Option<Box<str>>,
+    /// The role to take.
+    #[serde(default)]
+    pub role: Option<Box<str>>,
+}
+
+impl OrderBody {
+    /// Reads what the engine is to do.
+    ///
+    /// # Errors
+    ///
+    /// Returns what would be right where not exactly one thing is ordered.
+    pub fn task(&self) -> Result<OrderTask, Box<str>> {
+        match (&self.adapter, &self.role) {
+            (Some(adapter), None) => Ok(OrderTask::Adapter(adapter.clone())),
+            (None, Some(role)) => Ok(OrderTask::Role(role.clone())),
+            _ => Err("an order names one of adapter and role".into()),
+        }
+    }
+}
+
+/// The answer to an order.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub struct OrderAnswer {
+    /// Whether the engine obeyed.
+    pub obeyed: bool,
+}
+
 /// The answer to a change.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
