--- a/crates/cli/tests/tool.rs
+++ b/crates/cli/tests/tool.rs
@@ -7,6 +7,7 @@
 use chestnutdrift_standins::engine::{Engine, EngineSettings};
 use chestnutdrift_standins::fleet::{Fleet, FleetPlan};
 use chestnutdrift_standins::process::wait_until;
+use chestnutdrift_standins::trainer::{Trainer, groups};
 use serde_json::Value;
 
 const WAIT: Duration = Duration::from_secs(60);
@@ -129,6 +130,26 @@
     engine.close();
 }
 
+#[test]
+fn trainers_are_shown_with_their_counts() {
+    let fleet = fleet("trainers");
+    let cfg = EngineSettings::new("engine-1", "model").hosts(fleet.zone_hosts("zone-a"));
+    let engine = Engine::start(cfg).unwrap();
+    let entry = fleet.hosts[7].http.to_string();
+    let trainer = Trainer::new("trainer-1", "model", entry);
+    assert_eq!(trainer.submit(1, &groups(1, 2, 3, 4), WAIT).unwrap(), 6);
+    trainer.publish(5, WAIT).unwrap();
+    wait_until("the trainer is shown", WAIT, || {
+        let trainers = text(&tool(&fleet, &["trainers"]));
+        trainers.lines().any(|line| {
+            let cells: Vec<&str> = line.split_whitespace().collect();
+            cells.len() == 10 && cells[0] == "trainer-1" && cells[3..5] == ["5", "6"]
+        })
+    })
+    .unwrap();
+    engine.close();
+}
+
 #[test]
 fn a_command_line_that_cant_be_read_ends_with_code_2() {
     let tool = |args: &[&str]| {
--- a/crates/core/src/agreement/formation.rs
+++ b/crates/core/src/agreement/formation.rs
@@ -78,7 +78,8 @@
     /// other member has lost its memory, as after a loss of power in the whole zone.
     ///
     /// All entries of the log count as committed, since any of them may have been. The group gets
-    /// a new formation number and a voter set of the members as they are now.
+    /// a new formation number, and this member as its only voter: the others hold nothing and could
+    /// elect one of themselves. They are let in again one by one when they have caught up.
     pub(super) fn tick_reform(&mut self, now: Now) {
         let alone_on_disk = self.durable && self.on_disk == [self.me.host];
         let formed = self.formation != 0 && self.members.len() > 1;
@@ -86,6 +87,9 @@
             return;
         }
         let old: Vec<Voter> = self.voters().to_vec();
+        if old == [self.me] {
+            return;
+        }
         let lost = |host: &HostId| {
             let Some((incarnation, heard)) = self.blanks.get(host) else { return false };
             let fresh = now.mono.since(*heard) <= BLANK_VALID;
@@ -96,13 +100,8 @@
         }
         const MILLIS_PER_SECOND: u64 = 1_000;
         let formation = (now.wall.0 / MILLIS_PER_SECOND).max(self.formation + 1);
-        let mut voters = vec![self.me];
-        for (&host, &(incarnation, _)) in &self.blanks {
-            voters.push(Voter::new(host, incarnation));
-        }
-        voters.sort_unstable();
         self.commit = self.log.last_index();
-        self.reform = Some((formation, voters));
+        self.reform = Some((formation, vec![self.me]));
     }
 
     /// Takes in that a member has no state: forms on it later, shows it in, or lets it in again.
--- a/crates/core/src/board/due.rs
+++ b/crates/core/src/board/due.rs
@@ -8,6 +8,8 @@
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(default)]
 pub struct Due {
+    /// Looking at who is up and what the zone has.
+    pub membership: Millis,
     /// Heartbeats to the hosts of this zone.
     pub near_heartbeat: Millis,
     /// Heartbeats to the other zones.
--- a/crates/core/src/board/work.rs
+++ b/crates/core/src/board/work.rs
@@ -17,8 +17,8 @@
 pub struct Assigned {
     /// The host.
     pub host: HostId,
-    /// When it was last told.
-    pub told: Millis,
+    /// When it is given out again, unless it has been generated.
+    pub until: Millis,
 }
 
 /// An order that is to be given.
--- a/crates/core/src/controller/assignment.rs
+++ b/crates/core/src/controller/assignment.rs
@@ -70,9 +70,10 @@
 fn take_back(board: &mut Board) {
     let working = board.working_hosts();
     let now = board.now.mono;
-    board.work.assigned.retain(|_, assigned| {
-        working.contains(&assigned.host) && now.since(assigned.told) < TELL_AGAIN
-    });
+    board
+        .work
+        .assigned
+        .retain(|_, assigned| working.contains(&assigned.host) && now < assigned.until);
 }
 
 fn assign(board: &mut Board) {
@@ -113,7 +114,7 @@
         prompt: Arc::clone(&sample.prompt),
         max_tokens: sample.max_tokens,
     };
-    board.work.assigned.insert(id, Assigned { host, told: board.now.mono });
+    board.work.assigned.insert(id, Assigned { host, until: board.now.mono + TELL_AGAIN });
     if host == board.cfg.id {
         take_job(board, &job, host);
     } else {
@@ -167,6 +168,10 @@
         }
         Err(reason) => {
             board.note(EventKind::AttemptFailed, format!("sample-{}", id.0), reason.clone());
+            let now = board.now.mono;
+            if let Some(assigned) = board.work.assigned.get_mut(&id) {
+                assigned.until = now;
+            }
         }
     }
 }
--- a/crates/core/src/controller/attempts.rs
+++ b/crates/core/src/controller/attempts.rs
@@ -200,6 +200,10 @@
     board.work.conclusions.insert(intent, outcome);
 }
 
+fn request_is_handed_on(board: &Board, key: RequestKey) -> bool {
+    board.requests.get(key).is_some_and(|request| request.call.is_some())
+}
+
 /// Ends a request whose answer nobody takes any more.
 fn abandon(board: &mut Board, key: RequestKey) {
     let Some(request) = board.remove_request(key) else { return };
@@ -218,7 +222,11 @@
             return;
         }
     }
+    let handed_on = request_is_handed_on(board, key);
     let problem = match (maybe_ran, idempotent) {
+        (false, _) if handed_on => {
+            Problem::not_run(ErrorKind::HomeUnreachable, detail).retry_after(REST)
+        }
         (true, false) => Problem::unknown(detail),
         (true, true) => Problem::not_run(ErrorKind::UpstreamFailed, detail).ran(Ran::Unknown),
         (false, _) => Problem::not_run(ErrorKind::UpstreamFailed, detail).retry_after(REST),
--- a/crates/core/src/controller/drain.rs
+++ b/crates/core/src/controller/drain.rs
@@ -48,6 +48,7 @@
     }
     board.draining = Some(board.now.mono);
     board.ready = false;
+    board.due.membership = board.now.mono;
     board.due.near_heartbeat = board.now.mono;
     board.groups.resign();
     let name = board.cfg.name.clone();
--- a/crates/core/src/controller/membership.rs
+++ b/crates/core/src/controller/membership.rs
@@ -17,6 +17,9 @@
 use crate::time::Millis;
 use crate::timeline::EventKind;
 
+/// The time between two looks at who is up and what the zone has.
+const LOOK_EVERY: Millis = Millis(100);
+
 /// The time between heartbeats within a zone.
 const NEAR_EVERY: Millis = Millis(500);
 
@@ -47,17 +50,25 @@
                 take_heartbeat(board, envelope.from, heartbeat);
             }
         }
-        note_silent(board);
-        judge_ready(board);
-        let changed = summarise_zone(board);
         let now = board.now.mono;
+        let looks = now >= board.due.membership || !board.ready;
+        let mut changed = false;
+        if looks {
+            board.due.membership = now + LOOK_EVERY;
+            note_silent(board);
+            judge_ready(board);
+            changed = summarise_zone(board);
+        }
         if now >= board.due.near_heartbeat || board.in_force.tell {
             board.due.near_heartbeat = now + near_every(board);
             beat_near(board);
         }
-        let speaks = board.working_hosts().first() == Some(&board.cfg.id);
-        if now >= board.due.far_heartbeat || (speaks && (changed || board.in_force.tell)) {
-            board.due.far_heartbeat = now + FAR_EVERY;
+        let far = now >= board.due.far_heartbeat || changed;
+        if far || board.in_force.tell {
+            let speaks = board.working_hosts().first() == Some(&board.cfg.id);
+            if now >= board.due.far_heartbeat {
+                board.due.far_heartbeat = now + FAR_EVERY;
+            }
             if speaks || board.in_force.tell {
                 beat_far(board);
             }
@@ -66,7 +77,7 @@
     }
 
     fn next_deadline(&self, board: &Board) -> Millis {
-        board.due.near_heartbeat.min(board.due.far_heartbeat)
+        board.due.near_heartbeat.min(board.due.far_heartbeat).min(board.due.membership)
     }
 }
 
--- a/crates/core/tests/it/bookings.rs
+++ b/crates/core/tests/it/bookings.rs
@@ -102,7 +102,7 @@
 }
 
 #[test]
-fn invariant_7_a_booking_sent_twice_runs_once() {
+fn invariant_6_a_booking_sent_twice_runs_once() {
     let mut world = desk_world(1);
     let first = world.ask(0, booking(1, "shop"));
     let again = world.ask(7, booking(1, "shop"));
@@ -169,17 +169,18 @@
 }
 
 #[test_case(&["kill"]; "kill")]
+#[test_case(&["power"]; "a zone without power")]
 #[test_case(&["freeze"]; "freeze")]
 #[test_case(&["cut", "one_way"]; "cut")]
 #[test_case(&["kill", "lose_disk", "freeze", "cut", "one_way"]; "any two at once")]
-fn invariant_7_a_booking_runs_at_most_once(faults: &[&str]) {
+fn invariant_6_a_booking_runs_at_most_once(faults: &[&str]) {
     for seed in seeds(SEEDS) {
         check(&storm(seed, faults));
     }
 }
 
 #[test]
-fn invariant_6_a_refusal_as_not_run_is_true() {
+fn invariant_5_a_refusal_as_not_run_is_true() {
     let mut refused = 0;
     for seed in seeds(SEEDS) {
         let world = storm(seed + 1_000, &["kill", "cut"]);
--- a/crates/core/tests/it/fleet_settings.rs
+++ b/crates/core/tests/it/fleet_settings.rs
@@ -143,6 +143,7 @@
 }
 
 #[test_case(&["kill"]; "kill")]
+#[test_case(&["power"]; "a zone without power")]
 #[test_case(&["lose_disk"]; "lost disk")]
 #[test_case(&["cut", "one_way", "cut_zone"]; "cut")]
 #[test_case(&["freeze"]; "freeze")]
--- a/crates/core/tests/it/lifecycle.rs
+++ b/crates/core/tests/it/lifecycle.rs
@@ -11,7 +11,7 @@
     let count = world.nodes.len();
     let at = world.rng.random_range(0..count);
     let other = world.rng.random_range(0..count);
-    if ["kill", "lose_disk"].contains(&fault) {
+    if ["kill", "lose_disk", "power"].contains(&fault) {
         await_repair(world);
     }
     match fault {
@@ -28,6 +28,14 @@
             world.run(pause);
             world.start(at);
         }
+        "power" => {
+            let zone = world.nodes[at].zone.clone();
+            let hosts = world.zone(&zone);
+            hosts.iter().for_each(|host| world.kill(*host));
+            let pause = world.rng.random_range(1..1_500);
+            world.run(pause);
+            hosts.iter().for_each(|host| world.start(*host));
+        }
         "freeze" => {
             let millis = world.rng.random_range(500..4_000);
             world.freeze(at, millis);
--- a/crates/core/tests/it/main.rs
+++ b/crates/core/tests/it/main.rs
@@ -9,4 +9,5 @@
 mod records_check;
 mod routing;
 mod samples;
+mod scripts;
 mod tables;
--- a/crates/core/tests/it/routing.rs
+++ b/crates/core/tests/it/routing.rs
@@ -54,7 +54,7 @@
 }
 
 #[test]
-fn invariant_8_a_leaving_upstream_gets_no_new_work() {
+fn invariant_7_a_leaving_upstream_gets_no_new_work() {
     let mut world = World::new(4, 1, 3, 1);
     world.add_engine("z1", "model");
     world.add_engine("z1", "model");
--- a/crates/core/tests/it/samples.rs
+++ b/crates/core/tests/it/samples.rs
@@ -95,6 +95,20 @@
     trainer.check(16, &world.show());
 }
 
+#[test]
+fn invariant_1_a_sample_whose_versions_have_a_gap_is_generated_anew() {
+    let mut world = model_world(6);
+    world.upstreams.iter_mut().for_each(|upstream| upstream.gap_percent = 50);
+    world.ask(0, submit(1, 4, 4));
+    let mut trainer = Trainer::default();
+    for round in 0..60 {
+        trainer.fetch(&mut world, round % 9);
+    }
+    trainer.check(16, &world.show());
+    let started: u64 = world.upstreams.iter().map(|upstream| upstream.started).sum();
+    assert!(started > 16, "no sample came with a gap");
+}
+
 #[test]
 fn the_same_cursor_gives_the_same_samples() {
     let mut world = model_world(2);
@@ -151,6 +165,7 @@
 }
 
 #[test_case(&["kill"]; "kill")]
+#[test_case(&["power"]; "a zone without power")]
 #[test_case(&["lose_disk"]; "lost disk")]
 #[test_case(&["freeze"]; "freeze")]
 #[test_case(&["cut", "one_way", "cut_zone"]; "cut")]
--- a/crates/core/tests/it/world/upstreams.rs
+++ b/crates/core/tests/it/world/upstreams.rs
@@ -31,6 +31,8 @@
     pub(crate) spec: UpstreamSpec,
     pub(crate) zone: Box<str>,
     pub(crate) up: bool,
+    /// Samples whose versions come with a gap, in percent.
+    pub(crate) gap_percent: u32,
     /// Attempts that break after they have run, in percent.
     pub(crate) break_percent: u32,
     /// The shortest and longest time of a request.
@@ -70,6 +72,7 @@
             spec,
             zone: zone.into(),
             up: true,
+            gap_percent: 0,
             break_percent: 0,
             work: (5, 30),
             fence: 0,
@@ -159,7 +162,8 @@
 
     fn run_sample(&mut self, number: usize, prompt: &str) -> AttemptEnd {
         let version = self.upstreams[number].spec.version;
-        let spans = vec![Span { version, from: 0, to: 4 }];
+        let gap = self.percent(self.upstreams[number].gap_percent);
+        let spans = vec![Span { version, from: u32::from(gap), to: 4 }];
         let output = Output { text: format!("answer to {prompt}").into(), spans };
         AttemptEnd::Whole { output: Some(Arc::new(output)), answer: None }
     }
--- a/crates/daemon/tests/process/booking.rs
+++ b/crates/daemon/tests/process/booking.rs
@@ -33,7 +33,7 @@
 }
 
 #[test]
-fn invariant_7_a_booking_sent_to_every_host_runs_once() {
+fn invariant_6_a_booking_sent_to_every_host_runs_once() {
     let folder = Folder::new();
     let fleet = fleet(&FleetPlan::new(&["zone-a"]), &folder);
     let desk = desk(&fleet, "zone-a", "desk-1", Duration::from_millis(5));
@@ -47,7 +47,7 @@
 }
 
 #[test]
-fn invariant_7_a_booking_whose_host_is_killed_in_the_middle_is_not_run_again() {
+fn invariant_6_a_booking_whose_host_is_killed_in_the_middle_is_not_run_again() {
     let folder = Folder::new();
     let mut fleet = fleet(&FleetPlan::new(&["zone-a"]), &folder);
     let desk = desk(&fleet, "zone-a", "desk-1", Duration::from_millis(1_500));
@@ -71,7 +71,7 @@
 }
 
 #[test]
-fn invariant_7_a_frozen_owner_does_not_book_after_another_has_taken_over() {
+fn invariant_6_a_frozen_owner_does_not_book_after_another_has_taken_over() {
     let folder = Folder::new();
     let mut fleet = fleet(&FleetPlan::new(&["zone-a"]).disks_per_zone(2), &folder);
     let desk = desk(&fleet, "zone-a", "desk-1", Duration::from_millis(5));
--- a/crates/daemon/tests/process/chat.rs
+++ b/crates/daemon/tests/process/chat.rs
@@ -65,7 +65,7 @@
 }
 
 #[test]
-fn invariant_5_a_chat_that_an_engine_breaks_off_is_resumed_and_comes_whole() {
+fn invariant_4_a_chat_that_an_engine_breaks_off_is_resumed_and_comes_whole() {
     let folder = Folder::new();
     let fleet = one_host(&folder);
     let engines = [engine(&fleet, "zone-a", "engine-1"), engine(&fleet, "zone-a", "engine-2")];
@@ -94,7 +94,7 @@
 }
 
 #[test]
-fn invariant_5_answers_of_many_callers_are_not_mixed() {
+fn invariant_4_answers_of_many_callers_are_not_mixed() {
     let folder = Folder::new();
     let fleet = fleet(&FleetPlan::new(&["zone-a"]), &folder);
     let engines = [engine(&fleet, "zone-a", "engine-1"), engine(&fleet, "zone-a", "engine-2")];
--- a/crates/daemon/tests/process/lifecycle.rs
+++ b/crates/daemon/tests/process/lifecycle.rs
@@ -38,7 +38,7 @@
 }
 
 #[test]
-fn invariant_8_a_leaving_engine_finishes_its_work_and_gets_no_more() {
+fn invariant_7_a_leaving_engine_finishes_its_work_and_gets_no_more() {
     let folder = Folder::new();
     let fleet = one_host(&folder);
     let leaving = engine(&fleet, "zone-a", "engine-1");
--- a/crates/daemon/tests/process/main.rs
+++ b/crates/daemon/tests/process/main.rs
@@ -6,4 +6,5 @@
 mod disk;
 mod frame;
 mod lifecycle;
+mod samples;
 mod settings;
--- a/crates/standins/src/engine.rs
+++ b/crates/standins/src/engine.rs
@@ -5,7 +5,7 @@
 //! versions from the weight store, and obeys or refuses orders by their fencing number. Its tokens
 //! are a function of the prompt and their place, so a reader can tell whether an answer is whole.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
@@ -30,6 +30,9 @@
 use crate::server::{Body, Incomer, Server, json};
 use crate::store;
 
+/// Prompts whose stamps are kept for tests.
+const STAMPED_PROMPTS: usize = 256;
+
 /// What an engine is told.
 #[derive(Debug, Clone)]
 pub struct EngineSettings {
@@ -157,6 +160,7 @@
     waiting: AtomicU32,
     cancelled: Mutex<BTreeSet<Box<str>>>,
     taken: Mutex<Taken>,
+    stamps: Mutex<BTreeMap<Box<str>, Vec<u64>>>,
     slow_times: AtomicU32,
     break_streams: AtomicU32,
     fail_loads: AtomicU32,
@@ -258,6 +262,7 @@
             waiting: AtomicU32::new(0),
             cancelled: Mutex::default(),
             taken: Mutex::default(),
+            stamps: Mutex::default(),
             slow_times: AtomicU32::new(1),
             break_streams: AtomicU32::new(0),
             fail_loads: AtomicU32::new(0),
@@ -280,6 +285,21 @@
         }
     }
 
+    /// Returns, for each prompt, the version that each token of its last answer was stamped with.
+    fn stamps(&self) -> BTreeMap<Box<str>, Vec<u64>> {
+        self.stamps.lock().map(|stamps| stamps.clone()).unwrap_or_default()
+    }
+
+    fn stamp(&self, prompt: &str, at: u32, version: u64) {
+        let Ok(mut stamps) = self.stamps.lock() else { return };
+        if stamps.len() >= STAMPED_PROMPTS && !stamps.contains_key(prompt) {
+            return;
+        }
+        let versions = stamps.entry(prompt.into()).or_default();
+        versions.truncate(at as usize);
+        versions.push(version);
+    }
+
     fn is_cancelled(&self, id: &str) -> bool {
         self.cancelled.lock().is_ok_and(|mut cancelled| cancelled.remove(id))
     }
@@ -303,6 +323,7 @@
         ("POST", "/fault") => fault(&state, &incomer.body),
         ("GET", "/state") => json(200, &state.report()),
         ("GET", "/stats") => json(200, &stats(&state)),
+        ("GET", "/stamps") => json(200, &state.stamps()),
         _ => json(404, &"no such path"),
     }
 }
@@ -409,6 +430,7 @@
             break;
         }
         let version = state.version.load(Ordering::Acquire);
+        state.stamp(&body.prompt, at, version);
         let tokens = vec![token(&body.prompt, at).into()];
         if !send(tx, &Tokens { at, tokens, version }).await {
             return false;
--- a/crates/standins/src/experiment.rs
+++ b/crates/standins/src/experiment.rs
@@ -2,6 +2,7 @@
 
 mod control;
 mod overhead;
+mod slopes;
 mod spread;
 
 use std::path::Path;
@@ -19,7 +20,8 @@
         "overhead" => overhead::run(&folder, seed),
         "spread" => spread::run(&folder, seed),
         "control" => control::run(&folder, seed),
-        _ => bail!("experiments: overhead, spread, control; not {name:?}"),
+        "slopes" => slopes::run(&folder, seed),
+        _ => bail!("experiments: overhead, spread, control, slopes; not {name:?}"),
     }
 }
 
