--- a/crates/daemon/src/call/agents.rs
+++ b/crates/daemon/src/call/agents.rs
@@ -9,6 +9,9 @@
 /// How long a connection may take to be made.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(1_000);
 
+/// The size of the buffers of one connection, in bytes.
+const BUFFER: usize = 16 * 1024;
+
 /// Idle connections kept to one address.
 const IDLE_PER_ADDRESS: usize = 32;
 
@@ -39,12 +42,16 @@
             .max_idle_connections_per_host(IDLE_PER_ADDRESS)
             .max_idle_age(IDLE_AGE)
             .max_redirects(0)
+            .input_buffer_size(BUFFER)
+            .output_buffer_size(BUFFER)
             .build();
         let fresh = Agent::config_builder()
             .http_status_as_error(false)
             .timeout_connect(Some(CONNECT_TIMEOUT))
             .max_idle_connections(0)
             .max_redirects(0)
+            .input_buffer_size(BUFFER)
+            .output_buffer_size(BUFFER)
             .build();
         Self { pooled: pooled.new_agent(), fresh: fresh.new_agent() }
     }
--- a/crates/daemon/tests/process/chat.rs
+++ b/crates/daemon/tests/process/chat.rs
@@ -2,7 +2,7 @@
 
 use chestnutdrift_standins::client::Client;
 use chestnutdrift_standins::engine::{EngineStats, Fault};
-use chestnutdrift_standins::fleet::FleetPlan;
+use chestnutdrift_standins::fleet::{Fleet, FleetPlan};
 use chestnutdrift_standins::process::wait_until;
 use serde_json::Value;
 use std::io::{Read, Write};
@@ -34,6 +34,16 @@
     client.get(&url).expect("the engine answers").json().expect("its counts")
 }
 
+/// Asks for a chat of very many tokens on a connection of its own.
+fn open_chat(fleet: &Fleet, streamed: bool) -> TcpStream {
+    let body = chat("canvas", 100_000, streamed).to_string();
+    let mut stream = TcpStream::connect(fleet.hosts[0].http).expect("a connection");
+    let head = "POST /v1/chat/completions HTTP/1.1\r\nhost: a\r\ncontent-type: application/json";
+    let sent = write!(stream, "{head}\r\ncontent-length: {}\r\n\r\n{body}", body.len());
+    sent.expect("the request is taken");
+    stream
+}
+
 #[test]
 fn a_chat_comes_whole_with_its_versions() {
     let folder = Folder::new();
@@ -125,10 +135,7 @@
     let folder = Folder::new();
     let fleet = one_host(&folder);
     let engine = engine(&fleet, "zone-a", "engine-1");
-    let body = chat("canvas", 100_000, true).to_string();
-    let mut stream = TcpStream::connect(fleet.hosts[0].http).unwrap();
-    let head = "POST /v1/chat/completions HTTP/1.1\r\nhost: a\r\ncontent-type: application/json";
-    write!(stream, "{head}\r\ncontent-length: {}\r\n\r\n{body}", body.len()).unwrap();
+    let mut stream = open_chat(&fleet, true);
     let mut first = [0; 16];
     stream.read_exact(&mut first).unwrap();
     drop(stream);
@@ -145,10 +152,7 @@
     let folder = Folder::new();
     let fleet = one_host(&folder);
     let engine = engine(&fleet, "zone-a", "engine-1");
-    let body = chat("canvas", 100_000, false).to_string();
-    let mut stream = TcpStream::connect(fleet.hosts[0].http).unwrap();
-    let head = "POST /v1/chat/completions HTTP/1.1\r\nhost: a\r\ncontent-type: application/json";
-    write!(stream, "{head}\r\ncontent-length: {}\r\n\r\n{body}", body.len()).unwrap();
+    let stream = open_chat(&fleet, false);
     wait_until("the engine has begun", WAIT, || stats(&fleet.client, &engine).started == 1)
         .unwrap();
     drop(stream);
--- a/crates/standins/src/experiment.rs
+++ b/crates/standins/src/experiment.rs
@@ -2,12 +2,28 @@
 
 mod control;
 mod overhead;
+mod recovery;
 mod slopes;
 mod spread;
 
 use std::path::Path;
+use std::time::Duration;
 
 use anyhow::bail;
+use chestnutdrift_wire::api::operator::{ChangeBody, EditBody};
+
+use crate::engine::{Engine, EngineSettings};
+use crate::fleet::Fleet;
+use crate::process::wait_until;
+
+/// The service of the experiments on one host.
+const SERVICE: &str = "quote-drafters";
+
+/// Engines of the experiments on one host.
+const ENGINES: usize = 4;
+
+/// How long the engines may take to be known.
+const WAIT: Duration = Duration::from_secs(60);
 
 /// Runs an experiment by name and prints its table.
 ///
@@ -20,9 +36,34 @@
         "overhead" => overhead::run(&folder, seed),
         "spread" => spread::run(&folder, seed),
         "control" => control::run(&folder, seed),
+        "recovery" => recovery::run(&folder, seed),
         "slopes" => slopes::run(&folder, seed),
-        _ => bail!("experiments: overhead, spread, control, slopes; not {name:?}"),
+        _ => bail!("experiments: overhead, spread, control, slopes, recovery; not {name:?}"),
+    }
+}
+
+/// Starts engines with many slots before one host, and lets the host use all of them.
+fn start_engines(fleet: &Fleet, token: Duration) -> anyhow::Result<Vec<Engine>> {
+    let hosts = fleet.zone_hosts("zone-a");
+    let mut engines = Vec::new();
+    for at in 0..ENGINES {
+        let cfg = EngineSettings::new(format!("engine-{at}"), SERVICE)
+            .hosts(hosts.clone())
+            .slots(256)
+            .token(token);
+        engines.push(Engine::start(cfg)?);
     }
+    wait_until("the engines are known", WAIT, || {
+        let listed = fleet.client.get_json(&fleet.url(0, "/v1/operator/upstreams"));
+        listed.is_ok_and(|list| list.as_array().is_some_and(|list| list.len() == ENGINES))
+    })?;
+    let (key, value, reason) = ("upstream_slots".into(), Some(256), "".into());
+    let edits = vec![EditBody { key, value, scope: None, reason }];
+    let base = fleet.settings_version(0)?;
+    let change = ChangeBody { id: "slots".into(), base, by: "experiment".into(), edits };
+    let answer = fleet.change(0, &change)?;
+    anyhow::ensure!(answer.accepted, "{answer:?}");
+    Ok(engines)
 }
 
 /// What a process has used, read from the system.
--- a/crates/standins/src/experiment/overhead.rs
+++ b/crates/standins/src/experiment/overhead.rs
@@ -3,18 +3,15 @@
 use std::path::Path;
 use std::time::Duration;
 
-use chestnutdrift_wire::api::operator::{ChangeBody, EditBody};
-
-use crate::engine::{Engine, EngineSettings};
-use crate::experiment::usage;
+use crate::experiment::{SERVICE, start_engines, usage};
 use crate::fleet::{Fleet, FleetPlan};
 use crate::load::{self, LoadPlan, LoadReport, LoadTarget};
-use crate::process::wait_until;
 
-const SERVICE: &str = "quote-drafters";
-const ENGINES: usize = 4;
 const WAIT: Duration = Duration::from_secs(30);
 
+/// The time of a token.
+const TOKEN: Duration = Duration::from_millis(1);
+
 /// Requests a second of the comparison, and in all.
 const COMPARED: (f64, usize) = (100.0, 1_500);
 
@@ -36,7 +33,7 @@
     let id = fleet.process(0)?.id();
     pin(id)?;
     fleet.wait_ready(WAIT)?;
-    let engines = engines(&fleet)?;
+    let engines = start_engines(&fleet, TOKEN)?;
     let addresses: Vec<Box<str>> =
         engines.iter().map(|engine| engine.address().to_string().into()).collect();
     compare(&fleet, &addresses, id, seed)?;
@@ -58,29 +55,6 @@
     Ok(())
 }
 
-fn engines(fleet: &Fleet) -> anyhow::Result<Vec<Engine>> {
-    let hosts = fleet.zone_hosts("zone-a");
-    let mut engines = Vec::new();
-    for at in 0..ENGINES {
-        let cfg = EngineSettings::new(format!("engine-{at}"), SERVICE)
-            .hosts(hosts.clone())
-            .slots(256)
-            .token(Duration::from_millis(1));
-        engines.push(Engine::start(cfg)?);
-    }
-    wait_until("the engines are known", WAIT, || {
-        let listed = fleet.client.get_json(&fleet.url(0, "/v1/operator/upstreams"));
-        listed.is_ok_and(|list| list.as_array().is_some_and(|list| list.len() == ENGINES))
-    })?;
-    let base = fleet.settings_version(0)?;
-    let (key, value, reason) = ("upstream_slots".into(), Some(256), "".into());
-    let edits = vec![EditBody { key, value, scope: None, reason }];
-    let change = ChangeBody { id: "overhead".into(), base, by: "overhead".into(), edits };
-    let answer = fleet.change(0, &change)?;
-    anyhow::ensure!(answer.accepted, "{answer:?}");
-    Ok(engines)
-}
-
 fn compare(fleet: &Fleet, engines: &[Box<str>], id: u32, seed: u64) -> anyhow::Result<()> {
     let (rate, count) = COMPARED;
     println!("chat of 8 tokens, {rate} a second, {count} requests; times in ms");
--- a/crates/standins/src/experiment/slopes.rs
+++ b/crates/standins/src/experiment/slopes.rs
@@ -3,21 +3,18 @@
 use std::path::Path;
 use std::time::Duration;
 
-use chestnutdrift_wire::api::operator::{ChangeBody, EditBody};
-
-use crate::engine::{Engine, EngineSettings};
-use crate::experiment::{Usage, usage};
+use crate::experiment::{SERVICE, Usage, start_engines, usage};
 use crate::fleet::{Fleet, FleetPlan};
 use crate::load::{self, LoadPlan, LoadTarget};
-use crate::process::wait_until;
 
-const SERVICE: &str = "quote-drafters";
-const ENGINES: usize = 4;
 const WAIT: Duration = Duration::from_secs(60);
 
 /// Requests a second and in all, for each length of answer.
 const OFFER: (f64, usize) = (50.0, 400);
 
+/// The time of a token.
+const TOKEN: Duration = Duration::from_millis(4);
+
 /// Lengths of answers, in tokens.
 const LENGTHS: [u32; 4] = [1, 8, 64, 256];
 
@@ -31,7 +28,7 @@
     let mut fleet = Fleet::start(&plan, folder)?;
     fleet.wait_ready(WAIT)?;
     let id = fleet.process(0)?.id();
-    let engines = start_engines(&fleet)?;
+    let engines = start_engines(&fleet, TOKEN)?;
     println!("one host, {} requests a second, {} requests, seed {seed}", OFFER.0, OFFER.1);
     println!("tokens  core-ms per request  p50 ms   failed");
     for tokens in LENGTHS {
@@ -44,6 +41,8 @@
         let each = used * 1_000.0 / OFFER.1 as f64;
         println!("{tokens:<7} {each:<20.3} {:<8.1} {failed}", report.millis(0.5));
     }
+    let each = announce(&fleet, id)?;
+    println!("one announcement of an upstream: {each:.3} core-ms");
     println!("streams held  resident MB  above idle, KB a stream");
     for held in HELD {
         let (idle, busy) = hold(&fleet, id, held)?;
@@ -56,27 +55,19 @@
     fleet.close(WAIT)
 }
 
-fn start_engines(fleet: &Fleet) -> anyhow::Result<Vec<Engine>> {
-    let hosts = fleet.zone_hosts("zone-a");
-    let mut engines = Vec::new();
-    for at in 0..ENGINES {
-        let cfg = EngineSettings::new(format!("engine-{at}"), SERVICE)
-            .hosts(hosts.clone())
-            .slots(256)
-            .token(Duration::from_millis(4));
-        engines.push(Engine::start(cfg)?);
+/// Announces an upstream many times and returns the processor time of one, in milliseconds.
+fn announce(fleet: &Fleet, id: u32) -> anyhow::Result<f64> {
+    const TIMES: u32 = 5_000;
+    let url = fleet.url(0, "/v1/upstreams/announce");
+    let body = serde_json::json!({
+        "name": "announcer", "life": 1, "service": "other", "address": "127.0.0.1:1",
+        "kind": "plain", "slots": 1, "idempotent": true,
+    });
+    let before = usage(id)?.cpu_seconds;
+    for _ in 0..TIMES {
+        fleet.client.post(&url, &body)?.ok()?;
     }
-    wait_until("the engines are known", WAIT, || {
-        let listed = fleet.client.get_json(&fleet.url(0, "/v1/operator/upstreams"));
-        listed.is_ok_and(|list| list.as_array().is_some_and(|list| list.len() == ENGINES))
-    })?;
-    let (key, value, reason) = ("upstream_slots".into(), Some(256), "".into());
-    let edits = vec![EditBody { key, value, scope: None, reason }];
-    let base = fleet.settings_version(0)?;
-    let change = ChangeBody { id: "slopes".into(), base, by: "slopes".into(), edits };
-    let answer = fleet.change(0, &change)?;
-    anyhow::ensure!(answer.accepted, "{answer:?}");
-    Ok(engines)
+    Ok((usage(id)?.cpu_seconds - before) * 1_000.0 / f64::from(TIMES))
 }
 
 /// Holds streams and returns what the host uses before and in the middle of them.
