--- a/crates/core/src/agreement/replication.rs
+++ b/crates/core/src/agreement/replication.rs
@@ -7,13 +7,16 @@
 /// The most entries in one append.
 const ENTRIES_PER_APPEND: usize = 64;
 
+/// Heartbeats of a leader in one shortest election time; its lease outlasts one lost heartbeat.
+const HEARTBEATS_PER_ELECTION: u64 = 3;
+
 /// The time after which an unanswered append is sent again.
 const RESEND_AFTER: Millis = Millis(300);
 
 impl Replica {
     /// Sends entries, or nothing but the commit index, to every other replica.
     pub(super) fn heartbeat(&mut self, now: Now, out: &mut Outbox) {
-        self.append_at = now.mono + Millis(self.election.0 / 5);
+        self.append_at = now.mono + Millis(self.election.0 / HEARTBEATS_PER_ELECTION);
         let peers: Vec<HostId> = self.progress.keys().copied().collect();
         for host in peers {
             self.send_append(now, host, true, out);
--- a/crates/core/src/controller/membership.rs
+++ b/crates/core/src/controller/membership.rs
@@ -8,6 +8,7 @@
 //! zones travels along only when it has changed, and whole now and then in case a message is lost.
 
 use rand::Rng;
+use rand::seq::SliceRandom;
 
 use super::Controller;
 use crate::board::{Board, UpstreamState};
@@ -32,6 +33,9 @@
 /// The time between heartbeats to other zones.
 const FAR_EVERY: Millis = Millis(1_000);
 
+/// The most zones that are spoken to at a time; what changed reaches the others through these.
+const MOST_FAR_ZONES: usize = 6;
+
 /// One heartbeat in this many carries everything.
 const WHOLE_ONE_IN: u32 = 20;
 
@@ -229,8 +233,9 @@
 }
 
 fn beat_far(board: &mut Board) {
-    let zones: Vec<ZoneKey> = board.zones.keys().filter(|key| *key != board.my_zone).collect();
-    for zone in zones {
+    let mut zones: Vec<ZoneKey> = board.zones.keys().filter(|key| *key != board.my_zone).collect();
+    zones.shuffle(&mut board.rng);
+    for zone in zones.into_iter().take(MOST_FAR_ZONES) {
         let Some(key) = contact_in(board, zone) else {
             continue;
         };
--- a/crates/daemon/tests/process/bad_input.rs
+++ b/crates/daemon/tests/process/bad_input.rs
@@ -22,7 +22,11 @@
 }
 
 fn strict_host(folder: &Folder) -> Fleet {
-    let limits = "body = 8KiB\nhead_timeout = 300ms\nbody_timeout = 300ms\nconnections = 8";
+    let limits = "body = 8KiB\nhead_timeout = 300ms\nbody_timeout = 300ms";
+    limited_host(folder, limits)
+}
+
+fn limited_host(folder: &Folder, limits: &str) -> Fleet {
     fleet(&FleetPlan::new(&["zone-a"]).hosts_per_zone(1).limits(limits), folder)
 }
 
@@ -99,7 +103,7 @@
 #[test]
 fn connections_beyond_the_bound_are_turned_away_and_room_comes_back() {
     let folder = Folder::new();
-    let fleet = strict_host(&folder);
+    let fleet = limited_host(&folder, "connections = 8");
     let open = || TcpStream::connect(fleet.hosts[0].http).expect("a connection");
     let held: Vec<TcpStream> = (0..20).map(|_| open()).collect();
     let mut turned_away = 0;
--- a/crates/standins/src/experiment/recovery.rs
+++ b/crates/standins/src/experiment/recovery.rs
@@ -46,7 +46,7 @@
 fn lose_leaders(fleet: &mut Fleet, kill: bool) -> anyhow::Result<Vec<Duration>> {
     let mut times = Vec::new();
     for _ in 0..LOSSES {
-        let leader = leader_of(fleet, 0).context("no leader")?;
+        let leader = agreed_leader(fleet)?;
         let other = (leader + 1) % ZONE_HOSTS;
         let start = Instant::now();
         if kill {
@@ -71,6 +71,16 @@
     Ok(times)
 }
 
+/// Waits until all hosts of the zone name the same leader, and returns it.
+fn agreed_leader(fleet: &Fleet) -> anyhow::Result<usize> {
+    let mut agreed = None;
+    wait_until("the hosts of the zone agree on a leader", WAIT, || {
+        agreed = leader_of(fleet, 0);
+        agreed.is_some() && (1..ZONE_HOSTS).all(|at| leader_of(fleet, at) == agreed)
+    })?;
+    agreed.context("no leader")
+}
+
 /// Returns the host that another takes for the leader of its zone.
 fn leader_of(fleet: &Fleet, at: usize) -> Option<usize> {
     let hosts = fleet.client.get_json(&fleet.url(at, "/v1/operator/hosts")).ok()?;
