--- a/crates/core/src/board/attempt.rs
+++ b/crates/core/src/board/attempt.rs
@@ -2,6 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::board::Class;
 use crate::key::{HostId, RequestKey, UpstreamKey};
 use crate::time::Millis;
 
@@ -23,6 +24,8 @@
     pub request: RequestKey,
     /// Where it went.
     pub target: AttemptTarget,
+    /// The class of the request.
+    pub class: Class,
     /// When it started.
     pub started: Millis,
 }
--- a/crates/core/src/board/service.rs
+++ b/crates/core/src/board/service.rs
@@ -6,6 +6,7 @@
 
 use crate::board::Class;
 use crate::key::{RequestKey, UpstreamKey};
+use crate::time::Millis;
 
 /// One service.
 #[derive(Debug, Clone, Default, Serialize, Deserialize)]
@@ -19,6 +20,10 @@
     pub rollout: VecDeque<RequestKey>,
     /// Its upstreams in this zone.
     pub upstreams: Vec<UpstreamKey>,
+    /// Rollout attempts of this host that run on its upstreams.
+    pub rollout_running: u32,
+    /// When an interactive request last came in.
+    pub interactive_at: Option<Millis>,
     /// Whether its upstreams say that calls may be sent again; true until one says no.
     pub repeatable: bool,
 }
--- a/crates/core/src/controller/attempts.rs
+++ b/crates/core/src/controller/attempts.rs
@@ -10,7 +10,7 @@
 use super::Controller;
 use crate::action::Action;
 use crate::board::{
-    Attempt, AttemptTarget, Board, LEADER_LOOK, LEADER_WAIT, Origin, Request, RequestState,
+    Attempt, AttemptTarget, Board, Class, LEADER_LOOK, LEADER_WAIT, Origin, Request, RequestState,
 };
 use crate::error::{ErrorKind, Problem, Ran};
 use crate::event::{AttemptEnd, Event, RecordedAnswer};
@@ -150,6 +150,10 @@
         return;
     };
     upstream.in_flight = upstream.in_flight.saturating_sub(1);
+    let service = &mut board.services[upstream.service];
+    if attempt.class == Class::Rollout {
+        service.rollout_running = service.rollout_running.saturating_sub(1);
+    }
     match end {
         AttemptEnd::Whole { .. } => upstream.learn_pace(now.since(attempt.started)),
         AttemptEnd::NotSent { .. } => upstream.rest_until = now + REST,
--- a/crates/core/src/controller/dispatch.rs
+++ b/crates/core/src/controller/dispatch.rs
@@ -10,6 +10,7 @@
 use crate::agreement::GroupId;
 use crate::board::{
     Attempt, AttemptTarget, Board, Class, LEADER_LOOK, LEADER_WAIT, Origin, RequestState, Route,
+    UpstreamState,
 };
 use crate::error::{ErrorKind, Problem};
 use crate::event::{Arrival, Event};
@@ -22,6 +23,9 @@
 /// How old a load report may be and still count.
 const REPORT_VALID: Millis = Millis(1_000);
 
+/// How long the reserve for interactive work is kept after the last such request.
+const INTERACTIVE_MEMORY: Millis = Millis(10_000);
+
 /// The least time that a request must have left to be dispatched.
 const LEAST_TIME: Millis = Millis(5);
 
@@ -86,7 +90,11 @@
         let name = board.services[service].name.clone();
         let share = board.setting(SettingKey::RolloutSharePercent, Some(&name));
         let interactive = head(board, service, Class::Interactive);
-        let rollout = head(board, service, Class::Rollout);
+        let rollout =
+            head(board, service, Class::Rollout).filter(|_| rollout_has_room(board, service));
+        if interactive.is_none() && rollout.is_none() {
+            return None;
+        }
         let rollout_next = self.order.rollout_next(interactive, rollout, share);
         let class = if rollout_next { Class::Rollout } else { Class::Interactive };
         board.services[service].queue_mut(class).pop_front()
@@ -100,6 +108,27 @@
     left < LEAST_TIME.max(Millis(u64::from(candidate.pace_ms) / 2))
 }
 
+/// Tells whether one more rollout attempt leaves the reserve for interactive work free, which holds
+/// while such work has come in lately.
+fn rollout_has_room(board: &Board, service: ServiceKey) -> bool {
+    const WHOLE: u64 = 100;
+    let record = &board.services[service];
+    let lately = |at| board.now.mono.since(at) < INTERACTIVE_MEMORY;
+    if !record.interactive_at.is_some_and(lately) {
+        return true;
+    }
+    let reserve = board.setting(SettingKey::InteractiveReservePercent, Some(&record.name));
+    let mut slots = 0;
+    for key in &record.upstreams {
+        let upstream = &board.upstreams[*key];
+        if upstream.state == UpstreamState::Up {
+            slots += u64::from(upstream.limit);
+        }
+    }
+    let open = (slots * (WHOLE - reserve.min(WHOLE)) / WHOLE).max(1);
+    u64::from(record.rollout_running) < open
+}
+
 fn calls_used_up(board: &Board) -> bool {
     board.attempts.len() >= board.cfg.calls as usize
 }
@@ -134,16 +163,19 @@
     let spec = &board.upstreams[upstream].spec;
     let target = Target::Upstream { address: spec.address.clone(), kind: spec.kind };
     let name = spec.name.clone();
+    let service = board.upstreams[upstream].service;
     board.upstreams[upstream].in_flight += 1;
+    if board.requests.get(key).is_some_and(|request| request.class == Class::Rollout) {
+        board.services[service].rollout_running += 1;
+    }
     start(board, key, AttemptTarget::Upstream(upstream), target, &name);
 }
 
 fn start(board: &mut Board, key: RequestKey, at: AttemptTarget, target: Target, name: &str) {
     let started = board.now.mono;
-    let attempt = board.attempts.insert(Attempt { request: key, target: at, started });
-    let Some(request) = board.requests.get_mut(key) else {
-        return;
-    };
+    let Some(request) = board.requests.get_mut(key) else { return };
+    let class = request.class;
+    let attempt = board.attempts.insert(Attempt { request: key, target: at, class, started });
     request.state = RequestState::Running(attempt);
     request.attempts += 1;
     let retried = request.attempts > 1;
--- a/crates/core/src/fleet/key.rs
+++ b/crates/core/src/fleet/key.rs
@@ -12,6 +12,8 @@
     RolloutQueue,
     /// The share of dispatches that rollout work gets while interactive work waits.
     RolloutSharePercent,
+    /// The share of a host's slots that rollout work leaves free while interactive work comes in.
+    InteractiveReservePercent,
     /// The most requests in flight to one upstream, from all hosts of its zone together.
     UpstreamSlots,
     /// The deadline of a request that brings none, in milliseconds.
@@ -31,10 +33,11 @@
 }
 
 /// The name, default, least and greatest value of each setting.
-const TABLE: [(SettingKey, &str, u64, u64, u64); 11] = [
+const TABLE: [(SettingKey, &str, u64, u64, u64); 12] = [
     (SettingKey::InteractiveQueue, "interactive_queue", 512, 1, 100_000),
     (SettingKey::RolloutQueue, "rollout_queue", 256, 1, 100_000),
     (SettingKey::RolloutSharePercent, "rollout_share_percent", 20, 0, 100),
+    (SettingKey::InteractiveReservePercent, "interactive_reserve_percent", 25, 0, 90),
     (SettingKey::UpstreamSlots, "upstream_slots", 16, 1, 4_096),
     (SettingKey::DeadlineMs, "deadline_ms", 60_000, 10, 3_600_000),
     (SettingKey::Attempts, "attempts", 3, 1, 10),
--- a/crates/core/tests/it/routing.rs
+++ b/crates/core/tests/it/routing.rs
@@ -179,3 +179,27 @@
     assert_eq!(ran.iter().filter(|ran| **ran == Ran::No).count(), 1, "one waited in the queue");
     assert_eq!(ran.iter().filter(|ran| **ran == Ran::Unknown).count(), 8, "eight were running");
 }
+
+#[test]
+fn rollout_work_leaves_a_reserve_while_interactive_work_comes_in_and_none_otherwise() {
+    let mut world = World::new(11, 1, 1, 1);
+    for _ in 0..2 {
+        world.add_engine("z1", "model");
+    }
+    world.upstreams.iter_mut().for_each(|engine| engine.work = (1_000, 1_000));
+    world.settle();
+    world.run(1_000);
+    let running = |world: &World| {
+        let core = world.nodes[0].core.as_ref().expect("it runs");
+        core.board().services.values().map(|service| service.rollout_running).sum::<u32>()
+    };
+    world.ask(0, crate::samples::submit(1, 200, 1));
+    world.run(500);
+    assert_eq!(running(&world), 16, "all slots without interactive work");
+    let chats = world.send(0, chat("model"));
+    world.run(1_500);
+    assert_eq!(running(&world), 12, "a quarter of the slots is left free");
+    assert!(matches!(world.sends[chats].answer(), Some(Answer::Recorded { .. }) | None));
+    world.run(12_000);
+    assert_eq!(running(&world), 16, "all slots again, ten seconds later");
+}
--- a/crates/core/tests/it/samples.rs
+++ b/crates/core/tests/it/samples.rs
@@ -15,7 +15,7 @@
 
 const STALENESS: u64 = 2;
 
-fn submit(step: u64, groups: u32, samples: u32) -> Call {
+pub(crate) fn submit(step: u64, groups: u32, samples: u32) -> Call {
     let groups = (0..groups)
         .map(|at| PromptGroup {
             group: format!("g{at}").into(),
--- a/crates/standins/src/experiment.rs
+++ b/crates/standins/src/experiment.rs
@@ -3,6 +3,7 @@
 mod control;
 mod overhead;
 mod recovery;
+mod rush;
 mod slopes;
 mod spread;
 
@@ -37,8 +38,9 @@
         "spread" => spread::run(&folder, seed),
         "control" => control::run(&folder, seed),
         "recovery" => recovery::run(&folder, seed),
+        "rush" => rush::run(&folder, seed),
         "slopes" => slopes::run(&folder, seed),
-        _ => bail!("experiments: overhead, spread, control, slopes, recovery; not {name:?}"),
+        _ => bail!("experiments: overhead, spread, control, slopes, recovery, rush; not {name:?}"),
     }
 }
 
