--- a/crates/core/src/board/work.rs
+++ b/crates/core/src/board/work.rs
@@ -17,8 +17,10 @@
 pub struct Assigned {
     /// The host.
     pub host: HostId,
-    /// When it is given out again, unless it has been generated.
+    /// When the host is told again, or the sample is given out anew where it failed.
     pub until: Millis,
+    /// Whether the host has reported that it could not generate the sample.
+    pub failed: bool,
 }
 
 /// An order that is to be given.
--- a/crates/core/src/controller/assignment.rs
+++ b/crates/core/src/controller/assignment.rs
@@ -59,21 +59,29 @@
     }
     if board.now.mono >= board.due.assignment {
         board.due.assignment = board.now.mono + LOOK_EVERY;
-        take_back(board);
+        look_after(board);
     }
     if board.groups.records.pending_count() > board.work.assigned.len() {
         assign(board);
     }
 }
 
-/// Takes samples back from hosts that are down or have been silent about them for long.
-fn take_back(board: &mut Board) {
+/// Takes samples back that failed or whose host is down, and tells the others' hosts again.
+///
+/// A host that is told again and still has the sample goes on with it. Giving the sample to another
+/// host instead would generate it twice wherever the queue is longer than the wait.
+fn look_after(board: &mut Board) {
     let working = board.working_hosts();
     let now = board.now.mono;
-    board
-        .work
-        .assigned
-        .retain(|_, assigned| working.contains(&assigned.host) && now < assigned.until);
+    board.work.assigned.retain(|_, assigned| {
+        let over = assigned.failed && now >= assigned.until;
+        working.contains(&assigned.host) && !over
+    });
+    let due = board.work.assigned.iter().filter(|(_, assigned)| now >= assigned.until);
+    let late: Vec<(SampleId, HostId)> = due.map(|(id, assigned)| (*id, assigned.host)).collect();
+    for (id, host) in late {
+        give(board, id, host);
+    }
 }
 
 fn assign(board: &mut Board) {
@@ -114,7 +122,10 @@
         prompt: Arc::clone(&sample.prompt),
         max_tokens: sample.max_tokens,
     };
-    board.work.assigned.insert(id, Assigned { host, until: board.now.mono + TELL_AGAIN });
+    board
+        .work
+        .assigned
+        .insert(id, Assigned { host, until: board.now.mono + TELL_AGAIN, failed: false });
     if host == board.cfg.id {
         take_job(board, &job, host);
     } else {
@@ -171,6 +182,7 @@
             let now = board.now.mono;
             if let Some(assigned) = board.work.assigned.get_mut(&id) {
                 assigned.until = now;
+                assigned.failed = true;
             }
         }
     }
--- a/crates/core/tests/it/samples.rs
+++ b/crates/core/tests/it/samples.rs
@@ -109,6 +109,22 @@
     assert!(started > 16, "no sample came with a gap");
 }
 
+#[test]
+fn samples_that_wait_long_in_a_queue_are_not_generated_twice() {
+    const SAMPLES: u32 = 300;
+    let mut world = World::new(7, 1, 3, 1);
+    world.add_engine("z1", "model");
+    world.upstreams[0].work = (400, 400);
+    world.settle();
+    world.run(1_000);
+    world.ask(0, submit(1, SAMPLES, 1));
+    let mut trainer = Trainer::default();
+    while trainer.received.len() < SAMPLES as usize {
+        trainer.fetch(&mut world, 1);
+    }
+    assert_eq!(world.upstreams[0].started, u64::from(SAMPLES));
+}
+
 #[test]
 fn the_same_cursor_gives_the_same_samples() {
     let mut world = model_world(2);
