--- a/crates/core/src/agreement/election.rs
+++ b/crates/core/src/agreement/election.rs
@@ -122,9 +122,7 @@
 
     /// Tells whether a leader heard before a restart could still hold its lease.
     fn restarted_lately(&self, now: Now) -> bool {
-        let Some(started) = self.started else {
-            return true;
-        };
+        let Some(started) = self.started else { return true };
         self.term > 0 && now.mono.since(started) < self.election
     }
 
--- a/crates/core/src/agreement/formation.rs
+++ b/crates/core/src/agreement/formation.rs
@@ -46,9 +46,7 @@
     }
 
     fn is_blank(&self, host: HostId, now: Now) -> bool {
-        let Some((_, heard)) = self.blanks.get(&host) else {
-            return false;
-        };
+        let Some((_, heard)) = self.blanks.get(&host) else { return false };
         now.mono.since(*heard) <= BLANK_VALID
     }
 
--- a/crates/core/src/agreement/log.rs
+++ b/crates/core/src/agreement/log.rs
@@ -72,9 +72,7 @@
 
     /// Drops the entries up to and with `index`, which a snapshot now holds.
     pub fn compact(&mut self, index: u64) {
-        let Some(term) = self.term_at(index) else {
-            return;
-        };
+        let Some(term) = self.term_at(index) else { return };
         let drop = index.saturating_sub(self.base_index);
         self.entries.drain(..usize::try_from(drop).unwrap_or(0));
         self.base_index = index;
--- a/crates/core/src/agreement/replica.rs
+++ b/crates/core/src/agreement/replica.rs
@@ -229,9 +229,7 @@
     #[must_use]
     pub fn voters(&self) -> &[Voter] {
         for entry in self.log.newest_first() {
-            let Command::Voters(voters) = &entry.command else {
-                continue;
-            };
+            let Command::Voters(voters) = &entry.command else { continue };
             return voters;
         }
         &self.base_voters
@@ -400,9 +398,7 @@
             if entry.index > index {
                 continue;
             }
-            let Command::Voters(voters) = &entry.command else {
-                continue;
-            };
+            let Command::Voters(voters) = &entry.command else { continue };
             return voters.clone();
         }
         self.base_voters.clone()
--- a/crates/core/src/agreement/replication.rs
+++ b/crates/core/src/agreement/replication.rs
@@ -37,9 +37,7 @@
         if host == self.me.host {
             return;
         }
-        let Some(progress) = self.progress.get_mut(&host) else {
-            return;
-        };
+        let Some(progress) = self.progress.get_mut(&host) else { return };
         let waiting = progress.in_flight && now.mono.since(progress.sent_at) < RESEND_AFTER;
         let nothing_new = progress.next > self.log.last_index();
         if !even_empty && (waiting || nothing_new) {
@@ -176,9 +174,7 @@
         if self.role != Role::Leader {
             return;
         }
-        let Some(progress) = self.progress.get_mut(&from) else {
-            return;
-        };
+        let Some(progress) = self.progress.get_mut(&from) else { return };
         if progress.incarnation != incarnation {
             return;
         }
@@ -202,9 +198,7 @@
         }
         let mut held: Vec<u64> = self.voters().iter().map(|voter| self.held_by(*voter)).collect();
         held.sort_unstable();
-        let Some(&index) = held.get(held.len().saturating_sub(1) / 2) else {
-            return;
-        };
+        let Some(&index) = held.get(held.len().saturating_sub(1) / 2) else { return };
         if index > self.commit && self.log.term_at(index) == Some(self.term) {
             self.commit = index;
         }
@@ -214,9 +208,7 @@
         if voter == self.me {
             return self.synced;
         }
-        let Some(progress) = self.progress.get(&voter.host) else {
-            return 0;
-        };
+        let Some(progress) = self.progress.get(&voter.host) else { return 0 };
         if progress.incarnation == voter.incarnation { progress.matched } else { 0 }
     }
 
@@ -229,9 +221,7 @@
                 heard.push(now);
                 continue;
             }
-            let Some(progress) = self.progress.get(&voter.host) else {
-                continue;
-            };
+            let Some(progress) = self.progress.get(&voter.host) else { continue };
             if progress.heard && progress.incarnation == voter.incarnation {
                 heard.push(progress.acked_sent_at);
             }
--- a/crates/core/src/board.rs
+++ b/crates/core/src/board.rs
@@ -279,9 +279,7 @@
 
     /// Ends a request that has no answer but an error.
     pub fn fail_request(&mut self, key: RequestKey, problem: Problem) {
-        let Some(request) = self.remove_request(key) else {
-            return;
-        };
+        let Some(request) = self.remove_request(key) else { return };
         match request.origin {
             Origin::Exchange(tag) => self.refuse(tag, &request.trace, problem),
             Origin::Sample(job, leader) => {
@@ -301,9 +299,7 @@
 
     /// Puts a request at the end of its service's queue, or among those to be handed on.
     pub fn enqueue(&mut self, key: RequestKey) {
-        let Some(request) = self.requests.get_mut(key) else {
-            return;
-        };
+        let Some(request) = self.requests.get_mut(key) else { return };
         request.state = RequestState::Queued;
         match (request.route, request.service) {
             (Route::Upstream, Some(service)) => {
@@ -315,9 +311,7 @@
 
     /// Sets a request aside until a time.
     pub fn set_aside(&mut self, key: RequestKey, until: Millis) {
-        let Some(request) = self.requests.get_mut(key) else {
-            return;
-        };
+        let Some(request) = self.requests.get_mut(key) else { return };
         request.state = RequestState::Backoff(until);
         self.timers.insert((until, key));
     }
--- a/crates/core/src/board/host.rs
+++ b/crates/core/src/board/host.rs
@@ -37,7 +37,7 @@
     pub settings: u64,
     /// The sequence of each zone's digest that it was last sent.
     pub digests_sent: BTreeMap<ZoneKey, u64>,
-    /// Whether it counted as up when this host last looked.
+    /// Whether it counted as up when this host last looked; for hosts of this zone only.
     pub was_up: bool,
 }
 
--- a/crates/core/src/controller/admission.rs
+++ b/crates/core/src/controller/admission.rs
@@ -21,9 +21,7 @@
 impl Controller for Admission {
     fn run(&mut self, board: &mut Board, _event: Option<&Event>) {
         for arrival in board.take_arrivals(|call| matches!(call, Call::Run(_))) {
-            let Call::Run(call) = arrival.call.clone() else {
-                continue;
-            };
+            let Call::Run(call) = arrival.call.clone() else { continue };
             admit(board, arrival, &call);
         }
     }
--- a/crates/core/src/controller/agreement.rs
+++ b/crates/core/src/controller/agreement.rs
@@ -55,9 +55,7 @@
             board.in_force.offer(settings.clone());
             continue;
         }
-        let Some(group) = board.groups.group_mut(record.group()) else {
-            continue;
-        };
+        let Some(group) = board.groups.group_mut(record.group()) else { continue };
         group.replica.restore(record.clone());
     }
     for group in GROUPS {
@@ -80,26 +78,20 @@
         if held.token > token {
             break;
         }
-        let Some(held) = board.groups.held.pop_front() else {
-            break;
-        };
+        let Some(held) = board.groups.held.pop_front() else { break };
         board.send(held.to, held.message);
     }
 }
 
 fn receive(board: &mut Board, from: HostId, frame: &GroupFrame) {
     let now = board.now;
-    let Some(group) = board.groups.group_mut(frame.group) else {
-        return;
-    };
+    let Some(group) = board.groups.group_mut(frame.group) else { return };
     group.replica.receive(now, from, frame.formation, frame.message.clone(), &mut group.out);
 }
 
 fn tick(board: &mut Board, group: GroupId) {
     let (now, jitter) = (board.now, board.rng.random::<u32>());
-    let Some(group) = board.groups.group_mut(group) else {
-        return;
-    };
+    let Some(group) = board.groups.group_mut(group) else { return };
     if now.mono < group.replica.next_deadline() {
         return;
     }
@@ -109,12 +101,8 @@
 fn apply(board: &mut Board, group: GroupId) {
     take_installed(board, group);
     loop {
-        let Some(group_box) = board.groups.group_mut(group) else {
-            return;
-        };
-        let Some(entry) = group_box.replica.next_committed() else {
-            return;
-        };
+        let Some(group_box) = board.groups.group_mut(group) else { return };
+        let Some(entry) = group_box.replica.next_committed() else { return };
         let written = group_box.written.remove(&entry.index);
         apply_entry(board, &entry, written);
     }
@@ -134,9 +122,7 @@
             Some(Fate::Zone(applied))
         }
     };
-    let Some((term, purpose)) = written else {
-        return;
-    };
+    let Some((term, purpose)) = written else { return };
     let fate = match fate {
         Some(fate) if term == entry.term => fate,
         _ => Fate::Replaced,
@@ -145,9 +131,7 @@
 }
 
 fn take_installed(board: &mut Board, group: GroupId) {
-    let Some(group) = board.groups.group_mut(group) else {
-        return;
-    };
+    let Some(group) = board.groups.group_mut(group) else { return };
     match group.replica.take_installed() {
         Some(GroupState::Fleet(state)) => {
             board.in_force.offer(state.settings.clone());
@@ -160,9 +144,7 @@
 
 /// Takes a snapshot where the log has grown long, and sends the state to replicas that need it.
 fn compact(board: &mut Board, group: GroupId) {
-    let Some(group_box) = board.groups.group_mut(group) else {
-        return;
-    };
+    let Some(group_box) = board.groups.group_mut(group) else { return };
     let wanted = group_box.replica.take_install_wanted();
     let long = group_box.replica.wants_snapshot();
     if wanted.is_empty() && !long {
@@ -173,9 +155,7 @@
         GroupId::Zone => GroupState::Zone(board.groups.records.clone()),
     };
     let now = board.now;
-    let Some(group_box) = board.groups.group_mut(group) else {
-        return;
-    };
+    let Some(group_box) = board.groups.group_mut(group) else { return };
     for host in wanted {
         let snapshot = group_box.replica.snapshot_of(state.clone());
         group_box.replica.send_install(now, host, snapshot, &mut group_box.out);
@@ -187,9 +167,7 @@
 
 fn note_leadership(board: &mut Board, group: GroupId) {
     let now = board.now;
-    let Some(group_box) = board.groups.group_mut(group) else {
-        return;
-    };
+    let Some(group_box) = board.groups.group_mut(group) else { return };
     let leads = group_box.replica.holds_lease(now);
     if leads == group_box.led {
         return;
--- a/crates/core/src/controller/assignment.rs
+++ b/crates/core/src/controller/assignment.rs
@@ -99,9 +99,7 @@
         board.groups.records.pending().filter(|id| !board.work.assigned.contains_key(id)).collect();
     for id in pending {
         let least = loads.iter_mut().min_by_key(|(_, load)| **load);
-        let Some((&host, load)) = least.filter(|(_, load)| **load < window) else {
-            break;
-        };
+        let Some((&host, load)) = least.filter(|(_, load)| **load < window) else { break };
         *load += 1;
         give(board, id, host);
     }
@@ -109,12 +107,8 @@
 
 fn give(board: &mut Board, id: SampleId, host: HostId) {
     let records = &board.groups.records;
-    let Some(sample) = records.sample(id) else {
-        return;
-    };
-    let Some(trainer) = records.trainer(sample.trainer) else {
-        return;
-    };
+    let Some(sample) = records.sample(id) else { return };
+    let Some(trainer) = records.trainer(sample.trainer) else { return };
     let job = SampleJob {
         sample: id,
         round: sample.round,
--- a/crates/core/src/controller/attempts.rs
+++ b/crates/core/src/controller/attempts.rs
@@ -48,24 +48,16 @@
 }
 
 fn progress(board: &mut Board, attempt: AttemptKey, tokens: u32) {
-    let Some(attempt) = board.attempts.get(attempt) else {
-        return;
-    };
-    let Some(request) = board.requests.get_mut(attempt.request) else {
-        return;
-    };
+    let Some(attempt) = board.attempts.get(attempt) else { return };
+    let Some(request) = board.requests.get_mut(attempt.request) else { return };
     request.sent = request.sent.max(tokens);
 }
 
 impl Attempts {
     fn ended(&mut self, board: &mut Board, key: AttemptKey, end: &AttemptEnd) {
-        let Some(attempt) = board.attempts.remove(key) else {
-            return;
-        };
+        let Some(attempt) = board.attempts.remove(key) else { return };
         release(board, &attempt, end);
-        let Some(request) = board.requests.get_mut(attempt.request) else {
-            return;
-        };
+        let Some(request) = board.requests.get_mut(attempt.request) else { return };
         if request.state != RequestState::Running(key) {
             return;
         }
@@ -88,9 +80,7 @@
     fn failed(&mut self, board: &mut Board, attempt: &Attempt, detail: &str, may_have_run: bool) {
         board.counters.failures += 1;
         let key = attempt.request;
-        let Some(request) = board.requests.get_mut(key) else {
-            return;
-        };
+        let Some(request) = board.requests.get_mut(key) else { return };
         request.maybe_ran |= may_have_run;
         if let AttemptTarget::Upstream(upstream) = attempt.target {
             request.avoid = Some(upstream);
@@ -142,13 +132,9 @@
 
 /// Gives the upstream's slot back and learns from the attempt.
 fn release(board: &mut Board, attempt: &Attempt, end: &AttemptEnd) {
-    let AttemptTarget::Upstream(key) = attempt.target else {
-        return;
-    };
+    let AttemptTarget::Upstream(key) = attempt.target else { return };
     let now = board.now.mono;
-    let Some(upstream) = board.upstreams.get_mut(key) else {
-        return;
-    };
+    let Some(upstream) = board.upstreams.get_mut(key) else { return };
     upstream.in_flight = upstream.in_flight.saturating_sub(1);
     let service = &mut board.services[upstream.service];
     if attempt.class == Class::Rollout {
@@ -168,16 +154,12 @@
     output: Option<&Arc<Output>>,
     answer: Option<&RecordedAnswer>,
 ) {
-    let Some(request) = board.requests.get(attempt.request) else {
-        return;
-    };
+    let Some(request) = board.requests.get(attempt.request) else { return };
     if let (Some(intent), Some(answer)) = (request.intent.clone(), answer) {
         record_answer(board, intent, answer);
         return;
     }
-    let Some(request) = board.remove_request(attempt.request) else {
-        return;
-    };
+    let Some(request) = board.remove_request(attempt.request) else { return };
     match request.origin {
         Origin::Exchange(tag) => {
             board.counters.answered += 1;
@@ -211,13 +193,14 @@
 /// Ends a request whose answer nobody takes any more.
 fn abandon(board: &mut Board, key: RequestKey) {
     let Some(request) = board.remove_request(key) else { return };
+    if let Some(intent) = request.intent {
+        board.work.conclusions.entry(intent).or_insert(Outcome::Unknown);
+    }
     board.note(EventKind::CallerGone, request.trace, "nobody takes the answer");
 }
 
 fn give_up(board: &mut Board, key: RequestKey, detail: &str) {
-    let Some(request) = board.requests.get(key) else {
-        return;
-    };
+    let Some(request) = board.requests.get(key) else { return };
     let (maybe_ran, idempotent) = (request.maybe_ran, request.idempotent);
     if let Some(intent) = request.intent.clone() {
         let outcome = if maybe_ran { Outcome::Unknown } else { Outcome::NotRun };
--- a/crates/core/src/controller/changes.rs
+++ b/crates/core/src/controller/changes.rs
@@ -19,15 +19,11 @@
 impl Controller for Changes {
     fn run(&mut self, board: &mut Board, _event: Option<&Event>) {
         for result in board.groups.results.clone() {
-            let Purpose::Request(key) = result.purpose else {
-                continue;
-            };
+            let Purpose::Request(key) = result.purpose else { continue };
             decided(board, key, &result.fate);
         }
         for arrival in board.take_arrivals(|call| matches!(call, Call::Change(_))) {
-            let Call::Change(change) = arrival.call.clone() else {
-                continue;
-            };
+            let Call::Change(change) = arrival.call.clone() else { continue };
             arrived(board, arrival, change);
         }
     }
@@ -52,17 +48,13 @@
 }
 
 fn decided(board: &mut Board, key: RequestKey, fate: &Fate) {
-    let Some(request) = board.requests.get(key) else {
-        return;
-    };
+    let Some(request) = board.requests.get(key) else { return };
     if !matches!(request.call, Some(Call::Change(_))) {
         return;
     }
     match fate {
         Fate::Changed(answer) => {
-            let Some(request) = board.remove_request(key) else {
-                return;
-            };
+            let Some(request) = board.remove_request(key) else { return };
             let Some(tag) = request.tag() else { return };
             board.counters.answered += 1;
             board.answer(tag, Answer::Changed(answer.clone()));
--- a/crates/core/src/controller/deadlines.rs
+++ b/crates/core/src/controller/deadlines.rs
@@ -38,9 +38,7 @@
 }
 
 fn on_timer(board: &mut Board, key: RequestKey) {
-    let Some(request) = board.requests.get(key) else {
-        return;
-    };
+    let Some(request) = board.requests.get(key) else { return };
     if request.deadline <= board.now.mono {
         expire(board, key);
         return;
@@ -51,9 +49,7 @@
 }
 
 fn expire(board: &mut Board, key: RequestKey) {
-    let Some(request) = board.requests.get(key) else {
-        return;
-    };
+    let Some(request) = board.requests.get(key) else { return };
     if request.intent.is_some() {
         expire_recorded(board, key);
         return;
@@ -81,9 +77,7 @@
 
 /// Ends the waiting for a recorded request; an attempt that runs is left to end by itself.
 fn expire_recorded(board: &mut Board, key: RequestKey) {
-    let Some(request) = board.requests.get(key) else {
-        return;
-    };
+    let Some(request) = board.requests.get(key) else { return };
     let (tag, trace, state) = (request.tag(), request.trace.clone(), request.state);
     let never_sent = !request.maybe_ran && !matches!(state, RequestState::Running(_));
     if never_sent {
@@ -103,26 +97,18 @@
 
 fn extend(board: &mut Board, key: RequestKey) {
     let deadline = board.now.mono + GRACE;
-    let Some(request) = board.requests.get_mut(key) else {
-        return;
-    };
+    let Some(request) = board.requests.get_mut(key) else { return };
     request.deadline = deadline;
     board.timers.insert((deadline, key));
 }
 
 /// Drops what a caller who has gone was waiting for, but lets a recorded request run to its end.
 fn caller_gone(board: &mut Board, tag: RequestTag) {
-    let Some(key) = board.tags.get(&tag).copied() else {
-        return;
-    };
-    let Some(request) = board.requests.get(key) else {
-        return;
-    };
+    let Some(key) = board.tags.get(&tag).copied() else { return };
+    let Some(request) = board.requests.get(key) else { return };
     let trace = request.trace.clone();
     board.note(EventKind::CallerGone, trace, "the caller closed the connection");
-    let Some(request) = board.requests.get(key) else {
-        return;
-    };
+    let Some(request) = board.requests.get(key) else { return };
     if request.intent.is_some() {
         return;
     }
--- a/crates/core/src/controller/dispatch.rs
+++ b/crates/core/src/controller/dispatch.rs
@@ -47,9 +47,7 @@
     fn run(&mut self, board: &mut Board, _event: Option<&Event>) {
         let count = board.work.forwards.len();
         for _ in 0..count {
-            let Some(key) = board.work.forwards.pop_front() else {
-                break;
-            };
+            let Some(key) = board.work.forwards.pop_front() else { break };
             forward(board, key);
         }
         let services: Vec<ServiceKey> = board.services.keys().collect();
@@ -69,9 +67,7 @@
         if candidates.is_empty() {
             return false;
         }
-        let Some(key) = self.next_request(board, service) else {
-            return false;
-        };
+        let Some(key) = self.next_request(board, service) else { return false };
         let avoid = board.requests.get(key).and_then(|request| request.avoid);
         let others: Vec<Candidate> =
             candidates.iter().copied().filter(|other| Some(other.upstream) != avoid).collect();
@@ -203,9 +199,7 @@
 
 /// Hands a call on to the host that is to decide or run it.
 fn forward(board: &mut Board, key: RequestKey) {
-    let Some(request) = board.requests.get(key) else {
-        return;
-    };
+    let Some(request) = board.requests.get(key) else { return };
     let (route, attempts, arrived) = (request.route, request.attempts, request.arrived);
     if let Route::Leader(group, zone) = route
         && (group == GroupId::Fleet || zone == board.my_zone)
@@ -233,12 +227,8 @@
 
 /// Takes a call back as if it had just arrived, because this host has come to lead the group.
 fn decide_here(board: &mut Board, key: RequestKey) {
-    let Some(request) = board.remove_request(key) else {
-        return;
-    };
-    let (Some(tag), Some(call)) = (request.tag(), request.call) else {
-        return;
-    };
+    let Some(request) = board.remove_request(key) else { return };
+    let (Some(tag), Some(call)) = (request.tag(), request.call) else { return };
     let deadline = Some(request.deadline.since(board.now.mono));
     board.arrivals.push(Arrival {
         tag,
@@ -252,9 +242,7 @@
 }
 
 fn start_on_host(board: &mut Board, key: RequestKey, host: HostId) {
-    let Some(request) = board.requests.get(key) else {
-        return;
-    };
+    let Some(request) = board.requests.get(key) else { return };
     let (hops, granted) = (request.hops + 1, request.intent.is_some());
     let name = board.host_key(host).map_or_else(Box::default, |key| board.hosts[key].name.clone());
     let maybe_ran = request.maybe_ran;
--- a/crates/core/src/controller/drain.rs
+++ b/crates/core/src/controller/drain.rs
@@ -65,12 +65,8 @@
         }
     }
     for key in waiting {
-        let Some(request) = board.remove_request(key) else {
-            continue;
-        };
-        let Origin::Sample(job, _) = request.origin else {
-            continue;
-        };
+        let Some(request) = board.remove_request(key) else { continue };
+        let Origin::Sample(job, _) = request.origin else { continue };
         board.work.running.remove(&job.sample);
     }
 }
--- a/crates/core/src/controller/intents.rs
+++ b/crates/core/src/controller/intents.rs
@@ -35,15 +35,11 @@
             wish_conclusion(board, key.clone(), outcome.clone());
         }
         for result in board.groups.results.clone() {
-            let Purpose::Request(key) = result.purpose else {
-                continue;
-            };
+            let Purpose::Request(key) = result.purpose else { continue };
             decided(board, key, result.index, &result.fate);
         }
         for applied in board.groups.applied.clone() {
-            let Applied::Concluded(key) = applied else {
-                continue;
-            };
+            let Applied::Concluded(key) = applied else { continue };
             concluded(board, &key);
         }
         release(board);
@@ -61,9 +57,7 @@
 
 /// Takes the non-idempotent arrivals and leaves the others to admission.
 fn arrived(board: &mut Board, arrival: Arrival) {
-    let Call::Run(call) = &arrival.call else {
-        return;
-    };
+    let Call::Run(call) = &arrival.call else { return };
     let repeatable =
         board.service_key(&call.service).is_none_or(|key| board.services[key].repeatable);
     if (call.idempotent && repeatable) || arrival.granted || !board.ready {
@@ -91,15 +85,9 @@
 
 /// Answers from the record where this host has it, leader or not.
 fn answer_known(board: &mut Board, arrival: &Arrival, key: &IntentKey) -> bool {
-    let Call::Run(call) = &arrival.call else {
-        return false;
-    };
-    let Some(intent) = board.groups.records.intent(key) else {
-        return false;
-    };
-    let IntentState::Ended(outcome) = intent.state.clone() else {
-        return false;
-    };
+    let Call::Run(call) = &arrival.call else { return false };
+    let Some(intent) = board.groups.records.intent(key) else { return false };
+    let IntentState::Ended(outcome) = intent.state.clone() else { return false };
     if intent.fingerprint != call.fingerprint {
         return false;
     }
@@ -109,9 +97,7 @@
 
 /// Decides as leader of the key's zone: answers, waits, or writes the intent.
 fn decide(board: &mut Board, arrival: &Arrival, key: IntentKey) {
-    let Call::Run(call) = &arrival.call else {
-        return;
-    };
+    let Call::Run(call) = &arrival.call else { return };
     let known = board.groups.records.intent(&key);
     if known.is_some_and(|intent| intent.fingerprint != call.fingerprint) {
         let detail = "the Idempotency-Key was used with another body";
@@ -176,9 +162,7 @@
 /// Refuses every request that waited for an intent which was not written.
 fn refuse_waiters(board: &mut Board, key: RequestKey, problem: &Problem) {
     let found = board.work.waiters.iter().find(|(_, waiters)| waiters.contains(&key));
-    let Some(intent) = found.map(|(intent, _)| intent.clone()) else {
-        return;
-    };
+    let Some(intent) = found.map(|(intent, _)| intent.clone()) else { return };
     for waiter in board.work.waiters.remove(&intent).unwrap_or_default() {
         board.fail_request(waiter, problem.clone());
     }
@@ -239,9 +223,7 @@
             .get(waiter)
             .and_then(Request::tag)
             .is_some_and(|tag| !board.tags.contains_key(&tag));
-        let Some(request) = board.remove_request(waiter) else {
-            continue;
-        };
+        let Some(request) = board.remove_request(waiter) else { continue };
         let Some(tag) = request.tag() else { continue };
         if answered_before {
             continue;
@@ -282,9 +264,7 @@
     }
     let mut orphans = Vec::new();
     for key in board.work.waiters.keys() {
-        let Some(intent) = board.groups.records.intent(key) else {
-            continue;
-        };
+        let Some(intent) = board.groups.records.intent(key) else { continue };
         if intent.state != IntentState::Intended || owner_lives(board, intent) {
             continue;
         }
@@ -299,9 +279,7 @@
     if intent.owner == board.cfg.id {
         return intent.life == board.life;
     }
-    let Some(key) = board.host_key(intent.owner) else {
-        return false;
-    };
+    let Some(key) = board.host_key(intent.owner) else { return false };
     let host = &board.hosts[key];
     host.is_up(board.now.mono) && host.life == intent.life
 }
--- a/crates/core/src/controller/membership.rs
+++ b/crates/core/src/controller/membership.rs
@@ -5,7 +5,8 @@
 //!
 //! Within a zone every host tells every other that it is alive. Between zones only the working
 //! host with the lowest number speaks, to one host of each other zone. What a host knows of the
-//! zones travels along only when it has changed, and whole now and then in case a message is lost.
+//! other zones travels along when it has changed, until it went to a host that is up, and whole now
+//! and then in case a message is lost; what it knows of its own zone always does.
 
 use rand::Rng;
 use rand::seq::SliceRandom;
@@ -91,14 +92,15 @@
     if large { NEAR_EVERY_IN_LARGE_ZONE } else { NEAR_EVERY }
 }
 
+/// Takes in a sign of life. Only hosts of this zone are heard from steadily, so only they are noted
+/// as up or down; of the others the zone's summary tells.
 fn heard(board: &mut Board, from: HostId) {
-    let Some(key) = board.host_key(from) else {
-        return;
-    };
+    let Some(key) = board.host_key(from) else { return };
     let now = board.now.mono;
+    let near = board.hosts[key].zone == board.my_zone;
     let host = &mut board.hosts[key];
     host.heard = Some(now);
-    if host.was_up {
+    if host.was_up || !near {
         return;
     }
     host.was_up = true;
@@ -107,11 +109,12 @@
 }
 
 fn take_heartbeat(board: &mut Board, from: HostId, heartbeat: &Heartbeat) {
-    let Some(key) = board.host_key(from) else {
-        return;
-    };
-    let same_zone = board.hosts[key].zone == board.my_zone;
+    let Some(key) = board.host_key(from) else { return };
+    let near = board.hosts[key].zone == board.my_zone;
     let host = &mut board.hosts[key];
+    if host.life != heartbeat.life {
+        host.digests_sent.clear();
+    }
     host.incarnation = heartbeat.incarnation;
     host.life = heartbeat.life;
     host.ready = heartbeat.ready;
@@ -119,7 +122,7 @@
     if heartbeat.fleet_leader > board.groups.fleet_leader {
         board.groups.fleet_leader = heartbeat.fleet_leader;
     }
-    if same_zone && heartbeat.zone_leader > board.groups.zone_leader {
+    if near && heartbeat.zone_leader > board.groups.zone_leader {
         board.groups.zone_leader = heartbeat.zone_leader;
     }
     for digest in &heartbeat.digests {
@@ -128,9 +131,7 @@
 }
 
 fn take_digest(board: &mut Board, digest: &ZoneDigest) {
-    let Some(key) = board.zone_key(&digest.zone) else {
-        return;
-    };
+    let Some(key) = board.zone_key(&digest.zone) else { return };
     if key == board.my_zone {
         return;
     }
@@ -148,7 +149,6 @@
             continue;
         }
         host.was_up = false;
-        host.digests_sent.clear();
         silent.push(host.name.clone());
     }
     for name in silent {
@@ -236,9 +236,7 @@
     let mut zones: Vec<ZoneKey> = board.zones.keys().filter(|key| *key != board.my_zone).collect();
     zones.shuffle(&mut board.rng);
     for zone in zones.into_iter().take(MOST_FAR_ZONES) {
-        let Some(key) = contact_in(board, zone) else {
-            continue;
-        };
+        let Some(key) = contact_in(board, zone) else { continue };
         beat(board, key);
     }
 }
@@ -262,14 +260,18 @@
 fn beat(board: &mut Board, to: HostKey) {
     let whole = board.rng.random_ratio(1, WHOLE_ONE_IN);
     let mut digests = Vec::new();
+    let (my_zone, now) = (board.my_zone, board.now.mono);
     let host = &mut board.hosts[to];
+    let listens = host.is_up(now);
     for (key, zone) in &board.zones {
         let sequence = zone.digest.sequence;
-        let known = host.digests_sent.get(&key) == Some(&sequence);
+        let known = key != my_zone && host.digests_sent.get(&key) == Some(&sequence);
         if sequence == 0 || key == host.zone || (known && !whole) {
             continue;
         }
-        host.digests_sent.insert(key, sequence);
+        if listens {
+            host.digests_sent.insert(key, sequence);
+        }
         digests.push(zone.digest.clone());
     }
     let id = host.id;
--- a/crates/core/src/controller/outbox.rs
+++ b/crates/core/src/controller/outbox.rs
@@ -29,9 +29,7 @@
 }
 
 fn collect(board: &mut Board, group: GroupId) {
-    let Some(group) = board.groups.group_mut(group) else {
-        return;
-    };
+    let Some(group) = board.groups.group_mut(group) else { return };
     let records = std::mem::take(&mut group.out.records);
     board.groups.records_out.extend(records);
 }
@@ -50,9 +48,7 @@
 }
 
 fn send(board: &mut Board, group: GroupId) {
-    let Some(group_box) = board.groups.group_mut(group) else {
-        return;
-    };
+    let Some(group_box) = board.groups.group_mut(group) else { return };
     let formation = group_box.replica.formation();
     let prompt = std::mem::take(&mut group_box.out.prompt);
     let after_sync = std::mem::take(&mut group_box.out.after_sync);
--- a/crates/core/src/controller/queries.rs
+++ b/crates/core/src/controller/queries.rs
@@ -16,9 +16,7 @@
 impl Controller for Queries {
     fn run(&mut self, board: &mut Board, _event: Option<&Event>) {
         for arrival in board.take_arrivals(|call| matches!(call, Call::Query(_))) {
-            let Call::Query(query) = &arrival.call else {
-                continue;
-            };
+            let Call::Query(query) = &arrival.call else { continue };
             let answer = read(board, query);
             board.answer(arrival.tag, answer);
         }
--- a/crates/core/src/controller/registry.rs
+++ b/crates/core/src/controller/registry.rs
@@ -77,17 +77,13 @@
 }
 
 fn leaving(board: &mut Board, name: &str) {
-    let Some(key) = board.upstream_key(name) else {
-        return;
-    };
+    let Some(key) = board.upstream_key(name) else { return };
     board.upstreams[key].state = UpstreamState::Leaving;
     board.note(EventKind::UpstreamLeft, name, "says that it leaves");
 }
 
 fn load(board: &mut Board, name: &str, waiting: u32) {
-    let Some(key) = board.upstream_key(name) else {
-        return;
-    };
+    let Some(key) = board.upstream_key(name) else { return };
     board.upstreams[key].waiting = (waiting, board.now.mono);
 }
 
@@ -115,9 +111,7 @@
 }
 
 fn remove(board: &mut Board, key: UpstreamKey) {
-    let Some(upstream) = board.upstreams.remove(key) else {
-        return;
-    };
+    let Some(upstream) = board.upstreams.remove(key) else { return };
     board.services[upstream.service].upstreams.retain(|other| *other != key);
 }
 
--- a/crates/core/src/controller/settings.rs
+++ b/crates/core/src/controller/settings.rs
@@ -31,9 +31,7 @@
         }
         pull(board);
         confirm(board);
-        let Some(offered) = board.in_force.offered.take() else {
-            return;
-        };
+        let Some(offered) = board.in_force.offered.take() else { return };
         if offered.version <= board.in_force.settings.version {
             return;
         }
--- a/crates/core/src/controller/trainers.rs
+++ b/crates/core/src/controller/trainers.rs
@@ -29,9 +29,7 @@
 impl Controller for Trainers {
     fn run(&mut self, board: &mut Board, _event: Option<&Event>) {
         for result in board.groups.results.clone() {
-            let Purpose::Request(key) = result.purpose else {
-                continue;
-            };
+            let Purpose::Request(key) = result.purpose else { continue };
             decided(board, key, &result.fate);
         }
         for arrival in board.take_arrivals(is_trainers) {
@@ -94,12 +92,8 @@
 fn poll(board: &mut Board) {
     let leads = board.leads(GroupId::Zone);
     for key in std::mem::take(&mut board.work.polls) {
-        let Some(request) = board.requests.get(key) else {
-            continue;
-        };
-        let Some(Call::Fetch { trainer, cursor, max, .. }) = &request.call else {
-            continue;
-        };
+        let Some(request) = board.requests.get(key) else { continue };
+        let Some(Call::Fetch { trainer, cursor, max, .. }) = &request.call else { continue };
         let (cursor, max) = (*cursor, *max);
         if !leads {
             let detail = "this host no longer leads the trainer's zone";
@@ -122,9 +116,7 @@
 /// Moves a fetch's deadline so that it does not pass while the log decides.
 fn allow_for_log(board: &mut Board, key: RequestKey) {
     let deadline = board.now.mono + LOG_WAIT;
-    let Some(request) = board.requests.get_mut(key) else {
-        return;
-    };
+    let Some(request) = board.requests.get_mut(key) else { return };
     if request.deadline >= deadline {
         return;
     }
@@ -134,9 +126,7 @@
 }
 
 fn decided(board: &mut Board, key: RequestKey, fate: &Fate) {
-    let Some(request) = board.requests.get(key) else {
-        return;
-    };
+    let Some(request) = board.requests.get(key) else { return };
     if !request.call.as_ref().is_some_and(is_trainers) {
         return;
     }
@@ -165,9 +155,7 @@
 }
 
 fn answer(board: &mut Board, key: RequestKey, kind: EventKind, detail: &str, answer: Answer) {
-    let Some(request) = board.remove_request(key) else {
-        return;
-    };
+    let Some(request) = board.remove_request(key) else { return };
     let subject = request.call.as_ref().map_or("", trainer_of);
     board.note(kind, subject, detail);
     if let Some(tag) = request.tag() {
@@ -177,12 +165,8 @@
 }
 
 fn delivered(board: &mut Board, key: RequestKey, id: TrainerId, stale: u32) {
-    let Some(request) = board.requests.get(key) else {
-        return;
-    };
-    let Some(Call::Fetch { trainer, cursor, max, wait }) = request.call.clone() else {
-        return;
-    };
+    let Some(request) = board.requests.get(key) else { return };
+    let Some(Call::Fetch { trainer, cursor, max, wait }) = request.call.clone() else { return };
     if stale > 0 {
         let detail = format!("{stale} samples are generated anew");
         board.note(EventKind::SamplesStale, trainer, detail);
@@ -203,14 +187,10 @@
 
 fn batch(board: &Board, id: TrainerId, cursor: u64, max: u32) -> SampleBatch {
     let records = &board.groups.records;
-    let Some(trainer) = records.trainer(id) else {
-        return SampleBatch::default();
-    };
+    let Some(trainer) = records.trainer(id) else { return SampleBatch::default() };
     let mut batch = SampleBatch { next: cursor, ..Default::default() };
     for delivery in trainer.from(cursor, max) {
-        let Some(sample) = records.sample(delivery.sample) else {
-            continue;
-        };
+        let Some(sample) = records.sample(delivery.sample) else { continue };
         let output = match &sample.state {
             SampleState::Ready(output) => Ok(output.clone()),
             SampleState::Failed(reason) => Err(reason.clone()),
--- a/crates/core/src/controller/weights.rs
+++ b/crates/core/src/controller/weights.rs
@@ -50,9 +50,7 @@
 
 fn order_loads(board: &mut Board) {
     for (service, version) in wanted(board) {
-        let Some(key) = board.service_key(&service) else {
-            continue;
-        };
+        let Some(key) = board.service_key(&service) else { continue };
         let upstreams = board.services[key].upstreams.clone();
         let loading = upstreams.iter().filter(|key| board.upstreams[**key].order.is_some()).count();
         let most = board.setting(SettingKey::LoadsAtOnce, Some(&service));
--- a/crates/core/src/fleet/settings.rs
+++ b/crates/core/src/fleet/settings.rs
@@ -88,9 +88,7 @@
             if exception.key != key {
                 continue;
             }
-            let Some(rank) = rank(&exception.scope, place) else {
-                continue;
-            };
+            let Some(rank) = rank(&exception.scope, place) else { continue };
             if best.is_none_or(|(other, _)| rank > other) {
                 best = Some((rank, exception));
             }
--- a/crates/core/src/fleet/state.rs
+++ b/crates/core/src/fleet/state.rs
@@ -68,9 +68,7 @@
         if self.order.len() <= REMEMBERED_CHANGES {
             return;
         }
-        let Some(oldest) = self.order.pop_front() else {
-            return;
-        };
+        let Some(oldest) = self.order.pop_front() else { return };
         self.answers.remove(&oldest);
     }
 }
--- a/crates/core/src/records/zone_records.rs
+++ b/crates/core/src/records/zone_records.rs
@@ -139,9 +139,7 @@
         for group in groups {
             added += self.add_group(id, step, group);
         }
-        let Some(trainer) = self.trainer_mut(id) else {
-            return Applied::Nothing;
-        };
+        let Some(trainer) = self.trainer_mut(id) else { return Applied::Nothing };
         trainer.counts.submitted += u64::from(added);
         trainer.groups.retain(|(old, _), _| old + REMEMBERED_STEPS >= step);
         Applied::Submitted(added)
@@ -176,9 +174,7 @@
     }
 
     fn add_group(&mut self, trainer: TrainerId, step: u64, group: &PromptGroup) -> u32 {
-        let Some(record) = self.trainer_mut(trainer) else {
-            return 0;
-        };
+        let Some(record) = self.trainer_mut(trainer) else { return 0 };
         let key = (step, group.group.clone());
         if record.groups.insert(key, group_sum(group)).is_some() {
             return 0;
@@ -218,9 +214,7 @@
         if !self.pending.remove(&id) {
             return Applied::Nothing;
         }
-        let Some(sample) = self.samples.get_mut(&id) else {
-            return Applied::Nothing;
-        };
+        let Some(sample) = self.samples.get_mut(&id) else { return Applied::Nothing };
         sample.state = state;
         let trainer = sample.trainer;
         if let Some(trainer) = self.trainer_mut(trainer) {
@@ -237,25 +231,17 @@
         }
         self.acknowledge(id, cursor);
         let mut stale = self.withdraw_stale(id, staleness);
-        let Some(trainer) = self.trainer(id) else {
-            return Applied::Nothing;
-        };
+        let Some(trainer) = self.trainer(id) else { return Applied::Nothing };
         let mut room = (max as usize).saturating_sub(trainer.delivered.len());
         while room > 0 {
-            let Some(trainer) = self.trainer_mut(id) else {
-                break;
-            };
-            let Some(sample) = trainer.ready.pop_front() else {
-                break;
-            };
+            let Some(trainer) = self.trainer_mut(id) else { break };
+            let Some(sample) = trainer.ready.pop_front() else { break };
             if self.is_stale(id, sample, staleness) {
                 self.generate_again(id, sample);
                 stale += 1;
                 continue;
             }
-            let Some(trainer) = self.trainer_mut(id) else {
-                break;
-            };
+            let Some(trainer) = self.trainer_mut(id) else { break };
             let cursor = trainer.next_cursor;
             trainer.next_cursor += 1;
             trainer.delivered.push_back(Delivery { cursor, sample });
@@ -265,9 +251,7 @@
     }
 
     fn acknowledge(&mut self, id: TrainerId, cursor: u64) {
-        let Some(trainer) = self.trainers.get_mut(id.0 as usize) else {
-            return;
-        };
+        let Some(trainer) = self.trainers.get_mut(id.0 as usize) else { return };
         while let Some(delivery) = trainer.delivered.front().copied() {
             if delivery.cursor >= cursor {
                 break;
@@ -283,9 +267,7 @@
 
     /// Takes back deliveries that the trainer does not hold yet and that have become stale.
     fn withdraw_stale(&mut self, id: TrainerId, staleness: u64) -> u32 {
-        let Some(trainer) = self.trainer(id) else {
-            return 0;
-        };
+        let Some(trainer) = self.trainer(id) else { return 0 };
         let mut kept = VecDeque::new();
         let mut stale = Vec::new();
         for delivery in &trainer.delivered {
@@ -305,18 +287,10 @@
     }
 
     fn is_stale(&self, id: TrainerId, sample: SampleId, staleness: u64) -> bool {
-        let Some(trainer) = self.trainer(id) else {
-            return false;
-        };
-        let Some(sample) = self.samples.get(&sample) else {
-            return false;
-        };
-        let SampleState::Ready(output) = &sample.state else {
-            return false;
-        };
-        let Some(oldest) = output.oldest_version() else {
-            return true;
-        };
+        let Some(trainer) = self.trainer(id) else { return false };
+        let Some(sample) = self.samples.get(&sample) else { return false };
+        let SampleState::Ready(output) = &sample.state else { return false };
+        let Some(oldest) = output.oldest_version() else { return true };
         trainer.version.saturating_sub(oldest) > staleness
     }
 
@@ -324,9 +298,7 @@
         if let Some(trainer) = self.trainer_mut(id) {
             trainer.counts.stale += 1;
         }
-        let Some(record) = self.samples.get_mut(&sample) else {
-            return;
-        };
+        let Some(record) = self.samples.get_mut(&sample) else { return };
         record.state = SampleState::Pending;
         record.round += 1;
         self.pending.insert(sample);
@@ -351,9 +323,7 @@
     }
 
     fn conclude(&mut self, key: &IntentKey, outcome: &Outcome) -> Applied {
-        let Some(intent) = self.intents.get_mut(key) else {
-            return Applied::Nothing;
-        };
+        let Some(intent) = self.intents.get_mut(key) else { return Applied::Nothing };
         if matches!(intent.state, IntentState::Ended(Outcome::Answered { .. })) {
             return Applied::Concluded(key.clone());
         }
@@ -377,9 +347,7 @@
         if self.ended.len() <= REMEMBERED_INTENTS {
             return;
         }
-        let Some(oldest) = self.ended.pop_front() else {
-            return;
-        };
+        let Some(oldest) = self.ended.pop_front() else { return };
         self.intents.remove(&oldest);
     }
 }
--- a/crates/core/tests/it/routing.rs
+++ b/crates/core/tests/it/routing.rs
@@ -207,3 +207,17 @@
     world.run(12_000);
     assert_eq!(running(&world), 16, "all slots again, ten seconds later");
 }
+
+#[test]
+fn what_a_zone_has_is_known_elsewhere_seconds_after_it_was_cut_off() {
+    let mut world = World::new(12, 2, 1, 1);
+    world.settle();
+    world.run(2_000);
+    world.cut_both(&[0], &[1]);
+    world.add_engine("z2", "model");
+    world.run(10_000);
+    world.heal();
+    world.run(3_000);
+    let answer = world.ask(0, chat("model"));
+    assert!(matches!(answer, Answer::Recorded { .. }), "{answer:?}");
+}
--- a/crates/daemon/src/call/engine.rs
+++ b/crates/daemon/src/call/engine.rs
@@ -92,9 +92,7 @@
             Some(GenerateBody { id, prompt, max_tokens, resume_at })
         }
         Source::Exchange { .. } => {
-            let Shape::Chat { body, .. } = &cx.exchange?.inbound.shape else {
-                return None;
-            };
+            let Shape::Chat { body, .. } = &cx.exchange?.inbound.shape else { return None };
             let (prompt, max_tokens) = (body.prompt().into(), body.tokens());
             Some(GenerateBody { id, prompt, max_tokens, resume_at })
         }
@@ -166,9 +164,7 @@
 
     /// Sends a piece to a caller who wants a stream, and tells whether anyone takes it.
     fn stream_piece(&self, exchange: &Exchange, piece: &str, first: bool) -> bool {
-        let Shape::Chat { body, writer } = &exchange.inbound.shape else {
-            return true;
-        };
+        let Shape::Chat { body, writer } = &exchange.inbound.shape else { return true };
         if !body.stream {
             return true;
         }
@@ -199,9 +195,7 @@
 
 /// Sends the end of a chat, or all of it to a caller who wants it whole.
 fn write_end(attempt: AttemptKey, exchange: &Exchange, end: &End) -> bool {
-    let Shape::Chat { body, writer } = &exchange.inbound.shape else {
-        return true;
-    };
+    let Shape::Chat { body, writer } = &exchange.inbound.shape else { return true };
     let generated = exchange.generated();
     if body.stream {
         let last = Reply::Data(Bytes::from(writer.end(&end.end, generated.spans)));
--- a/crates/daemon/src/call/host.rs
+++ b/crates/daemon/src/call/host.rs
@@ -96,9 +96,7 @@
 }
 
 fn hand_back_stream(cx: &CallContext<'_>, answer: Response<Body>) -> AttemptEnd {
-    let Some(exchange) = cx.exchange else {
-        return AttemptEnd::Cancelled;
-    };
+    let Some(exchange) = cx.exchange else { return AttemptEnd::Cancelled };
     let attempt = cx.attempt();
     let start = Reply::Start(answer.status().as_u16(), header::EVENT_STREAM.into());
     if !exchange.write(attempt, start) {
@@ -134,9 +132,7 @@
     if cx.dispatch.recorded {
         return AttemptEnd::Whole { output: None, answer: Some(answer) };
     }
-    let Some(exchange) = cx.exchange else {
-        return AttemptEnd::Cancelled;
-    };
+    let Some(exchange) = cx.exchange else { return AttemptEnd::Cancelled };
     let mut reply = WholeReply::from_recorded(&answer);
     if replayed {
         reply.headers.push((header::REPLAYED, "yes".into()));
--- a/crates/daemon/src/call/plain.rs
+++ b/crates/daemon/src/call/plain.rs
@@ -69,9 +69,7 @@
         return AttemptEnd::Broken { detail: format!("it answered {}", answer.status).into() };
     }
     let reply = WholeReply::from_recorded(&answer);
-    let Some(exchange) = cx.exchange else {
-        return AttemptEnd::Cancelled;
-    };
+    let Some(exchange) = cx.exchange else { return AttemptEnd::Cancelled };
     if exchange.write(cx.attempt(), Reply::Whole(reply)) {
         AttemptEnd::Whole { output: None, answer: None }
     } else {
--- a/crates/daemon/src/call/pool.rs
+++ b/crates/daemon/src/call/pool.rs
@@ -105,9 +105,7 @@
 
     /// Gives an attempt up, and tells the engine where it runs on one.
     pub fn cancel(&mut self, attempt: AttemptKey) {
-        let Some(running) = self.running.get(&attempt) else {
-            return;
-        };
+        let Some(running) = self.running.get(&attempt) else { return };
         running.cancelled.store(true, Ordering::Release);
         if let Some((address, id)) = running.engine.clone() {
             self.side.cancel(address, id);
@@ -145,9 +143,7 @@
         shared.idle.fetch_add(1, Ordering::AcqRel);
         let started = queue.recv_timeout(IDLE);
         shared.idle.fetch_sub(1, Ordering::AcqRel);
-        let Ok(Started { job, cancelled }) = started else {
-            return;
-        };
+        let Ok(Started { job, cancelled }) = started else { return };
         let attempt = job.dispatch.attempt;
         let end = run(&job, &cancelled, shared);
         report(&shared.inputs, attempt, end);
--- a/crates/daemon/src/control.rs
+++ b/crates/daemon/src/control.rs
@@ -102,9 +102,7 @@
     }
 
     fn wait(&self) -> Duration {
-        let Some(at) = self.clock.instant(self.core.next_deadline()) else {
-            return LONGEST_WAIT;
-        };
+        let Some(at) = self.clock.instant(self.core.next_deadline()) else { return LONGEST_WAIT };
         at.saturating_duration_since(Instant::now()).min(LONGEST_WAIT)
     }
 
@@ -153,9 +151,7 @@
             Action::Answer { tag, answer } => self.answer(tag, answer),
             Action::Send { to, envelope } => self.outlets.links.send(to, envelope),
             Action::Persist { token, records } => {
-                let Some(disk) = &self.outlets.disk else {
-                    return;
-                };
+                let Some(disk) = &self.outlets.disk else { return };
                 let _ = disk.send(DiskJob { token, records });
             }
             Action::Order { order, address, task, fence, valid_until, timeout } => {
@@ -180,9 +176,7 @@
     }
 
     fn answer(&mut self, tag: RequestTag, answer: Answer) {
-        let Some(exchange) = self.exchanges.remove(&tag) else {
-            return;
-        };
+        let Some(exchange) = self.exchanges.remove(&tag) else { return };
         exchange.answer(answer_reply(&exchange.inbound, answer));
     }
 }
--- a/crates/daemon/src/disk/codec.rs
+++ b/crates/daemon/src/disk/codec.rs
@@ -36,9 +36,7 @@
     let mut records = Vec::new();
     let mut at = 0;
     while at < bytes.len() {
-        let Some((body, next)) = body_at(bytes, at) else {
-            break;
-        };
+        let Some((body, next)) = body_at(bytes, at) else { break };
         let sum = u32::from_le_bytes([bytes[at + 4], bytes[at + 5], bytes[at + 6], bytes[at + 7]]);
         let record =
             if crc32fast::hash(body) == sum { ciborium::from_reader(body).ok() } else { None };
--- a/crates/daemon/src/exchange.rs
+++ b/crates/daemon/src/exchange.rs
@@ -172,9 +172,7 @@
     /// Tells whether an attempt can go on at a token; one that begins anew voids what was there.
     #[must_use]
     pub fn resume_generated(&self, at: u32) -> bool {
-        let Ok(mut generated) = self.generated.lock() else {
-            return false;
-        };
+        let Ok(mut generated) = self.generated.lock() else { return false };
         if at == 0 {
             *generated = Generated::default();
         }
@@ -183,9 +181,7 @@
 
     /// Adds tokens, which another engine can go on from, and returns how many there are.
     pub fn push_generated(&self, piece: &str, tokens: usize, version: u64) -> u32 {
-        let Ok(mut generated) = self.generated.lock() else {
-            return 0;
-        };
+        let Ok(mut generated) = self.generated.lock() else { return 0 };
         generated.push(piece, tokens, version);
         generated.count
     }
--- a/crates/daemon/src/http/calls.rs
+++ b/crates/daemon/src/http/calls.rs
@@ -89,9 +89,7 @@
 }
 
 fn number(intake: &Intake, name: &str, default: u64) -> Result<u64, Problem> {
-    let Some(text) = intake.query(name) else {
-        return Ok(default);
-    };
+    let Some(text) = intake.query(name) else { return Ok(default) };
     text.parse().map_err(|_| bad(format!("{name}={text} is not a whole number")))
 }
 
--- a/crates/daemon/src/http/intake.rs
+++ b/crates/daemon/src/http/intake.rs
@@ -80,9 +80,7 @@
     pub(super) fn query(&self, name: &str) -> Option<&str> {
         let (_, query) = self.path_and_query.split_once('?')?;
         for pair in query.split('&') {
-            let Some((key, value)) = pair.split_once('=') else {
-                continue;
-            };
+            let Some((key, value)) = pair.split_once('=') else { continue };
             if key == name {
                 return Some(value);
             }
@@ -92,9 +90,7 @@
 
     /// Returns how long the caller will wait, where it says.
     pub(super) fn deadline(&self) -> Result<Option<Millis>, Problem> {
-        let Some(text) = self.header(header::DEADLINE_MS) else {
-            return Ok(None);
-        };
+        let Some(text) = self.header(header::DEADLINE_MS) else { return Ok(None) };
         let wrong = || format!("{} {text} is not a number of milliseconds", header::DEADLINE_MS);
         let read = text.parse().map_err(|_| Problem::not_run(ErrorKind::BadRequest, wrong()));
         Ok(Some(Millis(read?)))
@@ -119,9 +115,7 @@
     pub(super) fn handed_on(&self) -> Vec<(Box<str>, Box<str>)> {
         let mut headers = Vec::new();
         for name in HANDED_ON {
-            let Some(value) = self.header(name) else {
-                continue;
-            };
+            let Some(value) = self.header(name) else { continue };
             headers.push((name.into(), value.into()));
         }
         headers
@@ -141,9 +135,7 @@
         let broken = |error: hyper::Error| {
             Problem::not_run(ErrorKind::BadRequest, format!("the body broke off: {error}"))
         };
-        let Ok(data) = frame.map_err(broken)?.into_data() else {
-            continue;
-        };
+        let Ok(data) = frame.map_err(broken)?.into_data() else { continue };
         if buf.len() as u64 + data.len() as u64 > most {
             return Err(too_large());
         }
--- a/crates/daemon/src/http/metrics.rs
+++ b/crates/daemon/src/http/metrics.rs
@@ -46,9 +46,7 @@
 
 /// Takes in how long an answer took to start.
 pub(super) fn observe(seconds: f64) {
-    let Some(metrics) = METRICS.as_ref() else {
-        return;
-    };
+    let Some(metrics) = METRICS.as_ref() else { return };
     metrics.seconds.observe(seconds);
 }
 
--- a/crates/daemon/src/link.rs
+++ b/crates/daemon/src/link.rs
@@ -74,9 +74,7 @@
 
     /// Sends a message, or drops it where the queue of its link is full.
     pub fn send(&mut self, to: HostId, envelope: Envelope) {
-        let Some(address) = self.peers.get(&to).copied() else {
-            return;
-        };
+        let Some(address) = self.peers.get(&to).copied() else { return };
         let runtime = &self.runtime;
         let queue = self.queues.entry(to).or_insert_with(|| {
             let (tx, rx) = mpsc::channel(MESSAGES_WAITING);
--- a/crates/daemon/src/link/inbound.rs
+++ b/crates/daemon/src/link/inbound.rs
@@ -34,13 +34,9 @@
 
 async fn read(stream: TcpStream, inputs: Sender<Input>) {
     let handshake = tokio_tungstenite::accept_async_with_config(stream, Some(super::config()));
-    let Ok(Ok(mut link)) = tokio::time::timeout(HANDSHAKE, handshake).await else {
-        return;
-    };
+    let Ok(Ok(mut link)) = tokio::time::timeout(HANDSHAKE, handshake).await else { return };
     while let Some(Ok(message)) = link.next().await {
-        let Message::Binary(bytes) = message else {
-            continue;
-        };
+        let Message::Binary(bytes) = message else { continue };
         let envelope = match frame::decode(&bytes) {
             Ok(envelope) => envelope,
             Err(error) => {
--- a/crates/daemon/src/link/outbound.rs
+++ b/crates/daemon/src/link/outbound.rs
@@ -25,9 +25,7 @@
 pub(super) async fn run(address: SocketAddr, mut queue: Receiver<Envelope>) {
     let mut link = None;
     while let Some(envelope) = queue.recv().await {
-        let Ok(bytes) = frame::encode(&envelope) else {
-            continue;
-        };
+        let Ok(bytes) = frame::encode(&envelope) else { continue };
         let ready = match link.take() {
             Some(link) => Some(link),
             None => connect(address).await,
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -100,9 +100,7 @@
     pub fn check_addresses(&self) -> Result<(), SettingsError> {
         let me = self.me();
         for (key, address) in [("http", me.http), ("link", me.link)] {
-            let Err(error) = TcpListener::bind(address) else {
-                continue;
-            };
+            let Err(error) = TcpListener::bind(address) else { continue };
             let section = format!("peer {}", me.spec.name);
             let wrong = format!("{address} can't be bound: {error}");
             let right = "an address of this machine that no other process listens on";
--- a/crates/daemon/src/settings/reader.rs
+++ b/crates/daemon/src/settings/reader.rs
@@ -80,9 +80,7 @@
         return Err(SettingsError::new(path, name, "-", "no such section", right));
     }
     let outside = ini.general_section().iter().next();
-    let Some((key, _)) = outside else {
-        return Ok(());
-    };
+    let Some((key, _)) = outside else { return Ok(()) };
     Err(SettingsError::new(path, "", key, "stands outside every section", "a section before it"))
 }
 
@@ -135,9 +133,7 @@
         right: &str,
         parse: impl Fn(&str) -> Option<T>,
     ) -> Result<T, SettingsError> {
-        let Some(text) = self.text(key) else {
-            return Ok(default);
-        };
+        let Some(text) = self.text(key) else { return Ok(default) };
         parse(text).ok_or_else(|| self.fault(key, format!("{text:?} can't be read"), right))
     }
 
@@ -185,9 +181,7 @@
 fn fleet(path: &Path, ini: &Ini) -> Result<Vec<Peer>, SettingsError> {
     let mut fleet = Vec::new();
     for name in ini.sections().flatten() {
-        let Some(peer) = name.strip_prefix("peer ") else {
-            continue;
-        };
+        let Some(peer) = name.strip_prefix("peer ") else { continue };
         let section = Section::named(path, ini, name, &PEER_KEYS)?;
         fleet.push(one_peer(&section, peer)?);
     }
--- a/crates/standins/src/balancer.rs
+++ b/crates/standins/src/balancer.rs
@@ -92,9 +92,7 @@
 
 async fn accept(listener: TcpListener, shared: Arc<Shared>) {
     loop {
-        let Ok((mut caller, _)) = listener.accept().await else {
-            continue;
-        };
+        let Ok((mut caller, _)) = listener.accept().await else { continue };
         let ready = shared.ready.lock().map(|ready| ready.clone()).unwrap_or_default();
         if ready.is_empty() {
             continue;
@@ -102,9 +100,7 @@
         let turn = shared.turn.fetch_add(1, Ordering::AcqRel);
         let host = ready[turn % ready.len()];
         tokio::spawn(async move {
-            let Ok(mut host) = TcpStream::connect(host).await else {
-                return;
-            };
+            let Ok(mut host) = TcpStream::connect(host).await else { return };
             let _ = caller.set_nodelay(true);
             let _ = host.set_nodelay(true);
             let _ = copy_bidirectional(&mut caller, &mut host).await;
--- a/crates/standins/src/experiment/control.rs
+++ b/crates/standins/src/experiment/control.rs
@@ -77,9 +77,7 @@
 
 fn metric(page: &str, name: &str) -> f64 {
     for line in page.lines() {
-        let Some((metric, value)) = line.split_once(' ') else {
-            continue;
-        };
+        let Some((metric, value)) = line.split_once(' ') else { continue };
         if metric == name {
             return value.parse().unwrap_or(0.0);
         }
--- a/crates/standins/src/fleet.rs
+++ b/crates/standins/src/fleet.rs
@@ -228,9 +228,7 @@
         let Ok(hosts) = self.client.get_json(&self.url(at, "/v1/operator/hosts")) else {
             return false;
         };
-        let Some(hosts) = hosts.as_array() else {
-            return false;
-        };
+        let Some(hosts) = hosts.as_array() else { return false };
         let leads = hosts.iter().filter_map(|host| host["leads"].as_array());
         leads.map(Vec::len).sum::<usize>() > zones.len()
     }
@@ -263,9 +261,7 @@
     pub fn close(mut self, within: Duration) -> anyhow::Result<()> {
         let mut processes = Vec::new();
         for host in &mut self.hosts {
-            let Some(process) = host.process.take() else {
-                continue;
-            };
+            let Some(process) = host.process.take() else { continue };
             process.signal(Signal::TERM)?;
             processes.push(process);
         }
--- a/crates/standins/src/load.rs
+++ b/crates/standins/src/load.rs
@@ -184,9 +184,7 @@
     let mut ends = Vec::new();
     loop {
         let at = next.fetch_add(1, Ordering::AcqRel);
-        let Some(start) = starts.get(at) else {
-            return ends;
-        };
+        let Some(start) = starts.get(at) else { return ends };
         let intended = begin + *start;
         std::thread::sleep(intended.saturating_duration_since(Instant::now()));
         let ended = one(plan, &client, at);
@@ -217,9 +215,7 @@
         let refused = answer.text().contains("\"ran\":\"no\"");
         return if refused { Ended::Refused } else { Ended::Failed };
     }
-    let Ok(answer) = answer.json::<ChatAnswer>() else {
-        return Ended::Wrong;
-    };
+    let Ok(answer) = answer.json::<ChatAnswer>() else { return Ended::Wrong };
     let wanted = whole_answer(&format!("user: {prompt}\n"), plan.tokens);
     let text = answer.choices.first().map(|choice| &choice.message.content);
     let right = matches!(text, Some(chestnutdrift_wire::api::chat::ChatContent::Text(text)) if **text == *wanted);
--- a/crates/standins/src/main.rs
+++ b/crates/standins/src/main.rs
@@ -91,9 +91,7 @@
 }
 
 fn number(matches: &Matches, name: &str, default: u64) -> anyhow::Result<u64> {
-    let Some(text) = matches.opt_str(name) else {
-        return Ok(default);
-    };
+    let Some(text) = matches.opt_str(name) else { return Ok(default) };
     text.parse().with_context(|| format!("--{name} {text} is not a whole number"))
 }
 
--- a/crates/standins/src/server.rs
+++ b/crates/standins/src/server.rs
@@ -87,9 +87,7 @@
     F: Future<Output = Response<Body>> + Send + 'static,
 {
     loop {
-        let Ok((stream, _)) = listener.accept().await else {
-            continue;
-        };
+        let Ok((stream, _)) = listener.accept().await else { continue };
         let _ = stream.set_nodelay(true);
         let handler = handler.clone();
         let service = service_fn(move |request| {
