--- a/crates/core/tests/it/lifecycle.rs
+++ b/crates/core/tests/it/lifecycle.rs
@@ -1,6 +1,7 @@
 //! Faults of hosts, and what hosts do when they come and go.
 
 use chestnutdrift_core::action::Answer;
+use chestnutdrift_core::agreement::GroupId;
 use chestnutdrift_core::event::{Call, Query};
 use rand::Rng;
 
@@ -106,15 +107,16 @@
     assert_eq!(seen.len(), 1, "{seen:?}");
 }
 
+/// Tells whether a host leads its zone and may act on it alone.
+fn leads(world: &World, at: usize) -> bool {
+    let core = world.nodes[at].core.as_ref();
+    core.is_some_and(|core| core.board().leads(GroupId::Zone))
+}
+
 #[test]
 fn a_killed_leader_is_replaced_and_its_host_comes_back() {
-    use chestnutdrift_core::agreement::GroupId;
     let mut world = World::new(2, 1, 3, 3);
     world.settle();
-    let leads = |world: &World, at: usize| {
-        let core = world.nodes[at].core.as_ref();
-        core.is_some_and(|core| core.board().leads(GroupId::Zone))
-    };
     let leader = (0..3).find(|at| leads(&world, *at)).unwrap();
     world.kill(leader);
     world.run_until("another leads", 5_000, |world| {
@@ -126,13 +128,8 @@
 
 #[test]
 fn a_frozen_leader_holds_no_lease_when_it_wakes() {
-    use chestnutdrift_core::agreement::GroupId;
     let mut world = World::new(3, 1, 3, 3);
     world.settle();
-    let leads = |world: &World, at: usize| {
-        let core = world.nodes[at].core.as_ref();
-        core.is_some_and(|core| core.board().leads(GroupId::Zone))
-    };
     let leader = (0..3).find(|at| leads(&world, *at)).unwrap();
     world.freeze(leader, 10_000);
     world.run_until("another leads", 5_000, |world| {
@@ -146,7 +143,6 @@
 
 #[test]
 fn never_do_two_hosts_of_a_zone_hold_the_lease() {
-    use chestnutdrift_core::agreement::GroupId;
     for seed in crate::bookings::seeds(20) {
         let mut world = World::new(seed, 1, 3, 1);
         world.settle();
