--- a/crates/core/examples/event_cost.rs
+++ b/crates/core/examples/event_cost.rs
@@ -13,12 +13,12 @@
 use chestnutdrift_core::{Core, HostId, HostSettings, Millis, Now, PeerSpec, RequestTag};
 
 /// Zones, hosts of each zone, and upstreams of the host's zone: today's frame and the aim.
-const SIZES: [(u16, u16, u32); 3] = [(3, 3, 5), (12, 6, 50), (28, 13, 200)];
+const SIZES: [(u32, u32, u32); 3] = [(3, 3, 5), (12, 6, 50), (28, 13, 200)];
 
 /// Requests of each run.
 const REQUESTS: u64 = 20_000;
 
-fn fleet(zones: u16, hosts: u16) -> Vec<PeerSpec> {
+fn fleet(zones: u32, hosts: u32) -> Vec<PeerSpec> {
     let mut fleet = Vec::new();
     for at in 0..zones * hosts {
         fleet.push(PeerSpec {
@@ -47,7 +47,7 @@
 }
 
 /// A heartbeat of another host of the zone, by which this one comes to serve.
-fn heartbeat(host: u16) -> Event {
+fn heartbeat(host: u32) -> Event {
     let heartbeat = Heartbeat {
         incarnation: 1,
         life: 1,
@@ -82,7 +82,7 @@
 }
 
 /// Returns the microseconds of one event.
-fn measure(zones: u16, hosts: u16, upstreams: u32) -> f64 {
+fn measure(zones: u32, hosts: u32, upstreams: u32) -> f64 {
     let cfg = HostSettings::new("host-2", "zone-0").fleet(HostId(2), fleet(zones, hosts));
     let mut core = Core::new(cfg, Now::default());
     let mut now = Now::new(Millis(0), Millis(1));
--- a/crates/core/src/agreement.rs
+++ b/crates/core/src/agreement.rs
@@ -15,6 +15,7 @@
 mod entry;
 mod formation;
 mod log;
+mod membership;
 mod message;
 mod outbox;
 mod record;
@@ -24,6 +25,7 @@
 
 pub use entry::{Command, Entry};
 pub use log::Log;
+pub use membership::VoterPlan;
 pub use message::{GroupFrame, GroupId, GroupMessage};
 pub use outbox::Outbox;
 pub use record::{GroupState, Record, Snapshot};
--- a/crates/core/src/agreement/election.rs
+++ b/crates/core/src/agreement/election.rs
@@ -39,6 +39,9 @@
         }
         if now.mono >= self.append_at {
             self.heartbeat(now, out);
+            self.forget_learners(now);
+            self.prune_voters(now, out);
+            self.step_aside_if_barred();
         }
     }
 
--- a/crates/core/src/agreement/entry.rs
+++ b/crates/core/src/agreement/entry.rs
@@ -3,6 +3,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::agreement::Voter;
+use crate::directory::DirectoryCommand;
 use crate::fleet::Change;
 use crate::records::ZoneCommand;
 
@@ -30,4 +31,6 @@
     Change(Change),
     /// A change of a zone's records.
     Zone(ZoneCommand),
+    /// A change of the directory.
+    Directory(DirectoryCommand),
 }
--- a/crates/core/src/agreement/formation.rs
+++ b/crates/core/src/agreement/formation.rs
@@ -39,10 +39,11 @@
     }
 
     fn may_form(&self, now: Now) -> bool {
-        if self.members.first() != Some(&self.me.host) {
+        let allowed = self.plan.as_ref().is_none_or(|plan| plan.may_form);
+        if !allowed || self.founders.first() != Some(&self.me.host) {
             return false;
         }
-        self.members.iter().all(|host| *host == self.me.host || self.is_blank(*host, now))
+        self.founders.iter().all(|host| *host == self.me.host || self.is_blank(*host, now))
     }
 
     fn is_blank(&self, host: HostId, now: Now) -> bool {
@@ -54,6 +55,9 @@
         const MILLIS_PER_SECOND: u64 = 1_000;
         let mut voters = vec![self.me];
         for (&host, &(incarnation, _)) in &self.blanks {
+            if !self.founders.contains(&host) {
+                continue;
+            }
             voters.push(Voter::new(host, incarnation));
         }
         voters.sort_unstable();
@@ -145,14 +149,18 @@
 
     /// Lets a member in again that lost its state, one step of the voter set at a time.
     pub(super) fn admit(&mut self, now: Now, host: HostId, incarnation: u64, out: &mut Outbox) {
-        if !self.may_change_voters() {
+        if self.role != super::Role::Leader {
             return;
         }
         let progress = self.progress.entry(host).or_default();
         if progress.incarnation != incarnation {
             *progress = super::replica::Progress { next: 1, incarnation, ..Default::default() };
         }
-        let caught_up = progress.matched >= self.commit && progress.matched > 0;
+        progress.seen_at = now.mono;
+        if !self.may_change_voters() {
+            return;
+        }
+        let caught_up = self.has_caught_up(host);
         let mut voters = self.voters().to_vec();
         let old = voters.iter().position(|voter| voter.host == host);
         match old {
@@ -160,6 +168,11 @@
             Some(at) => {
                 voters.remove(at);
             }
+            None if self.plan.is_some() => {
+                let learner = Voter::new(host, incarnation);
+                let Some(with) = self.with_learner(now, learner) else { return };
+                voters = with;
+            }
             None if caught_up => voters.push(Voter::new(host, incarnation)),
             None => return,
         }
@@ -168,7 +181,7 @@
         self.send_appends(now, out);
     }
 
-    fn may_change_voters(&self) -> bool {
+    pub(super) fn may_change_voters(&self) -> bool {
         if self.role != super::Role::Leader || !self.term_committed() {
             return false;
         }
--- a/crates/core/src/agreement/message.rs
+++ b/crates/core/src/agreement/message.rs
@@ -13,6 +13,8 @@
     Fleet,
     /// The hosts of the sender's zone; they keep that zone's records.
     Zone,
+    /// The hosts with disks of a deployment whose hosts find each other; they agree on the directory.
+    Directory,
 }
 
 /// A message with the group and the formation that it belongs to.
--- a/crates/core/src/agreement/record.rs
+++ b/crates/core/src/agreement/record.rs
@@ -3,6 +3,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::agreement::{Entry, GroupId, Voter};
+use crate::directory::Directory;
 use crate::fleet::{FleetSettings, FleetState};
 use crate::records::ZoneRecords;
 
@@ -93,4 +94,6 @@
     Fleet(FleetState),
     /// The records of a zone.
     Zone(ZoneRecords),
+    /// The directory.
+    Directory(Directory),
 }
--- a/crates/core/src/agreement/replica.rs
+++ b/crates/core/src/agreement/replica.rs
@@ -4,6 +4,7 @@
 
 use crate::agreement::{
     Command, Entry, GroupId, GroupMessage, GroupState, Log, Outbox, Record, Snapshot, Voter,
+    VoterPlan,
 };
 use crate::key::HostId;
 use crate::time::{Millis, Now};
@@ -38,6 +39,7 @@
     pub(super) heard: bool,
     pub(super) in_flight: bool,
     pub(super) sent_at: Millis,
+    pub(super) seen_at: Millis,
 }
 
 /// One host's part in a group.
@@ -73,6 +75,11 @@
     pub(super) resigned: bool,
     pub(super) on_disk: Vec<HostId>,
     pub(super) reform: Option<(u64, Vec<Voter>)>,
+    pub(super) founders: Vec<HostId>,
+    pub(super) plan: Option<VoterPlan>,
+    pub(super) barred: BTreeMap<HostId, u64>,
+    pub(super) snapshot_every: u64,
+    pub(super) leader_commit: u64,
 }
 
 impl Replica {
@@ -90,6 +97,7 @@
     ) -> Self {
         let mut members = members.into();
         members.sort_unstable();
+        let founders = members.clone();
         Self {
             group,
             me,
@@ -121,6 +129,11 @@
             resigned: false,
             on_disk: Vec::new(),
             reform: None,
+            founders,
+            plan: None,
+            barred: BTreeMap::new(),
+            snapshot_every: ENTRIES_PER_SNAPSHOT,
+            leader_commit: 0,
         }
     }
 
@@ -238,7 +251,7 @@
     /// Tells whether this host belongs to the group at all.
     #[must_use]
     pub fn is_member(&self) -> bool {
-        self.members.contains(&self.me.host)
+        self.plan.is_some() || self.members.contains(&self.me.host)
     }
 
     /// Tells whether this host, in this life of its state, is a voter.
@@ -368,7 +381,7 @@
     #[must_use]
     pub fn wants_snapshot(&self) -> bool {
         let reforms = self.reform.is_some() && self.applied == self.log.last_index();
-        reforms || self.applied - self.log.base_index() >= ENTRIES_PER_SNAPSHOT
+        reforms || self.applied - self.log.base_index() >= self.snapshot_every
     }
 
     /// Takes the applied state as the new base of the log.
@@ -430,7 +443,7 @@
         message: GroupMessage,
         out: &mut Outbox,
     ) {
-        if !self.members.contains(&from) {
+        if self.plan.is_none() && !self.members.contains(&from) {
             return;
         }
         match message {
--- a/crates/core/src/agreement/replication.rs
+++ b/crates/core/src/agreement/replication.rs
@@ -102,6 +102,7 @@
         out: &mut Outbox,
     ) {
         let (prev_index, prev_term) = previous;
+        self.leader_commit = commit;
         let behind_base = prev_index < self.log.base_index();
         if !behind_base && self.log.term_at(prev_index) != Some(prev_term) {
             let hint = self.log.last_index().min(prev_index.saturating_sub(1)).max(self.commit);
--- a/crates/core/src/board/groups.rs
+++ b/crates/core/src/board/groups.rs
@@ -111,6 +111,7 @@
         match group {
             GroupId::Fleet => self.fleet.as_mut(),
             GroupId::Zone => Some(&mut self.zone),
+            GroupId::Directory => None,
         }
     }
 
@@ -128,6 +129,7 @@
         match group {
             GroupId::Fleet => self.fleet.as_ref(),
             GroupId::Zone => Some(&self.zone),
+            GroupId::Directory => None,
         }
     }
 }
--- a/crates/core/src/controller/agreement.rs
+++ b/crates/core/src/controller/agreement.rs
@@ -110,7 +110,7 @@
 
 fn apply_entry(board: &mut Board, entry: &Entry, written: Option<(u64, Purpose)>) {
     let fate = match &entry.command {
-        Command::Noop | Command::Voters(_) => None,
+        Command::Noop | Command::Voters(_) | Command::Directory(_) => None,
         Command::Change(change) => {
             let answer = board.groups.fleet_state.apply(change);
             board.in_force.offer(board.groups.fleet_state.settings.clone());
@@ -138,7 +138,7 @@
             board.groups.fleet_state = state;
         }
         Some(GroupState::Zone(records)) => board.groups.records = records,
-        None => {}
+        Some(GroupState::Directory(_)) | None => {}
     }
 }
 
@@ -153,6 +153,7 @@
     let state = match group {
         GroupId::Fleet => GroupState::Fleet(board.groups.fleet_state.clone()),
         GroupId::Zone => GroupState::Zone(board.groups.records.clone()),
+        GroupId::Directory => return,
     };
     let now = board.now;
     let Some(group_box) = board.groups.group_mut(group) else { return };
--- a/crates/core/src/controller/dispatch.rs
+++ b/crates/core/src/controller/dispatch.rs
@@ -257,6 +257,7 @@
         GroupId::Fleet => board.fleet_leader().map(|(_, leader)| leader),
         GroupId::Zone if zone == board.my_zone => board.zone_leader().map(|(_, leader)| leader),
         GroupId::Zone => board.zones[zone].digest.leader.map(|(_, leader)| leader),
+        GroupId::Directory => None,
     };
     let known = known.filter(|host| *host != me);
     if attempts == 0 && known.is_some() {
@@ -266,6 +267,7 @@
         GroupId::Fleet => any_fleet_member(board),
         GroupId::Zone if zone == board.my_zone => known,
         GroupId::Zone => any_host(board, zone),
+        GroupId::Directory => None,
     }
 }
 
--- /dev/null
+++ b/crates/core/src/directory.rs
@@ -0,0 +1,17 @@
+//! What the hosts with disks agree on for a whole deployment.
+//!
+//! One replicated group, the directory group, keeps the operators' routing configuration, the named
+//! weight versions, the batch jobs with their results, and the hosts that are being retired. Each
+//! replica applies the same [`DirectoryCommand`]s in the same order to its [`Directory`].
+
+mod command;
+mod job;
+mod routing;
+mod state;
+
+pub use command::{DirectoryCommand, DirectoryOutcome};
+pub use job::{ItemOutcome, ItemResult, ItemSpec, Job, JobSpec};
+pub use routing::{
+    EngineSpec, IntakeLimits, Route, RouteKind, Routing, RoutingFault, ServiceSpec, Target,
+};
+pub use state::Directory;
--- /dev/null
+++ b/crates/core/src/directory/command.rs
@@ -0,0 +1,67 @@
+//! Commands of the directory group, and what became of them.
+
+use std::sync::Arc;
+
+use serde::{Deserialize, Serialize};
+
+use crate::directory::{ItemResult, JobSpec, Routing};
+use crate::key::HostId;
+use crate::time::Millis;
+
+/// A change of the directory.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum DirectoryCommand {
+    /// Put a routing configuration in force, where its version is higher than the one that is.
+    Route(Arc<Routing>),
+    /// Name a weight version of a model.
+    NameVersion {
+        /// The model.
+        model: Box<str>,
+        /// The version.
+        version: u64,
+    },
+    /// Accept a batch job.
+    Submit {
+        /// The job.
+        spec: Arc<JobSpec>,
+        /// Wall time at the leader that accepted it.
+        at: Millis,
+    },
+    /// List results at the next positions of a job.
+    List {
+        /// The job.
+        job: Box<str>,
+        /// The results, one an item at most.
+        results: Vec<ItemResult>,
+    },
+    /// End a job.
+    EndJob {
+        /// The job.
+        job: Box<str>,
+        /// Wall time at the leader that ended it.
+        at: Millis,
+    },
+    /// Forget jobs that nobody reads any more.
+    Forget {
+        /// The jobs.
+        jobs: Vec<Box<str>>,
+    },
+    /// Take a host out of the voter set for good.
+    Retire {
+        /// The host.
+        host: HostId,
+        /// The incarnation that is retired; a replacement at the same address is another one.
+        incarnation: u64,
+    },
+}
+
+/// What applying a command came to.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum DirectoryOutcome {
+    /// It holds now, whether it changed anything or held before.
+    Holds,
+    /// The job that it names is not known.
+    UnknownJob,
+}
--- /dev/null
+++ b/crates/core/src/directory/job.rs
@@ -0,0 +1,148 @@
+//! Batch jobs: many requests that are accepted at once, run later, and read by position.
+
+use std::collections::BTreeSet;
+use std::sync::Arc;
+
+use bytes::Bytes;
+use serde::{Deserialize, Serialize};
+
+use crate::time::Millis;
+
+/// One request of a job.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub struct ItemSpec {
+    /// The name, unique within the job; the request's id at the upstream.
+    pub id: Box<str>,
+    /// The path and query at the upstream.
+    pub path: Box<str>,
+    /// Headers for the upstream.
+    pub headers: Vec<(Box<str>, Box<str>)>,
+    /// The body.
+    pub body: Bytes,
+    /// Prompt tokens and the most output tokens together, as an engine reserves them.
+    pub tokens: u32,
+    /// Prompt tokens, or zero where the caller did not say.
+    pub prompt_tokens: u32,
+    /// The output tokens that the caller expects, or zero where it did not say.
+    pub expected_tokens: u32,
+    /// The group that the item belongs to.
+    pub group: Box<str>,
+}
+
+/// A job as it was submitted, with what its route said then.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub struct JobSpec {
+    /// The job's name.
+    pub id: Box<str>,
+    /// The `Host` of the route.
+    pub host: Box<str>,
+    /// The path prefix of the route.
+    pub prefix: Box<str>,
+    /// The services that may run the items.
+    pub services: Vec<Box<str>>,
+    /// The model whose weights generate the text, where the job names one.
+    pub model: Option<Box<str>>,
+    /// The oldest weight version that may generate a token.
+    pub min_version: u64,
+    /// Whether all tokens of an item come from one version.
+    pub single_version: bool,
+    /// Whether an upstream can go on from an event of another one's text.
+    pub resumable: bool,
+    /// How many failed runs an item may have before it is given up.
+    pub attempts: u32,
+    /// How long after its acceptance the results are due.
+    pub due: Millis,
+    /// How long after its acceptance items may be given up.
+    pub give_up: Millis,
+    /// The requests.
+    pub items: Vec<ItemSpec>,
+}
+
+/// How an item ended.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum ItemOutcome {
+    /// The whole text is there.
+    Completed {
+        /// The text: the data of all events, a line each.
+        text: Arc<str>,
+        /// Every weight version that generated an event of it, ascending.
+        versions: Vec<u64>,
+    },
+    /// The item was given up.
+    Errored,
+}
+
+impl ItemOutcome {
+    /// Returns the length of the text, in bytes.
+    #[must_use]
+    pub fn text_bytes(&self) -> usize {
+        match self {
+            Self::Completed { text, .. } => text.len(),
+            Self::Errored => 0,
+        }
+    }
+}
+
+/// One listed result.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub struct ItemResult {
+    /// The index of the item in the job.
+    pub item: u32,
+    /// How it ended.
+    pub outcome: ItemOutcome,
+}
+
+/// A job with what is listed of it.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub struct Job {
+    /// The job as it was submitted.
+    pub spec: Arc<JobSpec>,
+    /// Wall time of its acceptance.
+    pub accepted_at: Millis,
+    /// Wall time of its end, where a caller has ended it.
+    pub ended_at: Option<Millis>,
+    /// The results, by position; none is moved or replaced.
+    pub results: Vec<ItemResult>,
+    listed: BTreeSet<u32>,
+}
+
+impl Job {
+    /// Accepts a job.
+    #[must_use]
+    pub fn new(spec: Arc<JobSpec>, accepted_at: Millis) -> Self {
+        Self { spec, accepted_at, ended_at: None, results: Vec::new(), listed: BTreeSet::new() }
+    }
+
+    /// Lists a result at the next position, unless its item is listed already.
+    pub fn list(&mut self, result: ItemResult) {
+        let known = (result.item as usize) < self.spec.items.len();
+        if !known || !self.listed.insert(result.item) {
+            return;
+        }
+        self.results.push(result);
+    }
+
+    /// Tells whether an item has a result.
+    #[must_use]
+    pub fn is_listed(&self, item: u32) -> bool {
+        self.listed.contains(&item)
+    }
+
+    /// Tells whether items are still to be run.
+    #[must_use]
+    pub fn is_open(&self) -> bool {
+        self.ended_at.is_none() && self.listed.len() < self.spec.items.len()
+    }
+
+    /// Returns an item by its name.
+    #[must_use]
+    pub fn item(&self, id: &str) -> Option<(u32, &ItemSpec)> {
+        let at = self.spec.items.iter().position(|item| &*item.id == id)?;
+        Some((u32::try_from(at).ok()?, &self.spec.items[at]))
+    }
+}
--- /dev/null
+++ b/crates/core/src/directory/state.rs
@@ -0,0 +1,77 @@
+//! The applied state of the directory group.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use serde::{Deserialize, Serialize};
+
+use crate::directory::{DirectoryCommand, DirectoryOutcome, Job, Routing};
+use crate::key::HostId;
+
+/// Everything that the directory group agrees on.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct Directory {
+    /// The routing configuration in force.
+    pub routing: Option<Arc<Routing>>,
+    /// The newest named weight version of each model.
+    pub versions: BTreeMap<Box<str>, u64>,
+    /// The batch jobs.
+    pub jobs: BTreeMap<Box<str>, Job>,
+    /// The hosts that left the voter set for good, with their incarnations.
+    pub retired: BTreeMap<HostId, u64>,
+}
+
+impl Directory {
+    /// Applies a command.
+    pub fn apply(&mut self, command: &DirectoryCommand) -> DirectoryOutcome {
+        match command {
+            DirectoryCommand::Route(routing) => self.put_routing(routing),
+            DirectoryCommand::NameVersion { model, version } => {
+                let newest = self.versions.entry(model.clone()).or_default();
+                *newest = (*newest).max(*version);
+            }
+            DirectoryCommand::Submit { spec, at } => {
+                let job = || Job::new(Arc::clone(spec), *at);
+                self.jobs.entry(spec.id.clone()).or_insert_with(job);
+            }
+            DirectoryCommand::List { job, results } => {
+                let Some(job) = self.jobs.get_mut(job) else { return DirectoryOutcome::UnknownJob };
+                for result in results {
+                    job.list(result.clone());
+                }
+            }
+            DirectoryCommand::EndJob { job, at } => {
+                let Some(job) = self.jobs.get_mut(job) else { return DirectoryOutcome::UnknownJob };
+                job.ended_at.get_or_insert(*at);
+            }
+            DirectoryCommand::Forget { jobs } => {
+                for job in jobs {
+                    self.jobs.remove(job);
+                }
+            }
+            DirectoryCommand::Retire { host, incarnation } => {
+                self.retired.insert(*host, *incarnation);
+            }
+        }
+        DirectoryOutcome::Holds
+    }
+
+    /// Returns the version of the routing configuration in force, or zero where there is none.
+    #[must_use]
+    pub fn routing_version(&self) -> u64 {
+        self.routing.as_ref().map_or(0, |routing| routing.version)
+    }
+
+    /// Returns the newest named weight version of a model, or zero where none was named.
+    #[must_use]
+    pub fn named_version(&self, model: &str) -> u64 {
+        self.versions.get(model).copied().unwrap_or_default()
+    }
+
+    fn put_routing(&mut self, routing: &Arc<Routing>) {
+        if routing.version > self.routing_version() {
+            self.routing = Some(Arc::clone(routing));
+        }
+    }
+}
--- a/crates/core/src/error.rs
+++ b/crates/core/src/error.rs
@@ -48,6 +48,10 @@
     OutcomeUnknown,
     /// The change is not valid, or lacks its reason.
     ChangeInvalid,
+    /// Too few hosts would remain.
+    TooFewHosts,
+    /// No upstream took the request.
+    Unavailable,
 }
 
 /// The answer that stands behind an error kind.
@@ -61,7 +65,7 @@
     pub retry: bool,
 }
 
-const TABLE: [(ErrorKind, u16, &str, bool); 15] = [
+const TABLE: [(ErrorKind, u16, &str, bool); 17] = [
     (ErrorKind::BadRequest, 400, "The request can't be read", false),
     (ErrorKind::BodyTooLarge, 413, "The body is too large", false),
     (ErrorKind::SlowSender, 408, "The body did not arrive in time", true),
@@ -77,6 +81,8 @@
     (ErrorKind::UpstreamFailed, 502, "The upstream failed", true),
     (ErrorKind::OutcomeUnknown, 502, "The outcome is not known", false),
     (ErrorKind::ChangeInvalid, 422, "The change is not valid", false),
+    (ErrorKind::TooFewHosts, 409, "Too few hosts would remain", false),
+    (ErrorKind::Unavailable, 503, "No upstream took the request", true),
 ];
 
 impl ErrorKind {
--- /dev/null
+++ b/crates/core/src/gateway/board/group.rs
@@ -0,0 +1,79 @@
+//! This host's replica of the directory, and what waits for its disk.
+
+use std::collections::{BTreeMap, VecDeque};
+
+use crate::agreement::{GroupId, Outbox, Replica, Voter, VoterPlan};
+use crate::board::HeldMessage;
+use crate::directory::Directory;
+use crate::gateway::board::Origin;
+use crate::gateway::settings::GatewaySettings;
+use crate::key::{HostId, SyncToken};
+use crate::time::Millis;
+
+/// How long a voter may be silent before a learner takes its place: longer than an ordinary restart.
+const REPLACE_AFTER: Millis = Millis(3_000);
+
+/// Entries that the log keeps behind its snapshot; a snapshot rewrites the results of every job, so
+/// it is rare: at 20 entries a second every seven minutes.
+const ENTRIES_PER_SNAPSHOT: u64 = 8_192;
+
+/// The directory group on a store host.
+#[derive(Debug)]
+pub struct DirectoryGroup {
+    /// The replica.
+    pub replica: Replica,
+    /// What it wants done.
+    pub out: Outbox,
+    /// The applied state.
+    pub directory: Directory,
+    /// For each index of this host's own commands the term and who waits.
+    pub written: BTreeMap<u64, (u64, Option<Origin>)>,
+    /// Whether this host held the lease when it last looked.
+    pub led: bool,
+    /// The voters when this host last looked.
+    pub known_voters: Vec<Voter>,
+    /// Batches of records on their way to the disk, with the last index that each covers.
+    pub syncing: VecDeque<(SyncToken, u64)>,
+    /// Messages that wait for a batch.
+    pub held: VecDeque<HeldMessage>,
+    /// The last token given out.
+    pub token: SyncToken,
+    /// When the leader next looks for jobs that can be forgotten.
+    pub forget_at: Millis,
+}
+
+impl DirectoryGroup {
+    /// Makes a replica without any state.
+    #[must_use]
+    pub fn new(cfg: &GatewaySettings) -> Self {
+        let me = Voter::new(cfg.id, cfg.incarnation);
+        let plan = VoterPlan {
+            target: cfg.voters_wanted(),
+            replace_after: REPLACE_AFTER,
+            may_form: cfg.first_start,
+        };
+        let replica = Replica::new(GroupId::Directory, me, cfg.seeds.clone(), true, cfg.election)
+            .open(plan)
+            .snapshot_every(ENTRIES_PER_SNAPSHOT);
+        Self {
+            replica,
+            out: Outbox::default(),
+            directory: Directory::default(),
+            written: BTreeMap::new(),
+            led: false,
+            known_voters: Vec::new(),
+            syncing: VecDeque::new(),
+            held: VecDeque::new(),
+            token: SyncToken(0),
+            forget_at: Millis(0),
+        }
+    }
+}
+
+impl DirectoryGroup {
+    /// Returns the hosts that vote.
+    #[must_use]
+    pub fn voter_hosts(&self) -> Vec<HostId> {
+        self.replica.voters().iter().map(|voter| voter.host).collect()
+    }
+}
--- /dev/null
+++ b/crates/core/src/gateway/controller/agreement.rs
@@ -0,0 +1,214 @@
+//! Agreement: feeds this host's replica of the directory, and applies what is committed.
+//!
+//! Reads: group messages, synced batches, restored records, `wishes`, the clock.
+//! Writes: `group`, `leader`, `routing_offered`, `jobs_touched`, replies to those who wait.
+
+use rand::Rng;
+
+use super::Controller;
+use crate::agreement::{Command, Entry, GroupId, GroupState, Record};
+use crate::directory::{DirectoryCommand, DirectoryOutcome};
+use crate::gateway::board::{Board, DirectoryGroup, Origin};
+use crate::gateway::event::Event;
+use crate::gateway::message::Reply;
+use crate::key::SyncToken;
+use crate::message::Message;
+use crate::time::Millis;
+use crate::timeline::EventKind;
+
+/// Runs the replica.
+#[derive(Debug)]
+pub(super) struct Agreement;
+
+impl Controller for Agreement {
+    fn run(&mut self, board: &mut Board, event: Option<&Event>) {
+        let Some(mut group) = board.group.take() else { return };
+        match event {
+            Some(Event::Restored(records)) => restore(board, &mut group, records),
+            Some(Event::Synced(token)) => synced(board, &mut group, *token),
+            Some(Event::Received(envelope)) => {
+                if let Message::Group(frame) = &envelope.message
+                    && frame.group == GroupId::Directory
+                {
+                    let message = frame.message.clone();
+                    let (now, from) = (board.now, envelope.from);
+                    group.replica.receive(now, from, frame.formation, message, &mut group.out);
+                }
+            }
+            _ => {}
+        }
+        write(board, &mut group);
+        tick(board, &mut group);
+        apply(board, &mut group);
+        compact(board, &mut group);
+        note_leadership(board, &mut group);
+        board.group = Some(group);
+    }
+
+    fn next_deadline(&self, board: &Board) -> Millis {
+        board.group.as_ref().map_or(Millis::MAX, |group| group.replica.next_deadline())
+    }
+}
+
+fn restore(board: &mut Board, group: &mut DirectoryGroup, records: &[Record]) {
+    for record in records {
+        if record.group() == GroupId::Directory {
+            group.replica.restore(record.clone());
+        }
+    }
+    take_installed(board, group);
+}
+
+fn synced(board: &mut Board, group: &mut DirectoryGroup, token: SyncToken) {
+    while let Some((synced, index)) = group.syncing.front().copied() {
+        if synced > token {
+            break;
+        }
+        group.syncing.pop_front();
+        group.replica.synced(index);
+    }
+    while group.held.front().is_some_and(|held| held.token <= token) {
+        let Some(held) = group.held.pop_front() else { break };
+        board.send_message(held.to, held.message);
+    }
+}
+
+fn write(board: &mut Board, group: &mut DirectoryGroup) {
+    for (command, origin) in std::mem::take(&mut board.wishes) {
+        let command = Command::Directory(command);
+        match group.replica.propose(board.now, command, &mut group.out) {
+            Ok(index) => {
+                group.written.insert(index, (group.replica.term(), origin));
+            }
+            Err(_) => {
+                let Some(origin) = origin else { continue };
+                board.reply(origin, Reply::AskLeader { leader: None });
+            }
+        }
+    }
+}
+
+fn tick(board: &mut Board, group: &mut DirectoryGroup) {
+    if board.now.mono < group.replica.next_deadline() {
+        return;
+    }
+    let jitter = u64::from(board.rng.random::<u32>());
+    group.replica.tick(board.now, jitter, &mut group.out);
+}
+
+fn apply(board: &mut Board, group: &mut DirectoryGroup) {
+    take_installed(board, group);
+    while let Some(entry) = group.replica.next_committed() {
+        apply_entry(board, group, &entry);
+    }
+}
+
+fn apply_entry(board: &mut Board, group: &mut DirectoryGroup, entry: &Entry) {
+    let written = group.written.remove(&entry.index);
+    let Command::Directory(command) = &entry.command else { return };
+    let outcome = group.directory.apply(command);
+    touch(board, group, command);
+    let Some((term, Some(origin))) = written else { return };
+    let reply = match outcome {
+        _ if term != entry.term => Reply::NotSure,
+        DirectoryOutcome::Holds => Reply::Done,
+        DirectoryOutcome::UnknownJob => Reply::Unknown,
+    };
+    board.reply(origin, reply);
+}
+
+/// Tells the other controllers what a command has changed.
+fn touch(board: &mut Board, group: &mut DirectoryGroup, command: &DirectoryCommand) {
+    board.again = true;
+    match command {
+        DirectoryCommand::Route(_) => board.routing_offered = group.directory.routing.clone(),
+        DirectoryCommand::Submit { spec, .. } => {
+            board.jobs_touched.insert(spec.id.clone());
+            let detail = format!(
+                "accepted items={} min_version={} services={:?} due_ms={}",
+                spec.items.len(),
+                spec.min_version,
+                spec.services,
+                spec.due.0
+            );
+            board.note(EventKind::Job, spec.id.clone(), detail);
+        }
+        DirectoryCommand::List { job, .. } => {
+            board.jobs_touched.insert(job.clone());
+        }
+        DirectoryCommand::EndJob { job, .. } => {
+            board.jobs_touched.insert(job.clone());
+            let listed = group.directory.jobs.get(job).map_or(0, |job| job.results.len());
+            board.note(EventKind::Job, job.clone(), format!("ended listed={listed}"));
+        }
+        DirectoryCommand::Retire { host, incarnation } => {
+            group.replica.bar(&group.directory.retired);
+            let detail = format!("retired incarnation={incarnation}");
+            board.note(EventKind::VotersChanged, host.0.to_string(), detail);
+        }
+        DirectoryCommand::NameVersion { model, version } => {
+            board.note(EventKind::Published, model.clone(), format!("version={version}"));
+        }
+        DirectoryCommand::Forget { .. } => {}
+    }
+}
+
+fn take_installed(board: &mut Board, group: &mut DirectoryGroup) {
+    let Some(GroupState::Directory(directory)) = group.replica.take_installed() else { return };
+    board.routing_offered = directory.routing.clone();
+    board.jobs_touched.extend(directory.jobs.keys().cloned());
+    group.replica.bar(&directory.retired);
+    group.directory = directory;
+    board.again = true;
+}
+
+fn compact(board: &mut Board, group: &mut DirectoryGroup) {
+    let wanted = group.replica.take_install_wanted();
+    let long = group.replica.wants_snapshot();
+    if wanted.is_empty() && !long {
+        return;
+    }
+    let state = GroupState::Directory(group.directory.clone());
+    for host in wanted {
+        let snapshot = group.replica.snapshot_of(state.clone());
+        group.replica.send_install(board.now, host, snapshot, &mut group.out);
+    }
+    if long {
+        group.replica.take_snapshot(state, &mut group.out);
+    }
+}
+
+fn note_leadership(board: &mut Board, group: &mut DirectoryGroup) {
+    let replica = &group.replica;
+    if let Some(leader) = replica.leader() {
+        board.leader = board.leader.max(Some((replica.fence(), leader)));
+    }
+    if replica.voters() != group.known_voters {
+        let voters = replica.voters().to_vec();
+        let names: Vec<u32> = voters.iter().map(|voter| voter.host.0).collect();
+        board.note(EventKind::VotersChanged, "directory", format!("voters={names:?}"));
+        group.known_voters = voters;
+    }
+    let leads = replica.holds_lease(board.now);
+    if leads == group.led {
+        return;
+    }
+    group.led = leads;
+    board.again = true;
+    if !leads {
+        give_back(board, group);
+    }
+    let verb = if leads { "leads" } else { "no longer leads" };
+    let (term, fence) = (group.replica.term(), group.replica.fence());
+    let detail = format!("{verb} term={term} fence={fence} commit={}", group.replica.commit());
+    board.note(EventKind::LeaderElected, "directory", detail);
+}
+
+/// Tells those who wait for commands of a lead that is over that their fate is open.
+fn give_back(board: &mut Board, group: &mut DirectoryGroup) {
+    let written = std::mem::take(&mut group.written);
+    let waiting: Vec<Origin> = written.into_values().filter_map(|(_, origin)| origin).collect();
+    for origin in waiting {
+        board.reply(origin, Reply::NotSure);
+    }
+}
--- /dev/null
+++ b/crates/core/src/gateway/controller/loads.rs
@@ -0,0 +1,228 @@
+//! Loads: on the leader, orders engines to load the named weight versions.
+//!
+//! Reads: ended orders, `group` (named versions), `jobs`, `upstreams`, `routing`, the clock.
+//! Writes: `orders`, `upstreams` (load state), `actions`.
+//!
+//! Only one host orders: the leader, once it has led for longer than the orders of the one before
+//! can count, and only under its lease. A version goes to the half of the engines that runs the
+//! oldest weights, a few at a time, so that the others go on under weights that jobs still take.
+
+use std::collections::BTreeMap;
+
+use super::Controller;
+use crate::gateway::action::{Action, Order, UpstreamAddress};
+use crate::gateway::board::{Board, PendingOrder};
+use crate::gateway::event::{Event, OrderEnd};
+use crate::key::{OrderKey, UpstreamKey};
+use crate::time::Millis;
+use crate::timeline::EventKind;
+
+/// The share of a service's engines that load at a time, as a divisor: more of them slow each other
+/// down at the weight store.
+const LOADING_DIVISOR: usize = 5;
+
+/// How long a load takes; afterwards the engine is tried, and says so itself where it is not done.
+const LOAD_TIME: Millis = Millis(1_000);
+
+/// How long an order may stay unanswered: the shell's own time-out, and slack.
+const ORDER_LOST: Millis = Millis(4_000);
+
+/// How long an engine is left alone after an order that failed.
+const ORDER_REST: Millis = Millis(700);
+
+/// How much longer than the orders' lease a new leader waits before its first order, for orders
+/// that are still on their way.
+const ORDER_SLACK: Millis = Millis(300);
+
+/// Versions behind the newest at which an engine can't run the jobs of the newest any more.
+const VERSIONS_BEHIND: u64 = 2;
+
+/// Orders loads.
+#[derive(Debug)]
+pub(super) struct Loads;
+
+impl Controller for Loads {
+    fn run(&mut self, board: &mut Board, event: Option<&Event>) {
+        if let Some(Event::OrderEnded { order, end }) = event {
+            ended(board, *order, end);
+        }
+        finish_loads(board);
+        if !may_order(board) {
+            return;
+        }
+        let Some(group) = &board.group else { return };
+        let named = group.directory.versions.clone();
+        for (model, version) in named {
+            order_model(board, &model, version);
+        }
+    }
+
+    fn next_deadline(&self, board: &Board) -> Millis {
+        let now = board.now.mono;
+        let mut next = Millis::MAX;
+        for upstream in board.upstreams.values() {
+            if let Some((_, _, since)) = &upstream.load.loading {
+                next = next.min(*since + LOAD_TIME);
+            }
+            if upstream.load.retry_at > now {
+                next = next.min(upstream.load.retry_at);
+            }
+        }
+        match board.group.as_ref().and_then(|group| group.replica.leads_since()) {
+            Some(since) if since + order_wait(board) > now => next.min(since + order_wait(board)),
+            _ => next,
+        }
+    }
+}
+
+fn order_wait(board: &Board) -> Millis {
+    board.cfg.bounds.order_lease + ORDER_SLACK
+}
+
+fn may_order(board: &Board) -> bool {
+    let Some(group) = &board.group else { return false };
+    let since = group.replica.leads_since();
+    let waited = since.is_some_and(|since| board.now.mono >= since + order_wait(board));
+    waited && board.leads() && board.draining.is_none()
+}
+
+fn ended(board: &mut Board, key: OrderKey, end: &OrderEnd) {
+    let Some(order) = board.orders.remove(key) else { return };
+    let now = board.now.mono;
+    let Some(upstream) = board.upstreams.get_mut(order.upstream) else { return };
+    let load = &mut upstream.load;
+    load.pending = None;
+    match end {
+        OrderEnd::Begun { orders } => {
+            load.orders = Some(*orders);
+            load.loading = Some((order.model.clone(), order.version, now));
+        }
+        OrderEnd::Holds { orders } => {
+            load.orders = *orders;
+            load.confirm(&order.model, order.version);
+        }
+        OrderEnd::Conflict { orders } => {
+            load.orders = *orders;
+            load.retry_at = now + ORDER_REST;
+        }
+        OrderEnd::Refused { .. } | OrderEnd::Expired => load.retry_at = now + ORDER_REST,
+        OrderEnd::Unknown { .. } => {
+            load.orders = None;
+            load.retry_at = now + ORDER_REST;
+        }
+    }
+    let took = now.since(order.sent).0;
+    let detail =
+        format!("model={} version={} took_ms={took} end={end:?}", order.model, order.version);
+    let id = upstream.announced.id.clone();
+    board.note(EventKind::OrderEnded, id, detail);
+}
+
+/// Ends loads that are announced as done or have had the time that they take.
+fn finish_loads(board: &mut Board) {
+    let now = board.now.mono;
+    for upstream in board.upstreams.values_mut() {
+        let Some((model, version, since)) = upstream.load.loading.clone() else { continue };
+        let announced = upstream.version_of(&model) >= version;
+        if announced || now >= since + LOAD_TIME {
+            upstream.load.loading = None;
+            upstream.load.confirm(&model, version);
+        }
+    }
+    let lost: Vec<OrderKey> = board
+        .orders
+        .iter()
+        .filter(|(_, order)| now.since(order.sent) > ORDER_LOST)
+        .map(|(key, _)| key)
+        .collect();
+    for key in lost {
+        ended(board, key, &OrderEnd::Unknown { detail: "no report from the shell".into() });
+    }
+}
+
+fn order_model(board: &mut Board, model: &str, version: u64) {
+    let Some(routing) = board.routing.clone() else { return };
+    for service in &routing.services {
+        let Some(engine) = &service.engine else { continue };
+        if !engine.models.iter().any(|name| &**name == model) {
+            continue;
+        }
+        for key in due_engines(board, &service.name, model, version) {
+            let single = routing.routes.iter().any(|route| {
+                route.single_version && route.targets.iter().any(|t| t.service == service.name)
+            });
+            give(board, key, model, version, single);
+        }
+    }
+}
+
+/// Returns the engines of a service that are to be ordered now, those with the oldest weights first.
+fn due_engines(board: &Board, service: &str, model: &str, version: u64) -> Vec<UpstreamKey> {
+    let now = board.now.mono;
+    let mut by_version: BTreeMap<(u64, UpstreamKey), bool> = BTreeMap::new();
+    let (mut busy, mut newest) = (0, 0);
+    for (key, upstream) in &board.upstreams {
+        let serves = &*upstream.announced.service == service && upstream.takes_work();
+        if !serves {
+            continue;
+        }
+        let runs = upstream.version_of(model);
+        let loading = upstream.load.is_busy();
+        busy += usize::from(loading);
+        newest += usize::from(runs >= version || loading);
+        let due = runs < version && !loading && now >= upstream.load.retry_at;
+        by_version.insert((runs, key), due);
+    }
+    let count = by_version.len();
+    let at_once = ((count + LOADING_DIVISOR / 2) / LOADING_DIVISOR).max(1);
+    let half = count.div_ceil(2);
+    let mut due = Vec::new();
+    for ((runs, key), is_due) in by_version {
+        let must = runs + VERSIONS_BEHIND <= version;
+        if !is_due || !(must || newest < half) {
+            continue;
+        }
+        if busy + due.len() >= at_once {
+            break;
+        }
+        newest += 1;
+        due.push(key);
+    }
+    due
+}
+
+fn give(board: &mut Board, key: UpstreamKey, model: &str, version: u64, runs_end_first: bool) {
+    let now = board.now;
+    let Some(group) = &board.group else { return };
+    let Some(valid_until) = group.replica.lease_end(now) else { return };
+    let fence = group.replica.fence();
+    let pending = PendingOrder { upstream: key, model: model.into(), version, sent: now.mono };
+    let order_key = board.orders.insert(pending);
+    let upstream = &mut board.upstreams[key];
+    upstream.load.pending = Some(order_key);
+    let order = Order {
+        order: order_key,
+        upstream: UpstreamAddress {
+            id: upstream.announced.id.clone(),
+            address: upstream.announced.address.clone(),
+        },
+        model: model.into(),
+        version,
+        runs_end_first,
+        holder: board.cfg.name.clone(),
+        fence,
+        orders_before: upstream.load.orders,
+        valid_until,
+    };
+    let detail = format!(
+        "model={model} version={version} runs={} fence={fence} orders_before={:?} \
+         lease_left_ms={}",
+        upstream.version_of(model),
+        upstream.load.orders,
+        valid_until.since(now.mono).0
+    );
+    let id = upstream.announced.id.clone();
+    board.counters.orders += 1;
+    board.note(EventKind::Ordered, id, detail);
+    board.actions.push(Action::Order(order));
+}
--- a/crates/core/src/key.rs
+++ b/crates/core/src/key.rs
@@ -20,12 +20,20 @@
     pub struct AttemptKey;
     /// Names an order to an upstream that has not been answered.
     pub struct OrderKey;
+    /// Names a question to another host.
+    pub struct AskKey;
+    /// Names a job whose items run.
+    pub struct JobKey;
+    /// Names an item of a job that is not listed.
+    pub struct ItemKey;
 }
 
 /// The number of a host, the same in every process of the fleet.
+///
+/// Where hosts find each other it is the host's IPv4 address.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 #[serde(transparent)]
-pub struct HostId(pub u16);
+pub struct HostId(pub u32);
 
 /// The shell's name for one exchange with a caller, trainer or operator.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
--- a/crates/core/src/message.rs
+++ b/crates/core/src/message.rs
@@ -6,6 +6,7 @@
 
 use crate::agreement::GroupFrame;
 use crate::fleet::FleetSettings;
+use crate::gateway::GatewayMessage;
 use crate::key::HostId;
 use crate::records::{IntentKey, Outcome, Output, SampleId};
 use crate::timeline::Stamp;
@@ -53,6 +54,8 @@
     },
     /// The receiver of a job reports what came of it.
     Generated(SampleResult),
+    /// A message between hosts that find each other.
+    Gateway(Box<GatewayMessage>),
 }
 
 /// One host's view, as it goes out with each heartbeat.
--- a/crates/core/src/timeline.rs
+++ b/crates/core/src/timeline.rs
@@ -92,6 +92,20 @@
     Intended,
     /// The host is stopping.
     Draining,
+    /// The host has started.
+    Started,
+    /// The settings file was read again.
+    Reloaded,
+    /// The voter set of a group changed.
+    VotersChanged,
+    /// A host or an upstream can't be reached, or can be again.
+    Dependency,
+    /// An item of a job was given to an upstream, moved, or listed.
+    Item,
+    /// A batch job was accepted, ended or forgotten.
+    Job,
+    /// A question to another host ended.
+    Asked,
 }
 
 /// One event of the time line.
--- /dev/null
+++ b/crates/core/tests/it/directory.rs
@@ -0,0 +1,221 @@
+//! What the directory group promises: configurations, versions, jobs, through losses.
+
+use chestnutdrift_core::directory::ItemOutcome;
+use chestnutdrift_core::gateway::{Answer, Call, Role};
+use chestnutdrift_core::{HostId, Millis};
+use test_case::test_case;
+
+use crate::deployment::{Deployment, SimEngine, job, routing};
+
+const STORES: [HostId; 3] = [HostId(1), HostId(2), HostId(3)];
+const ENTRY: HostId = HostId(101);
+
+fn started(seed: u64) -> Deployment {
+    let mut deployment = Deployment::new(seed, 3, 2);
+    for number in 1..=4 {
+        deployment.add_engine(SimEngine::new(number));
+    }
+    deployment.run(4_000);
+    let put = deployment.call(STORES[1], Call::PutRouting(routing(1)), 900);
+    assert_eq!(put, Some(Answer::Done));
+    deployment.run(2_500);
+    deployment
+}
+
+#[test]
+fn a_configuration_is_in_force_on_every_host_and_read_back_anywhere() {
+    let mut deployment = started(1);
+    for id in [STORES[0], STORES[1], STORES[2], ENTRY, HostId(102)] {
+        let version = deployment.gateway(id).board().routing.as_ref().map(|r| r.version);
+        assert_eq!(version, Some(1), "{id:?}");
+    }
+    for id in STORES {
+        let read = deployment.call(id, Call::GetRouting, 900);
+        assert_eq!(read, Some(Answer::Routing("routing 1".into())), "{id:?}");
+    }
+}
+
+#[test_case(1)]
+#[test_case(2)]
+#[test_case(3)]
+#[test_case(4)]
+#[test_case(5)]
+#[test_case(6)]
+#[test_case(7)]
+#[test_case(8)]
+fn all_stores_lose_power_and_lead_again_within_seconds(seed: u64) {
+    let mut deployment = started(seed);
+    let tag = deployment.submit(ENTRY, job("job", 40, 1));
+    deployment.run(60);
+    for id in STORES {
+        deployment.kill(id);
+    }
+    deployment.run(1_300);
+    for id in STORES {
+        deployment.start(id);
+    }
+    deployment.run(4_000);
+    let shown = deployment.show();
+    assert!(deployment.leader().is_some(), "nobody leads 4 s after all are back\n{shown}");
+    let accepted = deployment.answers.get(&tag) == Some(&Answer::Accepted);
+    deployment.run(6_000);
+    let page = deployment.results(ENTRY, "job", 0);
+    assert!(!accepted || page.is_some_and(|page| page.results.len() == 40), "a job is lost");
+    let read = deployment.call(STORES[0], Call::GetRouting, 900);
+    assert_eq!(read, Some(Answer::Routing("routing 1".into())));
+}
+
+#[test]
+fn a_job_is_run_once_for_each_item_and_read_at_any_host() {
+    let mut deployment = started(9);
+    deployment.engines[0].breaks_percent = 50;
+    let tag = deployment.submit(ENTRY, job("job", 40, 1));
+    deployment.run(6_000);
+    assert_eq!(deployment.answers.get(&tag), Some(&Answer::Accepted));
+    let first = deployment.results(ENTRY, "job", 0).expect("a page");
+    assert_eq!((first.total, first.next), (40, 40));
+    let second = deployment.results(HostId(102), "job", 0).expect("a page");
+    assert_eq!(first, second);
+    for entry in &first.results {
+        let ItemOutcome::Completed { text, .. } = &entry.outcome else { panic!("{entry:?}") };
+        let number = entry.id.trim_start_matches("job-");
+        let expected: Vec<String> =
+            (1..=text.lines().count()).map(|id| format!("{number}.{id}")).collect();
+        assert_eq!(**text, *expected.join("\n"), "events are missing or doubled");
+    }
+}
+
+#[test]
+fn a_frozen_leader_leads_no_more_when_it_wakes_and_the_job_goes_on() {
+    let mut deployment = started(11);
+    let tag = deployment.submit(ENTRY, job("job", 40, 1));
+    deployment.run(80);
+    assert_eq!(deployment.answers.get(&tag), Some(&Answer::Accepted));
+    let old = deployment.leader().expect("a leader");
+    deployment.freeze(old);
+    deployment.run(4_000);
+    let new = deployment.leader().expect("another leader");
+    assert_ne!(old, new);
+    deployment.thaw(old);
+    assert!(!deployment.gateway(old).board().leads(), "it woke with its lease");
+    deployment.run(6_000);
+    let page = deployment.results(ENTRY, "job", 0).expect("a page");
+    assert_eq!(page.results.len(), 40);
+}
+
+#[test]
+fn a_store_without_its_disk_is_let_in_again_before_a_second_one_is_lost() {
+    let mut deployment = started(12);
+    let tag = deployment.submit(ENTRY, job("job", 20, 1));
+    deployment.run(3_000);
+    assert_eq!(deployment.answers.get(&tag), Some(&Answer::Accepted));
+    let leader = deployment.leader().expect("a leader");
+    let first = *STORES.iter().find(|id| **id != leader).expect("a follower");
+    for lost in [first, leader] {
+        deployment.kill(lost);
+        deployment.wipe(lost);
+        deployment.run(500);
+        deployment.start(lost);
+        deployment.run(4_700);
+    }
+    let page = deployment.results(ENTRY, "job", 0).expect("a page");
+    assert_eq!(page.results.len(), 20);
+    let read = deployment.call(STORES[0], Call::GetRouting, 900);
+    assert_eq!(read, Some(Answer::Routing("routing 1".into())));
+}
+
+#[test]
+fn a_spare_store_takes_the_place_of_one_that_is_gone_or_retired() {
+    let mut deployment = started(13);
+    let spare = HostId(4);
+    let few = deployment.call(STORES[0], Call::Retire { host: "store-1".into() }, 900);
+    assert!(matches!(few, Some(Answer::Problem(_))), "too few would remain: {few:?}");
+    deployment.add(spare, Role::Store, false);
+    deployment.run(3_000);
+    let leader = deployment.leader().expect("a leader");
+    let host: Box<str> = format!("store-{}", leader.0).into();
+    let retired = deployment.call(leader, Call::Retire { host: host.clone() }, 900);
+    assert_eq!(retired, Some(Answer::Done));
+    deployment.run(6_000);
+    let status = deployment.call(spare, Call::RetireStatus { host }, 900);
+    assert_eq!(status, Some(Answer::Retiring { complete: true }));
+    deployment.kill(leader);
+    let next = deployment.leader().expect("another leader");
+    assert_ne!(next, leader);
+    let dead = *STORES.iter().find(|id| **id != leader && **id != next).expect("a follower");
+    deployment.kill(dead);
+    let read = deployment.call(next, Call::GetRouting, 900);
+    assert_eq!(read, Some(Answer::Routing("routing 1".into())), "two of three voters are there");
+}
+
+#[test]
+fn positions_that_were_read_are_there_at_a_store_that_comes_back() {
+    let mut deployment = started(14);
+    let late = STORES[2];
+    deployment.submit(ENTRY, job("job", 60, 1));
+    deployment.run(100);
+    // More entries than one append carries stand between the job and its last results.
+    deployment.kill(late);
+    for number in 0..200 {
+        let model = format!("other-{number}").into();
+        deployment.ask(STORES[0], Call::NameVersion { model, version: 2 });
+    }
+    deployment.run(4_000);
+    let before = deployment.results(ENTRY, "job", 0).expect("a page").results.len();
+    assert_eq!(before, 60);
+    deployment.start(late);
+    for _ in 0..200 {
+        deployment.run(10);
+        let call = Call::Results { job: "job".into(), after: 59, wait: Millis(0) };
+        let Some(Answer::Results(page)) = deployment.call(late, call, 10) else { continue };
+        assert_eq!(page.results.len(), 1, "a position that was read is empty");
+    }
+}
+
+#[test]
+fn versions_reach_the_engines_from_one_orderer_at_a_time() {
+    let mut deployment = started(15);
+    deployment.run(2_000);
+    for version in 2..=6 {
+        let named = Call::NameVersion { model: "model".into(), version };
+        assert_eq!(deployment.call(STORES[1], named, 900), Some(Answer::Done));
+        if version == 4 {
+            let leader = deployment.leader().expect("a leader");
+            deployment.kill(leader);
+            deployment.run(500);
+            deployment.start(leader);
+        }
+        deployment.run(9_000);
+        let oldest = deployment.engines.iter().map(|engine| engine.version).min();
+        assert!(oldest >= Some(version - 1), "version {version}: an engine runs {oldest:?}");
+    }
+    const LEASE: u64 = 3_000;
+    for pair in deployment.orders.windows(2) {
+        let ((before, a, first), (after, b, second)) = (&pair[0], &pair[1]);
+        assert!(a == b || after - before > LEASE, "{a:?} and {b:?} take turns");
+        assert!(second.fence >= first.fence);
+    }
+}
+
+#[test]
+fn a_cut_off_leader_acknowledges_nothing_and_the_others_go_on() {
+    let mut deployment = started(16);
+    let old = deployment.leader().expect("a leader");
+    for id in STORES {
+        deployment.cut(old, id, true);
+    }
+    deployment.run(3_500);
+    let other = *STORES.iter().find(|id| **id != old).expect("another store");
+    let put = deployment.call(other, Call::PutRouting(routing(2)), 900);
+    assert_eq!(put, Some(Answer::Done));
+    let stale = deployment.call(old, Call::GetRouting, 1_500);
+    assert!(matches!(stale, Some(Answer::Problem(_))), "{stale:?}");
+    for id in STORES {
+        deployment.cut(old, id, false);
+    }
+    deployment.run(2_500);
+    let read = deployment.call(old, Call::GetRouting, 900);
+    assert_eq!(read, Some(Answer::Routing("routing 2".into())));
+    let entry = deployment.gateway(ENTRY).board().routing.as_ref().map(|r| r.version);
+    assert_eq!(entry, Some(2));
+}
--- a/crates/core/tests/it/main.rs
+++ b/crates/core/tests/it/main.rs
@@ -1,9 +1,11 @@
 //! Tests of the core as a whole, on a small in-memory driver.
 
+mod deployment;
 mod world;
 
 mod bookings;
 mod determinism;
+mod directory;
 mod fleet_settings;
 mod lifecycle;
 mod records_check;
--- a/crates/core/tests/it/tables.rs
+++ b/crates/core/tests/it/tables.rs
@@ -22,7 +22,7 @@
         let answer = kind.answer();
         assert!((400..600).contains(&answer.status), "{kind:?}: {answer:?}");
     }
-    assert_eq!(seen.len(), 15);
+    assert_eq!(seen.len(), 17);
 }
 
 #[test]
--- a/crates/core/tests/it/world.rs
+++ b/crates/core/tests/it/world.rs
@@ -105,7 +105,7 @@
         let mut fleet = Vec::new();
         for at in 0..zones * hosts {
             fleet.push(PeerSpec {
-                id: HostId(u16::try_from(at + 1).expect("a small fleet")),
+                id: HostId(u32::try_from(at + 1).expect("a small fleet")),
                 name: format!("h{}", at + 1).into(),
                 zone: format!("z{}", at / hosts + 1).into(),
                 disk: at % hosts < disks,
@@ -345,7 +345,7 @@
     }
 
     fn send_message(&mut self, from: usize, to: HostId, envelope: Envelope) {
-        let to = usize::from(to.0) - 1;
+        let to = to.0 as usize - 1;
         if self.cuts.contains(&(from, to)) || self.percent(self.network.drop_percent) {
             return;
         }
@@ -360,7 +360,7 @@
                 self.dispatch_upstream(at, &address, dispatch);
             }
             Target::Host { host, hops, granted, maybe_ran } => {
-                let to = usize::from(host.0) - 1;
+                let to = host.0 as usize - 1;
                 self.hand_on(at, to, (*hops, *granted, *maybe_ran), dispatch);
             }
         }
--- a/crates/daemon/src/call/side.rs
+++ b/crates/daemon/src/call/side.rs
@@ -1,7 +1,7 @@
 //! Small calls beside the attempts: orders to engines, and word that an attempt is given up.
 
 use std::thread::JoinHandle;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use chestnutdrift_core::event::OrderTask;
 use chestnutdrift_core::key::OrderKey;
@@ -10,6 +10,7 @@
 use crossbeam::channel::{self, Receiver, Sender};
 
 use super::Agents;
+use crate::clock::Clock;
 use crate::control::Input;
 
 /// Threads that wait for loads.
@@ -35,8 +36,10 @@
     pub task: OrderTask,
     /// The fencing number.
     pub fence: u64,
+    /// The clock on which the lease is counted.
+    pub clock: Clock,
     /// When the lease ends under which it is given; it is not sent afterwards.
-    pub valid_until: Option<Instant>,
+    pub valid_until: Millis,
     /// How long to wait.
     pub timeout: Millis,
 }
@@ -102,7 +105,7 @@
 
 /// Gives an order while its lease lasts, and tells whether the engine obeyed.
 fn give(agents: &Agents, job: &OrderJob) -> bool {
-    if job.valid_until.is_none_or(|end| Instant::now() >= end) {
+    if job.clock.until(job.valid_until).is_zero() {
         return false;
     }
     let timeout = Duration::from_millis(job.timeout.0.max(1));
--- a/crates/daemon/src/clock.rs
+++ b/crates/daemon/src/clock.rs
@@ -1,33 +1,39 @@
-//! The two clocks that the core is told.
+//! The two clocks that decisions are made by.
 
-use std::time::{Instant, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use chestnutdrift_core::{Millis, Now};
+use rustix::time::{ClockId, clock_gettime};
 
 /// Reads the clocks of the machine.
+///
+/// The monotonic one goes on while the machine is suspended, so that a lease held by a host that
+/// was suspended is over when it wakes.
 #[derive(Debug, Clone, Copy)]
 pub struct Clock {
-    start: Instant,
+    start: Duration,
 }
 
 impl Clock {
     /// Starts the monotonic clock at zero.
     #[must_use]
     pub fn start() -> Self {
-        Self { start: Instant::now() }
+        Self { start: since_boot() }
     }
 
     /// Reads both clocks.
     #[must_use]
     pub fn now(&self) -> Now {
-        let mono = u64::try_from(self.start.elapsed().as_millis()).unwrap_or(u64::MAX);
+        let since_start = since_boot().saturating_sub(self.start);
+        let mono = u64::try_from(since_start.as_millis()).unwrap_or(u64::MAX);
         Now::new(Millis(mono), wall())
     }
 
-    /// Returns the instant of a point on the monotonic clock.
+    /// Returns how long it is until a point on the monotonic clock, or zero where it has passed.
     #[must_use]
-    pub fn instant(&self, at: Millis) -> Option<Instant> {
-        self.start.checked_add(std::time::Duration::from_millis(at.0))
+    pub fn until(&self, at: Millis) -> Duration {
+        let at = Duration::from_millis(at.0);
+        at.saturating_sub(since_boot().saturating_sub(self.start))
     }
 }
 
@@ -37,3 +43,10 @@
     let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
     Millis(u64::try_from(since.as_millis()).unwrap_or(u64::MAX))
 }
+
+/// Returns the time since the machine started, the time that it was suspended included.
+fn since_boot() -> Duration {
+    let time = clock_gettime(ClockId::Boottime);
+    let seconds = u64::try_from(time.tv_sec).unwrap_or_default();
+    Duration::new(seconds, u32::try_from(time.tv_nsec).unwrap_or_default())
+}
--- a/crates/daemon/src/control.rs
+++ b/crates/daemon/src/control.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use chestnutdrift_core::action::{Action, Answer, Dispatch, Source};
 use chestnutdrift_core::event::Arrival;
@@ -102,8 +102,7 @@
     }
 
     fn wait(&self) -> Duration {
-        let Some(at) = self.clock.instant(self.core.next_deadline()) else { return LONGEST_WAIT };
-        at.saturating_duration_since(Instant::now()).min(LONGEST_WAIT)
+        self.clock.until(self.core.next_deadline()).min(LONGEST_WAIT)
     }
 
     fn feed(&mut self, event: Event) {
@@ -155,8 +154,8 @@
                 let _ = disk.send(DiskJob { token, records });
             }
             Action::Order { order, address, task, fence, valid_until, timeout } => {
-                let valid_until = self.clock.instant(valid_until);
-                let job = OrderJob { order, address, task, fence, valid_until, timeout };
+                let clock = self.clock;
+                let job = OrderJob { order, address, task, fence, clock, valid_until, timeout };
                 self.outlets.calls.order(job);
             }
             Action::Note(event) => note(&event),
@@ -199,6 +198,11 @@
         | EventKind::SampleReady => log::Level::Debug,
         _ => log::Level::Info,
     };
+    write_event(level, event);
+}
+
+/// Writes an event of the time line to the log, as important as a level says.
+pub(crate) fn write_event(level: log::Level, event: &TimelineEvent) {
     log::log!(
         level,
         event:? = event.kind,
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -1,6 +1,7 @@
 //! Puts the threads of a host together, and takes them apart again.
 
 use std::collections::BTreeMap;
+use std::sync::Arc;
 use std::thread::JoinHandle;
 
 use anyhow::Context;
@@ -13,9 +14,9 @@
 use crate::call::{Adaptors, Agents, CallPool, EngineAdaptor, HostAdaptor, PlainAdaptor, SidePool};
 use crate::clock::{self, Clock};
 use crate::control::{Control, EVENTS_WAITING, Input, Outlets};
-use crate::disk::{DataFolder, DiskJob, DiskThread};
+use crate::disk::{DataFolder, DiskJob, DiskReport, DiskThread};
 use crate::http::{HttpFront, HttpSettings};
-use crate::link::Links;
+use crate::link::{self, Links};
 use crate::settings::Settings;
 
 /// A host that has been started.
@@ -79,7 +80,15 @@
         return Ok(Restored { incarnation, records: Vec::new(), thread: None, jobs: None });
     };
     let (folder, identity, records) = DataFolder::open(path, &settings.host.name)?;
-    let (thread, jobs) = DiskThread::start(folder, inputs.clone())?;
+    let inputs = inputs.clone();
+    let report = move |news| {
+        let input = match news {
+            DiskReport::Synced(token) => Input::Event(Event::Synced(token)),
+            DiskReport::Failed(detail) => Input::DiskFailed(detail),
+        };
+        inputs.send(input).is_ok()
+    };
+    let (thread, jobs) = DiskThread::start(folder, report)?;
     let incarnation = identity.incarnation;
     Ok(Restored { incarnation, records, thread: Some(thread), jobs: Some(jobs) })
 }
@@ -115,7 +124,11 @@
     };
     let side = SidePool::start(&agents, inputs);
     let calls = CallPool::new(adaptors, side, inputs.clone(), settings.limits.calls);
-    let links = Links::start(settings.me().link, links, inputs.clone())?;
+    let to_core = inputs.clone();
+    let deliver =
+        Arc::new(move |envelope| to_core.try_send(Input::Event(Event::Received(envelope))).is_ok());
+    let runtime = link::traffic_runtime("link")?;
+    let links = Links::start(runtime, settings.me().link, Box::new(links), deliver)?;
     Ok(Outlets { calls, links, disk })
 }
 
--- a/crates/daemon/src/disk.rs
+++ b/crates/daemon/src/disk.rs
@@ -11,13 +11,10 @@
 use std::thread::JoinHandle;
 
 use anyhow::Context;
-use chestnutdrift_core::Event;
 use chestnutdrift_core::agreement::Record;
 use chestnutdrift_core::key::SyncToken;
 use crossbeam::channel::{self, Receiver, Sender};
 
-use crate::control::Input;
-
 pub use codec::{decode_all, encode};
 pub use condenser::Condenser;
 pub use folder::{DataFolder, Disk, Identity};
@@ -37,6 +34,15 @@
     pub records: Vec<Record>,
 }
 
+/// What the disk thread reports.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum DiskReport {
+    /// Every batch up to a token is synced.
+    Synced(SyncToken),
+    /// The disk failed: nothing more can be promised.
+    Failed(Box<str>),
+}
+
 /// The thread that owns the disk.
 #[derive(Debug)]
 pub struct DiskThread {
@@ -44,19 +50,19 @@
 }
 
 impl DiskThread {
-    /// Starts the thread and returns the way to it.
+    /// Starts the thread and returns the way to it; `report` says whether anyone still listens.
     ///
     /// # Errors
     ///
     /// Returns an error where the thread can't be started.
     pub fn start(
         disk: impl Disk + 'static,
-        inputs: Sender<Input>,
+        report: impl Fn(DiskReport) -> bool + Send + 'static,
     ) -> anyhow::Result<(Self, Sender<DiskJob>)> {
         let (tx, rx) = channel::bounded(BATCHES_WAITING);
         let builder = std::thread::Builder::new().name("disk".into());
         let thread = builder
-            .spawn(move || run(disk, &rx, &inputs))
+            .spawn(move || run(disk, &rx, &report))
             .context("the thread for the disk can't be started")?;
         Ok((Self { thread }, tx))
     }
@@ -67,7 +73,7 @@
     }
 }
 
-fn run(mut disk: impl Disk, jobs: &Receiver<DiskJob>, inputs: &Sender<Input>) {
+fn run(mut disk: impl Disk, jobs: &Receiver<DiskJob>, report: &impl Fn(DiskReport) -> bool) {
     while let Ok(first) = jobs.recv() {
         let mut token = first.token;
         let mut records = first.records;
@@ -75,12 +81,12 @@
             token = job.token;
             records.extend(job.records);
         }
-        let input = match disk.write(&records) {
-            Ok(()) => Input::Event(Event::Synced(token)),
-            Err(error) => Input::DiskFailed(format!("{error:#}").into()),
+        let news = match disk.write(&records) {
+            Ok(()) => DiskReport::Synced(token),
+            Err(error) => DiskReport::Failed(format!("{error:#}").into()),
         };
-        let failed = matches!(input, Input::DiskFailed(_));
-        if inputs.send(input).is_err() || failed {
+        let failed = matches!(news, DiskReport::Failed(_));
+        if !report(news) || failed {
             return;
         }
     }
--- /dev/null
+++ b/crates/daemon/src/gateway/items.rs
@@ -0,0 +1,238 @@
+//! Runs of items: streams of events that are gathered to texts.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use chestnutdrift_core::AttemptKey;
+use chestnutdrift_core::gateway::{Event, ItemEnd, ItemRun, RunItem};
+use crossbeam::channel::Sender;
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use tokio::sync::oneshot;
+
+use super::control::Input;
+use super::events::{EventReader, StreamEvent};
+use super::pool::{Connection, Pool, SendError};
+use super::protocol::{Protocol, Verdict};
+
+/// How long a new connection to an engine may take.
+const CONNECT: Duration = Duration::from_millis(500);
+
+/// The time between two reports of progress.
+const REPORT_EVERY: Duration = Duration::from_millis(250);
+
+/// The status of an item that can never be done.
+const IMPOSSIBLE: u16 = 422;
+
+struct Running {
+    events: Arc<AtomicU32>,
+    cancel: oneshot::Sender<()>,
+}
+
+/// The runs of items on this host.
+#[derive(Clone)]
+pub struct ItemRuns {
+    protocol: Arc<dyn Protocol>,
+    pool: Pool,
+    inputs: Sender<Input>,
+    running: Arc<Mutex<BTreeMap<AttemptKey, Running>>>,
+}
+
+impl std::fmt::Debug for ItemRuns {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        let running = self.running.lock().map(|running| running.len()).unwrap_or_default();
+        f.debug_struct("ItemRuns").field("running", &running).finish_non_exhaustive()
+    }
+}
+
+impl ItemRuns {
+    /// Makes the runs of a host that has none yet.
+    #[must_use]
+    pub fn new(protocol: Arc<dyn Protocol>, pool: Pool, inputs: Sender<Input>) -> Self {
+        Self { protocol, pool, inputs, running: Arc::default() }
+    }
+
+    /// Runs an item and reports its end.
+    pub async fn run(self, run: RunItem) {
+        let attempt = run.attempt;
+        let events = Arc::new(AtomicU32::new(0));
+        let (cancel, cancelled) = oneshot::channel();
+        let first = {
+            let Ok(mut running) = self.running.lock() else { return };
+            running.insert(attempt, Running { events: Arc::clone(&events), cancel });
+            running.len() == 1
+        };
+        if first {
+            tokio::spawn(self.clone().report_progress());
+        }
+        let mut text = Text::default();
+        let end = tokio::select! {
+            end = self.stream(&run, &mut text, &events) => end,
+            _ = cancelled => ItemEnd::Cancelled,
+        };
+        if let Ok(mut running) = self.running.lock() {
+            running.remove(&attempt);
+        }
+        let event = Event::ItemEnded { attempt, run: text.into_run(end) };
+        if self.inputs.send(Input::Event(event)).is_err() {
+            log::debug!(event = "report-lost"; "the control thread has ended");
+        }
+    }
+
+    /// Gives a run up: its connection is closed, and what it brought is reported.
+    pub fn cancel(&self, attempt: AttemptKey) {
+        let Ok(mut running) = self.running.lock() else { return };
+        let Some(run) = running.remove(&attempt) else { return };
+        // A run that has just ended is reported as it ended.
+        let _ = run.cancel.send(());
+    }
+
+    async fn report_progress(self) {
+        loop {
+            tokio::time::sleep(REPORT_EVERY).await;
+            let mut progress = Vec::new();
+            {
+                let Ok(running) = self.running.lock() else { return };
+                for (attempt, run) in running.iter() {
+                    progress.push((*attempt, run.events.load(Ordering::Relaxed)));
+                }
+            }
+            if progress.is_empty() {
+                return;
+            }
+            if self.inputs.try_send(Input::Event(Event::ItemProgress(progress))).is_err() {
+                log::debug!(event = "progress-dropped"; "too many events wait");
+            }
+        }
+    }
+
+    async fn stream(&self, run: &RunItem, text: &mut Text, events: &AtomicU32) -> ItemEnd {
+        let request = self.protocol.item(run);
+        let deadline = Duration::from_millis(run.deadline.0);
+        let silence = Duration::from_millis(run.silence.0);
+        let sent = self.pool.send(&run.upstream, &request, CONNECT);
+        let (response, connection) = match tokio::time::timeout(silence, sent).await {
+            Ok(Ok(sent)) => sent,
+            Ok(Err(SendError::NotSent(detail))) => {
+                log::debug!(event = "item-not-sent"; "{detail}");
+                return ItemEnd::NotRun { status: 0, other_instance: false };
+            }
+            Ok(Err(SendError::Broken(detail))) => return ItemEnd::Broken { detail },
+            Err(_) => return silent(silence),
+        };
+        let (head, body) = response.into_parts();
+        let status = head.status.as_u16();
+        let name = self.protocol.request_name(request.headers());
+        match self.protocol.verdict(name, &run.upstream, &head) {
+            Verdict::Foreign => {
+                return ItemEnd::Broken { detail: "the answer belongs to another request".into() };
+            }
+            Verdict::NotRun { other_instance } => {
+                return ItemEnd::NotRun { status, other_instance };
+            }
+            Verdict::Failure if status == IMPOSSIBLE => return ItemEnd::Impossible,
+            Verdict::Failure => return ItemEnd::Failed { status },
+            Verdict::Success => {}
+        }
+        text.version = self.protocol.weight_version(&head.headers);
+        text.next = run.resume_after.map_or(FIRST_EVENT, |id| id + 1);
+        let reader = EventReader::new(self.protocol.version_field());
+        let read = read_events(reader, body, text, events, silence);
+        let end = match tokio::time::timeout(deadline, read).await {
+            Ok(end) => end,
+            Err(_) => ItemEnd::Broken { detail: "the run took too long".into() },
+        };
+        self.keep(run, connection, &head.headers, &end);
+        end
+    }
+
+    fn keep(
+        &self,
+        run: &RunItem,
+        connection: Connection,
+        headers: &hyper::HeaderMap,
+        end: &ItemEnd,
+    ) {
+        if *end == ItemEnd::Whole {
+            self.pool.keep(&run.upstream, connection, self.protocol.keep_alive(headers));
+        }
+    }
+}
+
+/// The id of a text's first event.
+const FIRST_EVENT: u64 = 1;
+
+fn silent(silence: Duration) -> ItemEnd {
+    ItemEnd::Broken { detail: format!("the engine was silent for {silence:?}").into() }
+}
+
+async fn read_events(
+    mut reader: EventReader,
+    mut body: Incoming,
+    text: &mut Text,
+    events: &AtomicU32,
+    silence: Duration,
+) -> ItemEnd {
+    loop {
+        let frame = match tokio::time::timeout(silence, body.frame()).await {
+            Ok(Some(Ok(frame))) => frame,
+            Ok(Some(Err(error))) => return ItemEnd::Broken { detail: error.to_string().into() },
+            Ok(None) if reader.is_between_events() => return ItemEnd::Whole,
+            Ok(None) => return ItemEnd::Broken { detail: "the last event is cut off".into() },
+            Err(_) => return silent(silence),
+        };
+        let Ok(data) = frame.into_data() else { continue };
+        for event in reader.push(&data) {
+            if let Err(detail) = text.push(event) {
+                return ItemEnd::Broken { detail };
+            }
+        }
+        events.store(text.events, Ordering::Relaxed);
+    }
+}
+
+/// The text of one run.
+#[derive(Debug, Default)]
+struct Text {
+    text: String,
+    events: u32,
+    next: u64,
+    last: Option<u64>,
+    version: Option<u64>,
+    versions: BTreeSet<u64>,
+}
+
+impl Text {
+    /// Adds an event, which must be the next one.
+    fn push(&mut self, event: StreamEvent) -> Result<(), Box<str>> {
+        let Some(id) = event.id else { return Err("an event has no id".into()) };
+        if id != self.next {
+            return Err(format!("event {id} came where {} was due", self.next).into());
+        }
+        if let Some(version) = event.field {
+            let read = version.parse().map_err(|_| format!("{version} is no weight version"))?;
+            self.version = Some(read);
+        }
+        self.versions.extend(self.version);
+        if self.events > 0 {
+            self.text.push('\n');
+        }
+        self.text.push_str(&event.data);
+        self.events += 1;
+        self.last = Some(id);
+        self.next = id + 1;
+        Ok(())
+    }
+
+    fn into_run(self, end: ItemEnd) -> ItemRun {
+        ItemRun {
+            text: self.text.into(),
+            events: self.events,
+            last_event: self.last,
+            versions: self.versions.into_iter().collect(),
+            end,
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/gateway/metrics.rs
@@ -0,0 +1,114 @@
+//! The metrics page of a gateway.
+
+use std::sync::LazyLock;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use bytes::Bytes;
+use chestnutdrift_core::gateway::Counters;
+use prometheus::{
+    Encoder, HistogramOpts, HistogramVec, IntGauge, IntGaugeVec, Opts, Registry, TextEncoder,
+};
+
+use super::pool::Pool;
+use super::protocol::Door;
+use crate::exchange::WholeReply;
+use crate::link::SENT;
+
+/// The buckets of answering times, in seconds.
+const BUCKETS: [f64; 12] = [0.002, 0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.5, 5.0, 15.0];
+
+struct Metrics {
+    registry: Registry,
+    gateway: IntGaugeVec,
+    answers: HistogramVec,
+    sent_bytes: IntGauge,
+    sent_messages: IntGauge,
+    connections: IntGauge,
+}
+
+static METRICS: LazyLock<Option<Metrics>> = LazyLock::new(|| match Metrics::new() {
+    Ok(metrics) => Some(metrics),
+    Err(error) => {
+        log::error!(event = "no-metrics"; "{error}");
+        None
+    }
+});
+
+impl Metrics {
+    fn new() -> Result<Self, prometheus::Error> {
+        let registry = Registry::new();
+        let opts = Opts::new("chestnutdrift_gateway", "Counters and gauges of the host, by name");
+        let gateway = IntGaugeVec::new(opts, &["name"])?;
+        let help = "Time from the head of a request to the start of its answer, by listener";
+        let opts = HistogramOpts::new("chestnutdrift_answer_seconds", help);
+        let answers = HistogramVec::new(opts.buckets(BUCKETS.to_vec()), &["door"])?;
+        let sent_bytes = IntGauge::new("chestnutdrift_link_sent_bytes", "Bytes sent to hosts")?;
+        let help = "Messages sent to hosts";
+        let sent_messages = IntGauge::new("chestnutdrift_link_sent_messages", help)?;
+        let help = "Connections opened to upstreams";
+        let connections = IntGauge::new("chestnutdrift_upstream_connections", help)?;
+        registry.register(Box::new(gateway.clone()))?;
+        registry.register(Box::new(answers.clone()))?;
+        registry.register(Box::new(sent_bytes.clone()))?;
+        registry.register(Box::new(sent_messages.clone()))?;
+        registry.register(Box::new(connections.clone()))?;
+        Ok(Self { registry, gateway, answers, sent_bytes, sent_messages, connections })
+    }
+}
+
+/// Takes in how long an answer took to start.
+pub(super) fn observe_answer(door: Door, took: Duration) {
+    let Some(metrics) = METRICS.as_ref() else { return };
+    let door = match door {
+        Door::Callers => "callers",
+        Door::Readiness => "readiness",
+        Door::Control => "control",
+        Door::Metrics => "metrics",
+    };
+    metrics.answers.with_label_values(&[door]).observe(took.as_secs_f64());
+}
+
+/// Writes the page.
+pub(super) fn page(counters: &Counters, pool: &Pool) -> WholeReply {
+    let mut body = Vec::new();
+    if let Some(metrics) = METRICS.as_ref() {
+        set(&metrics.gateway, counters);
+        metrics.sent_bytes.set(gauge(SENT.bytes.load(Ordering::Relaxed)));
+        metrics.sent_messages.set(gauge(SENT.messages.load(Ordering::Relaxed)));
+        metrics.connections.set(gauge(pool.opened()));
+        if let Err(error) = TextEncoder::new().encode(&metrics.registry.gather(), &mut body) {
+            log::error!(event = "metrics-unwritten"; "{error}");
+        }
+    }
+    let content_type = "text/plain; version=0.0.4".into();
+    WholeReply { status: 200, content_type, headers: Vec::new(), body: Bytes::from(body) }
+}
+
+fn gauge(value: u64) -> i64 {
+    i64::try_from(value).unwrap_or(i64::MAX)
+}
+
+fn set(gateway: &IntGaugeVec, counters: &Counters) {
+    let values = [
+        ("requests", counters.requests),
+        ("delivered", counters.delivered),
+        ("refused", counters.refused),
+        ("failed", counters.failed),
+        ("abandoned", counters.abandoned),
+        ("forwards", counters.forwards),
+        ("jobs", counters.jobs),
+        ("item_runs", counters.item_runs),
+        ("items_completed", counters.items_completed),
+        ("items_errored", counters.items_errored),
+        ("items_moved", counters.items_moved),
+        ("orders", counters.orders),
+        ("upstreams", counters.upstreams),
+        ("routing_version", counters.routing_version),
+        ("ready", u64::from(counters.ready)),
+        ("leads", u64::from(counters.leads)),
+    ];
+    for (name, value) in values {
+        gateway.with_label_values(&[name]).set(gauge(value));
+    }
+}
--- a/crates/daemon/src/http.rs
+++ b/crates/daemon/src/http.rs
@@ -12,3 +12,6 @@
 
 pub use reply::answer_reply;
 pub use server::{HttpFront, HttpSettings};
+
+pub(crate) use intake::read_body;
+pub(crate) use server::{AFTER_FAILED_ACCEPT, ReplyBody, turn_away, whole, whole_body};
--- a/crates/daemon/src/http/intake.rs
+++ b/crates/daemon/src/http/intake.rs
@@ -122,7 +122,8 @@
     }
 }
 
-async fn read_body(mut body: Incoming, most: u64) -> Result<Bytes, Problem> {
+/// Reads a body of at most `most` bytes.
+pub(crate) async fn read_body(mut body: Incoming, most: u64) -> Result<Bytes, Problem> {
     let too_large = || {
         let detail = format!("more than {most} bytes");
         Problem::not_run(ErrorKind::BodyTooLarge, detail)
--- a/crates/daemon/src/http/server.rs
+++ b/crates/daemon/src/http/server.rs
@@ -36,7 +36,7 @@
 use crate::settings::Limits;
 
 /// How long the listener rests after a failed accept, such as one without a free descriptor.
-const AFTER_FAILED_ACCEPT: Duration = Duration::from_millis(50);
+pub(crate) const AFTER_FAILED_ACCEPT: Duration = Duration::from_millis(50);
 
 /// How long open connections may take to end when the host stops.
 const CLOSING: Duration = Duration::from_secs(10);
@@ -48,7 +48,8 @@
 const TOO_MANY: &[u8] = b"HTTP/1.1 503 Service Unavailable\r\ncontent-length: 0\r\n\
 retry-after: 1\r\nconnection: close\r\n\r\n";
 
-type ReplyBody = UnsyncBoxBody<Bytes, std::io::Error>;
+/// The body of an answer.
+pub(crate) type ReplyBody = UnsyncBoxBody<Bytes, std::io::Error>;
 
 /// What the front is told.
 #[derive(Debug, Clone)]
@@ -147,7 +148,8 @@
     }
 }
 
-async fn turn_away(mut stream: TcpStream) {
+/// Refuses a connection beyond the bound.
+pub(crate) async fn turn_away(mut stream: TcpStream) {
     let _ = stream.write_all(TOO_MANY).await;
     let _ = stream.shutdown().await;
 }
@@ -280,14 +282,19 @@
     }
 }
 
-fn whole(reply: WholeReply) -> Response<ReplyBody> {
+/// Writes a whole answer.
+pub(crate) fn whole(reply: WholeReply) -> Response<ReplyBody> {
     let mut builder =
         Response::builder().status(reply.status).header("content-type", &*reply.content_type);
     for (name, value) in &reply.headers {
         builder = builder.header(*name, &**value);
     }
-    let body = Full::new(reply.body).map_err(|never| match never {}).boxed_unsync();
-    builder.body(body).unwrap_or_default()
+    builder.body(whole_body(reply.body)).unwrap_or_default()
+}
+
+/// Makes a body of bytes that are all there.
+pub(crate) fn whole_body(bytes: Bytes) -> ReplyBody {
+    Full::new(bytes).map_err(|never| match never {}).boxed_unsync()
 }
 
 /// Passes the pieces of a stream on; one that ends without its end mark breaks the connection off.
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -5,6 +5,8 @@
 //! other hosts ([`call`]), links between hosts ([`link`]) and the journal on disk ([`disk`]). They
 //! talk to the control thread over bounded channels. Prompts, token streams and answers go from
 //! socket to socket over an [`exchange`] and do not pass through the control thread.
+//!
+//! [`gateway`] is the shell of a deployment whose hosts find each other.
 
 pub mod call;
 pub mod clock;
@@ -12,6 +14,7 @@
 pub mod daemon;
 pub mod disk;
 pub mod exchange;
+pub mod gateway;
 pub mod http;
 pub mod link;
 pub mod logging;
--- a/crates/daemon/src/link.rs
+++ b/crates/daemon/src/link.rs
@@ -8,20 +8,19 @@
 mod outbound;
 
 use std::collections::BTreeMap;
-use std::net::SocketAddr;
+use std::fmt::Debug;
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::sync::Arc;
 use std::sync::atomic::AtomicU64;
 
 use anyhow::Context;
 use chestnutdrift_core::HostId;
 use chestnutdrift_core::message::Envelope;
-use crossbeam::channel::Sender;
 use tokio::net::TcpListener;
 use tokio::runtime::Runtime;
 use tokio::sync::mpsc;
 use tokio_tungstenite::tungstenite::protocol::WebSocketConfig;
 
-use crate::control::Input;
-
 /// Messages that may wait for a link.
 const MESSAGES_WAITING: usize = 4_096;
 
@@ -40,11 +39,37 @@
 /// Counts of what this process has sent over its links.
 pub static SENT: Sent = Sent { bytes: AtomicU64::new(0), messages: AtomicU64::new(0) };
 
+/// Tells where hosts take links.
+pub trait Addresses: Debug + Send {
+    /// Returns the address of a host, where it is known.
+    fn of(&self, host: HostId) -> Option<SocketAddr>;
+}
+
+/// The addresses of hosts that are listed beforehand.
+impl Addresses for BTreeMap<HostId, SocketAddr> {
+    fn of(&self, host: HostId) -> Option<SocketAddr> {
+        self.get(&host).copied()
+    }
+}
+
+/// The addresses of hosts whose numbers are their IPv4 addresses, at one port for all.
+#[derive(Debug, Clone, Copy)]
+pub struct SamePort(pub u16);
+
+impl Addresses for SamePort {
+    fn of(&self, host: HostId) -> Option<SocketAddr> {
+        Some(SocketAddr::new(IpAddr::V4(Ipv4Addr::from(host.0)), self.0))
+    }
+}
+
+/// Takes a message that came in; false where there is no room for it.
+pub type Deliver = Arc<dyn Fn(Envelope) -> bool + Send + Sync>;
+
 /// The links of a host.
 #[derive(Debug)]
 pub struct Links {
-    runtime: Runtime,
-    peers: BTreeMap<HostId, SocketAddr>,
+    runtime: Arc<Runtime>,
+    addresses: Box<dyn Addresses>,
     queues: BTreeMap<HostId, mpsc::Sender<Envelope>>,
 }
 
@@ -53,28 +78,23 @@
     ///
     /// # Errors
     ///
-    /// Returns an error where the address can't be bound or the thread can't be started.
+    /// Returns an error where the address can't be bound.
     pub fn start(
+        runtime: Arc<Runtime>,
         address: SocketAddr,
-        peers: BTreeMap<HostId, SocketAddr>,
-        inputs: Sender<Input>,
+        addresses: Box<dyn Addresses>,
+        deliver: Deliver,
     ) -> anyhow::Result<Self> {
-        let runtime = tokio::runtime::Builder::new_multi_thread()
-            .worker_threads(1)
-            .thread_name("link")
-            .enable_all()
-            .build()
-            .context("the thread for links can't be started")?;
         let listener = runtime
             .block_on(TcpListener::bind(address))
             .with_context(|| format!("{address} can't be bound"))?;
-        runtime.spawn(inbound::accept(listener, inputs));
-        Ok(Self { runtime, peers, queues: BTreeMap::new() })
+        runtime.spawn(inbound::accept(listener, deliver));
+        Ok(Self { runtime, addresses, queues: BTreeMap::new() })
     }
 
     /// Sends a message, or drops it where the queue of its link is full.
     pub fn send(&mut self, to: HostId, envelope: Envelope) {
-        let Some(address) = self.peers.get(&to).copied() else { return };
+        let Some(address) = self.addresses.of(to) else { return };
         let runtime = &self.runtime;
         let queue = self.queues.entry(to).or_insert_with(|| {
             let (tx, rx) = mpsc::channel(MESSAGES_WAITING);
@@ -89,10 +109,24 @@
     /// Breaks all links off.
     pub fn close(self) {
         drop(self.queues);
-        self.runtime.shutdown_background();
     }
 }
 
+/// Starts the runtime whose one thread owns sockets.
+///
+/// # Errors
+///
+/// Returns an error where the thread can't be started.
+pub fn traffic_runtime(name: &str) -> anyhow::Result<Arc<Runtime>> {
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .worker_threads(1)
+        .thread_name(name)
+        .enable_all()
+        .build()
+        .context("the thread for sockets can't be started")?;
+    Ok(Arc::new(runtime))
+}
+
 fn config() -> WebSocketConfig {
     WebSocketConfig::default()
         .read_buffer_size(BUFFER)
--- a/crates/daemon/src/link/inbound.rs
+++ b/crates/daemon/src/link/inbound.rs
@@ -1,15 +1,14 @@
 //! Links that other hosts have made to this one.
 
+use std::sync::Arc;
 use std::time::Duration;
 
-use chestnutdrift_core::Event;
 use chestnutdrift_wire::frame;
-use crossbeam::channel::Sender;
 use futures_util::StreamExt;
 use tokio::net::{TcpListener, TcpStream};
 use tokio_tungstenite::tungstenite::Message;
 
-use crate::control::Input;
+use super::Deliver;
 
 /// How long the listener rests after a failed accept.
 const AFTER_FAILED_ACCEPT: Duration = Duration::from_millis(50);
@@ -18,11 +17,11 @@
 const HANDSHAKE: Duration = Duration::from_secs(5);
 
 /// Takes links and reads them.
-pub(super) async fn accept(listener: TcpListener, inputs: Sender<Input>) {
+pub(super) async fn accept(listener: TcpListener, deliver: Deliver) {
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
-                tokio::spawn(read(stream, inputs.clone()));
+                tokio::spawn(read(stream, Arc::clone(&deliver)));
             }
             Err(error) => {
                 log::warn!(event = "accept-failed"; "{error}");
@@ -32,7 +31,7 @@
     }
 }
 
-async fn read(stream: TcpStream, inputs: Sender<Input>) {
+async fn read(stream: TcpStream, deliver: Deliver) {
     let handshake = tokio_tungstenite::accept_async_with_config(stream, Some(super::config()));
     let Ok(Ok(mut link)) = tokio::time::timeout(HANDSHAKE, handshake).await else { return };
     while let Some(Ok(message)) = link.next().await {
@@ -44,7 +43,7 @@
                 continue;
             }
         };
-        if inputs.try_send(Input::Event(Event::Received(envelope))).is_err() {
+        if !deliver(envelope) {
             log::debug!(event = "message-dropped"; "too many events wait");
         }
     }
--- a/crates/daemon/src/logging.rs
+++ b/crates/daemon/src/logging.rs
@@ -1,20 +1,43 @@
 //! Structured logs: one JSON line per event, by `log` with `fern`.
+//!
+//! Lines are handed to a thread of their own over a bounded channel, so that nobody waits for the
+//! file. Where the channel is full, or more lines come in a second than `LINES_PER_SECOND`, lines
+//! are left out, and a line says how many.
 
 use std::fmt::Arguments;
+use std::io::Write;
 use std::path::PathBuf;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::{Duration, Instant};
 
 use anyhow::Context;
+use crossbeam::channel::{self, Receiver};
 use log::{LevelFilter, Record, kv};
 use serde_json::{Map, Value};
 
 use crate::clock;
 
+/// Lines that may wait to be written.
+const LINES_WAITING: usize = 4_096;
+
+/// Lines written in a second at most; the busiest host of a deployment writes a fifth of it.
+const LINES_PER_SECOND: u64 = 1_000;
+
+/// How long lines are gathered before they are written together.
+const GATHER: Duration = Duration::from_millis(100);
+
+/// Bytes gathered at most.
+const GATHER_BYTES: usize = 64 * 1024;
+
+/// Lines left out since the last line that told so.
+static LEFT_OUT: AtomicU64 = AtomicU64::new(0);
+
 /// Where the log goes and how much of it.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct LogSettings {
     /// The least important level that is written.
     pub level: LevelFilter,
-    /// The file; standard error where there is none.
+    /// The file; standard output where there is none.
     pub file: Option<PathBuf>,
 }
 
@@ -24,20 +47,74 @@
 ///
 /// Returns an error where the file can't be opened or a log was started before.
 pub fn start(settings: &LogSettings) -> anyhow::Result<()> {
-    let dispatch = fern::Dispatch::new().level(settings.level).format(|out, message, record| {
-        out.finish(format_args!("{}", line(message, record)));
-    });
-    let dispatch = match &settings.file {
+    let out: Box<dyn Write + Send> = match &settings.file {
         Some(path) => {
             let file = fern::log_file(path)
                 .with_context(|| format!("log file {} can't be opened", path.display()))?;
-            dispatch.chain(file)
+            Box::new(file)
         }
-        None => dispatch.chain(std::io::stderr()),
+        None => Box::new(std::io::stdout()),
     };
+    let (tx, rx) = channel::bounded(LINES_WAITING);
+    std::thread::Builder::new().name("log".into()).spawn(move || write_lines(out, &rx))?;
+    let hand_over = fern::Output::call(move |record| {
+        if tx.try_send(line(record.args(), record)).is_err() {
+            LEFT_OUT.fetch_add(1, Ordering::Relaxed);
+        }
+    });
+    let dispatch = fern::Dispatch::new().level(settings.level).chain(hand_over);
     dispatch.apply().context("a log was started before")
 }
 
+/// Gives the lines that wait the time to be written, before the process ends.
+pub fn finish() {
+    std::thread::sleep(GATHER * 2);
+}
+
+/// Writes lines, many at a time.
+fn write_lines(mut out: Box<dyn Write + Send>, lines: &Receiver<Value>) {
+    let mut window = (Instant::now(), 0);
+    while let Ok(first) = lines.recv() {
+        let mut buf = Vec::new();
+        push(&mut buf, &mut window, &first);
+        let until = Instant::now() + GATHER;
+        while buf.len() < GATHER_BYTES {
+            let Ok(line) = lines.recv_deadline(until) else { break };
+            push(&mut buf, &mut window, &line);
+        }
+        let left_out = LEFT_OUT.swap(0, Ordering::Relaxed);
+        if left_out > 0 {
+            let wall_ms = clock::wall().0;
+            let line = serde_json::json!({
+                "wall_ms": wall_ms, "level": "warn", "event": "log-lines-left-out",
+                "lines": left_out,
+            });
+            append(&mut buf, &line);
+        }
+        if out.write_all(&buf).and_then(|()| out.flush()).is_err() {
+            LEFT_OUT.fetch_add(1, Ordering::Relaxed);
+        }
+    }
+}
+
+/// Adds a line, unless this second has had its share.
+fn push(buf: &mut Vec<u8>, window: &mut (Instant, u64), line: &Value) {
+    if window.0.elapsed() >= Duration::from_secs(1) {
+        *window = (Instant::now(), 0);
+    }
+    window.1 += 1;
+    if window.1 > LINES_PER_SECOND {
+        LEFT_OUT.fetch_add(1, Ordering::Relaxed);
+        return;
+    }
+    append(buf, line);
+}
+
+fn append(buf: &mut Vec<u8>, line: &Value) {
+    buf.extend_from_slice(line.to_string().as_bytes());
+    buf.push(b'\n');
+}
+
 fn line(message: &Arguments<'_>, record: &Record<'_>) -> Value {
     let mut fields = Fields(Map::new());
     fields.0.insert("wall_ms".into(), clock::wall().0.into());
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -11,6 +11,7 @@
 
 pub use crate::logging::LogSettings;
 pub use reader::SettingsError;
+pub(crate) use reader::{Section, load};
 pub use units::{parse_bytes, parse_duration};
 
 /// Everything that a host is told before it starts.
--- a/crates/daemon/src/settings/reader.rs
+++ b/crates/daemon/src/settings/reader.rs
@@ -55,10 +55,8 @@
 
 /// Reads and checks a file.
 pub(super) fn read(path: &Path) -> Result<Settings, SettingsError> {
-    let ini = Ini::load_from_file(path).map_err(|error| {
-        SettingsError::new(path, "file", "-", error.to_string(), "a readable INI file")
-    })?;
-    check_sections(path, &ini)?;
+    let known = |name: &str| ["host", "limits", "log"].contains(&name) || name.starts_with("peer ");
+    let ini = load(path, &known, "[host], [limits], [log] or [peer NAME]")?;
     let settings = Settings {
         path: path.into(),
         host: host(&Section::named(path, &ini, "host", &HOST_KEYS)?)?,
@@ -70,29 +68,34 @@
     Ok(settings)
 }
 
-fn check_sections(path: &Path, ini: &Ini) -> Result<(), SettingsError> {
+/// Reads an INI file whose sections are all known.
+pub(crate) fn load(
+    path: &Path,
+    known: &dyn Fn(&str) -> bool,
+    right: &str,
+) -> Result<Ini, SettingsError> {
+    let ini = Ini::load_from_file(path).map_err(|error| {
+        SettingsError::new(path, "file", "-", error.to_string(), "a readable INI file")
+    })?;
     for name in ini.sections().flatten() {
-        let known = ["host", "limits", "log"].contains(&name) || name.starts_with("peer ");
-        if known {
-            continue;
+        if !known(name) {
+            return Err(SettingsError::new(path, name, "-", "no such section", right));
         }
-        let right = "[host], [limits], [log] or [peer NAME]";
-        return Err(SettingsError::new(path, name, "-", "no such section", right));
     }
     let outside = ini.general_section().iter().next();
-    let Some((key, _)) = outside else { return Ok(()) };
+    let Some((key, _)) = outside else { return Ok(ini) };
     Err(SettingsError::new(path, "", key, "stands outside every section", "a section before it"))
 }
 
 /// One section, whose keys have been checked.
-struct Section<'a> {
+pub(crate) struct Section<'a> {
     path: &'a Path,
     name: &'a str,
     keys: Option<&'a Properties>,
 }
 
 impl<'a> Section<'a> {
-    fn named(
+    pub(crate) fn named(
         path: &'a Path,
         ini: &'a Ini,
         name: &'a str,
@@ -108,7 +111,7 @@
         Ok(section)
     }
 
-    fn fault(
+    pub(crate) fn fault(
         &self,
         key: &str,
         wrong: impl Into<Box<str>>,
@@ -117,16 +120,16 @@
         SettingsError::new(self.path, self.name, key, wrong, right)
     }
 
-    fn text(&self, key: &str) -> Option<&str> {
+    pub(crate) fn text(&self, key: &str) -> Option<&str> {
         self.keys.and_then(|keys| keys.get(key)).map(str::trim)
     }
 
-    fn required(&self, key: &str, right: &str) -> Result<&str, SettingsError> {
+    pub(crate) fn required(&self, key: &str, right: &str) -> Result<&str, SettingsError> {
         let text = self.text(key).filter(|text| !text.is_empty());
         text.ok_or_else(|| self.fault(key, "is missing", right))
     }
 
-    fn with<T>(
+    pub(crate) fn with<T>(
         &self,
         key: &str,
         default: T,
@@ -137,11 +140,11 @@
         parse(text).ok_or_else(|| self.fault(key, format!("{text:?} can't be read"), right))
     }
 
-    fn number<T: FromStr>(&self, key: &str, default: T) -> Result<T, SettingsError> {
+    pub(crate) fn number<T: FromStr>(&self, key: &str, default: T) -> Result<T, SettingsError> {
         self.with(key, default, "a whole number", |text| text.parse().ok())
     }
 
-    fn duration(&self, key: &str, default: Duration) -> Result<Duration, SettingsError> {
+    pub(crate) fn duration(&self, key: &str, default: Duration) -> Result<Duration, SettingsError> {
         self.with(key, default, "a time with its unit, such as 250ms, 10s or 5min", parse_duration)
     }
 }
--- a/crates/daemon/src/settings/units.rs
+++ b/crates/daemon/src/settings/units.rs
@@ -13,10 +13,20 @@
     parse(text, &BYTE_UNITS)
 }
 
-/// Reads a span of time such as `250ms` or `10s`.
+/// Reads a span of time such as `250ms`, `10s` or `5.7s`.
 #[must_use]
 pub fn parse_duration(text: &str) -> Option<Duration> {
-    parse(text, &TIME_UNITS).map(Duration::from_millis)
+    if let Some(whole) = parse(text, &TIME_UNITS) {
+        return Some(Duration::from_millis(whole));
+    }
+    let end = text.find(|c: char| !c.is_ascii_digit() && c != '.')?;
+    let (number, unit) = text.split_at(end);
+    let number: f64 = number.parse().ok()?;
+    let (_, scale) = TIME_UNITS.iter().find(|(name, _)| *name == unit.trim())?;
+    Duration::try_from_secs_f64(number)
+        .ok()?
+        .checked_mul(u32::try_from(*scale).ok()?)
+        .map(|d| d / 1_000)
 }
 
 fn parse(text: &str, units: &[(&str, u64)]) -> Option<u64> {
--- a/crates/daemon/tests/process/disk.rs
+++ b/crates/daemon/tests/process/disk.rs
@@ -2,12 +2,10 @@
 
 use chestnutdrift_core::agreement::GroupState;
 use chestnutdrift_core::agreement::{Command, Entry, GroupId, Record, Snapshot};
-use chestnutdrift_core::event::Event;
 use chestnutdrift_core::fleet::FleetState;
 use chestnutdrift_core::key::SyncToken;
-use chestnutdrift_daemon::control::Input;
 use chestnutdrift_daemon::disk::{
-    Condenser, DataFolder, Disk, DiskJob, DiskThread, decode_all, encode,
+    Condenser, DataFolder, Disk, DiskJob, DiskReport, DiskThread, decode_all, encode,
 };
 use crossbeam::channel;
 
@@ -142,14 +140,15 @@
 
 #[test]
 fn a_failed_sync_is_reported_once_and_never_tried_again() {
-    let (inputs, events) = channel::unbounded();
-    let (thread, jobs) = DiskThread::start(FailingDisk { left: 1 }, inputs).unwrap();
+    let (reports, events) = channel::unbounded();
+    let report = move |news| reports.send(news).is_ok();
+    let (thread, jobs) = DiskThread::start(FailingDisk { left: 1 }, report).unwrap();
     jobs.send(DiskJob { token: SyncToken(1), records: records() }).unwrap();
     let first = events.recv_timeout(WAIT).unwrap();
-    assert!(matches!(first, Input::Event(Event::Synced(SyncToken(1)))), "{first:?}");
+    assert_eq!(first, DiskReport::Synced(SyncToken(1)));
     jobs.send(DiskJob { token: SyncToken(2), records: records() }).unwrap();
     let second = events.recv_timeout(WAIT).unwrap();
-    assert!(matches!(second, Input::DiskFailed(_)), "{second:?}");
+    assert!(matches!(second, DiskReport::Failed(_)), "{second:?}");
     thread.close();
     assert!(events.try_recv().is_err(), "the disk went on after it had failed");
 }
