fix(daemon): the last log lines of a failing process were lost

Cause: a_damaged_folder_is_refused_by_the_daemon_with_code_1 failed: the log thread had not written. After: the test passes.

--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -61,11 +61,13 @@
         return ExitCode::from(BAD_SETTINGS);
     }
     let ran = Daemon::start(settings).and_then(Daemon::run);
-    match ran {
+    let code = match ran {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
             log::error!(event = "failed"; "{error:#}");
             ExitCode::from(FAILED)
         }
-    }
+    };
+    logging::finish();
+    code
 }
