perf(core): weights go to every engine, oldest first; half of the expected output is reserved

Cause: a quarter of a job's items started at once, half of them after 1.8 s: half of the engines waited for weights, and 150 percent of each item's expected output was reserved at its start. Excluded: slots (72 of 144 were free), the trainer's requests (jobs came on time). Change: every engine below the named version is ordered, oldest weights and idlest first, a fifth at a time; half of the expected output is reserved, since texts grow from nothing.

--- a/crates/core/src/gateway/controller/items.rs
+++ b/crates/core/src/gateway/controller/items.rs
@@ -36,9 +36,9 @@
 /// The longest run, beyond which it is broken off and goes on elsewhere.
 const LONGEST_RUN: Millis = Millis(30_000);
 
-/// How much longer than its caller expects an item is reckoned to be in an engine's memory, in
-/// percent.
-const MEMORY_PERCENT: u64 = 150;
+/// The share of its expected output that an item takes of an engine's memory on average, in
+/// percent: its text grows from nothing while it runs.
+const MEMORY_PERCENT: u64 = 50;
 
 /// How much of an engine's memory is given out, in percent.
 const MEMORY_USED_PERCENT: u64 = 95;
--- a/crates/core/src/gateway/controller/loads.rs
+++ b/crates/core/src/gateway/controller/loads.rs
@@ -4,10 +4,8 @@
 //! Writes: `orders`, `upstreams` (load state), `actions`.
 //!
 //! Only one host orders: the leader, once it has led for longer than the orders of the one before
-//! can count, and only under its lease. A version goes to the half of the engines that runs the
-//! oldest weights, a few at a time, so that the others go on under weights that jobs still take.
-
-use std::collections::BTreeMap;
+//! can count, and only under its lease. A version goes to the engines with the oldest weights first,
+//! a few at a time, so that the others go on under weights that jobs still take.
 
 use super::Controller;
 use crate::gateway::action::{Action, Order, UpstreamAddress};
@@ -34,9 +32,6 @@
 /// that are still on their way.
 const ORDER_SLACK: Millis = Millis(300);
 
-/// Versions behind the newest at which an engine can't run the jobs of the newest any more.
-const VERSIONS_BEHIND: u64 = 2;
-
 /// Orders loads.
 #[derive(Debug)]
 pub(super) struct Loads;
@@ -156,39 +151,30 @@
     }
 }
 
-/// Returns the engines of a service that are to be ordered now, those with the oldest weights first.
+/// Returns the engines of a service that are to be ordered now: those with the oldest weights
+/// first, and of those the idlest.
 fn due_engines(board: &Board, service: &str, model: &str, version: u64) -> Vec<UpstreamKey> {
     let now = board.now.mono;
-    let mut by_version: BTreeMap<(u64, UpstreamKey), bool> = BTreeMap::new();
-    let (mut busy, mut newest) = (0, 0);
+    let (mut count, mut busy, mut due) = (0, 0, Vec::new());
     for (key, upstream) in &board.upstreams {
         let serves = &*upstream.announced.service == service && upstream.takes_work();
         if !serves {
             continue;
         }
-        let runs = upstream.version_of(model);
-        let loading = upstream.load.is_busy();
-        busy += usize::from(loading);
-        newest += usize::from(runs >= version || loading);
-        let due = runs < version && !loading && now >= upstream.load.retry_at;
-        by_version.insert((runs, key), due);
-    }
-    let count = by_version.len();
-    let at_once = ((count + LOADING_DIVISOR / 2) / LOADING_DIVISOR).max(1);
-    let half = count.div_ceil(2);
-    let mut due = Vec::new();
-    for ((runs, key), is_due) in by_version {
-        let must = runs + VERSIONS_BEHIND <= version;
-        if !is_due || !(must || newest < half) {
+        count += 1;
+        if upstream.load.is_busy() {
+            busy += 1;
             continue;
         }
-        if busy + due.len() >= at_once {
-            break;
+        let runs = upstream.version_of(model);
+        if runs < version && now >= upstream.load.retry_at {
+            due.push((runs, upstream.in_flight, key));
         }
-        newest += 1;
-        due.push(key);
     }
-    due
+    let at_once = ((count + LOADING_DIVISOR / 2) / LOADING_DIVISOR).max(1);
+    due.sort_unstable();
+    due.truncate(at_once.saturating_sub(busy));
+    due.into_iter().map(|(_, _, key)| key).collect()
 }
 
 fn give(board: &mut Board, key: UpstreamKey, model: &str, version: u64, runs_end_first: bool) {
