fix(core): a replica that catches up no longer costs the leader its lease, and is let in

A learner also had to hold the newest commit at the moment of its hello, which a busy group never grants. Excluded: votes (pre-votes were refused because the leader was still heard), disks. Change: a batch counts as on its way until its last entry is acknowledged; appends carry 128 KB, entries 64 KB of text; a learner may lag by 32 entries.

--- a/crates/core/src/agreement/entry.rs
+++ b/crates/core/src/agreement/entry.rs
@@ -19,6 +19,19 @@
     pub command: Command,
 }
 
+impl Entry {
+    /// Returns about how many bytes the entry takes in a message.
+    #[must_use]
+    pub fn bytes(&self) -> usize {
+        const OVERHEAD: usize = 64;
+        OVERHEAD
+            + match &self.command {
+                Command::Directory(command) => command.bytes(),
+                Command::Noop | Command::Voters(_) | Command::Change(_) | Command::Zone(_) => 0,
+            }
+    }
+}
+
 /// What an entry says.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
--- a/crates/core/src/agreement/formation.rs
+++ b/crates/core/src/agreement/formation.rs
@@ -160,7 +160,10 @@
         if !self.may_change_voters() {
             return;
         }
-        let caught_up = self.has_caught_up(host);
+        let caught_up = self
+            .progress
+            .get(&host)
+            .is_some_and(|progress| progress.matched >= self.commit && progress.matched > 0);
         let mut voters = self.voters().to_vec();
         let old = voters.iter().position(|voter| voter.host == host);
         match old {
@@ -185,7 +188,6 @@
         if self.role != super::Role::Leader || !self.term_committed() {
             return false;
         }
-        let uncommitted = self.log.from(self.commit + 1, usize::MAX);
-        !uncommitted.into_iter().any(|entry| matches!(entry.command, Command::Voters(_)))
+        self.voters_are_settled()
     }
 }
--- a/crates/core/src/agreement/membership.rs
+++ b/crates/core/src/agreement/membership.rs
@@ -13,6 +13,10 @@
 /// How long the leader goes on replicating to a learner that no longer answers.
 const LEARNER_KEPT: Millis = Millis(30_000);
 
+/// How many entries a learner may lag behind when it becomes a voter. In a busy group it always
+/// lags by what is committed in a round trip.
+const LEARNER_LAG: u64 = 32;
+
 /// How the voter set of an open group is kept.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct VoterPlan {
@@ -68,11 +72,17 @@
         fresh && self.applied >= self.leader_commit
     }
 
-    /// Tells whether a host of this group has caught up with the leader, which this replica is.
-    #[must_use]
-    pub fn has_caught_up(&self, host: HostId) -> bool {
+    /// Tells whether a learner lags behind by so little that it would not hold commits up.
+    fn nearly_caught_up(&self, host: HostId) -> bool {
         let Some(progress) = self.progress.get(&host) else { return false };
-        progress.matched >= self.commit && progress.matched > 0
+        progress.matched + LEARNER_LAG >= self.commit && progress.matched > 0
+    }
+
+    /// Tells whether no change of the voter set is on its way.
+    #[must_use]
+    pub fn voters_are_settled(&self) -> bool {
+        let mut open = self.log.from(self.commit + 1, usize::MAX);
+        !open.any(|entry| matches!(entry.command, Command::Voters(_)))
     }
 
     /// Returns the voters of an open group with a learner added, where it may become one.
@@ -80,7 +90,8 @@
         let plan = self.plan.as_ref()?;
         let mut voters = self.voters().to_vec();
         let healthy = voters.iter().filter(|voter| self.is_healthy(now, **voter)).count();
-        if self.is_barred(learner) || healthy >= plan.target || !self.has_caught_up(learner.host) {
+        if self.is_barred(learner) || healthy >= plan.target || !self.nearly_caught_up(learner.host)
+        {
             return None;
         }
         voters.push(learner);
--- a/crates/core/src/agreement/replica.rs
+++ b/crates/core/src/agreement/replica.rs
@@ -38,6 +38,7 @@
     pub(super) acked_sent_at: Millis,
     pub(super) heard: bool,
     pub(super) in_flight: bool,
+    pub(super) sent_up_to: u64,
     pub(super) sent_at: Millis,
     pub(super) seen_at: Millis,
 }
--- a/crates/core/src/agreement/replication.rs
+++ b/crates/core/src/agreement/replication.rs
@@ -1,6 +1,6 @@
 //! Replication: appends, their answers, commits and snapshots.
 
-use crate::agreement::{Entry, GroupMessage, Outbox, Record, Replica, Role, Snapshot, Voter};
+use crate::agreement::{Entry, GroupMessage, Log, Outbox, Record, Replica, Role, Snapshot, Voter};
 use crate::key::HostId;
 use crate::time::{Millis, Now};
 
@@ -10,8 +10,26 @@
 /// Heartbeats of a leader in one shortest election time; its lease outlasts one lost heartbeat.
 const HEARTBEATS_PER_ELECTION: u64 = 3;
 
-/// The time after which an unanswered append is sent again.
-const RESEND_AFTER: Millis = Millis(300);
+/// The most bytes of entries in one append, unless its first entry is longer: an append must not
+/// keep a link busy for so long that heartbeats behind it come late.
+const BYTES_PER_APPEND: usize = 128 * 1024;
+
+/// The time after which an unanswered append is sent again. Links lose messages only where they
+/// break, so this is longer than a long append takes.
+const RESEND_AFTER: Millis = Millis(1_000);
+
+/// Returns the entries of one append.
+fn entries_to_send(log: &Log, next: u64) -> Vec<Entry> {
+    let (mut entries, mut bytes) = (Vec::new(), 0);
+    for entry in log.from(next, ENTRIES_PER_APPEND) {
+        bytes += entry.bytes();
+        if !entries.is_empty() && bytes > BYTES_PER_APPEND {
+            break;
+        }
+        entries.push(entry.clone());
+    }
+    entries
+}
 
 impl Replica {
     /// Sends entries, or nothing but the commit index, to every other replica.
@@ -46,14 +64,15 @@
         let prev_index = progress.next.saturating_sub(1);
         let Some(prev_term) = self.log.term_at(prev_index) else {
             progress.in_flight = true;
+            progress.sent_up_to = self.log.base_index();
             progress.sent_at = now.mono;
             self.wants_install.insert(host);
             return;
         };
-        let max = if waiting { 0 } else { ENTRIES_PER_APPEND };
-        let entries: Vec<Entry> = self.log.from(progress.next, max).cloned().collect();
-        if !entries.is_empty() {
+        let entries = if waiting { Vec::new() } else { entries_to_send(&self.log, progress.next) };
+        if let Some(last) = entries.last() {
             progress.in_flight = true;
+            progress.sent_up_to = last.index;
             progress.sent_at = now.mono;
         }
         let (term, commit, sent_at) = (self.term, self.commit, now.mono);
@@ -180,7 +199,10 @@
             return;
         }
         progress.heard = true;
-        progress.in_flight = false;
+        // A heartbeat's answer says nothing of the entries that are still on their way.
+        if !accepted || matched >= progress.sent_up_to {
+            progress.in_flight = false;
+        }
         progress.acked_sent_at = progress.acked_sent_at.max(sent_at);
         if accepted {
             progress.matched = progress.matched.max(matched.min(last));
--- a/crates/core/src/directory/command.rs
+++ b/crates/core/src/directory/command.rs
@@ -4,7 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::directory::{ItemResult, JobSpec, Routing};
+use crate::directory::{ItemResult, ItemSpec, JobSpec, Routing};
 use crate::key::HostId;
 use crate::time::Millis;
 
@@ -56,6 +56,25 @@
     },
 }
 
+impl DirectoryCommand {
+    /// Returns about how many bytes the command takes in a message.
+    #[must_use]
+    pub fn bytes(&self) -> usize {
+        match self {
+            // The document stands beside what was read from it.
+            Self::Route(routing) => 2 * routing.document.len(),
+            Self::Submit { spec, .. } => spec.items.iter().map(ItemSpec::bytes).sum(),
+            Self::List { results, .. } => {
+                results.iter().map(|result| result.outcome.text_bytes()).sum()
+            }
+            Self::NameVersion { .. }
+            | Self::EndJob { .. }
+            | Self::Forget { .. }
+            | Self::Retire { .. } => 0,
+        }
+    }
+}
+
 /// What applying a command came to.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
--- a/crates/core/src/directory/job.rs
+++ b/crates/core/src/directory/job.rs
@@ -30,6 +30,16 @@
     pub group: Box<str>,
 }
 
+impl ItemSpec {
+    /// Returns about how many bytes the item takes in a message.
+    #[must_use]
+    pub fn bytes(&self) -> usize {
+        const OVERHEAD: usize = 128;
+        let headers = self.headers.iter().map(|(name, value)| name.len() + value.len());
+        OVERHEAD + self.body.len() + headers.sum::<usize>()
+    }
+}
+
 /// A job as it was submitted, with what its route said then.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
--- a/crates/core/src/gateway/controller/decisions.rs
+++ b/crates/core/src/gateway/controller/decisions.rs
@@ -10,7 +10,7 @@
 use super::Controller;
 use crate::directory::{Directory, DirectoryCommand, Job};
 use crate::gateway::action::{Page, PageEntry};
-use crate::gateway::board::{Board, Decision, DirectoryGroup, Origin, Reader};
+use crate::gateway::board::{Board, Decision, Origin, Reader};
 use crate::gateway::event::Event;
 use crate::gateway::message::{Ask, Reply};
 use crate::gateway::settings::Role;
@@ -224,10 +224,7 @@
     let voters = group.replica.voters();
     let left = voters.iter().all(|voter| voter.host != host);
     let enough = voters.len() >= board.cfg.voters_wanted();
-    let safe = voters.iter().all(|voter| is_safe(group, voter.host, board.cfg.id));
-    Reply::Retiring { complete: left && enough && safe }
-}
-
-fn is_safe(group: &DirectoryGroup, voter: HostId, me: HostId) -> bool {
-    voter == me || group.replica.has_caught_up(voter)
+    // What is committed is held by most of the voters, so that nothing rests on the retired host
+    // once the set without it is committed.
+    Reply::Retiring { complete: left && enough && group.replica.voters_are_settled() }
 }
--- a/crates/core/src/gateway/controller/items.rs
+++ b/crates/core/src/gateway/controller/items.rs
@@ -21,8 +21,9 @@
 /// How long results are gathered before they are written to the log together.
 const GATHER: Millis = Millis(40);
 
-/// How many results are written to the log together at the latest.
-const GATHER_MOST: usize = 24;
+/// How many bytes of text are written to the log together at the latest: an entry must not keep a
+/// link busy for long.
+const GATHER_BYTES: usize = 64 * 1024;
 
 /// How long an item rests after an upstream refused or failed it.
 const REST: Millis = Millis(40);
@@ -54,14 +55,14 @@
 pub(super) struct Items {
     placement: Box<dyn ItemPlacement>,
     finished: BTreeMap<JobKey, Vec<ItemResult>>,
-    count: usize,
+    bytes: usize,
     flush_at: Millis,
 }
 
 impl Items {
     /// Makes the controller with a policy.
     pub(super) fn new(placement: Box<dyn ItemPlacement>) -> Self {
-        Self { placement, finished: BTreeMap::new(), count: 0, flush_at: Millis::MAX }
+        Self { placement, finished: BTreeMap::new(), bytes: 0, flush_at: Millis::MAX }
     }
 }
 
@@ -142,17 +143,17 @@
             ItemOutcome::Completed { .. } => board.counters.items_completed += 1,
             ItemOutcome::Errored => board.counters.items_errored += 1,
         }
+        self.bytes += outcome.text_bytes();
         let result = ItemResult { item: item.index, outcome };
         self.finished.entry(item.job).or_default().push(result);
-        self.count += 1;
         self.flush_at = self.flush_at.min(board.now.mono + GATHER);
     }
 
     fn flush(&mut self, board: &mut Board) {
-        if self.count < GATHER_MOST && board.now.mono < self.flush_at {
+        if self.bytes < GATHER_BYTES && board.now.mono < self.flush_at {
             return;
         }
-        self.count = 0;
+        self.bytes = 0;
         self.flush_at = Millis::MAX;
         for (key, results) in std::mem::take(&mut self.finished) {
             let Some(job) = board.jobs.get(key) else { continue };
--- a/crates/core/tests/it/directory.rs
+++ b/crates/core/tests/it/directory.rs
@@ -219,3 +219,28 @@
     let entry = deployment.gateway(ENTRY).board().routing.as_ref().map(|r| r.version);
     assert_eq!(entry, Some(2));
 }
+
+#[test]
+fn an_empty_store_catches_up_over_a_slow_link_while_the_leader_keeps_its_lease() {
+    let mut deployment = started(17);
+    deployment.text_bytes = 4_000;
+    for number in 0..10 {
+        deployment.submit(ENTRY, job(&format!("job-{number}"), 60, 1));
+        deployment.run(2_500);
+    }
+    // 10 MB of results for the spare, over links of 1 MB/s, while more come.
+    deployment.bytes_per_ms = 1_000;
+    let dead = *STORES.iter().find(|id| Some(**id) != deployment.leader()).expect("a follower");
+    deployment.kill(dead);
+    deployment.add(HostId(4), Role::Store, false);
+    for second in 0..40 {
+        if second % 5 == 0 {
+            deployment.submit(ENTRY, job(&format!("late-{second}"), 20, 1));
+        }
+        deployment.run(1_000);
+        assert!(deployment.leader().is_some(), "the lease is lost after {second} s");
+    }
+    let voters = deployment.leader().map(|id| deployment.gateway(id).board().group.as_ref());
+    let voters = voters.flatten().map(|group| group.voter_hosts()).unwrap_or_default();
+    assert!(voters.contains(&HostId(4)), "the spare does not vote: {voters:?}");
+}
