perf(core): texts of unfinished groups are used again in the job that asks for them again

Cause: a step that trains on 90 percent of its groups asks for the others again; they were run from the start, and the next step waits for them whatever else is complete. Change: results and begun texts of earlier jobs stand for the same items of a later job, where the job takes their versions.

--- a/crates/core/src/directory/job.rs
+++ b/crates/core/src/directory/job.rs
@@ -70,6 +70,15 @@
     pub items: Vec<ItemSpec>,
 }
 
+impl JobSpec {
+    /// Tells whether a text whose events these versions generated, ascending, can be a result.
+    #[must_use]
+    pub fn takes_versions(&self, versions: &[u64]) -> bool {
+        let fresh = versions.first().is_some_and(|oldest| *oldest >= self.min_version);
+        fresh && (!self.single_version || versions.len() == 1)
+    }
+}
+
 /// How an item ended.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
--- a/crates/core/src/gateway/board.rs
+++ b/crates/core/src/gateway/board.rs
@@ -6,6 +6,7 @@
 mod item;
 mod order;
 mod request;
+mod text;
 mod upstream;
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -16,7 +17,7 @@
 use slotmap::SlotMap;
 
 use crate::checksum::checksum;
-use crate::directory::{DirectoryCommand, Routing};
+use crate::directory::{DirectoryCommand, ItemSpec, Routing};
 use crate::error::{Problem, Ran};
 use crate::gateway::action::{Action, Answer, Counters};
 use crate::gateway::event::{Announcement, Opened};
@@ -36,6 +37,7 @@
 pub use item::{Item, ItemState, JobRun};
 pub use order::{LoadState, PendingOrder};
 pub use request::{Request, RequestState};
+pub use text::{Texts, same};
 pub use upstream::{Upstream, UpstreamHealth};
 
 /// What an attempt is for.
@@ -123,6 +125,10 @@
     pub job_index: BTreeMap<Box<str>, JobKey>,
     /// Items that are not listed.
     pub items: SlotMap<ItemKey, Item>,
+    /// Items of jobs that were dropped, until their last attempt has ended.
+    pub orphans: BTreeMap<AttemptKey, (ItemSpec, Item)>,
+    /// Texts of items that were begun and not listed.
+    pub texts: Texts,
     /// Orders that are not answered.
     pub orders: SlotMap<OrderKey, PendingOrder>,
     /// Whether the host takes requests.
@@ -188,6 +194,8 @@
             jobs: SlotMap::with_key(),
             job_index: BTreeMap::new(),
             items: SlotMap::with_key(),
+            orphans: BTreeMap::new(),
+            texts: Texts::default(),
             orders: SlotMap::with_key(),
             ready: false,
             draining: None,
--- /dev/null
+++ b/crates/core/src/gateway/board/text.rs
@@ -0,0 +1,70 @@
+//! Texts of items that were begun and not listed, kept for a later job that asks for them again.
+
+use std::collections::{BTreeMap, VecDeque};
+
+use crate::directory::{ItemSpec, JobSpec};
+use crate::gateway::board::Item;
+
+/// Texts kept at most: the items that two jobs of 1,024 samples leave open.
+const MOST_TEXTS: usize = 2_048;
+
+/// What is kept of an item.
+#[derive(Debug, Clone)]
+struct Text {
+    spec: ItemSpec,
+    text: String,
+    events: u32,
+    last_event: Option<u64>,
+    versions: Vec<u64>,
+}
+
+/// The kept texts, by the names of their items.
+#[derive(Debug, Clone, Default)]
+pub struct Texts {
+    texts: BTreeMap<Box<str>, Text>,
+    order: VecDeque<Box<str>>,
+}
+
+impl Texts {
+    /// Keeps what an item has, in place of what was kept of it before.
+    pub fn keep(&mut self, spec: &ItemSpec, item: &Item) {
+        if item.events == 0 {
+            return;
+        }
+        let text = Text {
+            spec: spec.clone(),
+            text: item.text.clone(),
+            events: item.events,
+            last_event: item.last_event,
+            versions: item.versions.clone(),
+        };
+        if self.texts.insert(spec.id.clone(), text).is_none() {
+            self.order.push_back(spec.id.clone());
+        }
+        if self.order.len() > MOST_TEXTS
+            && let Some(oldest) = self.order.pop_front()
+        {
+            self.texts.remove(&oldest);
+        }
+    }
+
+    /// Gives an item what is kept of it, where the job takes the weights that generated it.
+    pub fn restore(&self, job: &JobSpec, spec: &ItemSpec, item: &mut Item) {
+        let Some(text) = self.texts.get(&spec.id).filter(|text| same(&text.spec, spec)) else {
+            return;
+        };
+        if !job.resumable || !job.takes_versions(&text.versions) {
+            return;
+        }
+        item.text.clone_from(&text.text);
+        item.events = text.events;
+        item.last_event = text.last_event;
+        item.versions.clone_from(&text.versions);
+    }
+}
+
+/// Tells whether two items ask for the same text.
+#[must_use]
+pub fn same(a: &ItemSpec, b: &ItemSpec) -> bool {
+    a.id == b.id && a.path == b.path && a.body == b.body && a.headers == b.headers
+}
--- a/crates/core/src/gateway/controller/items.rs
+++ b/crates/core/src/gateway/controller/items.rs
@@ -102,10 +102,13 @@
         let Purpose::Item(item_key) = attempt.purpose else { return };
         let took = board.now.mono.since(attempt.began);
         note_health(board, attempt.upstream, run, took);
-        let Some(item) = board.items.get_mut(item_key) else { return };
+        let Some(item) = board.items.get_mut(item_key) else {
+            keep_orphan(board, key, run);
+            return;
+        };
         let Some(job) = board.jobs.get(item.job) else { return };
         let spec = job.spec.clone();
-        keep_text(item, &spec, run);
+        keep_text(item, spec.resumable, run);
         let now = board.now.mono;
         let outcome = match &run.end {
             ItemEnd::Whole => Some(completed(item, &spec)),
@@ -233,9 +236,9 @@
 const VERSION_DIFFERS: u16 = 421;
 
 /// Adds what a run brought to the item's text, where another run can go on from it.
-fn keep_text(item: &mut Item, spec: &JobSpec, run: &ItemRun) {
+fn keep_text(item: &mut Item, resumable: bool, run: &ItemRun) {
     item.progress = (0, item.progress.1);
-    if !spec.resumable && run.end != ItemEnd::Whole {
+    if !resumable && run.end != ItemEnd::Whole {
         item.restart();
         return;
     }
@@ -256,11 +259,16 @@
     item.versions.sort_unstable();
 }
 
+/// Keeps the text of an item whose job is over, for a later job that asks for it again.
+fn keep_orphan(board: &mut Board, attempt: AttemptKey, run: &ItemRun) {
+    let Some((spec, mut item)) = board.orphans.remove(&attempt) else { return };
+    keep_text(&mut item, true, run);
+    board.texts.keep(&spec, &item);
+}
+
 /// Returns the outcome of a whole text, or none where its weights are not those that the job takes.
 fn completed(item: &Item, spec: &JobSpec) -> Option<ItemOutcome> {
-    let old = item.versions.first().is_none_or(|version| *version < spec.min_version);
-    let mixed = spec.single_version && item.versions.len() != 1;
-    if old || mixed {
+    if !spec.takes_versions(&item.versions) {
         return None;
     }
     let (text, versions) = (item.text.as_str().into(), item.versions.clone());
--- a/crates/core/src/gateway/controller/jobs.rs
+++ b/crates/core/src/gateway/controller/jobs.rs
@@ -2,15 +2,19 @@
 //!
 //! Reads: `group`, `jobs_touched`, the clock. Writes: `jobs`, `items`, `attempts`, `wishes`.
 
+use std::collections::BTreeMap;
 use std::sync::Arc;
 
 use super::Controller;
-use crate::directory::{DirectoryCommand, Job};
+use crate::directory::{
+    Directory, DirectoryCommand, ItemOutcome, ItemResult, ItemSpec, Job, JobSpec,
+};
 use crate::gateway::action::Action;
-use crate::gateway::board::{Board, Item, ItemState, JobRun};
+use crate::gateway::board::{Board, Item, ItemState, JobRun, same};
 use crate::gateway::event::Event;
 use crate::key::JobKey;
 use crate::time::Millis;
+use crate::timeline::EventKind;
 
 /// The time between two looks for jobs that can be forgotten.
 const FORGET_EVERY: Millis = Millis(10_000);
@@ -67,13 +71,15 @@
     match (job, known) {
         (Some(job), Some(key)) if job.is_open() => drop_listed(board, key, job),
         (_, Some(key)) => drop_job(board, key),
-        (Some(job), None) if job.is_open() => adopt(board, job),
+        (Some(job), None) if job.is_open() => adopt(board, &group.directory, job),
         (_, None) => {}
     }
     board.group = Some(group);
 }
 
-fn adopt(board: &mut Board, job: &Job) {
+fn adopt(board: &mut Board, directory: &Directory, job: &Job) {
+    let listed_before = listed_results(directory);
+    let mut known = Vec::new();
     let now = board.now.mono;
     let age = board.now.wall.since(job.accepted_at);
     let spec = Arc::clone(&job.spec);
@@ -86,13 +92,56 @@
         if job.is_listed(index) {
             continue;
         }
-        let item = board.items.insert(Item::new(key, index, now));
+        let asked = &spec.items[index as usize];
+        let mut item = Item::new(key, index, now);
+        match listed_before.get(&*asked.id).and_then(|text| text.outcome_for(&spec, asked)) {
+            Some(outcome) => {
+                item.state = ItemState::Proposed;
+                known.push(ItemResult { item: index, outcome });
+            }
+            None => board.texts.restore(&spec, asked, &mut item),
+        }
+        let item = board.items.insert(item);
         board.jobs[key].open.push(item);
     }
+    if !known.is_empty() {
+        let detail = format!("listed_from_earlier_jobs={}", known.len());
+        board.note(EventKind::Job, spec.id.clone(), detail);
+        let command = DirectoryCommand::List { job: spec.id.clone(), results: known };
+        board.wishes.push((command, None));
+        board.again = true;
+    }
+}
+
+/// A result of an earlier job.
+struct Listed<'a> {
+    spec: &'a ItemSpec,
+    outcome: &'a ItemOutcome,
+}
+
+impl Listed<'_> {
+    /// Returns the outcome, where it can stand for an item of a later job.
+    fn outcome_for(&self, job: &JobSpec, asked: &ItemSpec) -> Option<ItemOutcome> {
+        let ItemOutcome::Completed { versions, .. } = self.outcome else { return None };
+        let usable = same(self.spec, asked) && job.takes_versions(versions);
+        usable.then(|| self.outcome.clone())
+    }
+}
+
+/// Returns the results of the jobs that are known, by the names of their items.
+fn listed_results(directory: &Directory) -> BTreeMap<&str, Listed<'_>> {
+    let mut results = BTreeMap::new();
+    for job in directory.jobs.values() {
+        for result in &job.results {
+            let Some(spec) = job.spec.items.get(result.item as usize) else { continue };
+            results.insert(&*spec.id, Listed { spec, outcome: &result.outcome });
+        }
+    }
+    results
 }
 
 fn drop_listed(board: &mut Board, key: JobKey, job: &Job) {
-    let open = std::mem::take(&mut board.jobs[key].open);
+    let (open, spec) = (std::mem::take(&mut board.jobs[key].open), Arc::clone(&job.spec));
     let mut left = Vec::with_capacity(open.len());
     for item_key in open {
         let listed = board.items.get(item_key).is_none_or(|item| job.is_listed(item.index));
@@ -101,7 +150,7 @@
             continue;
         }
         let Some(item) = board.items.remove(item_key) else { continue };
-        stop(board, &item);
+        stop(board, &spec, item);
     }
     board.jobs[key].open = left;
 }
@@ -111,14 +160,24 @@
     board.job_index.remove(&run.spec.id);
     for item_key in run.open {
         let Some(item) = board.items.remove(item_key) else { continue };
-        stop(board, &item);
+        stop(board, &run.spec, item);
     }
 }
 
-fn stop(board: &mut Board, item: &Item) {
-    let ItemState::Running(attempt) = item.state else { return };
-    board.end_attempt(attempt);
-    board.actions.push(Action::Cancel { attempt });
+/// Ends the work on an item, and keeps what there is of its text.
+fn stop(board: &mut Board, job: &JobSpec, item: Item) {
+    let Some(spec) = job.items.get(item.index as usize) else { return };
+    match item.state {
+        ItemState::Running(attempt) => {
+            board.actions.push(Action::Cancel { attempt });
+            board.orphans.insert(attempt, (spec.clone(), item));
+        }
+        ItemState::Stopping(attempt) => {
+            board.orphans.insert(attempt, (spec.clone(), item));
+        }
+        ItemState::Waiting(_) => board.texts.keep(spec, &item),
+        ItemState::Proposed => {}
+    }
 }
 
 /// Forgets jobs whose results need not be readable any more.
