perf(core): items move only from engines that are twice as slow as the median

Cause: long items moved up to four times a run, each move costing up to 700 ms for a few events. Excluded: loads (a run goes on through one with some 300 ms lost). Change: pace against the median, averaged over more events; an item brings a dozen events before it moves; it moves only to engines near the median.

--- a/crates/core/src/gateway/board/upstream.rs
+++ b/crates/core/src/gateway/board/upstream.rs
@@ -13,8 +13,12 @@
 /// How many times the time may double with further failures in a row.
 const MOST_DOUBLINGS: u32 = 4;
 
-/// The share of a new measurement in a moving average, in percent.
-const NEW_SHARE_PERCENT: u64 = 20;
+/// The share of a new answering time in its moving average, in percent.
+const ANSWER_SHARE_PERCENT: u64 = 20;
+
+/// The share of a new time between events in its moving average, in percent: each running item adds
+/// one four times a second.
+const EVENT_SHARE_PERCENT: u64 = 4;
 
 /// The recent behaviour of an upstream towards this host.
 #[derive(Debug, Clone, Copy, Default)]
@@ -106,7 +110,7 @@
     pub fn succeeded(&mut self, took: Millis) {
         self.failures = 0;
         self.avoid_until = Millis(0);
-        self.answer_us = moving(self.answer_us, took.0 * 1_000);
+        self.answer_us = moving(self.answer_us, took.0 * 1_000, ANSWER_SHARE_PERCENT);
     }
 
     /// Takes in a failure: the upstream is avoided, longer with each failure in a row.
@@ -121,13 +125,14 @@
         if events == 0 {
             return;
         }
-        self.event_us = moving(self.event_us, took.0 * 1_000 / u64::from(events));
+        self.event_us =
+            moving(self.event_us, took.0 * 1_000 / u64::from(events), EVENT_SHARE_PERCENT);
     }
 }
 
-fn moving(old: u64, new: u64) -> u64 {
+fn moving(old: u64, new: u64, share_percent: u64) -> u64 {
     if old == 0 {
         return new.max(1);
     }
-    ((old * (100 - NEW_SHARE_PERCENT) + new * NEW_SHARE_PERCENT) / 100).max(1)
+    ((old * (100 - share_percent) + new * share_percent) / 100).max(1)
 }
--- a/crates/core/src/gateway/controller/items.rs
+++ b/crates/core/src/gateway/controller/items.rs
@@ -44,11 +44,16 @@
 /// How much of an engine's memory is given out, in percent.
 const MEMORY_USED_PERCENT: u64 = 95;
 
-/// How much slower than the fastest an engine must be for its items to move, in percent.
+/// How much slower than the usual an engine must be for its items to move, in percent: twice as
+/// slow, for a move costs an item a new start.
 const MOVE_PERCENT: u64 = 200;
 
-/// The events that an item must have brought at an engine before its pace counts.
-const EVENTS_FOR_PACE: u32 = 3;
+/// How much slower than the usual an engine may be for items to move there, in percent.
+const MOVE_TO_PERCENT: u64 = 130;
+
+/// The events that an item must have brought at an engine before it moves: neighbours slow an
+/// engine for as long as a dozen events take, and then leave.
+const EVENTS_FOR_PACE: u32 = 12;
 
 /// Runs items.
 #[derive(Debug)]
@@ -387,16 +392,23 @@
     }
 }
 
+/// Returns the median of the engines' times between two events, in microseconds.
+fn usual_pace(board: &Board) -> Option<u64> {
+    let paces = board.upstreams.values().map(|upstream| upstream.health.event_us);
+    let mut paces: Vec<u64> = paces.filter(|us| *us > 0).collect();
+    paces.sort_unstable();
+    paces.get(paces.len() / 2).copied()
+}
+
 /// Stops items on engines that fall behind, where another engine has room for them.
 fn move_slow(board: &mut Board) {
-    let paces = board.upstreams.values().map(|upstream| upstream.health.event_us);
-    let Some(fastest) = paces.filter(|us| *us > 0).min() else { return };
+    let Some(usual) = usual_pace(board) else { return };
     let mut slow = Vec::new();
     for (key, item) in &board.items {
         let ItemState::Running(attempt_key) = item.state else { continue };
         let Some(attempt) = board.attempts.get(attempt_key) else { continue };
         let Some(upstream) = board.upstreams.get(attempt.upstream) else { continue };
-        let behind = upstream.health.event_us * 100 > fastest * MOVE_PERCENT;
+        let behind = upstream.health.event_us * 100 > usual * MOVE_PERCENT;
         let resumable = board.jobs.get(item.job).is_some_and(|job| job.spec.resumable);
         if behind && resumable && !upstream.load.is_busy() && item.progress.0 >= EVENTS_FOR_PACE {
             slow.push((key, attempt_key, attempt.upstream));
@@ -406,7 +418,7 @@
     for (key, attempt_key, from) in slow {
         let fast = |engine: &&Engine| {
             let taken = room.get(&engine.key).copied().unwrap_or(0);
-            let keeps_pace = engine.event_us * 100 <= fastest * MOVE_PERCENT;
+            let keeps_pace = engine.event_us * 100 <= usual * MOVE_TO_PERCENT;
             engine.key != from && keeps_pace && engine.in_flight + taken < engine.slots
         };
         let engines = engines_for(board, key);
