--- a/crates/core/src/gateway/controller/items.rs
+++ b/crates/core/src/gateway/controller/items.rs
@@ -339,6 +339,7 @@
     let Some(job) = board.jobs.get(item.job) else { return };
     let spec = job.spec.clone();
     let tokens = reserved(&spec, item.index);
+    let expected = job.item(item.index).map_or(0, |spec| spec.expected_tokens);
     let attempt = board.begin_attempt(Purpose::Item(key), upstream_key, tokens);
     let now = board.now.mono;
     let upstream = &board.upstreams[upstream_key];
@@ -348,8 +349,8 @@
     item.runs += 1;
     item.progress = (0, now);
     let detail = format!(
-        "item={} run={} upstream={} version={version:?} in_flight={}/{} event_us={} \
-         resume_after={:?}",
+        "item={} run={} expected_tokens={expected} upstream={} version={version:?} \
+         in_flight={}/{} event_us={} resume_after={:?}",
         item.index,
         item.runs,
         upstream.announced.id,
