perf(core): loads of weights go to the engines that are furthest behind, over all models

Excluded: loads at a time (two at most, as before). Change: an engine loads the model that it is furthest behind in; engines two versions behind go before those that are one behind; an order blocks only its own model's items.

--- a/crates/core/src/gateway/board/order.rs
+++ b/crates/core/src/gateway/board/order.rs
@@ -21,8 +21,8 @@
 /// The weights of an upstream, as far as this host orders them.
 #[derive(Debug, Clone, Default)]
 pub struct LoadState {
-    /// The order that is not answered.
-    pub pending: Option<OrderKey>,
+    /// The order that is not answered, with its model.
+    pub pending: Option<(OrderKey, Box<str>)>,
     /// What is being loaded, and since when.
     pub loading: Option<(Box<str>, u64, Millis)>,
     /// When it may be ordered again.
@@ -50,6 +50,13 @@
         self.confirmed.remove(model);
     }
 
+    /// Tells whether requests for a model have to wait for an order.
+    #[must_use]
+    pub fn blocks(&self, model: &str) -> bool {
+        let pending = self.pending.as_ref().is_some_and(|(_, name)| &**name == model);
+        pending || self.loading.as_ref().is_some_and(|(name, ..)| &**name == model)
+    }
+
     /// Tells whether an order is on its way or being carried out.
     #[must_use]
     pub fn is_busy(&self) -> bool {
--- a/crates/core/src/gateway/controller/items.rs
+++ b/crates/core/src/gateway/controller/items.rs
@@ -309,7 +309,8 @@
         let room = upstream.tokens == 0
             || (upstream.tokens + tokens) * 100 <= memory.saturating_mul(MEMORY_USED_PERCENT);
         let free = upstream.in_flight < announced.slots.max(1) && room;
-        let rests = upstream.is_avoided(now) || upstream.load.is_busy();
+        let loads = spec.model.as_ref().is_some_and(|model| upstream.load.blocks(model));
+        let rests = upstream.is_avoided(now) || loads;
         if !free || rests || !takes_version(item, spec, upstream) {
             continue;
         }
--- a/crates/core/src/gateway/controller/loads.rs
+++ b/crates/core/src/gateway/controller/loads.rs
@@ -4,10 +4,13 @@
 //! Writes: `orders`, `upstreams` (load state), `actions`.
 //!
 //! Only one host orders: the leader, once it has led for longer than the orders of the one before
-//! can count, and only under its lease. A version goes to the engines with the oldest weights first,
+//! can count, and only under its lease. A version goes to the engines that are furthest behind first,
 //! a few at a time, so that the others go on under weights that jobs still take.
 
+use std::cmp::Reverse;
+
 use super::Controller;
+use crate::directory::{Route, ServiceSpec};
 use crate::gateway::action::{Action, Order, UpstreamAddress};
 use crate::gateway::board::{Board, PendingOrder};
 use crate::gateway::event::{Event, OrderEnd};
@@ -45,10 +48,9 @@
         if !may_order(board) {
             return;
         }
-        let Some(group) = &board.group else { return };
-        let named = group.directory.versions.clone();
-        for (model, version) in named {
-            order_model(board, &model, version);
+        let Some(routing) = board.routing.clone() else { return };
+        for service in &routing.services {
+            order_service(board, service, &routing.routes);
         }
     }
 
@@ -135,30 +137,40 @@
     }
 }
 
-fn order_model(board: &mut Board, model: &str, version: u64) {
-    let Some(routing) = board.routing.clone() else { return };
-    for service in &routing.services {
-        let Some(engine) = &service.engine else { continue };
-        if !engine.models.iter().any(|name| &**name == model) {
-            continue;
-        }
-        for key in due_engines(board, &service.name, model, version) {
-            let single = routing.routes.iter().any(|route| {
-                route.single_version && route.targets.iter().any(|t| t.service == service.name)
-            });
-            give(board, key, model, version, single);
-        }
+/// An engine that is to load a version.
+struct Due {
+    /// Versions behind the named one.
+    behind: u64,
+    in_flight: u32,
+    key: UpstreamKey,
+    model: Box<str>,
+    version: u64,
+}
+
+fn order_service(board: &mut Board, service: &ServiceSpec, routes: &[Route]) {
+    let serves = |route: &Route| route.targets.iter().any(|t| t.service == service.name);
+    let single = routes.iter().any(|route| route.single_version && serves(route));
+    for due in due_engines(board, service) {
+        give(board, &due, single);
     }
 }
 
-/// Returns the engines of a service that are to be ordered now: those with the oldest weights
-/// first, and of those the idlest.
-fn due_engines(board: &Board, service: &str, model: &str, version: u64) -> Vec<UpstreamKey> {
+/// Returns the engines of a service that are to be ordered now, one model each: those that are
+/// furthest behind first, and of those the idlest.
+///
+/// An engine that is one version behind still runs the jobs of the newest, so it waits for those of
+/// every model that are further behind.
+fn due_engines(board: &Board, service: &ServiceSpec) -> Vec<Due> {
+    let Some(group) = &board.group else { return Vec::new() };
+    let models = service.engine.iter().flat_map(|engine| &engine.models);
+    let named: Vec<(&str, u64)> = models
+        .map(|model| (&**model, group.directory.named_version(model)))
+        .filter(|(_, version)| *version > 0)
+        .collect();
     let now = board.now.mono;
     let (mut count, mut busy, mut due) = (0, 0, Vec::new());
     for (key, upstream) in &board.upstreams {
-        let serves = &*upstream.announced.service == service && upstream.takes_work();
-        if !serves {
+        if upstream.announced.service != service.name || !upstream.takes_work() {
             continue;
         }
         count += 1;
@@ -166,26 +178,34 @@
             busy += 1;
             continue;
         }
-        let runs = upstream.version_of(model);
-        if runs < version && now >= upstream.load.retry_at {
-            due.push((runs, upstream.in_flight, key));
+        let lags = named.iter().map(|(model, version)| {
+            (version.saturating_sub(upstream.version_of(model)), *model, *version)
+        });
+        let furthest = lags.max_by_key(|(behind, ..)| *behind);
+        let Some((behind, model, version)) = furthest.filter(|(behind, ..)| *behind > 0) else {
+            continue;
+        };
+        if now >= upstream.load.retry_at {
+            let (in_flight, model) = (upstream.in_flight, model.into());
+            due.push(Due { behind, in_flight, key, model, version });
         }
     }
     let at_once = ((count + LOADING_DIVISOR / 2) / LOADING_DIVISOR).max(1);
-    due.sort_unstable();
+    due.sort_by_key(|due| (Reverse(due.behind), due.in_flight, due.key));
     due.truncate(at_once.saturating_sub(busy));
-    due.into_iter().map(|(_, _, key)| key).collect()
+    due
 }
 
-fn give(board: &mut Board, key: UpstreamKey, model: &str, version: u64, runs_end_first: bool) {
+fn give(board: &mut Board, due: &Due, runs_end_first: bool) {
     let now = board.now;
+    let (key, model, version) = (due.key, &*due.model, due.version);
     let Some(group) = &board.group else { return };
     let Some(valid_until) = group.replica.lease_end(now) else { return };
     let fence = group.replica.fence();
     let pending = PendingOrder { upstream: key, model: model.into(), version, sent: now.mono };
     let order_key = board.orders.insert(pending);
     let upstream = &mut board.upstreams[key];
-    upstream.load.pending = Some(order_key);
+    upstream.load.pending = Some((order_key, model.into()));
     let order = Order {
         order: order_key,
         upstream: UpstreamAddress {
--- a/crates/core/tests/it/deployment.rs
+++ b/crates/core/tests/it/deployment.rs
@@ -435,7 +435,7 @@
         slots: 4,
         memory_tokens: 100_000,
         tokens_per_event: 64,
-        models: vec!["model".into()],
+        models: vec!["model".into(), "other".into()],
     };
     Arc::new(Routing {
         version,
--- a/crates/core/tests/it/deployment/upstreams.rs
+++ b/crates/core/tests/it/deployment/upstreams.rs
@@ -1,5 +1,7 @@
 //! Engines that run items and take orders.
 
+use std::collections::BTreeMap;
+
 use chestnutdrift_core::gateway::Call;
 use chestnutdrift_core::gateway::{
     Announcement, Event, ItemEnd, ItemRun, Order, OrderEnd, RunItem,
@@ -19,7 +21,7 @@
 #[derive(Debug, Clone)]
 pub(crate) struct SimEngine {
     pub(crate) id: Box<str>,
-    pub(crate) version: u64,
+    pub(crate) versions: BTreeMap<Box<str>, u64>,
     pub(crate) loading_until: u64,
     pub(crate) orders: u64,
     pub(crate) alive: bool,
@@ -34,7 +36,7 @@
     pub(crate) fn new(number: u32) -> Self {
         Self {
             id: format!("engine-{number}").into(),
-            version: 1,
+            versions: [("model".into(), 1), ("other".into(), 1)].into(),
             loading_until: 0,
             orders: 0,
             alive: true,
@@ -55,7 +57,7 @@
             cold_for: Millis(0),
             born: 1,
             seq: self.seq,
-            versions: vec![("model".into(), self.version)],
+            versions: self.versions.clone().into_iter().collect(),
         }
     }
 }
@@ -85,7 +87,7 @@
         let padding = self.text_bytes;
         let (now, breaks) = (self.now, self.rng.random_range(0..100));
         let engine = &mut self.engines[at];
-        let refused = now < engine.loading_until || run.version != Some(engine.version);
+        let refused = now < engine.loading_until || run.version != Some(engine.versions["model"]);
         let first = run.resume_after.unwrap_or(0) + 1;
         let length = u64::from(run.item % 5) + 3;
         let (end, last) = if refused {
@@ -93,13 +95,13 @@
         } else if breaks < engine.breaks_percent && first + 1 < length {
             (ItemEnd::Broken { detail: "broken".into() }, first + 1)
         } else {
-            engine.ran.push((run.job.id.clone(), run.item, engine.version));
+            engine.ran.push((run.job.id.clone(), run.item, engine.versions["model"]));
             (ItemEnd::Whole, length)
         };
         let padding = "x".repeat(padding);
         let events: Vec<String> =
             (first..=last).map(|id| format!("{}.{id}{padding}", run.item)).collect();
-        let versions = if events.is_empty() { Vec::new() } else { vec![engine.version] };
+        let versions = if events.is_empty() { Vec::new() } else { vec![engine.versions["model"]] };
         let took = 20 * events.len() as u64 + 1;
         let result = ItemRun {
             text: events.join("\n").into(),
@@ -119,11 +121,11 @@
         let expected = order.orders_before.unwrap_or(engine.orders);
         let end = if now < engine.loading_until || expected != engine.orders {
             OrderEnd::Conflict { orders: Some(engine.orders) }
-        } else if engine.version == order.version {
+        } else if engine.versions[&order.model] == order.version {
             OrderEnd::Holds { orders: Some(engine.orders) }
         } else {
             engine.orders += 1;
-            engine.version = order.version;
+            engine.versions.insert(order.model.clone(), order.version);
             engine.loading_until = now + LOAD;
             OrderEnd::Begun { orders: engine.orders }
         };
--- a/crates/core/tests/it/directory.rs
+++ b/crates/core/tests/it/directory.rs
@@ -186,7 +186,8 @@
             deployment.start(leader);
         }
         deployment.run(9_000);
-        let oldest = deployment.engines.iter().map(|engine| engine.version).min();
+        let versions = deployment.engines.iter().map(|engine| engine.versions["model"]);
+        let oldest = versions.min();
         assert!(oldest >= Some(version - 1), "version {version}: an engine runs {oldest:?}");
     }
     const LEASE: u64 = 3_000;
@@ -257,3 +258,19 @@
     let put = deployment.call(new, Call::PutRouting(routing(2)), 900);
     assert_eq!(put, Some(Answer::Done));
 }
+
+#[test]
+fn two_models_share_the_loads_so_that_half_of_the_engines_run_either() {
+    let mut deployment = started(19);
+    for version in 2..=7 {
+        for model in ["model", "other"] {
+            let usable =
+                deployment.engines.iter().filter(|engine| engine.versions[model] + 2 > version);
+            let (usable, all) = (usable.count(), deployment.engines.len());
+            assert!(usable * 2 >= all, "{usable} of {all} engines can run {model} {version}");
+            let named = Call::NameVersion { model: model.into(), version };
+            assert_eq!(deployment.call(STORES[1], named, 100), Some(Answer::Done));
+        }
+        deployment.run(4_000);
+    }
+}
