--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -96,10 +96,11 @@
             return ExitCode::from(BAD_USAGE);
         }
     };
-    let Some(host) = head.host else {
+    if command.asks && head.host.is_none() {
         eprintln!("chestnutdrift: name a host with --host or {HOST_VARIABLE}");
         return ExitCode::from(BAD_USAGE);
-    };
+    }
+    let host = head.host.unwrap_or_default();
     let cx = Context { fleet: Fleet::new(host), json: head.json, matches };
     match (command.run)(&cx) {
         Ok(()) => ExitCode::SUCCESS,
--- a/crates/cli/tests/tool.rs
+++ b/crates/cli/tests/tool.rs
@@ -167,3 +167,39 @@
         assert!(help.contains(&format!("usage: chestnutdrift {command}")), "{help}");
     }
 }
+
+#[test]
+fn explain_sorts_the_lines_of_one_request_over_several_logs() {
+    let folder = folder("explain");
+    let line = |ms: u64, event: &str, subject: &str, message: &str| {
+        serde_json::json!({
+            "stamp_ms": ms, "stamp_count": 0, "host": 7, "event": event, "subject": subject,
+            "message": message,
+        })
+    };
+    let entry = format!(
+        "{}\nno JSON\n{}\n",
+        line(30, "Refused", "r-1", "kind=Unavailable"),
+        line(10, "Dispatched", "r-1", "upstream=i-7"),
+    );
+    let store = format!("2026 store-1 {}\n", line(20, "UpstreamLeft", "i-7", "leaving"));
+    let (first, second) = (folder.join("entry.log"), folder.join("store.log"));
+    std::fs::write(&first, entry).expect("a log");
+    std::fs::write(&second, store).expect("a log");
+    let explain = |id: &str| {
+        Command::new(env!("CARGO_BIN_EXE_chestnutdrift"))
+            .args(["explain", id])
+            .args([&first, &second])
+            .output()
+            .expect("the tool runs")
+    };
+    let request = text(&explain("r-1"));
+    let events: Vec<&str> = request.lines().filter_map(|line| line.split(' ').nth(2)).collect();
+    assert_eq!(events, ["Dispatched", "Refused"]);
+    let upstream = text(&explain("i-7"));
+    let events: Vec<&str> = upstream.lines().filter_map(|line| line.split(' ').nth(2)).collect();
+    assert_eq!(events, ["Dispatched", "UpstreamLeft"], "messages that name it count too");
+    let nothing = explain("r-2");
+    assert_eq!(nothing.status.code(), Some(1));
+    assert!(String::from_utf8_lossy(&nothing.stderr).contains("no line"));
+}
--- a/crates/core/tests/it/directory.rs
+++ b/crates/core/tests/it/directory.rs
@@ -1,6 +1,7 @@
 //! What the directory group promises: configurations, versions, jobs, through losses.
 
 use chestnutdrift_core::directory::ItemOutcome;
+use chestnutdrift_core::gateway::board::DirectoryGroup;
 use chestnutdrift_core::gateway::{Answer, Call, Role};
 use chestnutdrift_core::{HostId, Millis};
 use test_case::test_case;
@@ -242,7 +243,7 @@
         assert!(deployment.leader().is_some(), "the lease is lost after {second} s");
     }
     let voters = deployment.leader().map(|id| deployment.gateway(id).board().group.as_ref());
-    let voters = voters.flatten().map(|group| group.voter_hosts()).unwrap_or_default();
+    let voters = voters.flatten().map(DirectoryGroup::voter_hosts).unwrap_or_default();
     assert!(voters.contains(&HostId(4)), "the spare does not vote: {voters:?}");
 }
 
--- a/crates/daemon/tests/process/bad_input.rs
+++ b/crates/daemon/tests/process/bad_input.rs
@@ -65,6 +65,9 @@
         assert_eq!(answer.header("content-type"), Some("application/problem+json"), "{kind}");
         let wanted = (status, kind.to_string(), "no".to_string());
         assert_eq!(problem(&answer.text()), wanted);
+        let body: Value = serde_json::from_str(&answer.text()).expect("JSON");
+        let message = body["error"]["message"].as_str().unwrap_or_default();
+        assert!(!message.is_empty(), "chat clients find no message: {body}");
         assert_eq!(u64::from(answer.status), status);
     }
     let answer = fleet.client.post(&chats, &chat("still", 4, false)).unwrap().ok().unwrap();
--- a/crates/wire/src/api/problem.rs
+++ b/crates/wire/src/api/problem.rs
@@ -23,6 +23,20 @@
     /// When to come again, in milliseconds.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub retry_after_ms: Option<u64>,
+    /// The same for chat clients, which look for an object of this name.
+    #[serde(default)]
+    pub error: ErrorObject,
+}
+
+/// An error as chat clients expect it.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct ErrorObject {
+    /// What went wrong.
+    pub message: Box<str>,
+    /// The kind, from the closed list.
+    #[serde(rename = "type")]
+    pub kind: Box<str>,
 }
 
 impl ProblemBody {
@@ -40,6 +54,10 @@
             kind: problem.kind,
             ran: problem.ran,
             retry_after_ms: problem.retry_after_ms,
+            error: ErrorObject {
+                message: format!("{}: {}", answer.title, problem.detail).into(),
+                kind: name.into(),
+            },
         }
     }
 
