fix(core): requests that fail together count as one failure of their upstream

An engine that refuses the twelve items it was given at once, as one does that loads weights ordered by the last leader, was avoided for 4 s: each refusal doubled the rest. Change: a failure while the upstream is avoided already does not lengthen the rest. Before: test requests_that_fail_together_...: 4 s after twelve failures.

--- a/crates/core/src/gateway/board/upstream.rs
+++ b/crates/core/src/gateway/board/upstream.rs
@@ -114,7 +114,12 @@
     }
 
     /// Takes in a failure: the upstream is avoided, longer with each failure in a row.
+    ///
+    /// Requests that were under way together often fail together; they count as one failure.
     pub fn failed(&mut self, now: Millis) {
+        if now < self.avoid_until {
+            return;
+        }
         let doublings = self.failures.min(MOST_DOUBLINGS);
         self.failures = self.failures.saturating_add(1);
         self.avoid_until = now + Millis(AVOID_FIRST_MS << doublings);
--- a/crates/core/tests/it/directory.rs
+++ b/crates/core/tests/it/directory.rs
@@ -1,7 +1,7 @@
 //! What the directory group promises: configurations, versions, jobs, through losses.
 
 use chestnutdrift_core::directory::ItemOutcome;
-use chestnutdrift_core::gateway::board::DirectoryGroup;
+use chestnutdrift_core::gateway::board::{DirectoryGroup, UpstreamHealth};
 use chestnutdrift_core::gateway::{Answer, Call, Role};
 use chestnutdrift_core::{HostId, Millis};
 use test_case::test_case;
@@ -280,3 +280,14 @@
         deployment.run(4_000);
     }
 }
+
+#[test]
+fn requests_that_fail_together_count_as_one_failure_of_their_upstream() {
+    let mut health = UpstreamHealth::default();
+    for _ in 0..12 {
+        health.failed(Millis(1_000));
+    }
+    assert_eq!(health.avoid_until, Millis(1_250));
+    health.failed(Millis(1_250));
+    assert_eq!(health.avoid_until, Millis(1_750), "a failure after the rest doubles it");
+}
