fix(core): two deadlines stayed in the past and woke the control thread every 2 ms; refactor: one accept loop

Cause: read in the change. A job that ended with results on their way left the leader's flush time in the past until the next job; a request past its patience with no other upstream left its own. Change: the flush runs without jobs too; such a request looks again each 20 ms. Both HTTP fronts accept by one function; the hand-over is a parameter and not a flag of the replica. Before: tests ..._leaves_nothing_overdue (two) fail.

--- a/crates/core/src/agreement/election.rs
+++ b/crates/core/src/agreement/election.rs
@@ -56,28 +56,27 @@
         self.leader = None;
         self.votes.clear();
         self.votes.insert(self.me.host);
-        self.ask_votes(self.term + 1, true, out);
+        self.ask_votes(self.term + 1, true, false, out);
         self.count_votes(now, out);
     }
 
-    fn start_vote(&mut self, now: Now, out: &mut Outbox) {
+    fn start_vote(&mut self, now: Now, handed_over: bool, out: &mut Outbox) {
         self.role = Role::Candidate;
         self.term += 1;
         self.voted_for = Some(self.me.host);
         self.write_term(out);
         self.votes.clear();
         self.votes.insert(self.me.host);
-        self.ask_votes(self.term, false, out);
+        self.ask_votes(self.term, false, handed_over, out);
         self.count_votes(now, out);
     }
 
-    fn ask_votes(&self, term: u64, pre: bool, out: &mut Outbox) {
+    fn ask_votes(&self, term: u64, pre: bool, handed_over: bool, out: &mut Outbox) {
         let (last_index, last_term) = (self.log.last_index(), self.log.last_term());
         for voter in self.voters() {
             if voter.host == self.me.host {
                 continue;
             }
-            let handed_over = self.handed_over;
             let message = GroupMessage::Vote { term, last_index, last_term, pre, handed_over };
             out.after_sync.push((voter.host, message));
         }
@@ -102,10 +101,8 @@
         if term != self.term || !self.is_voter() || self.resigned || self.role == Role::Leader {
             return;
         }
-        self.handed_over = true;
         self.leader = None;
-        self.start_vote(now, out);
-        self.handed_over = false;
+        self.start_vote(now, true, out);
     }
 
     /// Answers a candidate: `ask` is its term, whether it only asks, and whether the leader has
@@ -189,7 +186,7 @@
             return;
         }
         match self.role {
-            Role::PreCandidate => self.start_vote(now, out),
+            Role::PreCandidate => self.start_vote(now, false, out),
             Role::Candidate => self.lead(now, out),
             Role::Follower | Role::Leader => {}
         }
--- a/crates/core/src/agreement/inbox.rs
+++ b/crates/core/src/agreement/inbox.rs
@@ -6,8 +6,6 @@
 
 impl Replica {
     /// Takes in a message of this group.
-    ///
-    /// `state` is the applied state, of which a lagging follower may be sent a copy.
     pub fn receive(
         &mut self,
         now: Now,
--- a/crates/core/src/agreement/membership.rs
+++ b/crates/core/src/agreement/membership.rs
@@ -52,9 +52,7 @@
 
     /// Sets the hosts that may not vote any more, with their incarnations.
     pub fn bar(&mut self, hosts: &BTreeMap<HostId, u64>) {
-        if self.barred != *hosts {
-            self.barred.clone_from(hosts);
-        }
+        self.barred.clone_from(hosts);
     }
 
     /// Returns since when this replica leads, where it does.
--- a/crates/core/src/agreement/replica.rs
+++ b/crates/core/src/agreement/replica.rs
@@ -80,7 +80,6 @@
     pub(super) barred: BTreeMap<HostId, u64>,
     pub(super) snapshot_every: u64,
     pub(super) leader_commit: u64,
-    pub(super) handed_over: bool,
 }
 
 impl Replica {
@@ -135,7 +134,6 @@
             barred: BTreeMap::new(),
             snapshot_every: ENTRIES_PER_SNAPSHOT,
             leader_commit: 0,
-            handed_over: false,
         }
     }
 
--- a/crates/core/src/gateway/controller/forwarding.rs
+++ b/crates/core/src/gateway/controller/forwarding.rs
@@ -76,7 +76,9 @@
             RequestState::Waiting => request.until.min(now + LOOK_AGAIN),
             RequestState::Running(attempt) => {
                 let patience = board.attempts.get(attempt).map(|a| patience(request, a));
-                request.until.min(patience.unwrap_or(Millis::MAX))
+                let next = patience.unwrap_or(Millis::MAX);
+                // Past its patience it looks for another upstream from time to time.
+                request.until.min(if next > now { next } else { now + LOOK_AGAIN })
             }
             RequestState::Reading => request.until,
         };
--- a/crates/core/src/gateway/controller/items.rs
+++ b/crates/core/src/gateway/controller/items.rs
@@ -81,9 +81,6 @@
             }
             _ => {}
         }
-        if board.jobs.is_empty() {
-            return;
-        }
         self.give_up_old(board);
         self.place_waiting(board);
         self.flush(board);
--- a/crates/core/tests/it/deployment.rs
+++ b/crates/core/tests/it/deployment.rs
@@ -287,6 +287,12 @@
         text
     }
 
+    /// Tells whether a host asks to be woken at a time that has passed.
+    pub(crate) fn is_overdue(&self, id: HostId) -> bool {
+        let due = self.gateway(id).next_deadline().0.saturating_add(self.nodes[&id].started);
+        due + 5 < self.now
+    }
+
     /// Returns the gateway of a host that runs.
     pub(crate) fn gateway(&self, id: HostId) -> &Gateway {
         self.nodes[&id].gateway.as_ref().expect("the host runs")
--- a/crates/core/tests/it/directory.rs
+++ b/crates/core/tests/it/directory.rs
@@ -2,7 +2,7 @@
 
 use chestnutdrift_core::directory::ItemOutcome;
 use chestnutdrift_core::gateway::board::{DirectoryGroup, UpstreamHealth};
-use chestnutdrift_core::gateway::{Answer, Call, Role};
+use chestnutdrift_core::gateway::{Announcement, Answer, Call, Role};
 use chestnutdrift_core::{HostId, Millis};
 use test_case::test_case;
 
@@ -291,3 +291,39 @@
     health.failed(Millis(1_250));
     assert_eq!(health.avoid_until, Millis(1_750), "a failure after the rest doubles it");
 }
+
+#[test]
+fn a_job_that_ends_with_results_on_their_way_leaves_nothing_overdue() {
+    let mut deployment = started(20);
+    for at in 0..20 {
+        let id = format!("job-{at}");
+        deployment.submit(ENTRY, job(&id, 8, 1));
+        deployment.run(80 + at * 7);
+        deployment.ask(ENTRY, Call::EndJob { job: id.into() });
+        deployment.run(500);
+        let leader = deployment.leader().expect("a leader");
+        assert!(!deployment.is_overdue(leader), "job {at}");
+    }
+}
+
+#[test]
+fn a_request_that_no_other_upstream_can_take_leaves_nothing_overdue() {
+    let mut deployment = started(21);
+    let announcement = Announcement {
+        id: "desk-1".into(),
+        service: "desk".into(),
+        address: "10.0.0.8:8000".into(),
+        zone: "zone-1".into(),
+        slots: 4,
+        leaving: false,
+        born: 1,
+        seq: 1,
+        versions: Vec::new(),
+    };
+    deployment.ask(STORES[0], Call::Announce(announcement));
+    deployment.run(200);
+    deployment.ask(ENTRY, Call::Request { host: "desk.example".into(), path: "/desk/1".into() });
+    deployment.run(700);
+    assert_eq!(deployment.forwards.len(), 1);
+    assert!(!deployment.is_overdue(ENTRY), "it waits for its only upstream");
+}
--- a/crates/daemon/src/gateway/front.rs
+++ b/crates/daemon/src/gateway/front.rs
@@ -30,7 +30,7 @@
 use super::metrics;
 use super::pool::Pool;
 use super::protocol::{Door, Protocol};
-use crate::http::{AFTER_FAILED_ACCEPT, ReplyBody, read_body, turn_away, whole, whole_body};
+use crate::http::{ReplyBody, accept_each, read_body, whole, whole_body};
 
 /// Bytes of a head before the limits of a routing configuration are known.
 const FIRST_HEAD_BYTES: u64 = 16 * 1024;
@@ -117,33 +117,14 @@
         let listener = runtime
             .block_on(TcpListener::bind(address))
             .with_context(|| format!("{address} can't be bound"))?;
-        runtime.spawn(accept(listener, Arc::clone(self), door));
+        let (front, open) = (Arc::clone(self), Arc::clone(&self.connections));
+        runtime.spawn(accept_each(listener, open, move |stream| {
+            serve(stream, Arc::clone(&front), door)
+        }));
         Ok(())
     }
 }
 
-async fn accept(listener: TcpListener, front: Arc<Front>, door: Door) {
-    loop {
-        let stream = match listener.accept().await {
-            Ok((stream, _)) => stream,
-            Err(error) => {
-                log::warn!(event = "accept-failed"; "{error}");
-                tokio::time::sleep(AFTER_FAILED_ACCEPT).await;
-                continue;
-            }
-        };
-        let Ok(permit) = Arc::clone(&front.connections).try_acquire_owned() else {
-            tokio::spawn(turn_away(stream));
-            continue;
-        };
-        let front = Arc::clone(&front);
-        tokio::spawn(async move {
-            serve(stream, front, door).await;
-            drop(permit);
-        });
-    }
-}
-
 async fn serve(stream: TcpStream, front: Arc<Front>, door: Door) {
     if let Err(error) = stream.set_nodelay(true) {
         log::debug!(event = "nodelay"; "{error}");
--- a/crates/daemon/src/http.rs
+++ b/crates/daemon/src/http.rs
@@ -14,4 +14,4 @@
 pub use server::{HttpFront, HttpSettings};
 
 pub(crate) use intake::read_body;
-pub(crate) use server::{AFTER_FAILED_ACCEPT, ReplyBody, turn_away, whole, whole_body};
+pub(crate) use server::{ReplyBody, accept_each, whole, whole_body};
--- a/crates/daemon/src/http/server.rs
+++ b/crates/daemon/src/http/server.rs
@@ -36,7 +36,7 @@
 use crate::settings::Limits;
 
 /// How long the listener rests after a failed accept, such as one without a free descriptor.
-pub(crate) const AFTER_FAILED_ACCEPT: Duration = Duration::from_millis(50);
+const AFTER_FAILED_ACCEPT: Duration = Duration::from_millis(50);
 
 /// How long open connections may take to end when the host stops.
 const CLOSING: Duration = Duration::from_secs(10);
@@ -117,18 +117,16 @@
     }
 }
 
-async fn accept(
+/// Accepts connections up to the bound of `open`, and serves each until it ends.
+pub(crate) async fn accept_each<F>(
     listener: TcpListener,
-    front: Arc<Front>,
     open: Arc<Semaphore>,
-    mut stopped: watch::Receiver<bool>,
-) {
+    serve: impl Fn(TcpStream) -> F,
+) where
+    F: Future<Output = ()> + Send + 'static,
+{
     loop {
-        let accepted = tokio::select! {
-            accepted = listener.accept() => accepted,
-            _ = stopped.changed() => return,
-        };
-        let stream = match accepted {
+        let stream = match listener.accept().await {
             Ok((stream, _)) => stream,
             Err(error) => {
                 log::warn!(event = "accept-failed"; "{error}");
@@ -140,16 +138,31 @@
             tokio::spawn(turn_away(stream));
             continue;
         };
-        let (front, stopped) = (Arc::clone(&front), stopped.clone());
+        let served = serve(stream);
         tokio::spawn(async move {
-            serve(stream, front, stopped).await;
+            served.await;
             drop(permit);
         });
     }
 }
 
+async fn accept(
+    listener: TcpListener,
+    front: Arc<Front>,
+    open: Arc<Semaphore>,
+    mut stopped: watch::Receiver<bool>,
+) {
+    let watched = stopped.clone();
+    let each =
+        accept_each(listener, open, |stream| serve(stream, Arc::clone(&front), watched.clone()));
+    tokio::select! {
+        () = each => {}
+        _ = stopped.changed() => {}
+    }
+}
+
 /// Refuses a connection beyond the bound.
-pub(crate) async fn turn_away(mut stream: TcpStream) {
+async fn turn_away(mut stream: TcpStream) {
     let _ = stream.write_all(TOO_MANY).await;
     let _ = stream.shutdown().await;
 }
