perf(core): another leader goes on from texts that were under way

What a run had brought stood in the leader's memory only. Excluded: a lack of engines or slots: a step's items were placed within a second of the election. Change: runs report their events as they come; the leader gives the log the parts of resumable texts, 24 events at a time, and results bring only what the log lacks.

--- a/crates/core/src/directory.rs
+++ b/crates/core/src/directory.rs
@@ -8,10 +8,12 @@
 mod job;
 mod routing;
 mod state;
+mod text;
 
 pub use command::{DirectoryCommand, DirectoryOutcome};
-pub use job::{ItemOutcome, ItemResult, ItemSpec, Job, JobSpec};
+pub use job::{ItemOutcome, ItemResult, ItemSpec, Job, JobSpec, NewResult};
 pub use routing::{
     EngineSpec, IntakeLimits, Route, RouteKind, Routing, RoutingFault, ServiceSpec, Target,
 };
 pub use state::Directory;
+pub use text::{Draft, ItemText, TextPart};
--- a/crates/core/src/directory/command.rs
+++ b/crates/core/src/directory/command.rs
@@ -4,7 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::directory::{ItemResult, ItemSpec, JobSpec, Routing};
+use crate::directory::{ItemSpec, JobSpec, NewResult, Routing, TextPart};
 use crate::key::HostId;
 use crate::time::Millis;
 
@@ -33,7 +33,14 @@
         /// The job.
         job: Box<str>,
         /// The results, one an item at most.
-        results: Vec<ItemResult>,
+        results: Vec<NewResult>,
+    },
+    /// Keep parts of texts that are not whole yet, so that another leader can go on from them.
+    Keep {
+        /// The job.
+        job: Box<str>,
+        /// The parts, in the order of each text.
+        parts: Vec<TextPart>,
     },
     /// End a job.
     EndJob {
@@ -65,8 +72,9 @@
             Self::Route(routing) => 2 * routing.document.len(),
             Self::Submit { spec, .. } => spec.items.iter().map(ItemSpec::bytes).sum(),
             Self::List { results, .. } => {
-                results.iter().map(|result| result.outcome.text_bytes()).sum()
+                results.iter().map(|new| new.result.outcome.text_bytes()).sum()
             }
+            Self::Keep { parts, .. } => parts.iter().map(|part| part.text.text.len()).sum(),
             Self::NameVersion { .. }
             | Self::EndJob { .. }
             | Self::Forget { .. }
--- a/crates/core/src/directory/job.rs
+++ b/crates/core/src/directory/job.rs
@@ -1,11 +1,12 @@
 //! Batch jobs: many requests that are accepted at once, run later, and read by position.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 
+use crate::directory::{Draft, ItemText, TextPart};
 use crate::time::Millis;
 
 /// One request of a job.
@@ -115,6 +116,24 @@
     pub outcome: ItemOutcome,
 }
 
+/// A result on its way to the log.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub struct NewResult {
+    /// The events of its text that the log holds already; the result brings only the rest.
+    pub after: u32,
+    /// The result.
+    pub result: ItemResult,
+}
+
+impl NewResult {
+    /// Makes a result that brings its whole text.
+    #[must_use]
+    pub fn whole(result: ItemResult) -> Self {
+        Self { after: 0, result }
+    }
+}
+
 /// A job with what is listed of it.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -128,24 +147,68 @@
     /// The results, by position; none is moved or replaced.
     pub results: Vec<ItemResult>,
     listed: BTreeSet<u32>,
+    #[serde(default)]
+    drafts: BTreeMap<u32, Draft>,
 }
 
 impl Job {
     /// Accepts a job.
     #[must_use]
     pub fn new(spec: Arc<JobSpec>, accepted_at: Millis) -> Self {
-        Self { spec, accepted_at, ended_at: None, results: Vec::new(), listed: BTreeSet::new() }
+        Self {
+            spec,
+            accepted_at,
+            ended_at: None,
+            results: Vec::new(),
+            listed: BTreeSet::new(),
+            drafts: BTreeMap::new(),
+        }
     }
 
     /// Lists a result at the next position, unless its item is listed already.
-    pub fn list(&mut self, result: ItemResult) {
-        let known = (result.item as usize) < self.spec.items.len();
-        if !known || !self.listed.insert(result.item) {
+    pub fn list(&mut self, new: &NewResult) {
+        let item = new.result.item;
+        if !self.awaits(item) {
             return;
         }
+        let mut result = new.result.clone();
+        if let (ItemOutcome::Completed { text, .. }, 1..) = (&mut result.outcome, new.after) {
+            let Some(draft) = self.drafts.get_mut(&item) else { return };
+            draft.cut(new.after);
+            if draft.events() != new.after {
+                return;
+            }
+            let mut whole = draft.text().text;
+            whole.push_str(text);
+            *text = whole.into();
+        }
+        self.drafts.remove(&item);
+        self.listed.insert(item);
         self.results.push(result);
     }
 
+    /// Keeps a part of the text of an item that is not listed.
+    pub fn keep(&mut self, part: &TextPart) {
+        if self.awaits(part.item) {
+            self.drafts.entry(part.item).or_default().take(part);
+        }
+    }
+
+    /// Returns what is kept of an item's text, where anything is.
+    #[must_use]
+    pub fn draft(&self, item: u32) -> Option<ItemText> {
+        self.drafts.get(&item).map(Draft::text)
+    }
+
+    /// Returns the items of whose texts a part is kept.
+    pub fn drafted(&self) -> impl Iterator<Item = u32> {
+        self.drafts.keys().copied()
+    }
+
+    fn awaits(&self, item: u32) -> bool {
+        (item as usize) < self.spec.items.len() && !self.listed.contains(&item)
+    }
+
     /// Tells whether an item has a result.
     #[must_use]
     pub fn is_listed(&self, item: u32) -> bool {
--- a/crates/core/src/directory/state.rs
+++ b/crates/core/src/directory/state.rs
@@ -37,8 +37,14 @@
             }
             DirectoryCommand::List { job, results } => {
                 let Some(job) = self.jobs.get_mut(job) else { return DirectoryOutcome::UnknownJob };
-                for result in results {
-                    job.list(result.clone());
+                for new in results {
+                    job.list(new);
+                }
+            }
+            DirectoryCommand::Keep { job, parts } => {
+                let Some(job) = self.jobs.get_mut(job) else { return DirectoryOutcome::UnknownJob };
+                for part in parts {
+                    job.keep(part);
                 }
             }
             DirectoryCommand::EndJob { job, at } => {
--- a/crates/core/src/gateway/board/item.rs
+++ b/crates/core/src/gateway/board/item.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use crate::directory::{ItemSpec, JobSpec};
+use crate::directory::{ItemSpec, ItemText, JobSpec, TextPart};
 use crate::key::{AttemptKey, ItemKey, JobKey, UpstreamKey};
 use crate::time::Millis;
 
@@ -42,21 +42,24 @@
     /// Where it stands.
     pub state: ItemState,
     /// The text so far.
-    pub text: String,
-    /// The events so far.
-    pub events: u32,
+    pub text: ItemText,
     /// Events of the run in progress, and when the last report of them came.
     pub progress: (u32, Millis),
-    /// The id of the last event.
-    pub last_event: Option<u64>,
-    /// The versions that generated the text so far, ascending.
-    pub versions: Vec<u64>,
     /// Runs that the upstream failed.
     pub failures: u32,
     /// Runs so far.
     pub runs: u32,
     /// The upstream of the last run that did not end well.
     pub avoid: Option<UpstreamKey>,
+    /// How much of the text has been given to the log.
+    logged: Logged,
+}
+
+/// The beginning of a text, in events and in bytes.
+#[derive(Debug, Clone, Copy, Default)]
+struct Logged {
+    events: u32,
+    bytes: usize,
 }
 
 impl Item {
@@ -67,23 +70,52 @@
             job,
             index,
             state: ItemState::Waiting(now),
-            text: String::new(),
-            events: 0,
+            text: ItemText::default(),
             progress: (0, now),
-            last_event: None,
-            versions: Vec::new(),
             failures: 0,
             runs: 0,
             avoid: None,
+            logged: Logged::default(),
         }
     }
 
+    /// Goes on from what the log holds of the text.
+    pub fn resume_from_log(&mut self, text: ItemText) {
+        self.logged = Logged { events: text.events, bytes: text.text.len() };
+        self.text = text;
+    }
+
+    /// Returns how many events of the text have been given to the log.
+    #[must_use]
+    pub fn logged_events(&self) -> u32 {
+        self.logged.events
+    }
+
+    /// Returns the text behind what has been given to the log.
+    #[must_use]
+    pub fn unlogged(&self) -> &str {
+        &self.text.text[self.logged.bytes..]
+    }
+
+    /// Takes the part of the text that the log lacks, to be given to it.
+    pub fn take_part(&mut self) -> TextPart {
+        let after = self.logged.events;
+        let text = self.unlogged();
+        let text = if after > 0 { text.strip_prefix('\n').unwrap_or(text) } else { text };
+        let text = ItemText {
+            text: text.into(),
+            events: self.text.events - after,
+            last_event: self.text.last_event,
+            versions: self.text.versions.clone(),
+        };
+        self.logged = Logged { events: self.text.events, bytes: self.text.text.len() };
+        TextPart { item: self.index, after, text }
+    }
+
     /// Forgets the text, so that the next run begins anew.
     pub fn restart(&mut self) {
-        self.text.clear();
-        self.events = 0;
-        self.last_event = None;
-        self.versions.clear();
+        self.text = ItemText::default();
+        self.logged = Logged::default();
     }
 }
 
--- a/crates/core/src/gateway/board/text.rs
+++ b/crates/core/src/gateway/board/text.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{BTreeMap, VecDeque};
 
-use crate::directory::{ItemSpec, JobSpec};
+use crate::directory::{ItemSpec, ItemText, JobSpec};
 use crate::gateway::board::Item;
 
 /// Texts kept at most: the items that two jobs of 1,024 samples leave open.
@@ -12,10 +12,7 @@
 #[derive(Debug, Clone)]
 struct Text {
     spec: ItemSpec,
-    text: String,
-    events: u32,
-    last_event: Option<u64>,
-    versions: Vec<u64>,
+    text: ItemText,
 }
 
 /// The kept texts, by the names of their items.
@@ -28,16 +25,10 @@
 impl Texts {
     /// Keeps what an item has, in place of what was kept of it before.
     pub fn keep(&mut self, spec: &ItemSpec, item: &Item) {
-        if item.events == 0 {
+        if item.text.events == 0 {
             return;
         }
-        let text = Text {
-            spec: spec.clone(),
-            text: item.text.clone(),
-            events: item.events,
-            last_event: item.last_event,
-            versions: item.versions.clone(),
-        };
+        let text = Text { spec: spec.clone(), text: item.text.clone() };
         if self.texts.insert(spec.id.clone(), text).is_none() {
             self.order.push_back(spec.id.clone());
         }
@@ -48,18 +39,11 @@
         }
     }
 
-    /// Gives an item what is kept of it, where the job takes the weights that generated it.
-    pub fn restore(&self, job: &JobSpec, spec: &ItemSpec, item: &mut Item) {
-        let Some(text) = self.texts.get(&spec.id).filter(|text| same(&text.spec, spec)) else {
-            return;
-        };
-        if !job.resumable || !job.takes_versions(&text.versions) {
-            return;
-        }
-        item.text.clone_from(&text.text);
-        item.events = text.events;
-        item.last_event = text.last_event;
-        item.versions.clone_from(&text.versions);
+    /// Returns what is kept of an item, where the job takes the weights that generated it.
+    #[must_use]
+    pub fn find(&self, job: &JobSpec, spec: &ItemSpec) -> Option<&ItemText> {
+        let kept = self.texts.get(&spec.id).filter(|kept| same(&kept.spec, spec))?;
+        (job.resumable && job.takes_versions(&kept.text.versions)).then_some(&kept.text)
     }
 }
 
--- a/crates/core/src/gateway/controller/agreement.rs
+++ b/crates/core/src/gateway/controller/agreement.rs
@@ -150,7 +150,7 @@
         DirectoryCommand::NameVersion { model, version } => {
             board.note(EventKind::Published, model.clone(), format!("version={version}"));
         }
-        DirectoryCommand::Forget { .. } => {}
+        DirectoryCommand::Forget { .. } | DirectoryCommand::Keep { .. } => {}
     }
 }
 
--- a/crates/core/src/gateway/controller/items.rs
+++ b/crates/core/src/gateway/controller/items.rs
@@ -4,12 +4,15 @@
 //! Writes: `items`, `attempts`, `upstreams` (health), `wishes`, `actions`.
 //!
 //! An item whose run breaks off goes on at another engine after the last event that came. An item
-//! on an engine that falls behind the others is stopped there first and goes on elsewhere.
+//! on an engine that falls behind the others is stopped there first and goes on elsewhere. Texts of
+//! items that run long are given to the log in parts, so that another leader can go on from them.
 
 use std::collections::BTreeMap;
 
 use super::Controller;
-use crate::directory::{DirectoryCommand, ItemOutcome, ItemResult, JobSpec};
+use crate::directory::{
+    DirectoryCommand, ItemOutcome, ItemResult, ItemText, JobSpec, NewResult, TextPart,
+};
 use crate::gateway::action::{Action, RunItem, UpstreamAddress};
 use crate::gateway::board::{Board, Item, ItemState, Purpose, Upstream};
 use crate::gateway::event::{Event, ItemEnd, ItemRun};
@@ -25,6 +28,10 @@
 /// link busy for long.
 const GATHER_BYTES: usize = 64 * 1024;
 
+/// The events of a resumable text that are given to the log together before it is whole: a second's
+/// worth, so that most texts need no part and the others lose a second with their leader.
+const EVENTS_PER_PART: u32 = 24;
+
 /// How long an item rests after an upstream refused or failed it.
 const REST: Millis = Millis(40);
 
@@ -59,7 +66,7 @@
 #[derive(Debug)]
 pub(super) struct Items {
     placement: Box<dyn ItemPlacement>,
-    finished: BTreeMap<JobKey, Vec<ItemResult>>,
+    finished: BTreeMap<JobKey, Vec<NewResult>>,
     bytes: usize,
     flush_at: Millis,
 }
@@ -77,6 +84,7 @@
             Some(Event::ItemEnded { attempt, run }) => self.ended(board, *attempt, run),
             Some(Event::ItemProgress(progress)) => {
                 take_progress(board, progress);
+                keep_parts(board, progress);
                 move_slow(board);
             }
             _ => {}
@@ -103,11 +111,14 @@
         let Some(attempt) = board.end_attempt(key) else { return };
         let Purpose::Item(item_key) = attempt.purpose else { return };
         let took = board.now.mono.since(attempt.began);
-        note_health(board, attempt.upstream, run, took);
         let Some(item) = board.items.get_mut(item_key) else {
-            keep_orphan(board, key, run);
+            note_health(board, attempt.upstream, run, (run.text.events, took));
+            keep_orphan(board, key, &run.text);
             return;
         };
+        let of_run = item.progress.0 + run.text.events;
+        note_health(board, attempt.upstream, run, (of_run, took));
+        let Some(item) = board.items.get_mut(item_key) else { return };
         let Some(job) = board.jobs.get(item.job) else { return };
         let spec = job.spec.clone();
         keep_text(item, spec.resumable, run);
@@ -130,7 +141,7 @@
         item.state = ItemState::Waiting(now + rest);
         let detail = format!(
             "item={} run={} events={} of_run={} versions={:?} took_ms={} end={:?}",
-            item.index, item.runs, item.events, run.events, item.versions, took.0, run.end
+            item.index, item.runs, item.text.events, of_run, item.text.versions, took.0, run.end
         );
         match outcome {
             Some(Some(outcome)) => self.finish(board, item_key, outcome),
@@ -149,8 +160,12 @@
             ItemOutcome::Errored => board.counters.items_errored += 1,
         }
         self.bytes += outcome.text_bytes();
+        let after = match outcome {
+            ItemOutcome::Completed { .. } => item.logged_events(),
+            ItemOutcome::Errored => 0,
+        };
         let result = ItemResult { item: item.index, outcome };
-        self.finished.entry(item.job).or_default().push(result);
+        self.finished.entry(item.job).or_default().push(NewResult { after, result });
         self.flush_at = self.flush_at.min(board.now.mono + GATHER);
     }
 
@@ -213,14 +228,14 @@
     }
 }
 
-fn note_health(board: &mut Board, key: UpstreamKey, run: &ItemRun, took: Millis) {
+fn note_health(board: &mut Board, key: UpstreamKey, run: &ItemRun, (events, took): (u32, Millis)) {
     let now = board.now.mono;
     let Some(upstream) = board.upstreams.get_mut(key) else { return };
     match &run.end {
         ItemEnd::Whole => {
             upstream.health.failures = 0;
             upstream.health.avoid_until = Millis(0);
-            upstream.health.produced(run.events, took);
+            upstream.health.produced(events, took);
         }
         ItemEnd::NotRun { other_instance: true, .. } => upstream.gone = true,
         ItemEnd::NotRun { status: VERSION_DIFFERS, .. } => {
@@ -237,43 +252,29 @@
 /// The status of an upstream that runs another version than was expected.
 const VERSION_DIFFERS: u16 = 421;
 
-/// Adds what a run brought to the item's text, where another run can go on from it.
+/// Adds what a run brought last to the item's text, where another run can go on from it.
 fn keep_text(item: &mut Item, resumable: bool, run: &ItemRun) {
     item.progress = (0, item.progress.1);
     if !resumable && run.end != ItemEnd::Whole {
         item.restart();
         return;
     }
-    if run.events == 0 {
-        return;
-    }
-    if item.events > 0 {
-        item.text.push('\n');
-    }
-    item.text.push_str(&run.text);
-    item.events += run.events;
-    item.last_event = run.last_event.or(item.last_event);
-    for version in &run.versions {
-        if !item.versions.contains(version) {
-            item.versions.push(*version);
-        }
-    }
-    item.versions.sort_unstable();
+    item.text.append(&run.text);
 }
 
 /// Keeps the text of an item whose job is over, for a later job that asks for it again.
-fn keep_orphan(board: &mut Board, attempt: AttemptKey, run: &ItemRun) {
+fn keep_orphan(board: &mut Board, attempt: AttemptKey, text: &ItemText) {
     let Some((spec, mut item)) = board.orphans.remove(&attempt) else { return };
-    keep_text(&mut item, true, run);
+    item.text.append(text);
     board.texts.keep(&spec, &item);
 }
 
 /// Returns the outcome of a whole text, or none where its weights are not those that the job takes.
 fn completed(item: &Item, spec: &JobSpec) -> Option<ItemOutcome> {
-    if !spec.takes_versions(&item.versions) {
+    if !spec.takes_versions(&item.text.versions) {
         return None;
     }
-    let (text, versions) = (item.text.as_str().into(), item.versions.clone());
+    let (text, versions) = (item.unlogged().into(), item.text.versions.clone());
     Some(ItemOutcome::Completed { text, versions })
 }
 
@@ -328,8 +329,8 @@
 fn takes_version(item: &Item, spec: &JobSpec, upstream: &Upstream) -> bool {
     let Some(model) = &spec.model else { return true };
     let version = upstream.version_of(model);
-    let goes_on = item.events > 0 && spec.single_version;
-    version >= spec.min_version && (!goes_on || item.versions == [version])
+    let goes_on = item.text.events > 0 && spec.single_version;
+    version >= spec.min_version && (!goes_on || item.text.versions == [version])
 }
 
 fn start(board: &mut Board, key: ItemKey, upstream_key: UpstreamKey) {
@@ -355,7 +356,7 @@
         upstream.in_flight,
         upstream.announced.slots,
         upstream.health.event_us,
-        item.last_event
+        item.text.last_event
     );
     let run = RunItem {
         attempt,
@@ -365,7 +366,7 @@
         },
         job: spec.clone(),
         item: item.index,
-        resume_after: item.last_event,
+        resume_after: item.text.last_event,
         version,
         silence: SILENCE,
         deadline: LONGEST_RUN,
@@ -375,20 +376,63 @@
     board.actions.push(Action::RunItem(run));
 }
 
-fn take_progress(board: &mut Board, progress: &[(AttemptKey, u32)]) {
+fn take_progress(board: &mut Board, progress: &[(AttemptKey, ItemText)]) {
     let now = board.now.mono;
-    for (attempt_key, events) in progress {
+    for (attempt_key, text) in progress {
         let Some(attempt) = board.attempts.get(*attempt_key).copied() else { continue };
         let Purpose::Item(item_key) = attempt.purpose else { continue };
-        let Some(item) = board.items.get_mut(item_key) else { continue };
+        let Some(item) = board.items.get_mut(item_key) else {
+            if let Some((_, item)) = board.orphans.get_mut(attempt_key) {
+                item.text.append(text);
+            }
+            continue;
+        };
         let (before, since) = item.progress;
-        let made = events.saturating_sub(before);
-        item.progress = (*events, now);
+        item.progress = (before + text.events, now);
+        item.text.append(text);
         let Some(upstream) = board.upstreams.get_mut(attempt.upstream) else { continue };
         if before > 0 && !upstream.load.is_busy() {
-            upstream.health.produced(made, now.since(since));
+            upstream.health.produced(text.events, now.since(since));
+        }
+    }
+}
+
+/// Gives the log the parts of long texts that it lacks.
+fn keep_parts(board: &mut Board, progress: &[(AttemptKey, ItemText)]) {
+    let mut parts: BTreeMap<JobKey, Vec<TextPart>> = BTreeMap::new();
+    for (attempt_key, _) in progress {
+        let Some(attempt) = board.attempts.get(*attempt_key) else { continue };
+        let Purpose::Item(item_key) = attempt.purpose else { continue };
+        let Some(item) = board.items.get_mut(item_key) else { continue };
+        let job = board.jobs.get(item.job).filter(|job| job.spec.resumable);
+        let long = item.text.events >= item.logged_events() + EVENTS_PER_PART;
+        if long && job.is_some() {
+            parts.entry(item.job).or_default().push(item.take_part());
+        }
+    }
+    for (key, parts) in parts {
+        let Some(job) = board.jobs.get(key).map(|job| job.spec.id.clone()) else { continue };
+        for parts in chunks(parts) {
+            board.wishes.push((DirectoryCommand::Keep { job: job.clone(), parts }, None));
+            board.again = true;
+        }
+    }
+}
+
+/// Divides parts into lists that each fit an entry of the log.
+fn chunks(parts: Vec<TextPart>) -> Vec<Vec<TextPart>> {
+    let (mut lists, mut bytes) = (vec![Vec::new()], 0);
+    for part in parts {
+        if bytes >= GATHER_BYTES {
+            lists.push(Vec::new());
+            bytes = 0;
+        }
+        bytes += part.text.text.len();
+        if let Some(list) = lists.last_mut() {
+            list.push(part);
         }
     }
+    lists
 }
 
 /// Returns the median of the engines' times between two events, in microseconds.
--- a/crates/core/src/gateway/controller/jobs.rs
+++ b/crates/core/src/gateway/controller/jobs.rs
@@ -7,7 +7,8 @@
 
 use super::Controller;
 use crate::directory::{
-    Directory, DirectoryCommand, ItemOutcome, ItemResult, ItemSpec, Job, JobSpec,
+    Directory, DirectoryCommand, ItemOutcome, ItemResult, ItemSpec, ItemText, Job, JobSpec,
+    NewResult,
 };
 use crate::gateway::action::Action;
 use crate::gateway::board::{Board, Item, ItemState, JobRun, same};
@@ -78,7 +79,7 @@
 }
 
 fn adopt(board: &mut Board, directory: &Directory, job: &Job) {
-    let listed_before = listed_results(directory);
+    let (listed_before, drafts) = (listed_results(directory), drafts(directory));
     let mut known = Vec::new();
     let now = board.now.mono;
     let age = board.now.wall.since(job.accepted_at);
@@ -97,9 +98,9 @@
         match listed_before.get(&*asked.id).and_then(|text| text.outcome_for(&spec, asked)) {
             Some(outcome) => {
                 item.state = ItemState::Proposed;
-                known.push(ItemResult { item: index, outcome });
+                known.push(NewResult::whole(ItemResult { item: index, outcome }));
             }
-            None => board.texts.restore(&spec, asked, &mut item),
+            None => restore_text(board, job, &drafts, &mut item),
         }
         let item = board.items.insert(item);
         board.jobs[key].open.push(item);
@@ -113,6 +114,41 @@
     }
 }
 
+/// Gives an item the longest text that is known of it: what the log holds for its job, what this
+/// host kept of an earlier job, or what the log holds for one.
+fn restore_text(board: &Board, job: &Job, drafts: &Drafts<'_>, item: &mut Item) {
+    let (spec, asked) = (&job.spec, &job.spec.items[item.index as usize]);
+    let usable = |text: &ItemText| spec.resumable && spec.takes_versions(&text.versions);
+    let own = job.draft(item.index).filter(usable).unwrap_or_default();
+    let cached = board.texts.find(spec, asked).cloned();
+    let earlier = drafts.get(&*asked.id).filter(|(job, index)| {
+        job.spec.id != spec.id && same(&job.spec.items[*index as usize], asked)
+    });
+    let earlier = earlier.and_then(|(job, index)| job.draft(*index)).filter(usable);
+    let elsewhere = cached.into_iter().chain(earlier).max_by_key(|text| text.events);
+    match elsewhere {
+        Some(text) if text.events > own.events => item.text = text,
+        _ => item.resume_from_log(own),
+    }
+}
+
+/// The items of whose texts the log holds a part, by their names, with the newest job of each.
+type Drafts<'a> = BTreeMap<&'a str, (&'a Job, u32)>;
+
+fn drafts(directory: &Directory) -> Drafts<'_> {
+    let mut drafts: Drafts<'_> = BTreeMap::new();
+    for job in directory.jobs.values() {
+        for index in job.drafted() {
+            let id = &*job.spec.items[index as usize].id;
+            let newer = drafts.get(id).is_none_or(|(known, _)| known.accepted_at < job.accepted_at);
+            if newer {
+                drafts.insert(id, (job, index));
+            }
+        }
+    }
+    drafts
+}
+
 /// A result of an earlier job.
 struct Listed<'a> {
     spec: &'a ItemSpec,
--- a/crates/core/src/gateway/event.rs
+++ b/crates/core/src/gateway/event.rs
@@ -5,7 +5,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::agreement::Record;
-use crate::directory::{ItemSpec, Routing};
+use crate::directory::{ItemSpec, ItemText, Routing};
 use crate::error::Problem;
 use crate::key::{AttemptKey, HostId, OrderKey, RequestTag, SyncToken};
 use crate::message::Envelope;
@@ -40,13 +40,13 @@
         /// How.
         end: ForwardEnd,
     },
-    /// Items have produced events.
-    ItemProgress(Vec<(AttemptKey, u32)>),
+    /// Runs of items have brought events since they were last reported.
+    ItemProgress(Vec<(AttemptKey, ItemText)>),
     /// A run of an item has ended.
     ItemEnded {
         /// The attempt.
         attempt: AttemptKey,
-        /// What it brought.
+        /// What it brought since it was last reported.
         run: ItemRun,
     },
     /// An order to an upstream has ended.
@@ -232,18 +232,12 @@
     },
 }
 
-/// What one run of an item brought.
+/// How one run of an item ended.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub struct ItemRun {
-    /// The data of the events that came, a line each.
-    pub text: Box<str>,
-    /// The number of events that came.
-    pub events: u32,
-    /// The id of the last event, where one came.
-    pub last_event: Option<u64>,
-    /// The weight versions of the events.
-    pub versions: Vec<u64>,
+    /// The events that came since the last report.
+    pub text: ItemText,
     /// How the run ended.
     pub end: ItemEnd,
 }
--- a/crates/core/tests/it/deployment.rs
+++ b/crates/core/tests/it/deployment.rs
@@ -62,6 +62,8 @@
     pub(crate) drop_percent: u32,
     /// Bytes of text that an engine makes of each event, at least.
     pub(crate) text_bytes: usize,
+    /// The events of every item, where they are all of one length.
+    pub(crate) item_events: Option<u64>,
     pub(crate) answers: BTreeMap<RequestTag, Answer>,
     pub(crate) forwards: Vec<(HostId, chestnutdrift_core::gateway::Forward)>,
     pub(crate) notes: Vec<TimelineEvent>,
@@ -89,6 +91,7 @@
             seed,
             drop_percent: 0,
             text_bytes: 0,
+            item_events: None,
             answers: BTreeMap::new(),
             forwards: Vec::new(),
             notes: Vec::new(),
--- a/crates/core/tests/it/deployment/upstreams.rs
+++ b/crates/core/tests/it/deployment/upstreams.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 
 use chestnutdrift_core::HostId;
+use chestnutdrift_core::directory::ItemText;
 use chestnutdrift_core::gateway::Call;
 use chestnutdrift_core::gateway::{
     Announcement, Event, ItemEnd, ItemRun, Order, OrderEnd, RunItem,
@@ -14,6 +15,12 @@
 /// The time between two announcements, in milliseconds.
 const ANNOUNCE_EVERY: u64 = 1_200;
 
+/// The time between two events of an item, in milliseconds.
+const EVENT: u64 = 20;
+
+/// The events of an item that are reported together while it runs.
+const EVENTS_PER_REPORT: usize = 12;
+
 /// How long a load of weights takes, in milliseconds.
 const LOAD: u64 = 900;
 
@@ -28,6 +35,8 @@
     pub(crate) seq: u64,
     /// Items that ran to their end here: job, item, version.
     pub(crate) ran: Vec<(Box<str>, u32, u64)>,
+    /// Items that were begun here, with the first event that was asked for.
+    pub(crate) begun: Vec<(u32, u64)>,
     /// Runs that break off after two events, in percent.
     pub(crate) breaks_percent: u32,
 }
@@ -42,6 +51,7 @@
             alive: true,
             seq: 0,
             ran: Vec::new(),
+            begun: Vec::new(),
             breaks_percent: 0,
         }
     }
@@ -88,7 +98,8 @@
         let engine = &mut self.engines[at];
         let refused = now < engine.loading_until || run.version != Some(engine.versions["model"]);
         let first = run.resume_after.unwrap_or(0) + 1;
-        let length = u64::from(run.item % 5) + 3;
+        let length = self.item_events.unwrap_or(u64::from(run.item % 5) + 3);
+        engine.begun.push((run.item, first));
         let (end, last) = if refused {
             (ItemEnd::NotRun { status: 421, other_instance: false }, first - 1)
         } else if breaks < engine.breaks_percent && first + 1 < length {
@@ -98,19 +109,21 @@
             (ItemEnd::Whole, length)
         };
         let padding = "x".repeat(padding);
-        let events: Vec<String> =
-            (first..=last).map(|id| format!("{}.{id}{padding}", run.item)).collect();
-        let versions = if events.is_empty() { Vec::new() } else { vec![engine.versions["model"]] };
-        let took = 20 * events.len() as u64 + 1;
-        let result = ItemRun {
-            text: events.join("\n").into(),
-            events: u32::try_from(events.len()).expect("few events"),
-            last_event: (!events.is_empty()).then_some(last),
-            versions,
-            end,
-        };
+        let version = engine.versions["model"];
+        let events: Vec<u64> = (first..=last).collect();
+        let mut at = now + 1;
+        let mut unreported = ItemText::default();
+        for (number, id) in events.iter().enumerate() {
+            if number > 0 && number % EVENTS_PER_REPORT == 0 {
+                let progress = vec![(run.attempt, std::mem::take(&mut unreported))];
+                self.push(at, Item::Event(host, life, Event::ItemProgress(progress)));
+            }
+            unreported.push_event(*id, &format!("{}.{id}{padding}", run.item), Some(version));
+            at += EVENT;
+        }
+        let result = ItemRun { text: unreported, end };
         let event = Event::ItemEnded { attempt: run.attempt, run: result };
-        self.push(now + took, Item::Event(host, life, event));
+        self.push(at, Item::Event(host, life, event));
     }
 
     pub(super) fn take_order(&mut self, host: HostId, life: u64, order: &Order) {
--- a/crates/core/tests/it/directory.rs
+++ b/crates/core/tests/it/directory.rs
@@ -8,10 +8,10 @@
 
 use crate::deployment::{Deployment, SimEngine, job, routing};
 
-const STORES: [HostId; 3] = [HostId(1), HostId(2), HostId(3)];
-const ENTRY: HostId = HostId(101);
+pub(crate) const STORES: [HostId; 3] = [HostId(1), HostId(2), HostId(3)];
+pub(crate) const ENTRY: HostId = HostId(101);
 
-fn started(seed: u64) -> Deployment {
+pub(crate) fn started(seed: u64) -> Deployment {
     let mut deployment = Deployment::new(seed, 3, 2);
     for number in 1..=4 {
         deployment.add_engine(SimEngine::new(number));
--- a/crates/core/tests/it/main.rs
+++ b/crates/core/tests/it/main.rs
@@ -13,3 +13,4 @@
 mod samples;
 mod scripts;
 mod tables;
+mod texts;
--- a/crates/daemon/src/gateway/items.rs
+++ b/crates/daemon/src/gateway/items.rs
@@ -1,11 +1,11 @@
 //! Runs of items: streams of events that are gathered to texts.
 
-use std::collections::{BTreeMap, BTreeSet};
-use std::sync::atomic::{AtomicU32, Ordering};
+use std::collections::BTreeMap;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use chestnutdrift_core::AttemptKey;
+use chestnutdrift_core::directory::ItemText;
 use chestnutdrift_core::gateway::{Event, ItemEnd, ItemRun, RunItem};
 use crossbeam::channel::Sender;
 use http_body_util::BodyExt;
@@ -27,7 +27,7 @@
 const IMPOSSIBLE: u16 = 422;
 
 struct Running {
-    events: Arc<AtomicU32>,
+    text: Arc<Mutex<RunText>>,
     cancel: oneshot::Sender<()>,
 }
 
@@ -57,25 +57,27 @@
     /// Runs an item and reports its end.
     pub async fn run(self, run: RunItem) {
         let attempt = run.attempt;
-        let events = Arc::new(AtomicU32::new(0));
+        let text = Arc::new(Mutex::new(RunText::default()));
         let (cancel, cancelled) = oneshot::channel();
         let first = {
             let Ok(mut running) = self.running.lock() else { return };
-            running.insert(attempt, Running { events: Arc::clone(&events), cancel });
+            running.insert(attempt, Running { text: Arc::clone(&text), cancel });
             running.len() == 1
         };
         if first {
             tokio::spawn(self.clone().report_progress());
         }
-        let mut text = Text::default();
         let end = tokio::select! {
-            end = self.stream(&run, &mut text, &events) => end,
+            end = self.stream(&run, &text) => end,
             _ = cancelled => ItemEnd::Cancelled,
         };
         if let Ok(mut running) = self.running.lock() {
             running.remove(&attempt);
         }
-        let event = Event::ItemEnded { attempt, run: text.into_run(end) };
+        // The run is not among those that report progress any more, so this is its last part.
+        let text = text.lock().map(|mut text| std::mem::take(&mut text.unreported));
+        let run = ItemRun { text: text.unwrap_or_default(), end };
+        let event = Event::ItemEnded { attempt, run };
         if self.inputs.send(Input::Event(event)).is_err() {
             log::debug!(event = "report-lost"; "the control thread has ended");
         }
@@ -92,23 +94,44 @@
     async fn report_progress(self) {
         loop {
             tokio::time::sleep(REPORT_EVERY).await;
-            let mut progress = Vec::new();
-            {
-                let Ok(running) = self.running.lock() else { return };
-                for (attempt, run) in running.iter() {
-                    progress.push((*attempt, run.events.load(Ordering::Relaxed)));
-                }
-            }
-            if progress.is_empty() {
+            if !self.report() {
                 return;
             }
-            if self.inputs.try_send(Input::Event(Event::ItemProgress(progress))).is_err() {
-                log::debug!(event = "progress-dropped"; "too many events wait");
+        }
+    }
+
+    /// Reports what the runs have brought, and tells whether any still runs.
+    ///
+    /// The runs stay locked until the report is handed over, so that none can report its end first.
+    fn report(&self) -> bool {
+        let Ok(running) = self.running.lock() else { return false };
+        let mut progress = Vec::new();
+        for (attempt, run) in running.iter() {
+            let Ok(mut text) = run.text.lock() else { continue };
+            if text.unreported.events > 0 {
+                progress.push((*attempt, std::mem::take(&mut text.unreported)));
             }
         }
+        let busy = !running.is_empty();
+        if progress.is_empty() {
+            return busy;
+        }
+        let Err(refused) = self.inputs.try_send(Input::Event(Event::ItemProgress(progress))) else {
+            return busy;
+        };
+        log::debug!(event = "progress-put-off"; "too many events wait");
+        let Input::Event(Event::ItemProgress(progress)) = refused.into_inner() else { return busy };
+        for (attempt, part) in progress {
+            let Some(Ok(mut text)) = running.get(&attempt).map(|run| run.text.lock()) else {
+                continue;
+            };
+            let since = std::mem::replace(&mut text.unreported, part);
+            text.unreported.append(&since);
+        }
+        busy
     }
 
-    async fn stream(&self, run: &RunItem, text: &mut Text, events: &AtomicU32) -> ItemEnd {
+    async fn stream(&self, run: &RunItem, text: &Mutex<RunText>) -> ItemEnd {
         let request = self.protocol.item(run);
         let deadline = Duration::from_millis(run.deadline.0);
         let silence = Duration::from_millis(run.silence.0);
@@ -136,10 +159,12 @@
             Verdict::Failure => return ItemEnd::Failed { status },
             Verdict::Success => {}
         }
-        text.version = self.protocol.weight_version(&head.headers);
-        text.next = run.resume_after.map_or(FIRST_EVENT, |id| id + 1);
+        if let Ok(mut text) = text.lock() {
+            text.version = self.protocol.weight_version(&head.headers);
+            text.next = run.resume_after.map_or(FIRST_EVENT, |id| id + 1);
+        }
         let reader = EventReader::new(self.protocol.version_field());
-        let read = read_events(reader, body, text, events, silence);
+        let read = read_events(reader, body, text, silence);
         let end = match tokio::time::timeout(deadline, read).await {
             Ok(end) => end,
             Err(_) => ItemEnd::Broken { detail: "the run took too long".into() },
@@ -171,8 +196,7 @@
 async fn read_events(
     mut reader: EventReader,
     mut body: Incoming,
-    text: &mut Text,
-    events: &AtomicU32,
+    text: &Mutex<RunText>,
     silence: Duration,
 ) -> ItemEnd {
     loop {
@@ -184,27 +208,27 @@
             Err(_) => return silent(silence),
         };
         let Ok(data) = frame.into_data() else { continue };
+        let Ok(mut text) = text.lock() else {
+            return ItemEnd::Broken { detail: "the text is lost".into() };
+        };
         for event in reader.push(&data) {
             if let Err(detail) = text.push(event) {
                 return ItemEnd::Broken { detail };
             }
         }
-        events.store(text.events, Ordering::Relaxed);
     }
 }
 
 /// The text of one run.
 #[derive(Debug, Default)]
-struct Text {
-    text: String,
-    events: u32,
+struct RunText {
+    /// The events that came since the last report.
+    unreported: ItemText,
     next: u64,
-    last: Option<u64>,
     version: Option<u64>,
-    versions: BTreeSet<u64>,
 }
 
-impl Text {
+impl RunText {
     /// Adds an event, which must be the next one.
     fn push(&mut self, event: StreamEvent) -> Result<(), Box<str>> {
         let Some(id) = event.id else { return Err("an event has no id".into()) };
@@ -215,24 +239,8 @@
             let read = version.parse().map_err(|_| format!("{version} is no weight version"))?;
             self.version = Some(read);
         }
-        self.versions.extend(self.version);
-        if self.events > 0 {
-            self.text.push('\n');
-        }
-        self.text.push_str(&event.data);
-        self.events += 1;
-        self.last = Some(id);
+        self.unreported.push_event(id, &event.data, self.version);
         self.next = id + 1;
         Ok(())
     }
-
-    fn into_run(self, end: ItemEnd) -> ItemRun {
-        ItemRun {
-            text: self.text.into(),
-            events: self.events,
-            last_event: self.last,
-            versions: self.versions.into_iter().collect(),
-            end,
-        }
-    }
 }
