perf(core): the directory names the orderer; weights that no engine has for a model's jobs go first

The new leader waits 3.3 s before its first order though it ordered last itself, and then all loads go to the model that is further behind, whose jobs could run. Excluded: slots (engines stood idle), the order of items Change: the directory holds which host orders; a leader that is still named need not wait. A model whose open jobs less than a third of the engines can run is loaded first.

--- a/crates/core/src/directory/command.rs
+++ b/crates/core/src/directory/command.rs
@@ -54,6 +54,11 @@
         /// The jobs.
         jobs: Vec<Box<str>>,
     },
+    /// Let a host alone order upstreams from here on.
+    Orderer {
+        /// The host.
+        host: HostId,
+    },
     /// Take a host out of the voter set for good.
     Retire {
         /// The host.
@@ -78,6 +83,7 @@
             Self::NameVersion { .. }
             | Self::EndJob { .. }
             | Self::Forget { .. }
+            | Self::Orderer { .. }
             | Self::Retire { .. } => 0,
         }
     }
--- a/crates/core/src/directory/state.rs
+++ b/crates/core/src/directory/state.rs
@@ -18,6 +18,8 @@
     pub versions: BTreeMap<Box<str>, u64>,
     /// The batch jobs.
     pub jobs: BTreeMap<Box<str>, Job>,
+    /// The host that orders upstreams, or did last.
+    pub orderer: Option<HostId>,
     /// The hosts that left the voter set for good, with their incarnations.
     pub retired: BTreeMap<HostId, u64>,
 }
@@ -56,6 +58,7 @@
                     self.jobs.remove(job);
                 }
             }
+            DirectoryCommand::Orderer { host } => self.orderer = Some(*host),
             DirectoryCommand::Retire { host, incarnation } => {
                 self.retired.insert(*host, *incarnation);
             }
--- a/crates/core/src/gateway/controller.rs
+++ b/crates/core/src/gateway/controller.rs
@@ -56,7 +56,7 @@
         list.push(Box::new(decisions::Decisions));
         list.push(Box::new(jobs::Jobs::default()));
         list.push(Box::new(items::Items::new(placement)));
-        list.push(Box::new(loads::Loads));
+        list.push(Box::new(loads::Loads::default()));
         list.push(Box::new(views::Views));
     }
     list.push(Box::new(lifecycle::Lifecycle));
--- a/crates/core/src/gateway/controller/agreement.rs
+++ b/crates/core/src/gateway/controller/agreement.rs
@@ -150,6 +150,9 @@
         DirectoryCommand::NameVersion { model, version } => {
             board.note(EventKind::Published, model.clone(), format!("version={version}"));
         }
+        DirectoryCommand::Orderer { host } => {
+            board.note(EventKind::Ordered, "directory", format!("orderer={}", host.0));
+        }
         DirectoryCommand::Forget { .. } | DirectoryCommand::Keep { .. } => {}
     }
 }
--- a/crates/core/src/gateway/controller/loads.rs
+++ b/crates/core/src/gateway/controller/loads.rs
@@ -1,18 +1,21 @@
 //! Loads: on the leader, orders engines to load the named weight versions.
 //!
-//! Reads: ended orders, `group` (named versions), `jobs`, `upstreams`, `routing`, the clock.
-//! Writes: `orders`, `upstreams` (load state), `actions`.
+//! Reads: ended orders, `group` (named versions, orderer), `jobs`, `upstreams`, `routing`, the clock.
+//! Writes: `orders`, `upstreams` (load state), `wishes`, `actions`.
 //!
-//! Only one host orders: the leader, once it has led for longer than the orders of the one before
-//! can count, and only under its lease. A version goes to the engines that are furthest behind first,
-//! a few at a time, so that the others go on under weights that jobs still take.
+//! Only one host orders: the leader, under its lease, once the directory names it as the orderer. A
+//! leader that is not yet named waits until the orders of the one before can't count any more; one
+//! that leads again after a restart is still named. A version goes to the engines that are furthest
+//! behind first, a few at a time, so that the others go on under weights that jobs still take; a
+//! model that hardly an engine can run for its jobs goes before all others.
 
 use std::cmp::Reverse;
+use std::collections::BTreeSet;
 
 use super::Controller;
-use crate::directory::{Route, ServiceSpec};
+use crate::directory::{DirectoryCommand, Route, ServiceSpec};
 use crate::gateway::action::{Action, Order, UpstreamAddress};
-use crate::gateway::board::{Board, PendingOrder};
+use crate::gateway::board::{Board, PendingOrder, Upstream};
 use crate::gateway::event::{Event, OrderEnd};
 use crate::key::{OrderKey, UpstreamKey};
 use crate::time::Millis;
@@ -22,6 +25,10 @@
 /// down at the weight store.
 const LOADING_DIVISOR: usize = 5;
 
+/// The share of a service's engines that are to run a model's jobs at least, as a divisor: two
+/// models with a third each leave one for loads.
+const SCARCE_DIVISOR: usize = 3;
+
 /// How long a load takes; afterwards the engine is tried, and says so itself where it is not done.
 const LOAD_TIME: Millis = Millis(1_000);
 
@@ -36,8 +43,11 @@
 const ORDER_SLACK: Millis = Millis(300);
 
 /// Orders loads.
-#[derive(Debug)]
-pub(super) struct Loads;
+#[derive(Debug, Default)]
+pub(super) struct Loads {
+    /// The fencing number under which this host last asked to be the orderer.
+    asked: u64,
+}
 
 impl Controller for Loads {
     fn run(&mut self, board: &mut Board, event: Option<&Event>) {
@@ -45,7 +55,7 @@
             ended(board, *order, end);
         }
         finish_loads(board);
-        if !may_order(board) {
+        if !self.may_order(board) {
             return;
         }
         let Some(routing) = board.routing.clone() else { return };
@@ -65,22 +75,42 @@
                 next = next.min(upstream.load.retry_at);
             }
         }
-        match board.group.as_ref().and_then(|group| group.replica.leads_since()) {
-            Some(since) if since + order_wait(board) > now => next.min(since + order_wait(board)),
+        match order_from(board) {
+            Some(from) if from > now => next.min(from),
             _ => next,
         }
     }
 }
 
-fn order_wait(board: &Board) -> Millis {
-    board.cfg.bounds.order_lease + ORDER_SLACK
+impl Loads {
+    /// Tells whether this host may order now, and asks to be the orderer where it is time.
+    fn may_order(&mut self, board: &mut Board) -> bool {
+        let waited = order_from(board).is_some_and(|from| board.now.mono >= from);
+        if !waited || !board.leads() || board.draining.is_some() {
+            return false;
+        }
+        if is_orderer(board) {
+            return true;
+        }
+        let fence = board.group.as_ref().map_or(0, |group| group.replica.fence());
+        if self.asked != fence {
+            self.asked = fence;
+            board.wishes.push((DirectoryCommand::Orderer { host: board.cfg.id }, None));
+            board.again = true;
+        }
+        false
+    }
+}
+
+fn is_orderer(board: &Board) -> bool {
+    board.group.as_ref().is_some_and(|group| group.directory.orderer == Some(board.cfg.id))
 }
 
-fn may_order(board: &Board) -> bool {
-    let Some(group) = &board.group else { return false };
-    let since = group.replica.leads_since();
-    let waited = since.is_some_and(|since| board.now.mono >= since + order_wait(board));
-    waited && board.leads() && board.draining.is_none()
+/// Returns from when on this host may order, or ask to, where it leads.
+fn order_from(board: &Board) -> Option<Millis> {
+    let since = board.group.as_ref()?.replica.leads_since()?;
+    let wait = board.cfg.bounds.order_lease + ORDER_SLACK;
+    Some(if is_orderer(board) { since } else { since + wait })
 }
 
 fn ended(board: &mut Board, key: OrderKey, end: &OrderEnd) {
@@ -137,8 +167,19 @@
     }
 }
 
-/// An engine that is to load a version.
+/// A model of a service with a version that was named.
+struct Named<'a> {
+    model: &'a str,
+    version: u64,
+    /// The oldest version that its open jobs take, where that is to be had at too few engines, and
+    /// the number of those that have it or load it.
+    scarce: Option<(u64, usize)>,
+}
+
+/// An engine that may load a version.
 struct Due {
+    /// The engines that can run the model's jobs, where those are too few and this is none of them.
+    able: usize,
     /// Versions behind the named one.
     behind: u64,
     in_flight: u32,
@@ -155,43 +196,74 @@
     }
 }
 
-/// Returns the engines of a service that are to be ordered now, one model each: those that are
-/// furthest behind first, and of those the idlest.
+/// Returns the engines of a service that take work.
+fn engines<'a>(
+    board: &'a Board,
+    service: &'a ServiceSpec,
+) -> impl Iterator<Item = (UpstreamKey, &'a Upstream)> {
+    let serves = |upstream: &Upstream| upstream.announced.service == service.name;
+    board.upstreams.iter().filter(move |(_, upstream)| serves(upstream) && upstream.takes_work())
+}
+
+/// Returns the models of a service of which a version was named.
+fn named_models<'a>(board: &'a Board, service: &'a ServiceSpec) -> Vec<Named<'a>> {
+    let Some(group) = &board.group else { return Vec::new() };
+    let models = service.engine.iter().flat_map(|engine| &engine.models);
+    let named = models.map(|model| {
+        let version = group.directory.named_version(model);
+        Named { model, version, scarce: scarcity(board, service, model) }
+    });
+    named.filter(|named| named.version > 0).collect()
+}
+
+/// Returns the oldest version that the open jobs of a model take, and how many engines have it or
+/// load the model, where those are too few.
+fn scarcity(board: &Board, service: &ServiceSpec, model: &str) -> Option<(u64, usize)> {
+    let jobs = board.jobs.values().filter(|job| job.spec.model.as_deref() == Some(model));
+    let wanted = jobs.map(|job| job.spec.min_version).max()?;
+    let (mut count, mut able) = (0, 0);
+    for (_, upstream) in engines(board, service) {
+        count += 1;
+        able += usize::from(upstream.version_of(model) >= wanted || upstream.load.blocks(model));
+    }
+    (able * SCARCE_DIVISOR < count).then_some((wanted, able))
+}
+
+/// Returns the engines of a service that are to be ordered now, one model each: those that a model
+/// lacks for its jobs, then those that are furthest behind, and of those the idlest.
 ///
 /// An engine that is one version behind still runs the jobs of the newest, so it waits for those of
 /// every model that are further behind.
 fn due_engines(board: &Board, service: &ServiceSpec) -> Vec<Due> {
-    let Some(group) = &board.group else { return Vec::new() };
-    let models = service.engine.iter().flat_map(|engine| &engine.models);
-    let named: Vec<(&str, u64)> = models
-        .map(|model| (&**model, group.directory.named_version(model)))
-        .filter(|(_, version)| *version > 0)
-        .collect();
+    let models = named_models(board, service);
     let now = board.now.mono;
     let (mut count, mut busy, mut due) = (0, 0, Vec::new());
-    for (key, upstream) in &board.upstreams {
-        if upstream.announced.service != service.name || !upstream.takes_work() {
-            continue;
-        }
+    for (key, upstream) in engines(board, service) {
         count += 1;
-        if upstream.load.is_busy() {
-            busy += 1;
+        busy += usize::from(upstream.load.is_busy());
+        if upstream.load.is_busy() || now < upstream.load.retry_at {
             continue;
         }
-        let lags = named.iter().map(|(model, version)| {
-            (version.saturating_sub(upstream.version_of(model)), *model, *version)
-        });
-        let furthest = lags.max_by_key(|(behind, ..)| *behind);
-        let Some((behind, model, version)) = furthest.filter(|(behind, ..)| *behind > 0) else {
-            continue;
-        };
-        if now >= upstream.load.retry_at {
-            let (in_flight, model) = (upstream.in_flight, model.into());
-            due.push(Due { behind, in_flight, key, model, version });
+        for named in &models {
+            let runs = upstream.version_of(named.model);
+            if runs >= named.version {
+                continue;
+            }
+            let lacking = named.scarce.filter(|(wanted, _)| runs < *wanted);
+            due.push(Due {
+                able: lacking.map_or(usize::MAX, |(_, able)| able),
+                behind: named.version - runs,
+                in_flight: upstream.in_flight,
+                key,
+                model: named.model.into(),
+                version: named.version,
+            });
         }
     }
+    due.sort_by_key(|due| (due.able, Reverse(due.behind), due.in_flight, due.key));
+    let mut taken = BTreeSet::new();
+    due.retain(|due| taken.insert(due.key));
     let at_once = ((count + LOADING_DIVISOR / 2) / LOADING_DIVISOR).max(1);
-    due.sort_by_key(|due| (Reverse(due.behind), due.in_flight, due.key));
     due.truncate(at_once.saturating_sub(busy));
     due
 }
--- a/crates/core/tests/it/directory.rs
+++ b/crates/core/tests/it/directory.rs
@@ -312,6 +312,54 @@
     }
 }
 
+#[test]
+fn a_leader_that_restarts_orders_at_once_and_another_one_waits() {
+    let mut deployment = started(24);
+    deployment.run(2_000);
+    let old = deployment.leader().expect("a leader");
+    let named = |version| Call::NameVersion { model: "model".into(), version };
+    let restart_and_name = |deployment: &mut Deployment, pause, version| {
+        deployment.kill(old);
+        deployment.run(pause);
+        deployment.start(old);
+        deployment.run(400);
+        let (store, from) =
+            (*STORES.iter().find(|id| **id != old).expect("a store"), deployment.now);
+        assert_eq!(deployment.call(store, named(version), 6_000), Some(Answer::Done));
+        let given = deployment.orders.iter().find(|(_, _, order)| order.version == version);
+        let (at, by, _) = given.expect("an order");
+        (at - from, *by)
+    };
+    let (waited, by) = restart_and_name(&mut deployment, 300, 2);
+    assert!(by == old && waited <= 1_500, "{by:?} orders after {waited} ms");
+    let (waited, by) = restart_and_name(&mut deployment, 2_900, 3);
+    assert!(by != old && waited >= 300, "{by:?} orders after {waited} ms");
+    const LEASE: u64 = 3_000;
+    for pair in deployment.orders.windows(2) {
+        let ((before, a, _), (after, b, _)) = (&pair[0], &pair[1]);
+        assert!(a == b || after - before > LEASE, "{a:?} and {b:?} take turns");
+    }
+}
+
+#[test]
+fn a_model_that_no_engine_can_run_for_its_jobs_is_loaded_before_another() {
+    let mut deployment = started(25);
+    deployment.run(2_000);
+    deployment.submit(ENTRY, job("job", 8, 4));
+    deployment.run(100);
+    for (model, version) in [("other", 7), ("model", 5)] {
+        let named = Call::NameVersion { model: model.into(), version };
+        assert_eq!(deployment.call(STORES[0], named, 100), Some(Answer::Done));
+    }
+    // One engine of four loads at a time, in 0.9 s.
+    deployment.run(2_000);
+    let able = deployment.engines.iter().filter(|engine| engine.versions["model"] >= 4).count();
+    assert!(able >= 1, "no engine can run the job: {:?}", deployment.orders);
+    deployment.run(1_500);
+    let page = deployment.results(ENTRY, "job", 0).expect("a page");
+    assert_eq!(page.results.len(), 8);
+}
+
 #[test]
 fn requests_that_fail_together_count_as_one_failure_of_their_upstream() {
     let mut health = UpstreamHealth::default();
