--- a/crates/core/src/gateway/controller/registry.rs
+++ b/crates/core/src/gateway/controller/registry.rs
@@ -3,7 +3,8 @@
 //! Reads: announcements, leaves, the clock. Writes: `upstreams`, `revision`, `registry_changed`.
 //!
 //! Announcements of one name are ordered by the start of its life and then by their number, so that
-//! a delayed one changes nothing. An upstream that falls silent is not taken for gone: it may be
+//! a delayed one changes nothing. An upstream may send one announcement to two hosts, and change in
+//! between; then the same one of the two holds at every host. An upstream that falls silent is not taken for gone: it may be
 //! cut off from the store hosts only, so requests prefer others and no more.
 
 use super::Controller;
@@ -119,14 +120,17 @@
         take(board, announced, source);
         return;
     }
+    let holds = if new == old && announced.content() < upstream.announced.content() {
+        upstream.announced.clone()
+    } else {
+        announced.clone()
+    };
     // A registry's record of a leave bears the number of the last announcement before it.
     let leaving = announced.leaving || (new == old && upstream.announced.leaving);
-    let differs = upstream.announced.leaving != leaving
-        || upstream.announced.versions != announced.versions
-        || upstream.announced.slots != announced.slots
-        || upstream.announced.address != announced.address;
+    let differs =
+        upstream.announced.leaving != leaving || upstream.announced.content() != holds.content();
     let detail = if leaving { "leaving" } else { "changed" };
-    upstream.announced = Announcement { leaving, ..announced };
+    upstream.announced = Announcement { leaving, ..holds };
     if !leaving {
         upstream.left = None;
     }
--- a/crates/core/src/gateway/event.rs
+++ b/crates/core/src/gateway/event.rs
@@ -199,6 +199,15 @@
     pub versions: Vec<(Box<str>, u64)>,
 }
 
+impl Announcement {
+    /// Returns what it says beside its place among the announcements of the upstream, in an order
+    /// that every host shares; versions only grow.
+    #[must_use]
+    pub fn content(&self) -> impl Ord {
+        (&self.versions, self.slots, &self.address, &self.service, &self.zone)
+    }
+}
+
 /// How an attempt to forward a request ended.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
--- a/crates/core/tests/it/directory.rs
+++ b/crates/core/tests/it/directory.rs
@@ -360,6 +360,34 @@
     assert_eq!(page.results.len(), 8);
 }
 
+#[test]
+fn an_announcement_that_says_two_things_at_two_hosts_settles() {
+    let mut deployment = started(26);
+    let announcement = |version| Announcement {
+        id: "desk-1".into(),
+        service: "desk".into(),
+        address: "10.0.0.8:8000".into(),
+        zone: "zone-1".into(),
+        slots: 4,
+        leaving: false,
+        born: 1,
+        seq: 34,
+        versions: vec![("model".into(), version)],
+    };
+    let notes = deployment.notes.len();
+    for (store, version) in STORES.into_iter().zip([3, 5, 3]) {
+        deployment.ask(store, Call::Announce(announcement(version)));
+    }
+    deployment.run(1_000);
+    let noted = deployment.notes[notes..].iter().filter(|note| &*note.subject == "desk-1").count();
+    assert!(noted <= 12, "the hosts noted {noted} changes of one upstream");
+    for id in STORES.into_iter().chain([ENTRY]) {
+        let board = deployment.gateway(id).board();
+        let known = board.upstreams.values().find(|upstream| &*upstream.announced.id == "desk-1");
+        assert_eq!(known.map(|upstream| &upstream.announced), Some(&announcement(5)), "{id:?}");
+    }
+}
+
 #[test]
 fn requests_that_fail_together_count_as_one_failure_of_their_upstream() {
     let mut health = UpstreamHealth::default();
