--- a/crates/daemon/src/disk.rs
+++ b/crates/daemon/src/disk.rs
@@ -2,14 +2,17 @@
 //!
 //! Records are appended with a length and a checksum and count only once they are synced. A failed
 //! write or sync ends the process: what the file then holds is not known, and to try again as if
-//! nothing had happened would promise what may not be there.
+//! nothing had happened would promise what may not be there. A full disk is another matter: what it
+//! refused is cut off again and written anew once there is room, and nothing is promised before.
 
 mod codec;
 mod condenser;
 mod folder;
 
+use std::io;
 use std::path::Path;
 use std::thread::JoinHandle;
+use std::time::{Duration, Instant};
 
 use anyhow::Context;
 use chestnutdrift_core::agreement::Record;
@@ -28,6 +31,9 @@
 /// The most batches that are synced together.
 const BATCHES_TOGETHER: usize = 256;
 
+/// The time between two tries to write to a full disk.
+const FULL_RETRY: Duration = Duration::from_millis(250);
+
 /// A batch of records to be synced.
 #[derive(Debug, Clone, PartialEq)]
 pub struct DiskJob {
@@ -123,7 +129,7 @@
             token = job.token;
             records.extend(job.records);
         }
-        let news = match disk.write(&records) {
+        let news = match write(&mut disk, &records) {
             Ok(()) => DiskReport::Synced(token),
             Err(error) => DiskReport::Failed(format!("{error:#}").into()),
         };
@@ -133,3 +139,32 @@
         }
     }
 }
+
+/// Writes records, and waits for room where the disk is full.
+fn write(disk: &mut impl Disk, records: &[Record]) -> anyhow::Result<()> {
+    let mut full_since = None;
+    loop {
+        match disk.write(records) {
+            Err(error) if is_full(&error) => {
+                if full_since.is_none() {
+                    log::error!(event = "disk-full"; "records wait for room: {error:#}");
+                }
+                full_since.get_or_insert_with(Instant::now);
+                std::thread::sleep(FULL_RETRY);
+            }
+            written => {
+                if let Some(since) = full_since {
+                    let full_ms = u64::try_from(since.elapsed().as_millis()).unwrap_or(u64::MAX);
+                    let room = written.is_ok();
+                    log::info!(event = "disk-full-over", full_ms = full_ms, room = room; "");
+                }
+                return written;
+            }
+        }
+    }
+}
+
+fn is_full(error: &anyhow::Error) -> bool {
+    let kind = error.downcast_ref::<io::Error>().map(io::Error::kind);
+    matches!(kind, Some(io::ErrorKind::StorageFull | io::ErrorKind::QuotaExceeded))
+}
--- a/crates/daemon/src/disk/folder.rs
+++ b/crates/daemon/src/disk/folder.rs
@@ -2,7 +2,7 @@
 
 use std::fmt::Debug;
 use std::fs::{self, File, OpenOptions};
-use std::io::Write;
+use std::io::{Seek, SeekFrom, Write};
 use std::path::{Path, PathBuf};
 
 use anyhow::{Context, bail};
@@ -22,7 +22,8 @@
     ///
     /// # Errors
     ///
-    /// Returns an error where any of it failed; nothing may be promised on this disk any more.
+    /// Returns an error where any of it failed. Where the disk is full, the same records may be
+    /// written again; after any other error nothing may be promised on this disk any more.
     fn write(&mut self, records: &[Record]) -> anyhow::Result<()>;
 }
 
@@ -41,6 +42,10 @@
 pub struct DataFolder {
     path: PathBuf,
     journal: File,
+    /// The length of the journal up to which it is synced, in bytes.
+    length: u64,
+    /// Whether the last write failed, so that its records come again.
+    failed: bool,
     condenser: Condenser,
 }
 
@@ -67,12 +72,13 @@
             log::warn!(event = "journal-cut"; "the last record was not whole and is left out");
         }
         journal.set_len(length as u64)?;
-        std::io::Seek::seek(&mut journal, std::io::SeekFrom::End(0))?;
+        journal.seek(SeekFrom::End(0))?;
         journal.sync_all()?;
         sync_folder(path)?;
         let mut condenser = Condenser::default();
         records.iter().for_each(|record| condenser.take(record));
-        let folder = Self { path: path.into(), journal, condenser };
+        let length = length as u64;
+        let folder = Self { path: path.into(), journal, length, failed: false, condenser };
         Ok((folder, identity, records))
     }
 
@@ -80,23 +86,46 @@
     fn condense(&mut self) -> anyhow::Result<()> {
         let new = self.path.join(NEW_JOURNAL);
         let mut journal = File::create(&new)?;
-        journal.write_all(&codec::encode(&self.condenser.records())?)?;
+        let bytes = codec::encode(&self.condenser.records())?;
+        journal.write_all(&bytes)?;
         journal.sync_all()?;
         fs::rename(&new, self.path.join(JOURNAL))?;
         sync_folder(&self.path)?;
         self.journal = journal;
+        self.length = bytes.len() as u64;
+        Ok(())
+    }
+
+    fn append(&mut self, records: &[Record]) -> anyhow::Result<()> {
+        let bytes = codec::encode(records)?;
+        self.journal.write_all(&bytes).context("the journal can't be written")?;
+        self.journal.sync_data().context("the journal can't be synced")?;
+        self.length += bytes.len() as u64;
+        Ok(())
+    }
+
+    /// Cuts off what a failed write left.
+    fn rewind(&mut self) -> anyhow::Result<()> {
+        self.journal.set_len(self.length).context("the journal can't be cut")?;
+        self.journal.seek(SeekFrom::Start(self.length))?;
         Ok(())
     }
 }
 
 impl Disk for DataFolder {
     fn write(&mut self, records: &[Record]) -> anyhow::Result<()> {
-        records.iter().for_each(|record| self.condenser.take(record));
+        if std::mem::replace(&mut self.failed, true) {
+            self.rewind()?;
+        } else {
+            records.iter().for_each(|record| self.condenser.take(record));
+        }
         if records.iter().any(|record| matches!(record, Record::Snapshot { .. })) {
-            return self.condense().context("the journal can't be written anew");
+            self.condense().context("the journal can't be written anew")?;
+        } else {
+            self.append(records)?;
         }
-        self.journal.write_all(&codec::encode(records)?).context("the journal can't be written")?;
-        self.journal.sync_data().context("the journal can't be synced")
+        self.failed = false;
+        Ok(())
     }
 }
 
--- a/crates/daemon/tests/process/disk.rs
+++ b/crates/daemon/tests/process/disk.rs
@@ -1,5 +1,8 @@
 //! What a damaged, foreign or failing disk leads to.
 
+use std::time::Duration;
+
+use anyhow::Context;
 use chestnutdrift_core::agreement::GroupState;
 use chestnutdrift_core::agreement::{Command, Entry, GroupId, Record, Snapshot};
 use chestnutdrift_core::fleet::FleetState;
@@ -152,3 +155,59 @@
     thread.close();
     assert!(events.try_recv().is_err(), "the disk went on after it had failed");
 }
+
+/// A disk that is full for some tries.
+#[derive(Debug)]
+struct FullDisk {
+    refusals: u32,
+    written: Vec<Record>,
+}
+
+impl Disk for FullDisk {
+    fn write(&mut self, records: &[Record]) -> anyhow::Result<()> {
+        if self.refusals > 0 {
+            self.refusals -= 1;
+            let full = std::io::Error::from(std::io::ErrorKind::StorageFull);
+            return Err(full).context("the journal can't be written");
+        }
+        self.written.extend(records.iter().cloned());
+        assert_eq!(self.written, records, "a batch is written twice");
+        Ok(())
+    }
+}
+
+#[test]
+fn records_wait_for_room_on_a_full_disk() {
+    let (reports, events) = channel::unbounded();
+    let report = move |news| reports.send(news).is_ok();
+    let disk = FullDisk { refusals: 2, written: Vec::new() };
+    let (thread, jobs) = DiskThread::start(disk, report).unwrap();
+    jobs.send(DiskJob { token: SyncToken(1), records: records() }).unwrap();
+    let early = events.recv_timeout(Duration::from_millis(100));
+    assert!(early.is_err(), "{early:?} while the disk is full");
+    assert_eq!(events.recv_timeout(WAIT).unwrap(), DiskReport::Synced(SyncToken(1)));
+    drop(jobs);
+    thread.close();
+}
+
+#[test]
+fn a_folder_takes_the_records_again_that_a_full_disk_refused() {
+    let folder = Folder::new();
+    let path = folder.0.join("data");
+    let (mut disk, ..) = DataFolder::open(&path, "host-1").unwrap();
+    disk.write(&records()).unwrap();
+    let state = GroupState::Fleet(FleetState::default());
+    let snapshot = Snapshot { index: 4, term: 1, voters: Vec::new(), state };
+    let batch = [Record::Snapshot { group: GroupId::Zone, snapshot }, entry(6, 1)];
+    std::os::unix::fs::symlink("/dev/full", path.join("journal.new")).unwrap();
+    let error = disk.write(&batch).unwrap_err();
+    let kind = error.downcast_ref::<std::io::Error>().map(std::io::Error::kind);
+    assert_eq!(kind, Some(std::io::ErrorKind::StorageFull), "{error:#}");
+    std::fs::remove_file(path.join("journal.new")).unwrap();
+    disk.write(&batch).unwrap();
+    disk.write(&[entry(7, 1)]).unwrap();
+    drop(disk);
+    let (_, _, found) = DataFolder::open(&path, "host-1").unwrap();
+    let [snapshot, last] = batch;
+    assert_eq!(found, [snapshot, entry(5, 1), last, entry(7, 1)]);
+}
