--- a/crates/daemon/src/link/outbound.rs
+++ b/crates/daemon/src/link/outbound.rs
@@ -36,7 +36,13 @@
 pub(super) async fn run(address: SocketAddr, mut queue: Receiver<Envelope>) {
     let mut link = None;
     while let Some(envelope) = queue.recv().await {
-        let Ok(bytes) = frame::encode(&envelope) else { continue };
+        let bytes = match frame::encode(&envelope) {
+            Ok(bytes) => bytes,
+            Err(error) => {
+                log::error!(event = "message-dropped"; "{error}");
+                continue;
+            }
+        };
         let ready = match link.take() {
             Some(link) => Some(link),
             None => OutLink::connect(address).await,
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -1,16 +1,27 @@
-//! Messages between hosts as CBOR.
+//! Messages between hosts as CBOR; long ones are deflated.
 //!
 //! Rule for hosts of neighbouring versions: an unknown field of a known message is ignored, an
 //! unknown message is an error that the receiver counts and drops. Fields are never given another
 //! meaning.
 
 use std::fmt::{Display, Formatter};
+use std::io::{Read, Write};
 
 use chestnutdrift_core::message::Envelope;
+use flate2::Compression;
+use flate2::read::DeflateDecoder;
+use flate2::write::DeflateEncoder;
 
 /// The longest message that a host takes, in bytes.
 pub const MOST_BYTES: usize = 64 * 1024 * 1024;
 
+/// The shortest message that is deflated, in bytes: texts and routing documents are longer,
+/// heartbeats and hellos shorter and would gain nothing.
+const DEFLATED_FROM: usize = 1_024;
+
+/// The first byte of a deflated message; CBOR begins with the byte of a map, which is another.
+const DEFLATED: u8 = 0x01;
+
 /// A message that can't be written or read.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct FrameError(Box<str>);
@@ -30,10 +41,14 @@
 /// Returns an error where the encoder fails, which no message that a core makes does.
 pub fn encode(envelope: &Envelope) -> Result<Vec<u8>, FrameError> {
     let mut buf = Vec::new();
-    match ciborium::into_writer(envelope, &mut buf) {
-        Ok(()) => Ok(buf),
-        Err(error) => Err(FrameError(error.to_string().into())),
+    ciborium::into_writer(envelope, &mut buf).map_err(|error| failed(&error))?;
+    if buf.len() < DEFLATED_FROM {
+        return Ok(buf);
     }
+    let mut encoder = DeflateEncoder::new(vec![DEFLATED], Compression::fast());
+    encoder.write_all(&buf).map_err(|error| failed(&error))?;
+    let deflated = encoder.finish().map_err(|error| failed(&error))?;
+    Ok(if deflated.len() < buf.len() { deflated } else { buf })
 }
 
 /// Reads a message.
@@ -45,5 +60,18 @@
     if bytes.len() > MOST_BYTES {
         return Err(FrameError(format!("{} bytes are too many", bytes.len()).into()));
     }
-    ciborium::from_reader(bytes).map_err(|error| FrameError(error.to_string().into()))
+    let Some(deflated) = bytes.strip_prefix(&[DEFLATED]) else {
+        return ciborium::from_reader(bytes).map_err(|error| failed(&error));
+    };
+    let mut buf = Vec::new();
+    let mut decoder = DeflateDecoder::new(deflated).take(MOST_BYTES as u64 + 1);
+    decoder.read_to_end(&mut buf).map_err(|error| failed(&error))?;
+    if buf.len() > MOST_BYTES {
+        return Err(FrameError("it is too long when inflated".into()));
+    }
+    ciborium::from_reader(&*buf).map_err(|error| failed(&error))
+}
+
+fn failed(error: &impl Display) -> FrameError {
+    FrameError(error.to_string().into())
 }
--- /dev/null
+++ b/crates/wire/tests/frame.rs
@@ -0,0 +1,63 @@
+//! Messages between hosts as bytes.
+
+use std::io::Write;
+
+use chestnutdrift_core::HostId;
+use chestnutdrift_core::gateway::{Ask, GatewayMessage};
+use chestnutdrift_core::message::{Envelope, Message};
+use chestnutdrift_core::timeline::Stamp;
+use chestnutdrift_wire::frame::{MOST_BYTES, decode, encode};
+use flate2::Compression;
+use flate2::write::DeflateEncoder;
+use test_case::test_case;
+
+/// Makes a message with a name of random lowercase letters, as texts of engines are.
+fn message(letters: usize) -> Envelope {
+    let mut state = 1_u32;
+    let job: String = std::iter::repeat_with(|| {
+        state = state.wrapping_mul(1_664_525).wrapping_add(1_013_904_223);
+        char::from(b'a' + u8::try_from((state >> 16) % 26).expect("a letter"))
+    })
+    .take(letters)
+    .collect();
+    let ask = Ask::EndJob { job: job.into() };
+    let message = GatewayMessage::Ask { life: 1, key: 2, ask };
+    let stamp = Stamp::default();
+    Envelope { from: HostId(1), stamp, message: Message::Gateway(Box::new(message)) }
+}
+
+#[test_case(10)]
+#[test_case(1_000)]
+#[test_case(2_000)]
+#[test_case(200_000)]
+fn a_message_comes_back_as_it_was(letters: usize) {
+    let bytes = encode(&message(letters)).expect("bytes");
+    assert_eq!(decode(&bytes).expect("a message"), message(letters));
+}
+
+#[test]
+fn a_long_text_takes_less_than_two_thirds_of_its_bytes() {
+    let bytes = encode(&message(200_000)).expect("bytes");
+    assert!(bytes.len() < 133_000, "{} bytes", bytes.len());
+}
+
+#[test]
+fn nothing_is_read_of_a_message_that_is_cut_off() {
+    let bytes = encode(&message(4_000)).expect("bytes");
+    for length in (0..bytes.len()).step_by(7) {
+        assert!(decode(&bytes[..length]).is_err(), "{length} of {} bytes", bytes.len());
+    }
+}
+
+#[test]
+fn a_message_that_inflates_beyond_the_bound_is_refused() {
+    let mut encoder = DeflateEncoder::new(vec![1], Compression::fast());
+    let zeros = vec![0; 1 << 20];
+    for _ in 0..=MOST_BYTES >> 20 {
+        encoder.write_all(&zeros).expect("zeros");
+    }
+    let bytes = encoder.finish().expect("bytes");
+    assert!(bytes.len() < 1 << 20);
+    let error = decode(&bytes).expect_err("too long").to_string();
+    assert!(error.contains("too long when inflated"), "{error}");
+}
