refactor(core): items and loads are split where they grew

What may take an item, what runs report on their way, and which engine loads next are files of their own under their controllers. Nothing else changes.

--- a/crates/core/src/gateway/controller/items.rs
+++ b/crates/core/src/gateway/controller/items.rs
@@ -7,16 +7,19 @@
 //! on an engine that falls behind the others is stopped there first and goes on elsewhere. Texts of
 //! items that run long are given to the log in parts, so that another leader can go on from them.
 
+mod engines;
+mod progress;
+
 use std::collections::BTreeMap;
 
+use self::engines::{engines_for, reserved};
+use self::progress::{keep_parts, move_slow, take_progress};
 use super::Controller;
-use crate::directory::{
-    DirectoryCommand, ItemOutcome, ItemResult, ItemText, JobSpec, NewResult, TextPart,
-};
+use crate::directory::{DirectoryCommand, ItemOutcome, ItemResult, ItemText, JobSpec, NewResult};
 use crate::gateway::action::{Action, RunItem, UpstreamAddress};
-use crate::gateway::board::{Board, Item, ItemState, Purpose, Upstream};
+use crate::gateway::board::{Board, Item, ItemState, Purpose};
 use crate::gateway::event::{Event, ItemEnd, ItemRun};
-use crate::gateway::policy::{Engine, ItemPlacement, OpenItem};
+use crate::gateway::policy::{ItemPlacement, OpenItem};
 use crate::key::{AttemptKey, ItemKey, JobKey, UpstreamKey};
 use crate::time::Millis;
 use crate::timeline::EventKind;
@@ -28,10 +31,6 @@
 /// link busy for long.
 const GATHER_BYTES: usize = 64 * 1024;
 
-/// The events of a resumable text that are given to the log together before it is whole: a second's
-/// worth, so that most texts need no part and the others lose a second with their leader.
-const EVENTS_PER_PART: u32 = 24;
-
 /// How long an item rests after an upstream refused or failed it.
 const REST: Millis = Millis(40);
 
@@ -44,24 +43,6 @@
 /// The longest run, beyond which it is broken off and goes on elsewhere.
 const LONGEST_RUN: Millis = Millis(30_000);
 
-/// The share of its expected output that an item takes of an engine's memory on average, in
-/// percent: its text grows from nothing while it runs.
-const MEMORY_PERCENT: u64 = 50;
-
-/// How much of an engine's memory is given out, in percent.
-const MEMORY_USED_PERCENT: u64 = 95;
-
-/// How much slower than the usual an engine must be for its items to move, in percent: twice as
-/// slow, for a move costs an item a new start.
-const MOVE_PERCENT: u64 = 200;
-
-/// How much slower than the usual an engine may be for items to move there, in percent.
-const MOVE_TO_PERCENT: u64 = 130;
-
-/// The events that an item must have brought at an engine before it moves: neighbours slow an
-/// engine for as long as a dozen events take, and then leave.
-const EVENTS_FOR_PACE: u32 = 12;
-
 /// Runs items.
 #[derive(Debug)]
 pub(super) struct Items {
@@ -278,61 +259,6 @@
     Some(ItemOutcome::Completed { text, versions })
 }
 
-fn reserved(spec: &JobSpec, index: u32) -> u64 {
-    let Some(item) = spec.items.get(index as usize) else { return 0 };
-    if item.expected_tokens == 0 {
-        return u64::from(item.tokens);
-    }
-    let expected = u64::from(item.expected_tokens) * MEMORY_PERCENT / 100;
-    (u64::from(item.prompt_tokens) + expected).min(u64::from(item.tokens))
-}
-
-/// Returns the engines that have room for an item and run weights that its job takes.
-fn engines_for(board: &Board, key: ItemKey) -> Vec<Engine> {
-    let item = &board.items[key];
-    let Some(job) = board.jobs.get(item.job) else { return Vec::new() };
-    let spec = &job.spec;
-    let Some(routing) = &board.routing else { return Vec::new() };
-    let tokens = reserved(spec, item.index);
-    let now = board.now.mono;
-    let mut engines = Vec::new();
-    for (upstream_key, upstream) in &board.upstreams {
-        let announced = &upstream.announced;
-        if !spec.services.contains(&announced.service) || !upstream.takes_work() {
-            continue;
-        }
-        let memory =
-            routing.service(&announced.service).and_then(|service| service.engine.as_ref());
-        let memory = memory.map_or(u64::MAX, |engine| engine.memory_tokens);
-        let room = upstream.tokens == 0
-            || (upstream.tokens + tokens) * 100 <= memory.saturating_mul(MEMORY_USED_PERCENT);
-        let free = upstream.in_flight < announced.slots.max(1) && room;
-        let loads = spec.model.as_ref().is_some_and(|model| upstream.load.blocks(model));
-        let rests = upstream.is_avoided(now) || loads;
-        if !free || rests || !takes_version(item, spec, upstream) {
-            continue;
-        }
-        engines.push(Engine {
-            key: upstream_key,
-            distance: board.cfg.distance(&announced.zone),
-            in_flight: upstream.in_flight,
-            slots: announced.slots.max(1),
-            event_us: upstream.health.event_us,
-        });
-    }
-    if engines.len() > 1 {
-        engines.retain(|engine| Some(engine.key) != item.avoid);
-    }
-    engines
-}
-
-fn takes_version(item: &Item, spec: &JobSpec, upstream: &Upstream) -> bool {
-    let Some(model) = &spec.model else { return true };
-    let version = upstream.version_of(model);
-    let goes_on = item.text.events > 0 && spec.single_version;
-    version >= spec.min_version && (!goes_on || item.text.versions == [version])
-}
-
 fn start(board: &mut Board, key: ItemKey, upstream_key: UpstreamKey) {
     let item = &board.items[key];
     let Some(job) = board.jobs.get(item.job) else { return };
@@ -375,99 +301,3 @@
     board.note(EventKind::Item, spec.id.clone(), detail);
     board.actions.push(Action::RunItem(run));
 }
-
-fn take_progress(board: &mut Board, progress: &[(AttemptKey, ItemText)]) {
-    let now = board.now.mono;
-    for (attempt_key, text) in progress {
-        let Some(attempt) = board.attempts.get(*attempt_key).copied() else { continue };
-        let Purpose::Item(item_key) = attempt.purpose else { continue };
-        let Some(item) = board.items.get_mut(item_key) else {
-            if let Some((_, item)) = board.orphans.get_mut(attempt_key) {
-                item.text.append(text);
-            }
-            continue;
-        };
-        let (before, since) = item.progress;
-        item.progress = (before + text.events, now);
-        item.text.append(text);
-        let Some(upstream) = board.upstreams.get_mut(attempt.upstream) else { continue };
-        if before > 0 && !upstream.load.is_busy() {
-            upstream.health.produced(text.events, now.since(since));
-        }
-    }
-}
-
-/// Gives the log the parts of long texts that it lacks.
-fn keep_parts(board: &mut Board, progress: &[(AttemptKey, ItemText)]) {
-    let mut parts: BTreeMap<JobKey, Vec<TextPart>> = BTreeMap::new();
-    for (attempt_key, _) in progress {
-        let Some(attempt) = board.attempts.get(*attempt_key) else { continue };
-        let Purpose::Item(item_key) = attempt.purpose else { continue };
-        let Some(item) = board.items.get_mut(item_key) else { continue };
-        let job = board.jobs.get(item.job).filter(|job| job.spec.resumable);
-        let long = item.text.events >= item.logged_events() + EVENTS_PER_PART;
-        if long && job.is_some() {
-            parts.entry(item.job).or_default().push(item.take_part());
-        }
-    }
-    for (key, parts) in parts {
-        let Some(job) = board.jobs.get(key).map(|job| job.spec.id.clone()) else { continue };
-        for parts in chunks(parts) {
-            board.wishes.push((DirectoryCommand::Keep { job: job.clone(), parts }, None));
-            board.again = true;
-        }
-    }
-}
-
-/// Divides parts into lists that each fit an entry of the log.
-fn chunks(parts: Vec<TextPart>) -> Vec<Vec<TextPart>> {
-    let (mut lists, mut bytes) = (vec![Vec::new()], 0);
-    for part in parts {
-        if bytes >= GATHER_BYTES {
-            lists.push(Vec::new());
-            bytes = 0;
-        }
-        bytes += part.text.text.len();
-        if let Some(list) = lists.last_mut() {
-            list.push(part);
-        }
-    }
-    lists
-}
-
-/// Returns the median of the engines' times between two events, in microseconds.
-fn usual_pace(board: &Board) -> Option<u64> {
-    let paces = board.upstreams.values().map(|upstream| upstream.health.event_us);
-    let mut paces: Vec<u64> = paces.filter(|us| *us > 0).collect();
-    paces.sort_unstable();
-    paces.get(paces.len() / 2).copied()
-}
-
-/// Stops items on engines that fall behind, where another engine has room for them.
-fn move_slow(board: &mut Board) {
-    let Some(usual) = usual_pace(board) else { return };
-    let mut slow = Vec::new();
-    for (key, item) in &board.items {
-        let ItemState::Running(attempt_key) = item.state else { continue };
-        let Some(attempt) = board.attempts.get(attempt_key) else { continue };
-        let Some(upstream) = board.upstreams.get(attempt.upstream) else { continue };
-        let behind = upstream.health.event_us * 100 > usual * MOVE_PERCENT;
-        let resumable = board.jobs.get(item.job).is_some_and(|job| job.spec.resumable);
-        if behind && resumable && !upstream.load.is_busy() && item.progress.0 >= EVENTS_FOR_PACE {
-            slow.push((key, attempt_key, attempt.upstream));
-        }
-    }
-    let mut room: BTreeMap<UpstreamKey, u32> = BTreeMap::new();
-    for (key, attempt_key, from) in slow {
-        let fast = |engine: &&Engine| {
-            let taken = room.get(&engine.key).copied().unwrap_or(0);
-            let keeps_pace = engine.event_us * 100 <= usual * MOVE_TO_PERCENT;
-            engine.key != from && keeps_pace && engine.in_flight + taken < engine.slots
-        };
-        let engines = engines_for(board, key);
-        let Some(to) = engines.iter().find(fast).map(|engine| engine.key) else { continue };
-        *room.entry(to).or_default() += 1;
-        board.items[key].state = ItemState::Stopping(attempt_key);
-        board.actions.push(Action::Cancel { attempt: attempt_key });
-    }
-}
--- a/crates/daemon/tests/process/disk.rs
+++ b/crates/daemon/tests/process/disk.rs
@@ -25,8 +25,10 @@
 
 /// Makes five batches of one record each, and the length of the first four.
 fn batches() -> (Vec<u8>, usize) {
-    let batches: Vec<Vec<u8>> =
-        records().iter().map(|record| encode(std::slice::from_ref(record)).unwrap()).collect();
+    let batches: Vec<Vec<u8>> = records()
+        .iter()
+        .map(|record| encode(std::slice::from_ref(record)).expect("a batch"))
+        .collect();
     (batches.concat(), batches[..4].concat().len())
 }
 
