--- a/crates/core/src/directory/text.rs
+++ b/crates/core/src/directory/text.rs
@@ -1,5 +1,7 @@
 //! Texts of items: stretches of events, and what the log holds of a text that is not whole yet.
 
+use std::sync::Arc;
+
 use serde::{Deserialize, Serialize};
 
 /// A stretch of the events of an item's text.
@@ -59,8 +61,8 @@
     pub item: u32,
     /// The events of the text that come before the part.
     pub after: u32,
-    /// The events of the part.
-    pub text: ItemText,
+    /// The events of the part, shared by the log, the journal's index and the draft.
+    pub text: Arc<ItemText>,
 }
 
 /// What the log holds of an item's text before the item is listed.
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -9,7 +9,7 @@
 
 use chestnutdrift_core::message::Envelope;
 use flate2::Compression;
-use flate2::read::DeflateDecoder;
+use flate2::bufread::DeflateDecoder;
 use flate2::write::DeflateEncoder;
 
 /// The longest message that a host takes, in bytes.
@@ -40,15 +40,12 @@
 ///
 /// Returns an error where the encoder fails, which no message that a core makes does.
 pub fn encode(envelope: &Envelope) -> Result<Vec<u8>, FrameError> {
-    let mut buf = Vec::new();
-    ciborium::into_writer(envelope, &mut buf).map_err(|error| failed(&error))?;
-    if buf.len() < DEFLATED_FROM {
-        return Ok(buf);
+    let mut out = Output::Plain(Vec::new());
+    ciborium::into_writer(envelope, &mut out).map_err(|error| failed(&error))?;
+    match out {
+        Output::Plain(buf) => Ok(buf),
+        Output::Deflated(encoder) => encoder.finish().map_err(|error| failed(&error)),
     }
-    let mut encoder = DeflateEncoder::new(vec![DEFLATED], Compression::fast());
-    encoder.write_all(&buf).map_err(|error| failed(&error))?;
-    let deflated = encoder.finish().map_err(|error| failed(&error))?;
-    Ok(if deflated.len() < buf.len() { deflated } else { buf })
 }
 
 /// Reads a message.
@@ -63,15 +60,42 @@
     let Some(deflated) = bytes.strip_prefix(&[DEFLATED]) else {
         return ciborium::from_reader(bytes).map_err(|error| failed(&error));
     };
-    let mut buf = Vec::new();
-    let mut decoder = DeflateDecoder::new(deflated).take(MOST_BYTES as u64 + 1);
-    decoder.read_to_end(&mut buf).map_err(|error| failed(&error))?;
-    if buf.len() > MOST_BYTES {
+    let mut inflated = DeflateDecoder::new(deflated).take(MOST_BYTES as u64);
+    let read = ciborium::from_reader(&mut inflated);
+    if inflated.limit() == 0 {
         return Err(FrameError("it is too long when inflated".into()));
     }
-    ciborium::from_reader(&*buf).map_err(|error| failed(&error))
+    read.map_err(|error| failed(&error))
 }
 
 fn failed(error: &impl Display) -> FrameError {
     FrameError(error.to_string().into())
 }
+
+/// Where a message is written: deflated from the byte on that makes it a long one, so that a long
+/// one is never held plain as well.
+enum Output {
+    Plain(Vec<u8>),
+    Deflated(DeflateEncoder<Vec<u8>>),
+}
+
+impl Write for Output {
+    fn write(&mut self, bytes: &[u8]) -> std::io::Result<usize> {
+        if let Self::Plain(buf) = self {
+            if buf.len() + bytes.len() < DEFLATED_FROM {
+                return buf.write(bytes);
+            }
+            let mut encoder = DeflateEncoder::new(vec![DEFLATED], Compression::fast());
+            encoder.write_all(buf)?;
+            *self = Self::Deflated(encoder);
+        }
+        match self {
+            Self::Plain(buf) => buf.write(bytes),
+            Self::Deflated(encoder) => encoder.write(bytes),
+        }
+    }
+
+    fn flush(&mut self) -> std::io::Result<()> {
+        Ok(())
+    }
+}
