feat(daemon): load lines and metrics tell a busy thread from slow engines and waiting commits

The logs could not tell whether the leader was busy, a link was stuck or the engines were slow.

Change: each second in which a thread was busy or an event waited, a host writes a `load` line: busy time of the control and the traffic thread, time in encoding and decoding, wait of events, items by state, age of the oldest item and of the oldest uncommitted command. The same as metrics. The start of a run says how long its item waited, the end of a job how long it took.

--- a/crates/core/src/gateway/board.rs
+++ b/crates/core/src/gateway/board.rs
@@ -31,7 +31,7 @@
 use crate::time::{Millis, Now};
 use crate::timeline::{EventKind, HybridClock, Timeline, TimelineEvent};
 
-pub use group::DirectoryGroup;
+pub use group::{DirectoryGroup, PendingCommit};
 pub use host::{HOST_SILENCE_TIMEOUT, Host};
 pub use item::{Item, ItemState, JobRun};
 pub use order::{LoadState, PendingOrder};
--- a/crates/core/src/gateway/board/group.rs
+++ b/crates/core/src/gateway/board/group.rs
@@ -19,6 +19,17 @@
 /// is one in seven minutes.
 const ENTRIES_PER_SNAPSHOT: u64 = 8_192;
 
+/// A command that this host has proposed.
+#[derive(Debug, Clone, Copy)]
+pub struct PendingCommit {
+    /// The term in which it was proposed.
+    pub term: u64,
+    /// The sender that waits for the commit, if any.
+    pub origin: Option<Origin>,
+    /// When it was proposed.
+    pub proposed_at: Millis,
+}
+
 /// The directory group, as a store host takes part in it.
 #[derive(Debug)]
 pub struct DirectoryGroup {
@@ -28,9 +39,8 @@
     pub outbox: Outbox,
     /// The state of the directory, with every committed entry applied.
     pub directory: Directory,
-    /// For the log index of each command that this host proposed, the term and the sender that
-    /// waits for the commit.
-    pub pending_commits: BTreeMap<u64, (u64, Option<Origin>)>,
+    /// The commands that this host proposed and that are not committed yet, by log index.
+    pub pending_commits: BTreeMap<u64, PendingCommit>,
     /// Whether this host held the leader's lease at the last check.
     pub was_leader: bool,
     /// The voters at the last check.
--- a/crates/core/src/gateway/controller/agreement.rs
+++ b/crates/core/src/gateway/controller/agreement.rs
@@ -9,7 +9,7 @@
 use super::Controller;
 use crate::agreement::{Command, Entry, GroupId, GroupState, Record};
 use crate::directory::{DirectoryCommand, DirectoryOutcome};
-use crate::gateway::board::{Board, DirectoryGroup, Origin};
+use crate::gateway::board::{Board, DirectoryGroup, Origin, PendingCommit};
 use crate::gateway::event::Event;
 use crate::gateway::message::StoreReply;
 use crate::key::SyncToken;
@@ -85,7 +85,8 @@
         let command = Command::Directory(command);
         match group.replica.propose(board.now, command, &mut group.outbox) {
             Ok(index) => {
-                group.pending_commits.insert(index, (group.replica.term(), origin));
+                let (term, proposed_at) = (group.replica.term(), board.now.mono);
+                group.pending_commits.insert(index, PendingCommit { term, origin, proposed_at });
             }
             Err(_) => {
                 let Some(origin) = origin else { continue };
@@ -115,7 +116,7 @@
     let Command::Directory(command) = &entry.command else { return };
     let outcome = group.directory.apply(command);
     mark_changes(board, group, command);
-    let Some((term, Some(origin))) = pending else { return };
+    let Some(PendingCommit { term, origin: Some(origin), .. }) = pending else { return };
     let reply = match outcome {
         _ if term != entry.term => StoreReply::Undetermined,
         DirectoryOutcome::Applied => StoreReply::Done,
@@ -144,10 +145,16 @@
         DirectoryCommand::AppendResults { job, .. } => {
             board.changed_jobs.insert(job.clone());
         }
-        DirectoryCommand::EndJob { job, .. } => {
+        DirectoryCommand::EndJob { job, at } => {
             board.changed_jobs.insert(job.clone());
-            let listed = group.directory.jobs.get(job).map_or(0, |job| job.results.len());
-            board.note(EventKind::Job, job.clone(), format!("ended listed={listed}"));
+            let Some(ended) = group.directory.jobs.get(job) else { return };
+            let detail = format!(
+                "ended listed={}/{} took_ms={}",
+                ended.results.len(),
+                ended.spec.items.len(),
+                at.since(ended.accepted_at).0
+            );
+            board.note(EventKind::Job, job.clone(), detail);
         }
         DirectoryCommand::RetireVoter { host, incarnation } => {
             group.replica.set_retired(&group.directory.retired);
@@ -223,7 +230,7 @@
 /// undetermined.
 fn abandon_commands(board: &mut Board, group: &mut DirectoryGroup) {
     let pending = std::mem::take(&mut group.pending_commits);
-    let origins: Vec<Origin> = pending.into_values().filter_map(|(_, origin)| origin).collect();
+    let origins: Vec<Origin> = pending.into_values().filter_map(|pending| pending.origin).collect();
     for origin in origins {
         board.reply(origin, StoreReply::Undetermined);
     }
--- a/crates/core/src/gateway/controller/items.rs
+++ b/crates/core/src/gateway/controller/items.rs
@@ -286,19 +286,22 @@
     let upstream = &board.upstreams[upstream_key];
     let version = spec.model.as_ref().map(|model| upstream.version_of(model));
     let item = &mut board.items[key];
+    let waited =
+        if let ItemState::Waiting(since) = item.state { now.since(since) } else { Millis(0) };
     item.state = ItemState::Running(attempt);
     item.runs += 1;
     item.progress = (0, now);
     let detail = format!(
         "item={} run={} expected_tokens={expected} upstream={} version={version:?} \
-         in_flight={}/{} event_us={} resume_after={:?}",
+         in_flight={}/{} event_us={} resume_after={:?} waited_ms={}",
         item.index,
         item.runs,
         upstream.announced.id,
         upstream.in_flight,
         upstream.announced.slots,
         upstream.health.event_interval_us,
-        item.text.last_event
+        item.text.last_event,
+        waited.0
     );
     let run = RunItem {
         attempt,
--- a/crates/daemon/src/gateway.rs
+++ b/crates/daemon/src/gateway.rs
@@ -10,7 +10,9 @@
 pub mod control;
 pub mod events;
 pub mod forward;
+pub mod input;
 pub mod items;
+pub mod load;
 pub mod metrics;
 pub mod orders;
 pub mod pool;
--- a/crates/daemon/src/gateway/control.rs
+++ b/crates/daemon/src/gateway/control.rs
@@ -2,15 +2,17 @@
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
-use chestnutdrift_core::gateway::{Action, Answer, Event, Forward, Gateway, IncomingCall};
-use chestnutdrift_core::{ErrorKind, Millis, Problem, RequestTag};
+use chestnutdrift_core::gateway::{Action, Answer, Event, Forward, Gateway};
+use chestnutdrift_core::{Millis, RequestTag};
 use crossbeam::channel::{Receiver, RecvTimeoutError, Sender};
 use tokio::runtime::Runtime;
 use tokio::sync::mpsc;
 
+use super::input::{Input, QueuedInput};
 use super::items::ItemRuns;
+use super::load::LoadMeter;
 use super::orders::OrderSender;
 use super::pool::Pool;
 use super::server::ServerState;
@@ -19,9 +21,6 @@
 use crate::disk::DiskJob;
 use crate::link::Links;
 
-/// The capacity of the control thread's queue of inputs.
-pub const MAX_QUEUED_EVENTS: usize = 8_192;
-
 /// The capacity of an exchange's queue of directives; an answer may be queued behind the attempt
 /// that it replaces.
 pub const MAX_QUEUED_DIRECTIVES: usize = 8;
@@ -35,17 +34,6 @@
 /// The interval between sweeps of idle upstream connections.
 const SWEEP_INTERVAL: Millis = Millis(1_000);
 
-/// An input of the control thread.
-#[derive(Debug)]
-pub enum Input {
-    /// An event for the gateway.
-    Event(Event),
-    /// A call from a caller, an operator or an upstream, with the sender for its directives.
-    Open(IncomingCall, mpsc::Sender<Directive>),
-    /// The disk failed, so no record can be made durable any more; the detail says how.
-    DiskFailed(Box<str>),
-}
-
 /// An instruction from the control thread to an exchange.
 #[derive(Debug)]
 pub enum Directive {
@@ -83,18 +71,24 @@
 pub struct GatewayControl {
     gateway: Gateway,
     clock: Clock,
-    inputs: Receiver<Input>,
+    inputs: Receiver<QueuedInput>,
     outputs: Outputs,
     exchanges: BTreeMap<RequestTag, mpsc::Sender<Directive>>,
     routing_version: u64,
     next_sweep: Millis,
+    load: LoadMeter,
     ended: bool,
 }
 
 impl GatewayControl {
     /// Creates the control thread's state with no open exchange.
     #[must_use]
-    pub fn new(gateway: Gateway, clock: Clock, inputs: Receiver<Input>, outputs: Outputs) -> Self {
+    pub fn new(
+        gateway: Gateway,
+        clock: Clock,
+        inputs: Receiver<QueuedInput>,
+        outputs: Outputs,
+    ) -> Self {
         Self {
             gateway,
             clock,
@@ -103,6 +97,7 @@
             exchanges: BTreeMap::new(),
             routing_version: 0,
             next_sweep: Millis(0),
+            load: LoadMeter::default(),
             ended: false,
         }
     }
@@ -114,21 +109,36 @@
     /// Returns an error if the disk fails.
     pub fn run(mut self) -> anyhow::Result<()> {
         while !self.ended {
-            match self.inputs.recv_timeout(self.wait()) {
-                Ok(Input::Event(event)) => self.handle_event(&event),
-                Ok(Input::Open(call, directives)) => {
-                    self.exchanges.insert(call.tag, directives);
-                    self.handle_event(&Event::Opened(call));
+            let received = self.inputs.recv_timeout(self.wait());
+            let started = Instant::now();
+            match received {
+                Ok(queued) => {
+                    self.load.record_wait(started.saturating_duration_since(queued.queued_at));
+                    self.handle_input(queued.input)?;
                 }
-                Ok(Input::DiskFailed(detail)) => anyhow::bail!("the disk failed: {detail}"),
                 Err(RecvTimeoutError::Timeout) => self.handle_event(&Event::Tick),
                 Err(RecvTimeoutError::Disconnected) => break,
             }
+            let Self { load, gateway, inputs, outputs, .. } = &mut self;
+            load.record_handled(started.elapsed());
+            load.report(gateway.board(), inputs.len(), &outputs.runtime);
         }
         self.outputs.links.close();
         Ok(())
     }
 
+    fn handle_input(&mut self, input: Input) -> anyhow::Result<()> {
+        match input {
+            Input::Event(event) => self.handle_event(&event),
+            Input::Open(call, directives) => {
+                self.exchanges.insert(call.tag, directives);
+                self.handle_event(&Event::Opened(call));
+            }
+            Input::DiskFailed(detail) => anyhow::bail!("the disk failed: {detail}"),
+        }
+        Ok(())
+    }
+
     fn wait(&self) -> Duration {
         let wait = self.clock.time_until(self.gateway.next_deadline());
         wait.clamp(MIN_WAIT, MAX_WAIT)
@@ -207,12 +217,3 @@
         self.outputs.server.set_limits(routing.limits);
     }
 }
-
-impl Input {
-    /// Returns the problem for a call that is rejected because the queue of inputs is full.
-    #[must_use]
-    pub fn queue_full() -> Problem {
-        Problem::not_run(ErrorKind::Overloaded, "the host has too many events waiting")
-            .retry_after(Millis(1_000))
-    }
-}
--- a/crates/daemon/src/gateway/items.rs
+++ b/crates/daemon/src/gateway/items.rs
@@ -7,13 +7,12 @@
 use chestnutdrift_core::AttemptKey;
 use chestnutdrift_core::directory::ItemText;
 use chestnutdrift_core::gateway::{Event, ItemEnd, ItemRunReport, RunItem};
-use crossbeam::channel::Sender;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use tokio::sync::oneshot;
 
-use super::control::Input;
 use super::events::{EventReader, StreamEvent};
+use super::input::{Input, InputSender, NotQueued};
 use super::pool::{Connection, Pool, SendError};
 use super::protocol::{Protocol, ResponseClass};
 
@@ -36,7 +35,7 @@
 pub struct ItemRuns {
     protocol: Arc<dyn Protocol>,
     pool: Pool,
-    inputs: Sender<Input>,
+    inputs: InputSender,
     running: Arc<Mutex<BTreeMap<AttemptKey, ActiveRun>>>,
 }
 
@@ -50,7 +49,7 @@
 impl ItemRuns {
     /// Creates an empty set of runs.
     #[must_use]
-    pub fn new(protocol: Arc<dyn Protocol>, pool: Pool, inputs: Sender<Input>) -> Self {
+    pub fn new(protocol: Arc<dyn Protocol>, pool: Pool, inputs: InputSender) -> Self {
         Self { protocol, pool, inputs, running: Arc::default() }
     }
 
@@ -117,13 +116,10 @@
         if progress.is_empty() {
             return any_running;
         }
-        let Err(unsent) = self.inputs.try_send(Input::Event(Event::ItemProgress(progress))) else {
-            return any_running;
-        };
+        let queued = self.inputs.try_send(Input::Event(Event::ItemProgress(progress)));
+        let Err(NotQueued::Full(unsent)) = queued else { return any_running };
         log::debug!(event = "progress-put-off"; "the control thread's queue is full");
-        let Input::Event(Event::ItemProgress(progress)) = unsent.into_inner() else {
-            return any_running;
-        };
+        let Input::Event(Event::ItemProgress(progress)) = *unsent else { return any_running };
         for (attempt, part) in progress {
             let Some(Ok(mut text)) = running.get(&attempt).map(|run| run.text.lock()) else {
                 continue;
--- a/crates/daemon/src/gateway/metrics.rs
+++ b/crates/daemon/src/gateway/metrics.rs
@@ -7,7 +7,8 @@
 use bytes::Bytes;
 use chestnutdrift_core::gateway::Counters;
 use prometheus::{
-    Encoder, HistogramOpts, HistogramVec, IntGauge, IntGaugeVec, Opts, Registry, TextEncoder,
+    CounterVec, Encoder, Gauge, Histogram, HistogramOpts, HistogramVec, IntGauge, IntGaugeVec,
+    Opts, Registry, TextEncoder,
 };
 
 use super::pool::Pool;
@@ -22,6 +23,10 @@
     registry: Registry,
     gateway: IntGaugeVec,
     answers: HistogramVec,
+    event_wait: Histogram,
+    thread_busy: CounterVec,
+    encode_seconds: Gauge,
+    decode_seconds: Gauge,
     sent_bytes: IntGauge,
     sent_messages: IntGauge,
     connections: IntGauge,
@@ -43,6 +48,15 @@
         let help = "Time from the head of a request to the start of its answer, by listener";
         let opts = HistogramOpts::new("chestnutdrift_answer_seconds", help);
         let answers = HistogramVec::new(opts.buckets(BUCKETS.to_vec()), &["door"])?;
+        let help = "Time that an event waited before the control thread handled it";
+        let opts = HistogramOpts::new("chestnutdrift_event_wait_seconds", help);
+        let event_wait = Histogram::with_opts(opts.buckets(BUCKETS.to_vec()))?;
+        let opts = Opts::new("chestnutdrift_thread_busy_seconds", "Time spent working, by thread");
+        let thread_busy = CounterVec::new(opts, &["thread"])?;
+        let help = "Time spent on encoding messages to hosts";
+        let encode_seconds = Gauge::new("chestnutdrift_link_encode_seconds", help)?;
+        let help = "Time spent on decoding messages from hosts";
+        let decode_seconds = Gauge::new("chestnutdrift_link_decode_seconds", help)?;
         let sent_bytes = IntGauge::new("chestnutdrift_link_sent_bytes", "Bytes sent to hosts")?;
         let help = "Messages sent to hosts";
         let sent_messages = IntGauge::new("chestnutdrift_link_sent_messages", help)?;
@@ -50,10 +64,25 @@
         let connections = IntGauge::new("chestnutdrift_upstream_connections", help)?;
         registry.register(Box::new(gateway.clone()))?;
         registry.register(Box::new(answers.clone()))?;
+        registry.register(Box::new(event_wait.clone()))?;
+        registry.register(Box::new(thread_busy.clone()))?;
+        registry.register(Box::new(encode_seconds.clone()))?;
+        registry.register(Box::new(decode_seconds.clone()))?;
         registry.register(Box::new(sent_bytes.clone()))?;
         registry.register(Box::new(sent_messages.clone()))?;
         registry.register(Box::new(connections.clone()))?;
-        Ok(Self { registry, gateway, answers, sent_bytes, sent_messages, connections })
+        Ok(Self {
+            registry,
+            gateway,
+            answers,
+            event_wait,
+            thread_busy,
+            encode_seconds,
+            decode_seconds,
+            sent_bytes,
+            sent_messages,
+            connections,
+        })
     }
 }
 
@@ -69,11 +98,25 @@
     metrics.answers.with_label_values(&[listener]).observe(took.as_secs_f64());
 }
 
+/// Records how long an event waited for the control thread.
+pub(super) fn observe_event_wait(waited: Duration) {
+    let Some(metrics) = METRICS.as_ref() else { return };
+    metrics.event_wait.observe(waited.as_secs_f64());
+}
+
+/// Adds to the time that a thread has been busy.
+pub(super) fn add_thread_busy(thread: &str, busy: Duration) {
+    let Some(metrics) = METRICS.as_ref() else { return };
+    metrics.thread_busy.with_label_values(&[thread]).inc_by(busy.as_secs_f64());
+}
+
 /// Encodes the metrics page.
 pub(super) fn encode_page(counters: &Counters, pool: &Pool) -> FullReply {
     let mut body = Vec::new();
     if let Some(metrics) = METRICS.as_ref() {
         set_counters(&metrics.gateway, counters);
+        metrics.encode_seconds.set(seconds(LINK_COUNTERS.encode_us.load(Ordering::Relaxed)));
+        metrics.decode_seconds.set(seconds(LINK_COUNTERS.decode_us.load(Ordering::Relaxed)));
         metrics.sent_bytes.set(gauge_value(LINK_COUNTERS.sent_bytes.load(Ordering::Relaxed)));
         metrics.sent_messages.set(gauge_value(LINK_COUNTERS.sent_messages.load(Ordering::Relaxed)));
         metrics.connections.set(gauge_value(pool.opened()));
@@ -85,6 +128,10 @@
     FullReply { status: 200, content_type, headers: Vec::new(), body: Bytes::from(body) }
 }
 
+fn seconds(micros: u64) -> f64 {
+    Duration::from_micros(micros).as_secs_f64()
+}
+
 fn gauge_value(value: u64) -> i64 {
     i64::try_from(value).unwrap_or(i64::MAX)
 }
--- a/crates/daemon/src/gateway/orders.rs
+++ b/crates/daemon/src/gateway/orders.rs
@@ -5,11 +5,10 @@
 
 use bytes::Bytes;
 use chestnutdrift_core::gateway::{Event, Order, OrderEnd, UpstreamAddress};
-use crossbeam::channel::Sender;
 use http_body_util::BodyExt;
 use hyper::Request;
 
-use super::control::Input;
+use super::input::{Input, InputSender};
 use super::pool::{Pool, SendError};
 use super::protocol::{OrderReport, Protocol};
 use crate::clock::Clock;
@@ -30,7 +29,7 @@
     /// The clock on which leases expire.
     pub clock: Clock,
     /// The queue of the control thread, to which the end of an order is reported.
-    pub inputs: Sender<Input>,
+    pub inputs: InputSender,
 }
 
 impl OrderSender {
--- a/crates/daemon/src/gateway/server.rs
+++ b/crates/daemon/src/gateway/server.rs
@@ -12,7 +12,6 @@
 use chestnutdrift_core::directory::RequestLimits;
 use chestnutdrift_core::gateway::{Answer, Event, ForwardEnd, IncomingCall};
 use chestnutdrift_core::{AttemptKey, ErrorKind, Problem, RequestTag};
-use crossbeam::channel::{Sender, TrySendError};
 use futures_util::stream;
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::{Frame, Incoming};
@@ -25,8 +24,9 @@
 use tokio::runtime::Runtime;
 use tokio::sync::{Semaphore, mpsc, watch};
 
-use super::control::{Directive, Input, MAX_QUEUED_DIRECTIVES};
+use super::control::{Directive, MAX_QUEUED_DIRECTIVES};
 use super::forward::{self, Outcome, ReceivedRequest, StreamedBody, UpstreamResponse};
+use super::input::{Input, InputSender, NotQueued};
 use super::metrics;
 use super::pool::Pool;
 use super::protocol::{Listener, Protocol};
@@ -93,7 +93,7 @@
     /// The connections to upstreams.
     pub pool: Pool,
     /// The queue of the control thread.
-    pub inputs: Sender<Input>,
+    pub inputs: InputSender,
     /// The state that is shared with the control thread.
     pub state: Arc<ServerState>,
     /// The permits for open connections, one for each.
@@ -204,8 +204,8 @@
     fn send(&self, input: Input) -> Result<(), Problem> {
         match self.inputs.try_send(input) {
             Ok(()) => Ok(()),
-            Err(TrySendError::Full(_)) => Err(Input::queue_full()),
-            Err(TrySendError::Disconnected(_)) => {
+            Err(NotQueued::Full(_)) => Err(Input::queue_full()),
+            Err(NotQueued::Ended) => {
                 Err(Problem::not_run(ErrorKind::NotReady, "the host has stopped"))
             }
         }
@@ -222,7 +222,7 @@
 /// Reports `CallerGone` to the gateway if it is dropped while armed: the caller's connection has
 /// ended before its answer began.
 struct DisconnectGuard {
-    inputs: Sender<Input>,
+    inputs: InputSender,
     tag: RequestTag,
     armed: bool,
 }
--- a/crates/daemon/src/gateway/start.rs
+++ b/crates/daemon/src/gateway/start.rs
@@ -8,12 +8,12 @@
 use anyhow::Context;
 use chestnutdrift_core::HostId;
 use chestnutdrift_core::gateway::{Event, Gateway};
-use crossbeam::channel::{self, Sender};
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use signal_hook::iterator::Signals;
 use tokio::sync::Semaphore;
 
-use super::control::{GatewayControl, Input, MAX_QUEUED_EVENTS, Outputs};
+use super::control::{GatewayControl, Outputs};
+use super::input::{self, Input, InputSender, QueuedInput};
 use super::items::ItemRuns;
 use super::orders::OrderSender;
 use super::pool::Pool;
@@ -37,11 +37,11 @@
 /// Returns an error if the data folder can't be used, an address can't be bound, or the disk fails.
 pub fn run(file: &GatewaySettingsFile, protocol: Arc<dyn Protocol>) -> anyhow::Result<()> {
     let clock = Clock::start();
-    let (inputs, events) = channel::bounded(MAX_QUEUED_EVENTS);
+    let (inputs, events) = input::queue();
     let watch = Arc::new(Mutex::new(FileWatch::new(file)));
     watch_signals(Arc::clone(&watch), inputs.clone())?;
     let (data_dir, name) = (file.data_dir.as_deref(), &file.gateway.name);
-    let restored = RestoredData::open(data_dir, name, &inputs, disk_input)?;
+    let restored = RestoredData::open(data_dir, name, inputs.raw(), disk_input)?;
     let boot_id = clock::wall().0;
     let cfg = file.gateway.clone().instance_ids(restored.incarnation, boot_id);
     let mut gateway = Gateway::new(cfg, clock.now());
@@ -91,16 +91,16 @@
     ran
 }
 
-fn disk_input(report: DiskReport) -> Input {
+fn disk_input(report: DiskReport) -> QueuedInput {
     match report {
-        DiskReport::Synced(token) => Input::Event(Event::Synced(token)),
-        DiskReport::Failed(detail) => Input::DiskFailed(detail),
+        DiskReport::Synced(token) => Input::Event(Event::Synced(token)).into(),
+        DiskReport::Failed(detail) => Input::DiskFailed(detail).into(),
     }
 }
 
 /// Starts a thread that turns signals into events: SIGHUP reloads the settings file, SIGTERM and
 /// SIGINT stop the host.
-fn watch_signals(watch: Arc<Mutex<FileWatch>>, inputs: Sender<Input>) -> anyhow::Result<()> {
+fn watch_signals(watch: Arc<Mutex<FileWatch>>, inputs: InputSender) -> anyhow::Result<()> {
     let mut signals =
         Signals::new([SIGTERM, SIGINT, SIGHUP]).context("signals can't be watched")?;
     std::thread::Builder::new().name("signals".into()).spawn(move || {
@@ -120,7 +120,7 @@
 }
 
 /// Polls the settings file, to reload it where it has changed without a signal.
-async fn watch_file(watch: Arc<Mutex<FileWatch>>, inputs: Sender<Input>) {
+async fn watch_file(watch: Arc<Mutex<FileWatch>>, inputs: InputSender) {
     loop {
         tokio::time::sleep(FILE_POLL_INTERVAL).await;
         if let Ok(mut watch) = watch.lock() {
@@ -143,14 +143,14 @@
     }
 
     /// Reloads the file if it has changed since it was last read.
-    fn poll(&mut self, inputs: &Sender<Input>) {
+    fn poll(&mut self, inputs: &InputSender) {
         let modified = modified_at(&self.path);
         if modified != self.last_modified {
             self.reload(inputs, "file");
         }
     }
 
-    fn reload(&mut self, inputs: &Sender<Input>, trigger: &str) {
+    fn reload(&mut self, inputs: &InputSender, trigger: &str) {
         self.last_modified = modified_at(&self.path);
         let file = match GatewaySettingsFile::read(&self.path) {
             Ok(file) => file,
--- a/crates/daemon/src/link.rs
+++ b/crates/daemon/src/link.rs
@@ -12,7 +12,8 @@
 use std::fmt::Debug;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::sync::Arc;
-use std::sync::atomic::AtomicU64;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Instant;
 
 use anyhow::Context;
 use chestnutdrift_core::HostId;
@@ -28,18 +29,35 @@
 /// The size of the read buffer of a link.
 const READ_BUFFER_BYTES: usize = 16 * 1024;
 
-/// Counters of what a process has sent over its links.
+/// Counters of what a process has sent and received over its links.
 #[derive(Debug)]
 pub struct LinkCounters {
     /// The bytes of the messages, without the frames around them.
     pub sent_bytes: AtomicU64,
     /// The number of messages.
     pub sent_messages: AtomicU64,
+    /// The time spent on encoding messages, in microseconds.
+    pub encode_us: AtomicU64,
+    /// The time spent on decoding messages, in microseconds.
+    pub decode_us: AtomicU64,
 }
 
 /// The counters of this process.
-pub static LINK_COUNTERS: LinkCounters =
-    LinkCounters { sent_bytes: AtomicU64::new(0), sent_messages: AtomicU64::new(0) };
+pub static LINK_COUNTERS: LinkCounters = LinkCounters {
+    sent_bytes: AtomicU64::new(0),
+    sent_messages: AtomicU64::new(0),
+    encode_us: AtomicU64::new(0),
+    decode_us: AtomicU64::new(0),
+};
+
+/// Runs `work` and adds the time that it took to a counter, in microseconds.
+fn timed<T>(counter: &AtomicU64, work: impl FnOnce() -> T) -> T {
+    let started = Instant::now();
+    let done = work();
+    let took = u64::try_from(started.elapsed().as_micros()).unwrap_or(u64::MAX);
+    counter.fetch_add(took, Ordering::Relaxed);
+    done
+}
 
 /// Resolves hosts to the addresses at which they accept links.
 pub trait AddressResolver: Debug + Send {
--- a/crates/daemon/src/link/inbound.rs
+++ b/crates/daemon/src/link/inbound.rs
@@ -37,7 +37,8 @@
     let Ok(Ok(mut link)) = tokio::time::timeout(HANDSHAKE_TIMEOUT, handshake).await else { return };
     while let Some(Ok(message)) = link.next().await {
         let Message::Binary(bytes) = message else { continue };
-        let envelope = match frame::decode(&bytes) {
+        let decoded = super::timed(&super::LINK_COUNTERS.decode_us, || frame::decode(&bytes));
+        let envelope = match decoded {
             Ok(envelope) => envelope,
             Err(error) => {
                 log::warn!(event = "message-unreadable"; "{error}");
--- a/crates/daemon/src/link/outbound.rs
+++ b/crates/daemon/src/link/outbound.rs
@@ -39,7 +39,8 @@
 pub(super) async fn run(address: SocketAddr, mut queue: Receiver<Envelope>) {
     let mut link = None;
     while let Some(envelope) = queue.recv().await {
-        let bytes = match frame::encode(&envelope) {
+        let encoded = super::timed(&super::LINK_COUNTERS.encode_us, || frame::encode(&envelope));
+        let bytes = match encoded {
             Ok(bytes) => bytes,
             Err(error) => {
                 log::error!(event = "message-dropped"; "{error}");
--- a/crates/daemon/src/logging.rs
+++ b/crates/daemon/src/logging.rs
@@ -30,7 +30,7 @@
 const BATCH_INTERVAL: Duration = Duration::from_millis(100);
 
 /// The size of a batch, in bytes, at which it is written before the interval ends.
-const MAX_BATCH_BYTES: usize = 64 * 1024;
+const MAX_BATCH_BYTES: usize = 8 * 1024;
 
 /// How long a program that ends waits for its last lines to be written.
 const FLUSH_TIMEOUT: Duration = Duration::from_secs(2);
