perf(wire): a leader compresses each log entry once, not once for every other store

Cause: a leader encoded and deflated each append anew for each of ten other stores. Its one traffic thread, which also reads the engines' streams, spent 60 to 90 percent of its time on that; results waited up to 10.9 s for their commit. Change: one encoder for all links. It compresses each log entry once, as a segment of a DEFLATE stream that refers to nothing outside of itself, keeps up to 4 MB of segments, and joins them. The bytes are still one stream of one message: hosts of earlier versions read it. Other messages are compressed and decompressed through a buffer, not in the few bytes that CBOR writes and reads at a time. Excluded: one message for all replicas: their replies come at different times, so their next messages differ in the entries they start with. The leader's work no longer grows with the stores, but for copying bytes.

--- a/crates/core/tests/it/deployment.rs
+++ b/crates/core/tests/it/deployment.rs
@@ -8,6 +8,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use chestnutdrift_core::agreement::{GroupMessage, Record};
@@ -57,6 +58,12 @@
     tick: u64,
 }
 
+/// Observes the events that hosts handle.
+pub(crate) type EventObserver = Box<dyn FnMut(HostId, &Event, Duration)>;
+
+/// Observes the messages that hosts send.
+pub(crate) type SendObserver = Box<dyn FnMut(HostId, &Envelope)>;
+
 /// A simulated deployment with its links, engines and callers.
 pub(crate) struct Deployment {
     pub(crate) now: u64,
@@ -72,6 +79,14 @@
     pub(crate) timeline: Vec<TimelineEvent>,
     pub(crate) engines: Vec<SimEngine>,
     pub(crate) orders: Vec<(u64, HostId, Order)>,
+    /// The number of slots of each engine.
+    pub(crate) engine_slots: u32,
+    /// The time between two events of an item, in milliseconds.
+    pub(crate) event_interval_ms: u64,
+    /// Called with each event that a host has handled and the time that it took.
+    pub(crate) on_event: Option<EventObserver>,
+    /// Called with each message that a host sends.
+    pub(crate) on_send: Option<SendObserver>,
     nodes: BTreeMap<HostId, Node>,
     seeds: Vec<HostId>,
     /// The bandwidth of a link, in bytes per millisecond.
@@ -99,6 +114,10 @@
             timeline: Vec::new(),
             engines: Vec::new(),
             orders: Vec::new(),
+            engine_slots: 4,
+            event_interval_ms: 20,
+            on_event: None,
+            on_send: None,
             nodes: BTreeMap::new(),
             seeds: (1..=stores.min(3)).map(HostId).collect(),
             bytes_per_ms: 10_000,
@@ -354,7 +373,11 @@
         }
         let Some(gateway) = &mut node.gateway else { return };
         let clock = Now::new(Millis(now - node.started_at), Millis(START_WALL_MS + now));
+        let started = Instant::now();
         let actions = gateway.handle(clock, event);
+        if let Some(observe) = &mut self.on_event {
+            observe(id, event, started.elapsed());
+        }
         let deadline = gateway.next_deadline().0.saturating_add(node.started_at);
         let deadline = deadline.clamp(now + 1, now + MAX_TICK_INTERVAL_MS);
         node.tick += 1;
@@ -394,6 +417,9 @@
     }
 
     fn send(&mut self, from: HostId, to: HostId, envelope: Envelope) {
+        if let Some(observe) = &mut self.on_send {
+            observe(from, &envelope);
+        }
         let is_lost = self.rng.random_range(0..100) < self.drop_percent;
         if is_lost || self.cut_links.contains(&(from, to)) {
             return;
--- a/crates/core/tests/it/deployment/upstreams.rs
+++ b/crates/core/tests/it/deployment/upstreams.rs
@@ -8,16 +8,14 @@
 use chestnutdrift_core::gateway::{
     Announcement, Event, ItemEnd, ItemRunReport, Order, OrderEnd, RunItem,
 };
-use rand::Rng;
+use rand::{Rng, SeedableRng};
+use rand_pcg::Pcg64Mcg;
 
 use super::{Deployment, Scheduled};
 
 /// The time between two announcements of an engine.
 const ANNOUNCE_INTERVAL_MS: u64 = 1_200;
 
-/// The time between two events of an item.
-const EVENT_INTERVAL_MS: u64 = 20;
-
 /// The number of events of a running item in one progress report.
 const EVENTS_PER_REPORT: usize = 12;
 
@@ -56,13 +54,13 @@
         }
     }
 
-    fn announcement(&self) -> Announcement {
+    fn announcement(&self, slots: u32) -> Announcement {
         Announcement {
             id: self.id.clone(),
             service: "engines".into(),
             address: format!("10.0.0.9:{}", 8_000 + self.id.len()).into(),
             zone: "zone-1".into(),
-            slots: 4,
+            slots,
             leaving: false,
             started_at: 1,
             seq: self.seq,
@@ -78,7 +76,7 @@
             return;
         }
         self.engines[index].seq += 1;
-        let announcement = self.engines[index].announcement();
+        let announcement = self.engines[index].announcement(self.engine_slots);
         let stores = self.stores();
         let store = stores[self.rng.random_range(0..stores.len())];
         self.send_call(store, Call::Announce(announcement));
@@ -93,7 +91,7 @@
             return;
         }
         let index = self.engine_index(&run.upstream.id);
-        let padding = self.event_padding_bytes;
+        let (padding, interval) = (self.event_padding_bytes, self.event_interval_ms);
         let (now, break_roll) = (self.now, self.rng.random_range(0..100));
         let engine = &mut self.engines[index];
         let rejected = now < engine.loading_until || run.version != Some(engine.versions["model"]);
@@ -108,7 +106,6 @@
             engine.completed_runs.push((run.job.id.clone(), run.item, engine.versions["model"]));
             (ItemEnd::Whole, length)
         };
-        let padding = "x".repeat(padding);
         let version = engine.versions["model"];
         let events: Vec<u64> = (first..=last).collect();
         let mut time = now + 1;
@@ -118,8 +115,9 @@
                 let progress = vec![(run.attempt, std::mem::take(&mut unreported))];
                 self.schedule(time, Scheduled::Event(host, boot_id, Event::ItemProgress(progress)));
             }
+            let padding = random_letters(u64::from(run.item) << 32 | *id, padding);
             unreported.push_event(*id, &format!("{}.{id}{padding}", run.item), Some(version));
-            time += EVENT_INTERVAL_MS;
+            time += interval;
         }
         let report = ItemRunReport { text: unreported, end };
         let event = Event::ItemEnded { attempt: run.attempt, run: report };
@@ -145,3 +143,9 @@
         self.schedule(now + 3, Scheduled::Event(host, boot_id, event));
     }
 }
+
+/// Returns letters that compress about as well as an engine's text.
+fn random_letters(seed: u64, count: usize) -> String {
+    let mut rng = Pcg64Mcg::seed_from_u64(seed);
+    (0..count).map(|_| char::from(rng.random_range(b'a'..=b'z'))).collect()
+}
--- a/crates/daemon/src/gateway/metrics.rs
+++ b/crates/daemon/src/gateway/metrics.rs
@@ -28,6 +28,7 @@
     encode_seconds: Gauge,
     decode_seconds: Gauge,
     sent_bytes: IntGauge,
+    deflated_bytes: IntGauge,
     sent_messages: IntGauge,
     connections: IntGauge,
 }
@@ -58,6 +59,8 @@
         let help = "Time spent on decoding messages from hosts";
         let decode_seconds = Gauge::new("chestnutdrift_link_decode_seconds", help)?;
         let sent_bytes = IntGauge::new("chestnutdrift_link_sent_bytes", "Bytes sent to hosts")?;
+        let help = "Bytes compressed for hosts";
+        let deflated_bytes = IntGauge::new("chestnutdrift_link_deflated_bytes", help)?;
         let help = "Messages sent to hosts";
         let sent_messages = IntGauge::new("chestnutdrift_link_sent_messages", help)?;
         let help = "Connections opened to upstreams";
@@ -69,6 +72,7 @@
         registry.register(Box::new(encode_seconds.clone()))?;
         registry.register(Box::new(decode_seconds.clone()))?;
         registry.register(Box::new(sent_bytes.clone()))?;
+        registry.register(Box::new(deflated_bytes.clone()))?;
         registry.register(Box::new(sent_messages.clone()))?;
         registry.register(Box::new(connections.clone()))?;
         Ok(Self {
@@ -80,6 +84,7 @@
             encode_seconds,
             decode_seconds,
             sent_bytes,
+            deflated_bytes,
             sent_messages,
             connections,
         })
@@ -118,6 +123,8 @@
         metrics.encode_seconds.set(seconds(LINK_COUNTERS.encode_us.load(Ordering::Relaxed)));
         metrics.decode_seconds.set(seconds(LINK_COUNTERS.decode_us.load(Ordering::Relaxed)));
         metrics.sent_bytes.set(gauge_value(LINK_COUNTERS.sent_bytes.load(Ordering::Relaxed)));
+        let deflated = LINK_COUNTERS.deflated_bytes.load(Ordering::Relaxed);
+        metrics.deflated_bytes.set(gauge_value(deflated));
         metrics.sent_messages.set(gauge_value(LINK_COUNTERS.sent_messages.load(Ordering::Relaxed)));
         metrics.connections.set(gauge_value(pool.opened()));
         if let Err(error) = TextEncoder::new().encode(&metrics.registry.gather(), &mut body) {
--- a/crates/daemon/src/link.rs
+++ b/crates/daemon/src/link.rs
@@ -11,13 +11,14 @@
 use std::collections::BTreeMap;
 use std::fmt::Debug;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
-use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
 use std::time::Instant;
 
 use anyhow::Context;
 use chestnutdrift_core::HostId;
 use chestnutdrift_core::message::Envelope;
+use chestnutdrift_wire::frame::Encoder;
 use tokio::net::TcpListener;
 use tokio::runtime::Runtime;
 use tokio::sync::mpsc;
@@ -38,6 +39,8 @@
     pub sent_messages: AtomicU64,
     /// The time spent on encoding messages, in microseconds.
     pub encode_us: AtomicU64,
+    /// The bytes that were compressed.
+    pub deflated_bytes: AtomicU64,
     /// The time spent on decoding messages, in microseconds.
     pub decode_us: AtomicU64,
 }
@@ -47,6 +50,7 @@
     sent_bytes: AtomicU64::new(0),
     sent_messages: AtomicU64::new(0),
     encode_us: AtomicU64::new(0),
+    deflated_bytes: AtomicU64::new(0),
     decode_us: AtomicU64::new(0),
 };
 
@@ -90,6 +94,7 @@
 pub struct Links {
     runtime: Arc<Runtime>,
     addresses: Box<dyn AddressResolver>,
+    encoder: Arc<Mutex<Encoder>>,
     queues: BTreeMap<HostId, mpsc::Sender<Envelope>>,
 }
 
@@ -109,16 +114,16 @@
             .block_on(TcpListener::bind(address))
             .with_context(|| format!("{address} can't be bound"))?;
         runtime.spawn(inbound::accept(listener, deliver));
-        Ok(Self { runtime, addresses, queues: BTreeMap::new() })
+        Ok(Self { runtime, addresses, encoder: Arc::default(), queues: BTreeMap::new() })
     }
 
     /// Sends a message; drops it if the address is unknown or the queue of the link is full.
     pub fn send(&mut self, to: HostId, envelope: Envelope) {
         let Some(address) = self.addresses.resolve(to) else { return };
-        let runtime = &self.runtime;
+        let (runtime, encoder) = (&self.runtime, &self.encoder);
         let queue = self.queues.entry(to).or_insert_with(|| {
             let (tx, rx) = mpsc::channel(MAX_QUEUED_MESSAGES);
-            runtime.spawn(outbound::run(address, rx));
+            runtime.spawn(outbound::run(address, rx, Arc::clone(encoder)));
             tx
         });
         if queue.try_send(envelope).is_err() {
--- a/crates/daemon/src/link/outbound.rs
+++ b/crates/daemon/src/link/outbound.rs
@@ -2,11 +2,12 @@
 
 use std::net::SocketAddr;
 use std::sync::atomic::Ordering;
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use chestnutdrift_core::message::Envelope;
-use chestnutdrift_wire::frame;
+use chestnutdrift_wire::frame::{Encoder, FrameError};
 use futures_util::{FutureExt, SinkExt, StreamExt};
 use rustix::net::sockopt::set_tcp_user_timeout;
 use tokio::net::TcpStream;
@@ -36,11 +37,14 @@
 ///
 /// If a link can't be opened, its message is dropped, and so are those queued by the end of the
 /// delay.
-pub(super) async fn run(address: SocketAddr, mut queue: Receiver<Envelope>) {
+pub(super) async fn run(
+    address: SocketAddr,
+    mut queue: Receiver<Envelope>,
+    encoder: Arc<Mutex<Encoder>>,
+) {
     let mut link = None;
     while let Some(envelope) = queue.recv().await {
-        let encoded = super::timed(&super::LINK_COUNTERS.encode_us, || frame::encode(&envelope));
-        let bytes = match encoded {
+        let bytes = match encode(&encoder, &envelope) {
             Ok(bytes) => bytes,
             Err(error) => {
                 log::error!(event = "message-dropped"; "{error}");
@@ -66,6 +70,16 @@
     }
 }
 
+/// Encodes a message with the encoder that all links share, and counts the work.
+fn encode(encoder: &Mutex<Encoder>, envelope: &Envelope) -> Result<Bytes, FrameError> {
+    let counters = &super::LINK_COUNTERS;
+    // An encoder whose user panicked stays valid: it starts each message anew.
+    let mut encoder = encoder.lock().unwrap_or_else(PoisonError::into_inner);
+    let encoded = super::timed(&counters.encode_us, || encoder.encode(envelope));
+    counters.deflated_bytes.store(encoder.deflated_bytes(), Ordering::Relaxed);
+    encoded
+}
+
 /// An open link with the state of its last ping.
 struct OutboundLink {
     socket: WebSocketStream<TcpStream>,
@@ -90,7 +104,7 @@
     }
 
     /// Writes a message; returns `false` if the link is closed or a ping was not answered in time.
-    async fn write(&mut self, bytes: Vec<u8>) -> bool {
+    async fn write(&mut self, bytes: Bytes) -> bool {
         if !self.read_available() || (!self.answered && self.last_ping.elapsed() > PONG_TIMEOUT) {
             return false;
         }
@@ -100,7 +114,7 @@
                 return false;
             }
         }
-        self.socket.send(Message::Binary(bytes.into())).await.is_ok()
+        self.socket.send(Message::Binary(bytes)).await.is_ok()
     }
 
     /// Reads what has arrived, without waiting; returns `false` if the link is closed.
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -4,13 +4,16 @@
 //! message is ignored; an unknown message is a decoding error, and the receiver counts and drops
 //! the message. The meaning of a field never changes.
 
+mod encoder;
+mod segments;
+
 use std::fmt::{Display, Formatter};
-use std::io::{Read, Write};
+use std::io::{BufReader, Read};
 
 use chestnutdrift_core::message::Envelope;
-use flate2::Compression;
 use flate2::bufread::DeflateDecoder;
-use flate2::write::DeflateEncoder;
+
+pub use encoder::Encoder;
 
 /// The longest message that a host accepts, in bytes, before and after decompression.
 pub const MAX_MESSAGE_BYTES: usize = 64 * 1024 * 1024;
@@ -35,20 +38,6 @@
 
 impl std::error::Error for FrameError {}
 
-/// Encodes a message.
-///
-/// # Errors
-///
-/// Returns an error if the encoder fails. Messages that the core creates can always be encoded.
-pub fn encode(envelope: &Envelope) -> Result<Vec<u8>, FrameError> {
-    let mut writer = FrameWriter::Plain(Vec::new());
-    ciborium::into_writer(envelope, &mut writer).map_err(|error| frame_error(&error))?;
-    match writer {
-        FrameWriter::Plain(buf) => Ok(buf),
-        FrameWriter::Deflated(encoder) => encoder.finish().map_err(|error| frame_error(&error)),
-    }
-}
-
 /// Decodes a message.
 ///
 /// # Errors
@@ -64,9 +53,11 @@
     let Some(deflated) = bytes.strip_prefix(&[DEFLATE_MARKER]) else {
         return ciborium::from_reader(bytes).map_err(|error| frame_error(&error));
     };
-    let mut inflated = DeflateDecoder::new(deflated).take(MAX_MESSAGE_BYTES as u64);
-    let decoded = ciborium::from_reader(&mut inflated);
-    if inflated.limit() == 0 {
+    let inflated = DeflateDecoder::new(deflated).take(MAX_MESSAGE_BYTES as u64);
+    // The CBOR decoder reads a few bytes at a time.
+    let mut buffered = BufReader::new(inflated);
+    let decoded = ciborium::from_reader(&mut buffered);
+    if buffered.get_ref().limit() == 0 {
         return Err(FrameError(
             format!("too long when inflated: the limit is {MAX_MESSAGE_BYTES} bytes").into(),
         ));
@@ -77,31 +68,3 @@
 fn frame_error(error: &impl Display) -> FrameError {
     FrameError(error.to_string().into())
 }
-
-/// The writer of one message. It switches to a compressed stream once the message reaches
-/// [`MIN_DEFLATED_BYTES`], so that a long message is never held uncompressed as well.
-enum FrameWriter {
-    Plain(Vec<u8>),
-    Deflated(DeflateEncoder<Vec<u8>>),
-}
-
-impl Write for FrameWriter {
-    fn write(&mut self, bytes: &[u8]) -> std::io::Result<usize> {
-        if let Self::Plain(buf) = self {
-            if buf.len() + bytes.len() < MIN_DEFLATED_BYTES {
-                return buf.write(bytes);
-            }
-            let mut encoder = DeflateEncoder::new(vec![DEFLATE_MARKER], Compression::fast());
-            encoder.write_all(buf)?;
-            *self = Self::Deflated(encoder);
-        }
-        match self {
-            Self::Plain(buf) => buf.write(bytes),
-            Self::Deflated(encoder) => encoder.write(bytes),
-        }
-    }
-
-    fn flush(&mut self) -> std::io::Result<()> {
-        Ok(())
-    }
-}
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -13,7 +13,7 @@
 //!
 //! let message = Message::SettingsPull { have: 4 };
 //! let envelope = Envelope { from: HostId(1), stamp: Stamp::default(), message };
-//! let bytes = frame::encode(&envelope).unwrap();
+//! let bytes = frame::Encoder::default().encode(&envelope).unwrap();
 //! assert_eq!(frame::decode(&bytes).unwrap(), envelope);
 //! ```
 
--- a/crates/wire/tests/frame.rs
+++ b/crates/wire/tests/frame.rs
@@ -2,11 +2,12 @@
 
 use std::io::Write;
 
+use bytes::Bytes;
 use chestnutdrift_core::HostId;
 use chestnutdrift_core::gateway::{GatewayMessage, StoreRequest};
 use chestnutdrift_core::message::{Envelope, Message};
 use chestnutdrift_core::timeline::Stamp;
-use chestnutdrift_wire::frame::{MAX_MESSAGE_BYTES, decode, encode};
+use chestnutdrift_wire::frame::{Encoder, FrameError, MAX_MESSAGE_BYTES, decode};
 use flate2::Compression;
 use flate2::write::DeflateEncoder;
 use test_case::test_case;
@@ -27,6 +28,10 @@
     Envelope { from: HostId(1), stamp, message: Message::Gateway(Box::new(message)) }
 }
 
+fn encode(envelope: &Envelope) -> Result<Bytes, FrameError> {
+    Encoder::default().encode(envelope)
+}
+
 #[test_case(10)]
 #[test_case(1_000)]
 #[test_case(2_000)]
