fix(wire): a segment that just filled its buffer was cut off, and no replica could read the append

Cause: when the output buffer was full, the compressor was called again for the rest of its flush. It then returns what it has ready, but does not go on with input that it has taken in already, and the segment ended too early. It also went into the cache. Change: the buffer has room for the longest possible segment, and a segment that fills it is an error.

--- a/crates/wire/src/frame/encoder.rs
+++ b/crates/wire/src/frame/encoder.rs
@@ -16,9 +16,11 @@
 /// at a time.
 const WRITE_BUFFER_BYTES: usize = 16 * 1024;
 
-/// The room that the compressor needs beside its input when the input can't be compressed: five
-/// bytes for each block of 16 KB or more, and the end of the segment.
-const MIN_SEGMENT_ROOM_BYTES: usize = 64;
+/// The part of its input, in percent, by which a segment can be longer than its input.
+const MAX_EXPANSION_PERCENT: usize = 10;
+
+/// The most bytes by which a segment of a short input can be longer than its input.
+const MAX_SHORT_EXPANSION_BYTES: usize = 128;
 
 /// The CBOR encoding of the key `entries` of an append with an empty array as its value.
 const EMPTY_ENTRIES: [u8; 9] = *b"\x67entries\x80";
@@ -93,40 +95,37 @@
         push_array_header(&mut before, entries.len());
 
         let mut buf = vec![DEFLATE_MARKER];
-        self.deflate(&before, FlushCompress::Sync, &mut buf)?;
+        buf.extend(self.deflate(&before, FlushCompress::Sync)?);
         for entry in entries {
             let key = SegmentKey::new(frame, entry);
             if let Some(segment) = self.segments.get(key) {
                 buf.extend_from_slice(segment);
                 continue;
             }
-            let start = buf.len();
-            self.deflate(&to_cbor(entry)?, FlushCompress::Sync, &mut buf)?;
-            self.segments.insert(key, Bytes::copy_from_slice(&buf[start..]));
+            let segment = self.deflate(&to_cbor(entry)?, FlushCompress::Sync)?;
+            buf.extend_from_slice(&segment);
+            self.segments.insert(key, Bytes::copy_from_slice(&segment));
         }
-        self.deflate(&around[end..], FlushCompress::Finish, &mut buf)?;
+        buf.extend(self.deflate(&around[end..], FlushCompress::Finish)?);
         Ok(buf.into())
     }
 
-    /// Compresses bytes as a segment that ends on a byte boundary, and appends it to `buf`.
-    fn deflate(
-        &mut self,
-        bytes: &[u8],
-        flush: FlushCompress,
-        buf: &mut Vec<u8>,
-    ) -> Result<(), FrameError> {
+    /// Compresses bytes to a segment that ends on a byte boundary.
+    ///
+    /// The buffer has room for the longest possible segment, because the compressor does not finish
+    /// a flush that its caller has to continue with more room.
+    fn deflate(&mut self, bytes: &[u8], flush: FlushCompress) -> Result<Vec<u8>, FrameError> {
+        let expansion = bytes.len() * MAX_EXPANSION_PERCENT / 100 + MAX_SHORT_EXPANSION_BYTES;
+        let mut segment = Vec::with_capacity(bytes.len() + expansion);
         self.compressor.reset();
+        let compressed = self.compressor.compress_vec(bytes, &mut segment, flush);
+        compressed.map_err(|error| frame_error(&error))?;
         self.deflated_bytes += bytes.len() as u64;
-        loop {
-            buf.reserve(bytes.len() / 2 + MIN_SEGMENT_ROOM_BYTES);
-            let read = usize::try_from(self.compressor.total_in()).unwrap_or(bytes.len());
-            let compressed = self.compressor.compress_vec(&bytes[read..], buf, flush);
-            compressed.map_err(|error| frame_error(&error))?;
-            // The output is complete once the compressor leaves room in the buffer.
-            if buf.len() < buf.capacity() && self.compressor.total_in() == bytes.len() as u64 {
-                return Ok(());
-            }
+        let all_read = self.compressor.total_in() == bytes.len() as u64;
+        if !all_read || segment.len() == segment.capacity() {
+            return Err(FrameError(format!("{} bytes were not compressed", bytes.len()).into()));
         }
+        Ok(segment)
     }
 }
 
