perf(core): the items that wait cost nothing while no engine has a free slot

Cause: every event, also a hello, compared every waiting item with every engine. Change: engines with a free slot are selected first; without one the queue is not looked at. Which of them can run a job is found once for all its items.

--- a/crates/core/src/gateway/controller/items.rs
+++ b/crates/core/src/gateway/controller/items.rs
@@ -13,7 +13,7 @@
 
 use std::collections::BTreeMap;
 
-use self::engines::{engines_for, reserved_tokens};
+use self::engines::{FreeEngines, reserved_tokens};
 use self::progress::{handle_progress, move_slow_items, propose_parts};
 use super::Controller;
 use crate::directory::{DirectoryCommand, ItemOutcome, ItemResult, ItemText, JobSpec, NewResult};
@@ -196,7 +196,15 @@
         }
     }
 
+    /// Places waiting items on the engines with a free slot.
+    ///
+    /// The engines come first because this runs for each event: with a long queue there is mostly
+    /// no free slot, and the items need not be looked at.
     fn place_waiting(&self, board: &mut Board) {
+        let mut free = FreeEngines::new(board);
+        if free.is_empty() {
+            return;
+        }
         let now = board.now.mono;
         let mut waiting = Vec::new();
         for (key, item) in &board.items {
@@ -211,9 +219,13 @@
         }
         self.placement.order(&mut waiting);
         for item in waiting {
-            let engines = engines_for(board, item.key);
+            if free.is_empty() {
+                break;
+            }
+            let engines = free.candidates_for(board, item.key);
             let Some(upstream) = self.placement.place(&item, &engines) else { continue };
             start_run(board, item.key, upstream);
+            free.remove_if_full(board, upstream);
         }
     }
 }
--- a/crates/core/src/gateway/controller/items/engines.rs
+++ b/crates/core/src/gateway/controller/items/engines.rs
@@ -1,9 +1,11 @@
 //! The selection of engines that can run an item.
 
+use std::collections::BTreeMap;
+
 use crate::directory::JobSpec;
 use crate::gateway::board::{Board, Item, Upstream};
 use crate::gateway::policy::EngineCandidate;
-use crate::key::ItemKey;
+use crate::key::{ItemKey, JobKey, UpstreamKey};
 
 /// The average share of its expected output that an item occupies in an engine's memory, in
 /// percent: its text grows from nothing while it runs.
@@ -23,48 +25,108 @@
     (u64::from(item.prompt_tokens) + expected).min(u64::from(item.tokens))
 }
 
-/// Returns the engines that have room for an item and run weights that its job accepts.
-pub(super) fn engines_for(board: &Board, key: ItemKey) -> Vec<EngineCandidate> {
-    let item = &board.items[key];
-    let Some(job) = board.jobs.get(item.job) else { return Vec::new() };
-    let spec = &job.spec;
-    let Some(routing) = &board.routing else { return Vec::new() };
-    let tokens = reserved_tokens(spec, item.index);
-    let now = board.now.mono;
-    let mut engines = Vec::new();
-    for (upstream_key, upstream) in &board.upstreams {
-        let announced = &upstream.announced;
-        if !spec.services.contains(&announced.service) || !upstream.accepts_requests() {
-            continue;
+/// An engine with a free slot.
+#[derive(Debug, Clone, Copy)]
+struct FreeEngine {
+    key: UpstreamKey,
+    /// The size of its memory, in tokens.
+    memory_tokens: u64,
+}
+
+/// The engines that have a free slot during one pass over the waiting items.
+///
+/// The items of a job differ only in the memory that they need and in the text that they resume, so
+/// the engines that can run a job are selected once for all its items.
+#[derive(Debug)]
+pub(super) struct FreeEngines {
+    all: Vec<FreeEngine>,
+    by_job: BTreeMap<JobKey, Vec<FreeEngine>>,
+}
+
+impl FreeEngines {
+    /// Selects the engines that have a free slot and may be given items.
+    pub(super) fn new(board: &Board) -> Self {
+        let mut all = Vec::new();
+        for (key, upstream) in &board.upstreams {
+            if !has_free_slot(upstream) || !upstream.accepts_requests() {
+                continue;
+            }
+            if upstream.is_avoided(board.now.mono) {
+                continue;
+            }
+            let Some(routing) = &board.routing else { continue };
+            let service = routing.service(&upstream.announced.service);
+            let engine = service.and_then(|service| service.engine.as_ref());
+            let memory_tokens = engine.map_or(u64::MAX, |engine| engine.memory_tokens);
+            all.push(FreeEngine { key, memory_tokens });
         }
-        let memory =
-            routing.service(&announced.service).and_then(|service| service.engine.as_ref());
-        let memory = memory.map_or(u64::MAX, |engine| engine.memory_tokens);
-        let has_memory = upstream.tokens == 0
-            || (upstream.tokens + tokens) * 100 <= memory.saturating_mul(MAX_RESERVED_PERCENT);
-        let is_free = upstream.in_flight < announced.slots.max(1) && has_memory;
-        let is_loading = spec.model.as_ref().is_some_and(|model| upstream.load.blocks(model));
-        let is_blocked = upstream.is_avoided(now) || is_loading;
-        if !is_free || is_blocked || !accepts_version(item, spec, upstream) {
-            continue;
+        Self { all, by_job: BTreeMap::new() }
+    }
+
+    /// Returns whether no engine has a free slot.
+    pub(super) fn is_empty(&self) -> bool {
+        self.all.is_empty()
+    }
+
+    /// Removes an engine that has just been given an item, if that took its last free slot.
+    pub(super) fn remove_if_full(&mut self, board: &Board, key: UpstreamKey) {
+        if board.upstreams.get(key).is_some_and(has_free_slot) {
+            return;
+        }
+        for engines in self.by_job.values_mut().chain([&mut self.all]) {
+            engines.retain(|engine| engine.key != key);
         }
-        engines.push(EngineCandidate {
-            key: upstream_key,
-            distance: board.cfg.distance(&announced.zone),
-            in_flight: upstream.in_flight,
-            slots: announced.slots.max(1),
-            event_interval_us: upstream.health.event_interval_us,
-        });
     }
-    if engines.len() > 1 {
-        engines.retain(|engine| Some(engine.key) != item.avoid);
+
+    /// Returns the engines that have memory for an item and run weights that its job accepts.
+    pub(super) fn candidates_for(&mut self, board: &Board, key: ItemKey) -> Vec<EngineCandidate> {
+        let item = &board.items[key];
+        let Some(job) = board.jobs.get(item.job) else { return Vec::new() };
+        let spec = &job.spec;
+        let able = self.by_job.entry(item.job).or_insert_with(|| {
+            let can_run = |engine: &&FreeEngine| can_run_job(board, engine.key, spec);
+            self.all.iter().filter(can_run).copied().collect()
+        });
+        let tokens = reserved_tokens(spec, item.index);
+        let mut engines = Vec::new();
+        for engine in able.iter() {
+            let Some(upstream) = board.upstreams.get(engine.key) else { continue };
+            let limit = engine.memory_tokens.saturating_mul(MAX_RESERVED_PERCENT);
+            let has_memory = upstream.tokens == 0 || (upstream.tokens + tokens) * 100 <= limit;
+            if !has_memory || !can_resume(item, spec, upstream) {
+                continue;
+            }
+            engines.push(EngineCandidate {
+                key: engine.key,
+                distance: board.cfg.distance(&upstream.announced.zone),
+                in_flight: upstream.in_flight,
+                slots: upstream.announced.slots.max(1),
+                event_interval_us: upstream.health.event_interval_us,
+            });
+        }
+        if engines.len() > 1 {
+            engines.retain(|engine| Some(engine.key) != item.avoid);
+        }
+        engines
     }
-    engines
 }
 
-fn accepts_version(item: &Item, spec: &JobSpec, upstream: &Upstream) -> bool {
+fn has_free_slot(upstream: &Upstream) -> bool {
+    upstream.in_flight < upstream.announced.slots.max(1)
+}
+
+/// Returns whether an engine serves a job and runs weights that the job accepts.
+fn can_run_job(board: &Board, key: UpstreamKey, spec: &JobSpec) -> bool {
+    let Some(upstream) = board.upstreams.get(key) else { return false };
+    if !spec.services.contains(&upstream.announced.service) {
+        return false;
+    }
     let Some(model) = &spec.model else { return true };
-    let version = upstream.version_of(model);
-    let resumes = item.text.events > 0 && spec.single_version;
-    version >= spec.min_version && (!resumes || item.text.versions == [version])
+    !upstream.load.blocks(model) && upstream.version_of(model) >= spec.min_version
+}
+
+/// Returns whether an engine can continue the text of an item.
+fn can_resume(item: &Item, spec: &JobSpec, upstream: &Upstream) -> bool {
+    let Some(model) = spec.model.as_ref().filter(|_| spec.single_version) else { return true };
+    item.text.events == 0 || item.text.versions == [upstream.version_of(model)]
 }
--- a/crates/core/src/gateway/controller/items/progress.rs
+++ b/crates/core/src/gateway/controller/items/progress.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 
 use super::BATCH_BYTES;
-use super::engines::engines_for;
+use super::engines::FreeEngines;
 use crate::directory::{DirectoryCommand, ItemText, TextPart};
 use crate::gateway::action::Action;
 use crate::gateway::board::{Board, ItemState, Purpose};
@@ -115,6 +115,10 @@
             slow.push((key, attempt_key, attempt.upstream));
         }
     }
+    if slow.is_empty() {
+        return;
+    }
+    let mut free = FreeEngines::new(board);
     let mut moves: BTreeMap<UpstreamKey, u32> = BTreeMap::new();
     for (key, attempt_key, from) in slow {
         let can_take = |engine: &&EngineCandidate| {
@@ -122,7 +126,7 @@
             let is_fast_enough = engine.event_interval_us * 100 <= median_us * MOVE_TO_PERCENT;
             engine.key != from && is_fast_enough && engine.in_flight + moved < engine.slots
         };
-        let engines = engines_for(board, key);
+        let engines = free.candidates_for(board, key);
         let Some(to) = engines.iter().find(can_take).map(|engine| engine.key) else { continue };
         *moves.entry(to).or_default() += 1;
         board.items[key].state = ItemState::Stopping(attempt_key);
