--- /dev/null
+++ b/crates/core/tests/it/item_queue.rs
@@ -0,0 +1,52 @@
+//! A long queue of items that wait for engines.
+
+use std::cell::Cell;
+use std::rc::Rc;
+use std::time::Duration;
+
+use chestnutdrift_core::HostId;
+use chestnutdrift_core::gateway::board::ItemState;
+use chestnutdrift_core::gateway::{Answer, Call, Event};
+
+use crate::deployment::{Deployment, SimEngine, job, routing};
+
+const ENTRY: HostId = HostId(101);
+const ENGINES: u32 = 48;
+const ITEMS: u32 = 1_000;
+
+/// The most time that the fastest of many events may take: a leader handles some 600 events a
+/// second and has a third of a core.
+const MAX_EVENT_TIME: Duration = Duration::from_micros(500);
+
+/// Guards against a leader that compared every waiting item with every engine for each event, and
+/// lost its lease because its events took too long.
+#[test]
+fn an_event_is_handled_quickly_while_a_thousand_items_wait_for_engines() {
+    let mut deployment = Deployment::new(5, 3, 1);
+    deployment.event_interval_ms = 1_000;
+    deployment.events_per_item = Some(60);
+    for number in 1..=ENGINES {
+        deployment.add_engine(SimEngine::new(number));
+    }
+    deployment.run(5_000);
+    let put = deployment.call(HostId(2), Call::PutRouting(routing(1)), 900);
+    assert_eq!(put, Some(Answer::Done));
+    deployment.run(3_000);
+    let leader = deployment.leader().expect("a leader");
+    deployment.submit(ENTRY, job("job", ITEMS, 1));
+    deployment.run(2_000);
+    let items = &deployment.gateway(leader).board().items;
+    let waiting = items.values().filter(|item| matches!(item.state, ItemState::Waiting(_))).count();
+    assert!(waiting > 700, "only {waiting} items wait");
+
+    let fastest = Rc::new(Cell::new(Duration::MAX));
+    let observed = Rc::clone(&fastest);
+    deployment.on_event = Some(Box::new(move |host, event, took| {
+        if host == leader && matches!(event, Event::Received(_)) {
+            observed.set(observed.get().min(took));
+        }
+    }));
+    deployment.run(2_000);
+    let fastest = fastest.get();
+    assert!(fastest < MAX_EVENT_TIME, "an event took {fastest:?} with {waiting} items waiting");
+}
--- a/crates/core/tests/it/main.rs
+++ b/crates/core/tests/it/main.rs
@@ -8,6 +8,7 @@
 mod determinism;
 mod directory;
 mod fleet_settings;
+mod item_queue;
 mod lifecycle;
 mod partial_texts;
 mod recovery;
