--- a/crates/wire/src/frame/segments.rs
+++ b/crates/wire/src/frame/segments.rs
@@ -7,9 +7,9 @@
 
 /// The most bytes of segments that are cached.
 ///
-/// A replica that follows the leader within a second needs no older ones: the results of a second
-/// are a fraction of this.
-const MAX_CACHED_BYTES: usize = 4 * 1024 * 1024;
+/// Replicas that keep up need the entries of a few round trips; the others get theirs compressed
+/// again.
+const MAX_CACHED_BYTES: usize = 1024 * 1024;
 
 /// Identifies a log entry. In one group and epoch, the entries of one index and term are the same on
 /// all hosts.
