fix(daemon): an engine that sent bytes without end held an item for 30 s and filled the host's memory

Cause: a line of an event stream had no limit, and any bytes counted as a sign of life, so a line or comments without end held an item until the run's time limit. The body of an answer to an order was collected without a limit for 1.5 s. A refusal's body was awaited though its head says it all. Heads were bounded by the library's 400 KB a connection. Change: an event has at most 256 KB and a run's text 4 MB; only events count as a sign of life; the body of an answer to an order is read for 0.5 s and up to 64 KB, and without it the status still counts; a refusal's body is read for 50 ms; a head has at most 64 KB. Longer bodies of plain calls are streamed to the caller as before, and end when the caller leaves.

--- a/crates/core/src/gateway/action.rs
+++ b/crates/core/src/gateway/action.rs
@@ -114,7 +114,7 @@
     pub resume_after: Option<u64>,
     /// The weight version that the upstream is known to run; `None` where the job names no model.
     pub version: Option<u64>,
-    /// The maximum time without data from the upstream.
+    /// The maximum time without a response or an event from the upstream.
     pub silence: Millis,
     /// The time-out for the whole run.
     pub deadline: Millis,
--- a/crates/daemon/src/gateway/events.rs
+++ b/crates/daemon/src/gateway/events.rs
@@ -1,5 +1,12 @@
 //! An incremental parser of server-sent events (`text/event-stream`).
 
+/// The most bytes of one event: the lines that have been parsed and the one that has not ended yet.
+const MAX_EVENT_BYTES: usize = 256 * 1024;
+
+/// An event that is longer than the reader accepts.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct EventTooLong;
+
 /// One server-sent event.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct StreamEvent {
@@ -33,9 +40,16 @@
     }
 
     /// Adds a chunk and returns the events that it completes.
-    pub fn push(&mut self, chunk: &[u8]) -> Vec<StreamEvent> {
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if an event is longer than 256 KB, even if it has not ended.
+    pub fn push(&mut self, chunk: &[u8]) -> Result<Vec<StreamEvent>, EventTooLong> {
         let mut events = Vec::new();
         for part in chunk.split_inclusive(|byte| *byte == b'\n') {
+            if self.partial_line.len() + self.event.data.len() + part.len() > MAX_EVENT_BYTES {
+                return Err(EventTooLong);
+            }
             self.partial_line.extend_from_slice(part);
             if part.last() != Some(&b'\n') {
                 continue;
@@ -49,7 +63,7 @@
                 self.parse_line(text);
             }
         }
-        events
+        Ok(events)
     }
 
     /// Returns whether the bytes so far end at the boundary of an event.
--- a/crates/daemon/src/gateway/forward.rs
+++ b/crates/daemon/src/gateway/forward.rs
@@ -16,6 +16,9 @@
 /// longer ones are streamed.
 const MAX_BUFFERED_BYTES: usize = 256 * 1024;
 
+/// How long the rest of a refusal is read, so that its connection can be used again.
+const REFUSAL_READ_TIMEOUT: Duration = Duration::from_millis(50);
+
 /// A caller's request, read in full.
 #[derive(Debug)]
 pub struct ReceivedRequest {
@@ -89,7 +92,8 @@
         ResponseClass::NotRun { other_instance } => {
             let status = head.status.as_u16();
             let upstream = &forward.upstream;
-            if read_up_to_limit(body).await.is_ok_and(|buffered| buffered.rest.is_none()) {
+            let read = tokio::time::timeout(REFUSAL_READ_TIMEOUT, read_up_to_limit(body)).await;
+            if matches!(read, Ok(Ok(BufferedBody { rest: None, .. }))) {
                 pool.release(upstream, connection, protocol.keep_alive_secs(&head.headers));
             }
             Outcome::NoResponse(ForwardEnd::NotRun { status, other_instance })
--- a/crates/daemon/src/gateway/items.rs
+++ b/crates/daemon/src/gateway/items.rs
@@ -10,6 +10,7 @@
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use tokio::sync::oneshot;
+use tokio::time::Instant;
 
 use super::events::{EventReader, StreamEvent};
 use super::input::{Input, InputSender, NotQueued};
@@ -22,6 +23,9 @@
 /// The interval between reports of progress.
 const REPORT_INTERVAL: Duration = Duration::from_millis(250);
 
+/// The most bytes of text of one run; a longer one is broken off.
+const MAX_RUN_TEXT_BYTES: usize = 4 * 1024 * 1024;
+
 /// The HTTP status of an item that no engine can process.
 const UNPROCESSABLE_STATUS: u16 = 422;
 
@@ -200,8 +204,10 @@
     text: &Mutex<RunText>,
     silence: Duration,
 ) -> ItemEnd {
+    // Only events count as a sign of life: bytes that are part of no event may come without end.
+    let mut silent_at = Instant::now() + silence;
     loop {
-        let frame = match tokio::time::timeout(silence, body.frame()).await {
+        let frame = match tokio::time::timeout_at(silent_at, body.frame()).await {
             Ok(Some(Ok(frame))) => frame,
             Ok(Some(Err(error))) => return ItemEnd::Broken { detail: error.to_string().into() },
             Ok(None) if reader.is_between_events() => return ItemEnd::Whole,
@@ -212,7 +218,13 @@
         let Ok(mut text) = text.lock() else {
             return ItemEnd::Broken { detail: "the text was lost".into() };
         };
-        for event in reader.push(&data) {
+        let Ok(events) = reader.push(&data) else {
+            return ItemEnd::Broken { detail: "an event is too long".into() };
+        };
+        if !events.is_empty() {
+            silent_at = Instant::now() + silence;
+        }
+        for event in events {
             if let Err(detail) = text.push(event) {
                 return ItemEnd::Broken { detail };
             }
@@ -225,6 +237,8 @@
 struct RunText {
     /// The events since the last report.
     unreported: ItemText,
+    /// The length of the text of the run so far.
+    bytes: usize,
     /// The id that the next event must have.
     next_event: u64,
     /// The weight version that generates the text; `None` until the engine reports one.
@@ -243,6 +257,10 @@
                 version.parse().map_err(|_| format!("{version:?} is not a weight version"))?;
             self.version = Some(read);
         }
+        self.bytes += event.data.len();
+        if self.bytes > MAX_RUN_TEXT_BYTES {
+            return Err(format!("the text exceeds {MAX_RUN_TEXT_BYTES} bytes").into());
+        }
         self.unreported.push_event(id, &event.data, self.version);
         self.next_event = id + 1;
         Ok(())
--- a/crates/daemon/src/gateway/orders.rs
+++ b/crates/daemon/src/gateway/orders.rs
@@ -5,7 +5,7 @@
 
 use bytes::Bytes;
 use chestnutdrift_core::gateway::{Event, Order, OrderEnd, UpstreamAddress};
-use http_body_util::BodyExt;
+use http_body_util::{BodyExt, Limited};
 use hyper::Request;
 
 use super::input::{Input, InputSender};
@@ -19,6 +19,12 @@
 /// The time-out of an engine's response to an order or to a request for its order report.
 const RESPONSE_TIMEOUT: Duration = Duration::from_millis(1_500);
 
+/// The time-out of the body of a response, after its head has come.
+const BODY_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// The most bytes of the body of a response to an order or to a request for an order report.
+const MAX_BODY_BYTES: usize = 64 * 1024;
+
 /// Sends orders to upstreams.
 #[derive(Debug, Clone)]
 pub struct OrderSender {
@@ -87,17 +93,28 @@
         upstream: &UpstreamAddress,
         request: &Request<Bytes>,
     ) -> Result<(u16, Bytes), Box<str>> {
-        let roundtrip = async {
-            let sent = self.pool.send(upstream, request, CONNECT_TIMEOUT).await;
-            let (response, connection) = sent.map_err(|error| match error {
-                SendError::NotSent(detail) | SendError::Broken(detail) => detail,
-            })?;
-            let (head, body) = response.into_parts();
-            let read = body.collect().await.map_err(|error| Box::from(error.to_string()))?;
-            self.pool.release(upstream, connection, self.protocol.keep_alive_secs(&head.headers));
-            Ok((head.status.as_u16(), read.to_bytes()))
+        let sent = self.pool.send(upstream, request, CONNECT_TIMEOUT);
+        let Ok(sent) = tokio::time::timeout(RESPONSE_TIMEOUT, sent).await else {
+            return Err(format!("no response within {RESPONSE_TIMEOUT:?}").into());
         };
-        let timed_out = || Box::from(format!("no response within {RESPONSE_TIMEOUT:?}"));
-        tokio::time::timeout(RESPONSE_TIMEOUT, roundtrip).await.map_err(|_| timed_out())?
+        let (response, connection) = sent.map_err(|error| match error {
+            SendError::NotSent(detail) | SendError::Broken(detail) => detail,
+        })?;
+        let (head, body) = response.into_parts();
+        let status = head.status.as_u16();
+        let body = Limited::new(body, MAX_BODY_BYTES).collect();
+        match tokio::time::timeout(BODY_TIMEOUT, body).await {
+            Ok(Ok(body)) => {
+                let keep_alive_secs = self.protocol.keep_alive_secs(&head.headers);
+                self.pool.release(upstream, connection, keep_alive_secs);
+                Ok((status, body.to_bytes()))
+            }
+            // The status alone tells the end of an order; a report needs its body.
+            unread => {
+                let why = unread.map_or_else(|late| late.to_string(), |read| format!("{read:?}"));
+                log::warn!(event = "order-body-unread", upstream = &*upstream.id; "{why}");
+                Ok((status, Bytes::new()))
+            }
+        }
     }
 }
--- a/crates/daemon/src/gateway/pool.rs
+++ b/crates/daemon/src/gateway/pool.rs
@@ -27,6 +27,9 @@
 /// The maximum number of idle connections to one upstream.
 const MAX_IDLE_PER_UPSTREAM: usize = 32;
 
+/// The most bytes of a response's head, and of what is read ahead of a body.
+const MAX_HEAD_BYTES: usize = 64 * 1024;
+
 /// How long sent bytes may stay unacknowledged before the system closes the connection.
 const TCP_USER_TIMEOUT_MS: u32 = 2_000;
 
@@ -167,7 +170,8 @@
         });
         options.map_err(|error| not_sent(error.to_string()))?;
         self.opened.fetch_add(1, Ordering::Relaxed);
-        let handshake = http1::handshake(TokioIo::new(stream)).await;
+        let mut builder = http1::Builder::new();
+        let handshake = builder.max_buf_size(MAX_HEAD_BYTES).handshake(TokioIo::new(stream)).await;
         let (sender, connection) = handshake.map_err(|error| not_sent(error.to_string()))?;
         let task = tokio::spawn(async move {
             if let Err(error) = connection.await {
