perf(core): changes of upstreams that come close together are sent to other hosts together

Cause: every change of an upstream went at once from each store to every host. Change: a store sends views for changes at most every 200 ms. Replies to hellos and routing configurations are sent at once as before. Excluded: smaller views: their number costs more than their bytes. Test: crates/core/tests/it/registry.rs.

--- a/crates/core/src/gateway/controller.rs
+++ b/crates/core/src/gateway/controller.rs
@@ -62,7 +62,7 @@
         controllers.push(Box::new(jobs::Jobs::default()));
         controllers.push(Box::new(items::Items::new(placement)));
         controllers.push(Box::new(loads::Loads::default()));
-        controllers.push(Box::new(views::Views));
+        controllers.push(Box::new(views::Views::default()));
     }
     controllers.push(Box::new(lifecycle::Lifecycle));
     controllers
--- a/crates/core/src/gateway/controller/views.rs
+++ b/crates/core/src/gateway/controller/views.rs
@@ -16,14 +16,25 @@
 /// The minimum delay before a host is sent a routing configuration again.
 const ROUTING_RESEND_DELAY: Millis = Millis(900);
 
+/// The least time between two rounds of views for changes of the registry. Each round goes to every
+/// host, so changes that come close together share one.
+const CHANGE_INTERVAL: Millis = Millis(200);
+
 /// Sends views to other hosts.
-#[derive(Debug)]
-pub(super) struct Views;
+#[derive(Debug, Default)]
+pub(super) struct Views {
+    next_change: Millis,
+}
 
 impl Controller for Views {
     fn run(&mut self, board: &mut Board, event: Option<&Event>) {
         let hello_from = hello_sender(event);
-        let changed = std::mem::take(&mut board.registry_changed);
+        let now = board.now.mono;
+        let changed = board.registry_changed && now >= self.next_change;
+        if changed {
+            board.registry_changed = false;
+            self.next_change = now + CHANGE_INTERVAL;
+        }
         let keys: Vec<HostKey> = board.hosts.keys().collect();
         for key in keys {
             let sent_hello = hello_from == Some(board.hosts[key].id);
@@ -32,6 +43,10 @@
             }
         }
     }
+
+    fn next_deadline(&self, board: &Board) -> Millis {
+        if board.registry_changed { self.next_change } else { Millis::MAX }
+    }
 }
 
 fn hello_sender(event: Option<&Event>) -> Option<HostId> {
--- a/crates/core/tests/it/deployment/upstreams.rs
+++ b/crates/core/tests/it/deployment/upstreams.rs
@@ -54,7 +54,7 @@
         }
     }
 
-    fn announcement(&self, slots: u32) -> Announcement {
+    pub(crate) fn announcement(&self, slots: u32) -> Announcement {
         Announcement {
             id: self.id.clone(),
             service: "engines".into(),
--- a/crates/core/tests/it/main.rs
+++ b/crates/core/tests/it/main.rs
@@ -12,6 +12,7 @@
 mod lifecycle;
 mod partial_texts;
 mod recovery;
+mod registry;
 mod routing;
 mod samples;
 mod scripts;
