--- a/crates/core/tests/it/item_queue.rs
+++ b/crates/core/tests/it/item_queue.rs
@@ -34,6 +34,12 @@
     deployment.run(3_000);
     let leader = deployment.leader().expect("a leader");
     deployment.submit(ENTRY, job("job", ITEMS, 1));
+    // Upstreams of another service have free slots all the time.
+    for number in 1..=6 {
+        let mut desk = SimEngine::new(100 + number).announcement(6);
+        desk.service = "desk".into();
+        deployment.send_call(leader, Call::Announce(desk));
+    }
     deployment.run(2_000);
     let items = &deployment.gateway(leader).board().items;
     let waiting = items.values().filter(|item| matches!(item.state, ItemState::Waiting(_))).count();
