fix(wire): an entry that does not fit its segment is compressed again, and a large one is not held whole

What callers saw: nothing; found in reading the diff. An entry of a large routing document was held uncompressed as a whole, against the memory of a small store.

Change: a segment that does not fit is compressed again with twice the room; entries above 1 MB are compressed while they are encoded, as all other messages. Test: crates/wire/tests/append.rs: documents of 100 KB and 3 MB that can't be compressed; they come back.

--- a/crates/daemon/src/gateway/load.rs
+++ b/crates/daemon/src/gateway/load.rs
@@ -1,6 +1,6 @@
 //! The load of a host: what its threads spend their time on, and how long its work waits.
 
-use std::sync::atomic::Ordering;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::{Duration, Instant};
 
 use chestnutdrift_core::gateway::Board;
@@ -129,7 +129,7 @@
 
 impl ThreadTotals {
     fn read(runtime: &Runtime) -> Self {
-        let read = |counter: &std::sync::atomic::AtomicU64| counter.load(Ordering::Relaxed);
+        let read = |counter: &AtomicU64| counter.load(Ordering::Relaxed);
         Self {
             // The runtime has one worker: the traffic thread.
             traffic_busy: runtime.metrics().worker_total_busy_duration(0),
--- a/crates/wire/src/frame/encoder.rs
+++ b/crates/wire/src/frame/encoder.rs
@@ -16,11 +16,12 @@
 /// at a time.
 const WRITE_BUFFER_BYTES: usize = 16 * 1024;
 
-/// The part of its input, in percent, by which a segment can be longer than its input.
-const MAX_EXPANSION_PERCENT: usize = 10;
+/// The room for a segment beside the length of its input: its headers, and its end.
+const MIN_SEGMENT_ROOM_BYTES: usize = 256;
 
-/// The most bytes by which a segment of a short input can be longer than its input.
-const MAX_SHORT_EXPANSION_BYTES: usize = 128;
+/// The largest entry, in bytes, that is compressed as a segment. A larger one would be held
+/// uncompressed as a whole; it is compressed while it is encoded, like any other message.
+const MAX_SEGMENT_INPUT_BYTES: usize = 1024 * 1024;
 
 /// The CBOR encoding of the key `entries` of an append with an empty array as its value.
 const EMPTY_ENTRIES: [u8; 9] = *b"\x67entries\x80";
@@ -60,6 +61,7 @@
         if let Message::Group(frame) = &envelope.message
             && let GroupMessage::AppendEntries { entries, .. } = &frame.message
             && entries.iter().map(Entry::bytes).sum::<usize>() >= MIN_DEFLATED_BYTES
+            && entries.iter().all(|entry| entry.bytes() <= MAX_SEGMENT_INPUT_BYTES)
         {
             return self.encode_append(envelope, frame, entries);
         }
@@ -112,20 +114,22 @@
 
     /// Compresses bytes to a segment that ends on a byte boundary.
     ///
-    /// The buffer has room for the longest possible segment, because the compressor does not finish
-    /// a flush that its caller has to continue with more room.
+    /// The compressor does not finish a flush that its caller has to continue with more room, so a
+    /// segment that does not fit is compressed again from the start.
     fn deflate(&mut self, bytes: &[u8], flush: FlushCompress) -> Result<Vec<u8>, FrameError> {
-        let expansion = bytes.len() * MAX_EXPANSION_PERCENT / 100 + MAX_SHORT_EXPANSION_BYTES;
-        let mut segment = Vec::with_capacity(bytes.len() + expansion);
-        self.compressor.reset();
-        let compressed = self.compressor.compress_vec(bytes, &mut segment, flush);
-        compressed.map_err(|error| frame_error(&error))?;
-        self.deflated_bytes += bytes.len() as u64;
-        let all_read = self.compressor.total_in() == bytes.len() as u64;
-        if !all_read || segment.len() == segment.capacity() {
-            return Err(FrameError(format!("{} bytes were not compressed", bytes.len()).into()));
+        let mut room = bytes.len() + MIN_SEGMENT_ROOM_BYTES;
+        loop {
+            let mut segment = Vec::with_capacity(room);
+            self.compressor.reset();
+            let compressed = self.compressor.compress_vec(bytes, &mut segment, flush);
+            compressed.map_err(|error| frame_error(&error))?;
+            self.deflated_bytes += bytes.len() as u64;
+            let all_read = self.compressor.total_in() == bytes.len() as u64;
+            if all_read && segment.len() < segment.capacity() {
+                return Ok(segment);
+            }
+            room *= 2;
         }
-        Ok(segment)
     }
 }
 
--- a/crates/wire/tests/append.rs
+++ b/crates/wire/tests/append.rs
@@ -5,7 +5,8 @@
 use bytes::Bytes;
 use chestnutdrift_core::agreement::{Command, Entry, GroupFrame, GroupId, GroupMessage};
 use chestnutdrift_core::directory::{
-    DirectoryCommand, ItemOutcome, ItemResult, ItemSpec, JobSpec, NewResult,
+    DirectoryCommand, ItemOutcome, ItemResult, ItemSpec, JobSpec, NewResult, RequestLimits,
+    RoutingConfig,
 };
 use chestnutdrift_core::message::{Envelope, Message};
 use chestnutdrift_core::timeline::Stamp;
@@ -72,6 +73,26 @@
     }
 }
 
+fn append(rng: &mut Pcg64Mcg, entries: &[Entry]) -> Envelope {
+    let message = GroupMessage::AppendEntries {
+        term: 3,
+        prev_index: entries[0].index - 1,
+        prev_term: 1,
+        entries: entries.to_vec(),
+        leader_commit: rng.random_range(0..1_000),
+        sent_at: Millis(rng.random()),
+    };
+    let message = Message::Group(GroupFrame { group: GroupId::Directory, epoch: 7, message });
+    let stamp = Stamp { wall: Millis(rng.random()), count: rng.random() };
+    Envelope { from: HostId(rng.random()), stamp, message }
+}
+
+fn assert_survives(encoder: &mut Encoder, envelope: &Envelope) {
+    let bytes = encoder.encode(envelope).expect("an encoded message");
+    let decoded = decode(&bytes).map_err(|error| error.to_string());
+    assert!(decoded.as_ref() == Ok(envelope), "{:?}", decoded.err());
+}
+
 /// Guards against an append that no replica could read, and that its leader therefore sent again and
 /// again without a commit.
 #[test_case(1)]
@@ -88,21 +109,27 @@
         // Replicas that are behind get the same entries from other positions on.
         for _ in 0..3 {
             let from = log.len().saturating_sub(rng.random_range(1..8));
-            let message = GroupMessage::AppendEntries {
-                term: 3,
-                prev_index: from as u64,
-                prev_term: 1,
-                entries: log[from..].to_vec(),
-                leader_commit: rng.random_range(0..1_000),
-                sent_at: Millis(rng.random()),
-            };
-            let frame = GroupFrame { group: GroupId::Directory, epoch: 7, message };
-            let message = Message::Group(frame);
-            let stamp = Stamp { wall: Millis(rng.random()), count: rng.random() };
-            let envelope = Envelope { from: HostId(rng.random()), stamp, message };
-            let bytes = encoder.encode(&envelope).expect("an encoded message");
-            let decoded = decode(&bytes).map_err(|error| error.to_string());
-            assert!(decoded.as_ref() == Ok(&envelope), "entry {index}: {:?}", decoded.err());
+            assert_survives(&mut encoder, &append(&mut rng, &log[from..]));
         }
     }
 }
+
+#[test_case(100 * 1024)]
+#[test_case(3 * 1024 * 1024)]
+fn an_append_that_can_not_be_compressed_survives_encoding_and_decoding(bytes: usize) {
+    let mut rng = Pcg64Mcg::seed_from_u64(9);
+    let document: Vec<u8> = (0..bytes).map(|_| rng.random()).collect();
+    let routing = RoutingConfig {
+        version: 4,
+        document: document.into(),
+        routes: Vec::new(),
+        services: Vec::new(),
+        limits: RequestLimits { head_bytes: 1, body_bytes: 1, idle_timeout: Millis(1) },
+    };
+    let command = Command::Directory(DirectoryCommand::PutRouting(Arc::new(routing)));
+    let entry = Entry { index: 5, term: 2, command };
+    let mut encoder = Encoder::default();
+    for _ in 0..2 {
+        assert_survives(&mut encoder, &append(&mut rng, std::slice::from_ref(&entry)));
+    }
+}
