test(daemon): waiting for another leader does not fail at the moment when there is none

What is waited for, its time limit and every assertion after it stay; a fleet that never gets another leader still fails.

--- a/crates/daemon/tests/process/booking.rs
+++ b/crates/daemon/tests/process/booking.rs
@@ -20,16 +20,21 @@
     desk.bookings().get(key).copied().unwrap_or(0)
 }
 
-/// Returns the index of the host that leads zone-a, as reported by host `from`.
-fn leader(fleet: &Fleet, from: usize) -> usize {
+/// Returns the index of the host that leads zone-a, as reported by host `from`; `None` while no host
+/// leads.
+fn find_leader(fleet: &Fleet, from: usize) -> Option<usize> {
     let hosts = fleet.client.get_json(&fleet.url(from, "/v1/operator/hosts")).expect("the hosts");
     let hosts = hosts.as_array().expect("a list");
     let leads = |host: &&serde_json::Value| {
         host["leads"].as_array().is_some_and(|leads| leads.iter().any(|lead| lead == "zone zone-a"))
     };
-    let leader = hosts.iter().find(leads).expect("a leader");
-    let id = leader["id"].as_u64().expect("a number");
-    usize::try_from(id).expect("a small number") - 1
+    let id = hosts.iter().find(leads)?["id"].as_u64().expect("a number");
+    Some(usize::try_from(id).expect("a small number") - 1)
+}
+
+/// Returns the index of the host that leads zone-a, as reported by host `from`.
+fn leader(fleet: &Fleet, from: usize) -> usize {
+    find_leader(fleet, from).expect("a leader")
 }
 
 #[test]
@@ -78,7 +83,10 @@
     let owner = leader(&fleet, 0);
     let other = (owner + 1) % 3;
     fleet.process(owner).unwrap().signal(Signal::STOP).unwrap();
-    wait_until("another host leads", WAIT_TIMEOUT, || leader(&fleet, other) != owner).unwrap();
+    wait_until("another host leads", WAIT_TIMEOUT, || {
+        find_leader(&fleet, other).is_some_and(|leader| leader != owner)
+    })
+    .unwrap();
     wait_until("a booking is accepted", WAIT_TIMEOUT, || {
         book(&fleet, other, "three").is_ok_and(|answer| answer.status == 200)
     })
