refactor: one way to bring the simulated deployment into service; a comment claims no more than holds

Two tests and `leader_cost` each started the deployment, put a routing configuration and looked for the leader in the same lines; `Deployment::start_serving` does it now. The tests keep their assertions; `leader_cost` waits 5 s in place of 6 s for its first leader.

The comment at the placement of items said that a long queue mostly is not looked at. That holds only while no upstream at all has a free slot: an idle upstream of another service is counted too.

--- a/crates/core/src/gateway/controller/items.rs
+++ b/crates/core/src/gateway/controller/items.rs
@@ -198,8 +198,8 @@
 
     /// Places waiting items on the engines with a free slot.
     ///
-    /// The engines come first because this runs for each event: with a long queue there is mostly
-    /// no free slot, and the items need not be looked at.
+    /// The engines come first because this runs for each event: without a free slot at any upstream
+    /// the items need not be looked at.
     fn place_waiting(&self, board: &mut Board) {
         let mut free = FreeEngines::new(board);
         if free.is_empty() {
--- a/crates/core/tests/it/deployment.rs
+++ b/crates/core/tests/it/deployment.rs
@@ -228,6 +228,16 @@
         }
     }
 
+    /// Runs until the hosts know each other, puts a routing configuration in force, and returns the
+    /// leader.
+    pub(crate) fn start_serving(&mut self) -> HostId {
+        self.run(5_000);
+        let put = self.call(HostId(2), Call::PutRouting(routing(1)), 900);
+        assert_eq!(put, Some(Answer::Done));
+        self.run(3_000);
+        self.leader().expect("a leader")
+    }
+
     /// Advances the simulation by a time.
     pub(crate) fn run(&mut self, millis: u64) {
         let end = self.now + millis;
--- a/crates/core/tests/it/item_queue.rs
+++ b/crates/core/tests/it/item_queue.rs
@@ -6,9 +6,9 @@
 
 use chestnutdrift_core::HostId;
 use chestnutdrift_core::gateway::board::ItemState;
-use chestnutdrift_core::gateway::{Answer, Call, Event};
+use chestnutdrift_core::gateway::{Call, Event};
 
-use crate::deployment::{Deployment, SimEngine, job, routing};
+use crate::deployment::{Deployment, SimEngine, job};
 
 const ENTRY: HostId = HostId(101);
 const ENGINES: u32 = 48;
@@ -28,11 +28,7 @@
     for number in 1..=ENGINES {
         deployment.add_engine(SimEngine::new(number));
     }
-    deployment.run(5_000);
-    let put = deployment.call(HostId(2), Call::PutRouting(routing(1)), 900);
-    assert_eq!(put, Some(Answer::Done));
-    deployment.run(3_000);
-    let leader = deployment.leader().expect("a leader");
+    let leader = deployment.start_serving();
     deployment.submit(ENTRY, job("job", ITEMS, 1));
     // Upstreams of another service have free slots all the time.
     for number in 1..=6 {
--- a/crates/wire/examples/leader_cost.rs
+++ b/crates/wire/examples/leader_cost.rs
@@ -17,11 +17,11 @@
 use std::time::{Duration, Instant};
 
 use chestnutdrift_core::HostId;
-use chestnutdrift_core::gateway::{Answer, Call, Event, GatewayMessage};
+use chestnutdrift_core::gateway::{Call, Event, GatewayMessage};
 use chestnutdrift_core::message::Message;
 use chestnutdrift_wire::frame::Encoder;
 
-use crate::simulation::deployment::{Deployment, SimEngine, job, routing};
+use crate::simulation::deployment::{Deployment, SimEngine, job};
 
 const STORES: u32 = 11;
 const ENTRIES: u32 = 55;
@@ -95,11 +95,7 @@
     for number in 1..=ENGINES {
         deployment.add_engine(SimEngine::new(number));
     }
-    deployment.run(6_000);
-    let put = deployment.call(HostId(2), Call::PutRouting(routing(1)), 900);
-    assert_eq!(put, Some(Answer::Done));
-    deployment.run(3_000);
-    let leader = deployment.leader().expect("a leader");
+    let leader = deployment.start_serving();
 
     let costs: Rc<RefCell<Costs>> = Rc::default();
     let (on_event, on_send) = (Rc::clone(&costs), Rc::clone(&costs));
--- a/crates/wire/tests/leader.rs
+++ b/crates/wire/tests/leader.rs
@@ -12,11 +12,11 @@
 use std::rc::Rc;
 
 use chestnutdrift_core::HostId;
-use chestnutdrift_core::gateway::{Answer, Call};
+use chestnutdrift_core::gateway::Answer;
 use chestnutdrift_wire::frame::{Encoder, decode};
 use test_case::test_case;
 
-use crate::simulation::deployment::{Deployment, SimEngine, job, routing};
+use crate::simulation::deployment::{Deployment, SimEngine, job};
 
 const ENTRY: HostId = HostId(101);
 const ITEMS: u32 = 64;
@@ -34,10 +34,7 @@
     for number in 1..=8 {
         deployment.add_engine(SimEngine::new(number));
     }
-    deployment.run(5_000);
-    let put = deployment.call(HostId(2), Call::PutRouting(routing(1)), 900);
-    assert_eq!(put, Some(Answer::Done));
-    deployment.run(3_000);
+    let leader = deployment.start_serving();
 
     let encoders: Rc<RefCell<BTreeMap<HostId, Encoder>>> = Rc::default();
     let shared = Rc::clone(&encoders);
@@ -46,7 +43,6 @@
         let decoded = decode(&bytes.expect("an encoded message"));
         assert_eq!(decoded.as_ref(), Ok(envelope), "a message changed on its way");
     }));
-    let leader = deployment.leader().expect("a leader");
     let tag = deployment.submit(ENTRY, job("job", ITEMS, 1));
     deployment.run(8_000);
     assert_eq!(deployment.answers.get(&tag), Some(&Answer::Accepted));
