feat(core): the log and the directory know their sizes in bytes

The log keeps its sum as entries come and go; the directory's is added up on demand. No behaviour changes.

--- a/crates/core/src/agreement/log.rs
+++ b/crates/core/src/agreement/log.rs
@@ -10,6 +10,7 @@
     base_index: u64,
     base_term: u64,
     entries: VecDeque<Entry>,
+    bytes: usize,
 }
 
 impl Log {
@@ -31,6 +32,12 @@
         self.base_index
     }
 
+    /// Returns the approximate size of the entries after the base, in bytes.
+    #[must_use]
+    pub fn bytes(&self) -> usize {
+        self.bytes
+    }
+
     /// Returns the term of the entry at `index`, or `None` if the entry is compacted or not yet in
     /// the log.
     #[must_use]
@@ -62,27 +69,33 @@
     /// Appends an entry, whose index must follow the last one.
     pub fn push(&mut self, entry: Entry) {
         debug_assert_eq!(entry.index, self.last_index() + 1);
+        self.bytes += entry.bytes();
         self.entries.push_back(entry);
     }
 
     /// Removes the entry at `index` and all after it.
     pub fn truncate(&mut self, index: u64) {
-        let keep = index.saturating_sub(self.base_index + 1);
-        self.entries.truncate(usize::try_from(keep).unwrap_or(usize::MAX));
+        while self.last_index() >= index {
+            let Some(entry) = self.entries.pop_back() else { break };
+            self.bytes -= entry.bytes();
+        }
     }
 
     /// Drops the entries up to and including `index`, which a snapshot now covers.
     pub fn compact(&mut self, index: u64) {
         let Some(term) = self.term_at(index) else { return };
-        let drop = index.saturating_sub(self.base_index);
-        self.entries.drain(..usize::try_from(drop).unwrap_or(0));
-        self.base_index = index;
+        while self.base_index < index {
+            let Some(entry) = self.entries.pop_front() else { break };
+            self.bytes -= entry.bytes();
+            self.base_index = entry.index;
+        }
         self.base_term = term;
     }
 
     /// Drops all entries and continues after a snapshot of `index` and `term`.
     pub fn reset(&mut self, index: u64, term: u64) {
         self.entries.clear();
+        self.bytes = 0;
         self.base_index = index;
         self.base_term = term;
     }
--- a/crates/core/src/directory/command.rs
+++ b/crates/core/src/directory/command.rs
@@ -4,7 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::directory::{ItemSpec, JobSpec, NewResult, RoutingConfig, TextPart};
+use crate::directory::{JobSpec, NewResult, RoutingConfig, TextPart};
 use crate::key::HostId;
 use crate::time::Millis;
 
@@ -84,7 +84,7 @@
         match self {
             // A message carries the document and the configuration that was decoded from it.
             Self::PutRouting(routing) => 2 * routing.document.len(),
-            Self::SubmitJob { spec, .. } => spec.items.iter().map(ItemSpec::bytes).sum(),
+            Self::SubmitJob { spec, .. } => spec.bytes(),
             Self::AppendResults { results, .. } => {
                 results.iter().map(|result| result.result.outcome.text_bytes()).sum()
             }
--- a/crates/core/src/directory/job.rs
+++ b/crates/core/src/directory/job.rs
@@ -10,6 +10,9 @@
 use crate::directory::{ItemText, PartialText, TextPart};
 use crate::time::Millis;
 
+/// The approximate size of a result in a message in addition to its text, in bytes.
+const RESULT_OVERHEAD: usize = 64;
+
 /// One request of a job.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -77,6 +80,12 @@
 }
 
 impl JobSpec {
+    /// Returns the approximate size of the job's items in a message, in bytes.
+    #[must_use]
+    pub fn bytes(&self) -> usize {
+        self.items.iter().map(ItemSpec::bytes).sum()
+    }
+
     /// Returns whether a text meets the job's requirements on weight versions. `versions` are those
     /// that generated its events, ascending.
     #[must_use]
@@ -225,6 +234,15 @@
         self.finished_items.contains(&item)
     }
 
+    /// Returns the approximate size of the job in a message, in bytes.
+    #[must_use]
+    pub fn bytes(&self) -> usize {
+        let results =
+            self.results.iter().map(|result| RESULT_OVERHEAD + result.outcome.text_bytes());
+        let partial_texts = self.partial_texts.values().map(PartialText::bytes);
+        self.spec.bytes() + results.sum::<usize>() + partial_texts.sum::<usize>()
+    }
+
     /// Returns whether the job has not been ended and items still lack a result.
     #[must_use]
     pub fn is_open(&self) -> bool {
--- a/crates/core/src/directory/state.rs
+++ b/crates/core/src/directory/state.rs
@@ -66,6 +66,12 @@
         DirectoryOutcome::Applied
     }
 
+    /// Returns the approximate size of the jobs in a message, in bytes.
+    #[must_use]
+    pub fn job_bytes(&self) -> usize {
+        self.jobs.values().map(Job::bytes).sum()
+    }
+
     /// Returns the version of the routing configuration in force, or zero if there is none.
     #[must_use]
     pub fn routing_version(&self) -> u64 {
--- a/crates/core/src/directory/text.rs
+++ b/crates/core/src/directory/text.rs
@@ -90,6 +90,12 @@
         self.parts.retain(|part| part.event_offset < events);
     }
 
+    /// Returns the size of the texts of the parts, in bytes.
+    #[must_use]
+    pub fn bytes(&self) -> usize {
+        self.parts.iter().map(|part| part.text.text.len()).sum()
+    }
+
     /// Returns the number of events.
     #[must_use]
     pub fn events(&self) -> u32 {
