--- a/crates/daemon/src/control.rs
+++ b/crates/daemon/src/control.rs
@@ -8,11 +8,11 @@
 use chestnutdrift_core::event::Arrival;
 use chestnutdrift_core::timeline::{EventKind, TimelineEvent};
 use chestnutdrift_core::{Core, ErrorKind, Event, Millis, Problem, RequestTag};
-use crossbeam::channel::{Receiver, RecvTimeoutError, Sender};
+use crossbeam::channel::{Receiver, RecvTimeoutError};
 
 use crate::call::{CallJob, CallPool, OrderJob};
 use crate::clock::Clock;
-use crate::disk::DiskJob;
+use crate::disk::{DiskJob, DiskQueue};
 use crate::exchange::Exchange;
 use crate::http::encode_answer;
 use crate::link::Links;
@@ -44,8 +44,8 @@
     pub calls: CallPool,
     /// Messages to other hosts.
     pub links: Links,
-    /// The disk thread, where the host has a disk.
-    pub disk: Option<Sender<DiskJob>>,
+    /// The queue of the disk thread, where the host has a disk.
+    pub disk: Option<DiskQueue>,
 }
 
 /// The control thread's state.
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -15,7 +15,7 @@
 };
 use crate::clock::{self, Clock};
 use crate::control::{Control, Input, MAX_QUEUED_EVENTS, Outputs};
-use crate::disk::{DiskJob, DiskReport, DiskThread, RestoredData};
+use crate::disk::{DiskQueue, DiskReport, DiskThread, RestoredData};
 use crate::http::{HttpServer, HttpServerSettings};
 use crate::link::{self, Links};
 use crate::settings::Settings;
@@ -93,7 +93,7 @@
 fn outputs(
     settings: &Settings,
     inputs: &Sender<Input>,
-    disk: Option<Sender<DiskJob>>,
+    disk: Option<DiskQueue>,
 ) -> anyhow::Result<Outputs> {
     let clients = HttpClients::new();
     let http_addresses: BTreeMap<HostId, _> =
--- a/crates/daemon/src/disk.rs
+++ b/crates/daemon/src/disk.rs
@@ -9,6 +9,7 @@
 mod codec;
 mod compactor;
 mod folder;
+mod queue;
 
 use std::io;
 use std::path::Path;
@@ -18,16 +19,16 @@
 use anyhow::Context;
 use chestnutdrift_core::agreement::Record;
 use chestnutdrift_core::key::SyncToken;
-use crossbeam::channel::{self, Receiver, Sender};
+use crossbeam::channel::Sender;
 
-use crate::clock;
+use crate::{clock, memory};
 
 pub use codec::{decode_batches, encode_batch};
 pub use compactor::JournalCompactor;
 pub use folder::{DataFolder, Disk, Identity};
+pub use queue::DiskQueue;
 
-/// The most batches that may wait for the disk; when the queue is full, the control thread waits.
-const MAX_QUEUED_BATCHES: usize = 4_096;
+use queue::QueuedJobs;
 
 /// The most waiting batches that are synced together with the first one.
 const MAX_JOINED_BATCHES: usize = 256;
@@ -62,8 +63,8 @@
     pub records: Vec<Record>,
     /// The thread that owns the folder; `None` without a disk.
     pub thread: Option<DiskThread>,
-    /// The channel to that thread; `None` without a disk.
-    pub jobs: Option<Sender<DiskJob>>,
+    /// The queue of that thread; `None` without a disk.
+    pub jobs: Option<DiskQueue>,
 }
 
 impl RestoredData {
@@ -84,6 +85,7 @@
             return Ok(Self { incarnation, records: Vec::new(), thread: None, jobs: None });
         };
         let (folder, identity, records) = DataFolder::open(path, host)?;
+        memory::log_use("journal-read");
         let inputs = inputs.clone();
         let send_report = move |report| inputs.send(to_input(report)).is_ok();
         let (thread, jobs) = DiskThread::start(folder, send_report)?;
@@ -99,7 +101,7 @@
 }
 
 impl DiskThread {
-    /// Starts the thread and returns the channel to it.
+    /// Starts the thread and returns its queue.
     ///
     /// `send_report` returns `false` if there is no receiver any more, which ends the thread.
     ///
@@ -109,13 +111,13 @@
     pub fn start(
         disk: impl Disk + 'static,
         send_report: impl Fn(DiskReport) -> bool + Send + 'static,
-    ) -> anyhow::Result<(Self, Sender<DiskJob>)> {
-        let (tx, rx) = channel::bounded(MAX_QUEUED_BATCHES);
+    ) -> anyhow::Result<(Self, DiskQueue)> {
+        let (queue, jobs) = queue::queue();
         let builder = std::thread::Builder::new().name("disk".into());
         let thread = builder
-            .spawn(move || run(disk, &rx, &send_report))
+            .spawn(move || run(disk, &jobs, &send_report))
             .context("can't start the disk thread")?;
-        Ok((Self { thread }, tx))
+        Ok((Self { thread }, queue))
     }
 
     /// Waits until all batches that were sent to the thread are synced.
@@ -124,11 +126,14 @@
     }
 }
 
-fn run(mut disk: impl Disk, jobs: &Receiver<DiskJob>, send_report: &impl Fn(DiskReport) -> bool) {
-    while let Ok(first) = jobs.recv() {
+fn run(mut disk: impl Disk, jobs: &QueuedJobs, send_report: &impl Fn(DiskReport) -> bool) {
+    while let Some(first) = jobs.recv() {
+        let mut bytes = first.bytes();
         let mut token = first.token;
         let mut records = first.records;
-        for job in jobs.try_iter().take(MAX_JOINED_BATCHES) {
+        for _ in 0..MAX_JOINED_BATCHES {
+            let Some(job) = jobs.try_recv() else { break };
+            bytes += job.bytes();
             token = job.token;
             records.extend(job.records);
         }
@@ -136,6 +141,7 @@
             Ok(()) => DiskReport::Synced(token),
             Err(error) => DiskReport::Failed(format!("{error:#}").into()),
         };
+        jobs.release(bytes);
         let failed = matches!(report, DiskReport::Failed(_));
         if !send_report(report) || failed {
             return;
--- a/crates/daemon/src/disk/folder.rs
+++ b/crates/daemon/src/disk/folder.rs
@@ -4,6 +4,7 @@
 use std::fs::{self, File, OpenOptions};
 use std::io::{Seek, SeekFrom, Write};
 use std::path::{Path, PathBuf};
+use std::sync::atomic::Ordering;
 
 use anyhow::{Context, bail};
 use chestnutdrift_core::agreement::Record;
@@ -11,6 +12,7 @@
 
 use super::{JournalCompactor, codec};
 use crate::clock;
+use crate::memory::{self, HOLDERS};
 
 const IDENTITY_FILE: &str = "identity.json";
 const JOURNAL_FILE: &str = "journal";
@@ -93,6 +95,9 @@
         sync_folder(&self.path)?;
         self.journal = journal;
         self.length = bytes.len() as u64;
+        HOLDERS.snapshots_written.fetch_add(1, Ordering::Relaxed);
+        HOLDERS.snapshot_bytes.fetch_add(self.length, Ordering::Relaxed);
+        memory::log_use("snapshot-written");
         Ok(())
     }
 
--- a/crates/daemon/src/gateway/control.rs
+++ b/crates/daemon/src/gateway/control.rs
@@ -6,7 +6,7 @@
 
 use chestnutdrift_core::gateway::{Action, Answer, Event, Forward, Gateway};
 use chestnutdrift_core::{Millis, RequestTag};
-use crossbeam::channel::{Receiver, RecvTimeoutError, Sender};
+use crossbeam::channel::{Receiver, RecvTimeoutError};
 use tokio::runtime::Runtime;
 use tokio::sync::mpsc;
 
@@ -18,7 +18,7 @@
 use super::server::ServerState;
 use crate::clock::Clock;
 use crate::control::write_event;
-use crate::disk::DiskJob;
+use crate::disk::{DiskJob, DiskQueue};
 use crate::link::Links;
 
 /// The capacity of an exchange's queue of directives; an answer may be queued behind the attempt
@@ -56,8 +56,8 @@
     pub server: Arc<ServerState>,
     /// Messages to other hosts.
     pub links: Links,
-    /// The disk thread, where the host has a disk.
-    pub disk: Option<Sender<DiskJob>>,
+    /// The queue of the disk thread, where the host has a disk.
+    pub disk: Option<DiskQueue>,
     /// The connections to upstreams.
     pub pool: Pool,
     /// The runs of batch items.
--- a/crates/daemon/src/gateway/load.rs
+++ b/crates/daemon/src/gateway/load.rs
@@ -9,6 +9,7 @@
 
 use super::metrics;
 use crate::link::LINK_COUNTERS;
+use crate::memory::{HOLDERS, MemoryMeter};
 
 /// The interval between two reports.
 const REPORT_INTERVAL: Duration = Duration::from_secs(1);
@@ -30,6 +31,7 @@
     longest_wait: Duration,
     /// The totals of the other threads at the last report.
     reported: ThreadTotals,
+    memory: MemoryMeter,
 }
 
 /// Time that threads other than the control thread have spent since the process started.
@@ -61,6 +63,7 @@
             waited: Duration::ZERO,
             longest_wait: Duration::ZERO,
             reported: ThreadTotals::default(),
+            memory: MemoryMeter::default(),
         }
     }
 }
@@ -81,7 +84,7 @@
     }
 
     /// Reports the load of the last interval once it has passed: as metrics, and as a log line if a
-    /// thread was busy or an event waited.
+    /// thread was busy or an event waited. Reports the memory too.
     pub fn report(&mut self, board: &Board, queued: usize, runtime: &Runtime) {
         let elapsed = self.reported_at.elapsed();
         if elapsed < REPORT_INTERVAL {
@@ -96,7 +99,10 @@
         if is_busy || self.longest_wait >= LOGGED_WAIT {
             self.log(board, queued, &totals, traffic_busy);
         }
-        *self = Self { reported: totals, ..Self::default() };
+        record_holders(board);
+        self.memory.report();
+        let memory = std::mem::take(&mut self.memory);
+        *self = Self { reported: totals, memory, ..Self::default() };
     }
 
     fn log(&self, board: &Board, queued: usize, totals: &ThreadTotals, traffic_busy: Duration) {
@@ -158,6 +164,12 @@
     }
 }
 
+fn record_holders(board: &Board) {
+    let Some(group) = &board.group else { return };
+    HOLDERS.log_bytes.store(group.replica.log().bytes() as u64, Ordering::Relaxed);
+    HOLDERS.job_bytes.store(group.directory.job_bytes() as u64, Ordering::Relaxed);
+}
+
 /// Returns how long the oldest command that this host proposed has waited for its commit, in
 /// milliseconds.
 fn oldest_proposal_ms(board: &Board) -> u64 {
--- a/crates/daemon/src/gateway/metrics.rs
+++ b/crates/daemon/src/gateway/metrics.rs
@@ -15,6 +15,7 @@
 use super::protocol::Listener;
 use crate::exchange::FullReply;
 use crate::link::LINK_COUNTERS;
+use crate::memory::{HOLDERS, MemoryUse};
 
 /// The bucket bounds of the answer time histogram, in seconds.
 const BUCKETS: [f64; 12] = [0.002, 0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.5, 5.0, 15.0];
@@ -31,6 +32,9 @@
     deflated_bytes: IntGauge,
     sent_messages: IntGauge,
     connections: IntGauge,
+    memory: IntGaugeVec,
+    snapshots_written: IntGauge,
+    snapshot_bytes: IntGauge,
 }
 
 static METRICS: LazyLock<Option<Metrics>> = LazyLock::new(|| match Metrics::new() {
@@ -65,6 +69,13 @@
         let sent_messages = IntGauge::new("chestnutdrift_link_sent_messages", help)?;
         let help = "Connections opened to upstreams";
         let connections = IntGauge::new("chestnutdrift_upstream_connections", help)?;
+        let opts =
+            Opts::new("chestnutdrift_memory_bytes", "Memory of the process, and its holders");
+        let memory = IntGaugeVec::new(opts, &["kind"])?;
+        let help = "Snapshots written to the disk";
+        let snapshots_written = IntGauge::new("chestnutdrift_disk_snapshots_written", help)?;
+        let help = "Bytes of the journals written with snapshots";
+        let snapshot_bytes = IntGauge::new("chestnutdrift_disk_snapshot_bytes", help)?;
         registry.register(Box::new(gateway.clone()))?;
         registry.register(Box::new(answers.clone()))?;
         registry.register(Box::new(event_wait.clone()))?;
@@ -75,6 +86,9 @@
         registry.register(Box::new(deflated_bytes.clone()))?;
         registry.register(Box::new(sent_messages.clone()))?;
         registry.register(Box::new(connections.clone()))?;
+        registry.register(Box::new(memory.clone()))?;
+        registry.register(Box::new(snapshots_written.clone()))?;
+        registry.register(Box::new(snapshot_bytes.clone()))?;
         Ok(Self {
             registry,
             gateway,
@@ -87,6 +101,9 @@
             deflated_bytes,
             sent_messages,
             connections,
+            memory,
+            snapshots_written,
+            snapshot_bytes,
         })
     }
 }
@@ -127,6 +144,7 @@
         metrics.deflated_bytes.set(gauge_value(deflated));
         metrics.sent_messages.set(gauge_value(LINK_COUNTERS.sent_messages.load(Ordering::Relaxed)));
         metrics.connections.set(gauge_value(pool.opened()));
+        set_memory(metrics);
         if let Err(error) = TextEncoder::new().encode(&metrics.registry.gather(), &mut body) {
             log::error!(event = "metrics-unwritten"; "{error}");
         }
@@ -143,6 +161,25 @@
     i64::try_from(value).unwrap_or(i64::MAX)
 }
 
+fn set_memory(metrics: &Metrics) {
+    let used = MemoryUse::read();
+    let values = [
+        ("resident", used.resident),
+        ("allocated", used.allocated),
+        ("peak_allocated", used.peak_allocated),
+        ("log", HOLDERS.log_bytes.load(Ordering::Relaxed)),
+        ("jobs", HOLDERS.job_bytes.load(Ordering::Relaxed)),
+        ("disk_queue", HOLDERS.disk_queue_bytes.load(Ordering::Relaxed)),
+    ];
+    for (kind, bytes) in values {
+        metrics.memory.with_label_values(&[kind]).set(gauge_value(bytes));
+    }
+    let snapshots = HOLDERS.snapshots_written.load(Ordering::Relaxed);
+    metrics.snapshots_written.set(gauge_value(snapshots));
+    let snapshot_bytes = HOLDERS.snapshot_bytes.load(Ordering::Relaxed);
+    metrics.snapshot_bytes.set(gauge_value(snapshot_bytes));
+}
+
 fn set_counters(gateway: &IntGaugeVec, counters: &Counters) {
     let values = [
         ("requests", counters.requests),
--- a/crates/daemon/src/gateway/start.rs
+++ b/crates/daemon/src/gateway/start.rs
@@ -23,6 +23,7 @@
 use crate::clock::{self, Clock};
 use crate::disk::{DiskReport, RestoredData};
 use crate::link::{self, Links, SharedPort};
+use crate::memory;
 
 /// The interval between checks whether the settings file has changed.
 const FILE_POLL_INTERVAL: Duration = Duration::from_secs(2);
@@ -46,6 +47,7 @@
     let cfg = file.gateway.clone().instance_ids(restored.incarnation, boot_id);
     let mut gateway = Gateway::new(cfg, clock.now());
     let restore_actions = gateway.handle(clock.now(), &Event::Restored(restored.records));
+    memory::log_use("restored");
     let runtime = link::socket_runtime("traffic")?;
     runtime.spawn(watch_file(watch, inputs.clone()));
     let (pool, state) = (Pool::default(), Arc::new(ServerState::default()));
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -18,4 +18,5 @@
 pub mod http;
 pub mod link;
 pub mod logging;
+pub mod memory;
 pub mod settings;
