feat(daemon): a gateway host knows its memory limit

Callers saw stores end by themselves over their memory limit, again and again. The limit of the settings reached no part of the program, so nothing could keep within it.

`memory` under [limits] takes a size with its unit, at least 32 MiB, and is optional; `GatewaySettings::memory_limit` carries it to the core.

--- a/crates/core/src/gateway/settings.rs
+++ b/crates/core/src/gateway/settings.rs
@@ -85,6 +85,9 @@
     /// The intervals and time limits of the deployment.
     #[serde(rename = "bounds")]
     pub times: DeploymentTimes,
+    /// The resident memory that the process must stay below, in bytes; `None` if it is not limited.
+    #[serde(default)]
+    pub memory_limit: Option<u64>,
 }
 
 impl GatewaySettings {
@@ -111,6 +114,7 @@
             timeline_capacity: 1_024,
             election_timeout: Millis(1_200),
             times: DeploymentTimes::default(),
+            memory_limit: None,
         }
     }
 
@@ -171,6 +175,13 @@
         self
     }
 
+    /// Sets the resident memory that the process must stay below, in bytes; the default is no limit.
+    #[must_use]
+    pub fn memory_limit(mut self, bytes: impl Into<Option<u64>>) -> Self {
+        self.memory_limit = bytes.into();
+        self
+    }
+
     /// Returns the distance of a zone: 0 for this host's own, 1 for another in its region, 2
     /// elsewhere.
     #[must_use]
--- a/crates/daemon/src/gateway/settings.rs
+++ b/crates/daemon/src/gateway/settings.rs
@@ -12,13 +12,13 @@
 
 use super::protocol::Listener;
 use crate::logging::LogSettings;
-use crate::settings::{Section, SettingsError, load, parse_duration};
+use crate::settings::{Section, SettingsError, load, parse_bytes, parse_duration};
 
 const HOST_KEYS: [&str; 8] =
     ["name", "role", "ip", "zone", "data", "first_start", "seed", "election"];
 const LISTEN_KEYS: [&str; 5] = ["callers", "readiness", "control", "metrics", "links"];
 const SEED_KEYS: [&str; 1] = ["control"];
-const LIMIT_KEYS: [&str; 2] = ["connections", "tolerated"];
+const LIMIT_KEYS: [&str; 3] = ["connections", "tolerated", "memory"];
 const TIME_KEYS: [&str; 4] = ["announce_every", "order_lease", "grace", "results_kept"];
 const LOG_KEYS: [&str; 1] = ["level"];
 const SECTIONS: [&str; 7] = ["host", "regions", "listen", "seeds", "limits", "times", "log"];
@@ -27,6 +27,9 @@
 /// descriptors for connections to upstreams.
 const DEFAULT_MAX_CONNECTIONS: usize = 2_000;
 
+/// The smallest memory limit, in bytes: a process that holds no jobs needs most of it.
+const MIN_MEMORY_LIMIT_BYTES: u64 = 32 << 20;
+
 /// The settings of a gateway.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct GatewaySettingsFile {
@@ -108,10 +111,23 @@
         .tolerated_losses(limits.number("tolerated", 1)?)
         .seed(host.number("seed", 0)?)
         .election_timeout(millis(election))
-        .times(deployment_times(path, ini)?);
+        .times(deployment_times(path, ini)?)
+        .memory_limit(memory_limit(limits)?);
     Ok(settings)
 }
 
+fn memory_limit(limits: &Section<'_>) -> Result<Option<u64>, SettingsError> {
+    const KEY: &str = "memory";
+    let Some(text) = limits.text(KEY).filter(|text| !text.is_empty()) else { return Ok(None) };
+    let expected = "a size of at least 32MiB with its unit, such as 128MiB";
+    let bytes = parse_bytes(text)
+        .ok_or_else(|| limits.error(KEY, format!("{text:?} can't be read"), expected))?;
+    if bytes < MIN_MEMORY_LIMIT_BYTES {
+        return Err(limits.error(KEY, format!("{text:?} is too small"), expected));
+    }
+    Ok(Some(bytes))
+}
+
 fn seeds(path: &Path, ini: &Ini) -> Result<Vec<HostId>, SettingsError> {
     let section = Section::open(path, ini, "seeds", &SEED_KEYS)?;
     let mut seeds = Vec::new();
--- a/crates/daemon/tests/process/main.rs
+++ b/crates/daemon/tests/process/main.rs
@@ -5,6 +5,7 @@
 mod chat;
 mod disk;
 mod fixture;
+mod gateway_settings;
 mod lifecycle;
 mod samples;
 mod settings;
