test(core): an empty store votes again before the next disk may be lost

Callers lost accepted jobs and the configuration without any exit of a process. A store that comes back empty is removed from the voters at once and votes again only when it has caught up. If the next disk is lost before, no majority of the voters is left.

--- a/crates/core/tests/it/directory.rs
+++ b/crates/core/tests/it/directory.rs
@@ -288,6 +288,32 @@
     assert!(voters.contains(&HostId(4)), "the spare is not a voter: {voters:?}");
 }
 
+#[test]
+fn an_empty_store_votes_again_before_the_next_disk_may_be_lost() {
+    const CATCH_UP_MS: u64 = 4_700;
+    let mut deployment = started(26);
+    // 600 Mbit/s: 30 MB of results take 400 ms.
+    deployment.bytes_per_ms = 75_000;
+    deployment.event_padding_bytes = 4_000;
+    for number in 0..25 {
+        deployment.submit(ENTRY, job(&format!("job-{number}"), 60, 1));
+        deployment.run(2_500);
+    }
+    let leader = deployment.leader().expect("a leader");
+    let followers = STORES.iter().filter(|id| **id != leader).copied().collect::<Vec<_>>();
+    deployment.kill(followers[0]);
+    deployment.lose_disk(followers[0]);
+    deployment.run(1_000);
+    deployment.start(followers[0]);
+    deployment.run(CATCH_UP_MS);
+    deployment.kill(followers[1]);
+    deployment.lose_disk(followers[1]);
+    deployment.run(3_000);
+    deployment.start(followers[1]);
+    deployment.run(10_000);
+    assert!(deployment.leader().is_some(), "no leader any more:\n{}", deployment.describe());
+}
+
 #[test]
 fn a_stopping_leader_transfers_its_leadership_at_once() {
     let mut deployment = started(18);
