fix(core): the log of a store grew until 8,192 entries, whatever their size

Cause: the log was compacted by its number of entries alone.

Excluded: the size of the directory itself; it drops jobs after their retention, the log did not.

--- a/crates/core/src/agreement/log.rs
+++ b/crates/core/src/agreement/log.rs
@@ -66,6 +66,21 @@
         self.entries.iter().rev()
     }
 
+    /// Returns the smallest index, from the base on, after which the log has at most `bytes` of
+    /// entries.
+    #[must_use]
+    pub fn index_before(&self, bytes: usize) -> u64 {
+        let (mut index, mut kept) = (self.last_index(), 0);
+        for entry in self.newest_first() {
+            kept += entry.bytes();
+            if kept > bytes {
+                break;
+            }
+            index = entry.index - 1;
+        }
+        index
+    }
+
     /// Appends an entry, whose index must follow the last one.
     pub fn push(&mut self, entry: Entry) {
         debug_assert_eq!(entry.index, self.last_index() + 1);
--- a/crates/core/src/agreement/membership.rs
+++ b/crates/core/src/agreement/membership.rs
@@ -44,6 +44,21 @@
         self
     }
 
+    /// Sets how many bytes of entries are applied between two snapshots; the default is no limit.
+    #[must_use]
+    pub fn snapshot_bytes(mut self, bytes: usize) -> Self {
+        self.snapshot_bytes = bytes;
+        self
+    }
+
+    /// Sets how many bytes of entries stay in the log although a snapshot includes them, so that
+    /// replicas that lag behind a little need no snapshot; the default is zero.
+    #[must_use]
+    pub fn log_tail_bytes(mut self, bytes: usize) -> Self {
+        self.log_tail_bytes = bytes;
+        self
+    }
+
     /// Adds a host to which this replica sends join requests while it is not a voter itself.
     pub fn add_member(&mut self, host: HostId) {
         if !self.members.contains(&host) {
--- a/crates/core/src/agreement/replica.rs
+++ b/crates/core/src/agreement/replica.rs
@@ -93,6 +93,14 @@
     pub(super) membership_policy: Option<MembershipPolicy>,
     pub(super) retired: BTreeMap<HostId, u64>,
     pub(super) snapshot_interval: u64,
+    /// The number of bytes of applied entries after which the next snapshot is due.
+    pub(super) snapshot_bytes: usize,
+    /// The most bytes of entries that are kept in the log although a snapshot includes them.
+    pub(super) log_tail_bytes: usize,
+    /// The index of the last snapshot of this replica.
+    pub(super) snapshot_index: u64,
+    /// The bytes of the entries that were applied since that snapshot.
+    pub(super) applied_bytes: usize,
     pub(super) leader_commit: u64,
 }
 
@@ -149,6 +157,10 @@
             membership_policy: None,
             retired: BTreeMap::new(),
             snapshot_interval: DEFAULT_SNAPSHOT_INTERVAL,
+            snapshot_bytes: usize::MAX,
+            log_tail_bytes: 0,
+            snapshot_index: 0,
+            applied_bytes: 0,
             leader_commit: 0,
         }
     }
@@ -194,6 +206,8 @@
         self.base_voters = snapshot.voters;
         self.commit_index = self.commit_index.max(snapshot.index);
         self.applied_index = snapshot.index;
+        self.snapshot_index = snapshot.index;
+        self.applied_bytes = 0;
         self.installed_state = Some(snapshot.state);
     }
 
@@ -390,6 +404,7 @@
         }
         let entry = self.log.get(self.applied_index + 1)?.clone();
         self.applied_index += 1;
+        self.applied_bytes += entry.bytes();
         Some(entry)
     }
 
@@ -404,18 +419,29 @@
     pub fn is_snapshot_due(&self) -> bool {
         let recovering =
             self.pending_recovery.is_some() && self.applied_index == self.log.last_index();
-        recovering || self.applied_index - self.log.base_index() >= self.snapshot_interval
+        let entries = self.applied_index - self.snapshot_index;
+        recovering
+            || entries >= self.snapshot_interval
+            || (entries > 0 && self.applied_bytes >= self.snapshot_bytes)
     }
 
-    /// Makes the applied state the new base of the log, and completes a pending recovery.
+    /// Replaces the log up to the applied state by a snapshot, and completes a pending recovery.
+    ///
+    /// The newest entries stay in the log for replicas that lag behind a little.
     pub fn take_snapshot(&mut self, state: GroupState, out: &mut Outbox) {
         let mut snapshot = self.build_snapshot(state);
         if let Some((epoch, voters)) = self.pending_recovery.take() {
             snapshot.voters.clone_from(&voters);
             self.adopt_epoch(epoch, voters, out);
+            self.base_voters.clone_from(&snapshot.voters);
+            self.log.compact(snapshot.index);
+        } else {
+            let base_index = self.log.index_before(self.log_tail_bytes).min(snapshot.index);
+            self.base_voters = self.voters_at(base_index);
+            self.log.compact(base_index);
         }
-        self.base_voters.clone_from(&snapshot.voters);
-        self.log.compact(snapshot.index);
+        self.snapshot_index = snapshot.index;
+        self.applied_bytes = 0;
         if self.durable {
             out.records.push(Record::Snapshot { group: self.group, snapshot });
         }
--- a/crates/core/src/agreement/replication.rs
+++ b/crates/core/src/agreement/replication.rs
@@ -183,6 +183,8 @@
             self.base_voters.clone_from(&snapshot.voters);
             self.commit_index = snapshot.index;
             self.applied_index = snapshot.index;
+            self.snapshot_index = snapshot.index;
+            self.applied_bytes = 0;
             self.synced_index = snapshot.index;
             self.installed_state = Some(snapshot.state.clone());
             if self.durable {
--- a/crates/core/src/gateway/board/group.rs
+++ b/crates/core/src/gateway/board/group.rs
@@ -14,11 +14,21 @@
 const VOTER_REPLACE_TIMEOUT: Millis = Millis(3_000);
 
 /// Number of log entries between two snapshots.
-///
-/// A snapshot rewrites the results of every job, so it must be rare: at 20 entries per second this
-/// is one in seven minutes.
 const ENTRIES_PER_SNAPSHOT: u64 = 8_192;
 
+/// Bytes of log entries between two snapshots; some hosts wait for up to twice as many.
+///
+/// A snapshot rewrites the results of every job, so it must be rare. The log and the journal between
+/// two snapshots hold texts of jobs that the directory has removed, so it must not be too rare.
+const BYTES_PER_SNAPSHOT: usize = 12 * 1024 * 1024;
+
+/// Number of different sizes at which hosts take their snapshots, so that not all voters write one
+/// at the same time.
+const SNAPSHOT_STEPS: u32 = 4;
+
+/// Bytes of log entries that are kept for replicas that lag behind a snapshot.
+const LOG_TAIL_BYTES: usize = 4 * 1024 * 1024;
+
 /// A command that this host has proposed.
 #[derive(Debug, Clone, Copy)]
 pub struct PendingCommit {
@@ -55,6 +65,13 @@
     pub next_job_cleanup: Millis,
 }
 
+/// Returns the bytes of log entries between two snapshots of a host.
+fn bytes_per_snapshot(host: HostId) -> usize {
+    // The multiplier spreads ids that differ in any of their bits.
+    let step = host.0.wrapping_mul(0x9e37_79b9).rotate_left(2) % SNAPSHOT_STEPS;
+    BYTES_PER_SNAPSHOT + BYTES_PER_SNAPSHOT * step as usize / SNAPSHOT_STEPS as usize
+}
+
 impl DirectoryGroup {
     /// Creates the group with an empty replica.
     #[must_use]
@@ -68,7 +85,9 @@
         let replica =
             Replica::new(GroupId::Directory, voter, cfg.seeds.clone(), true, cfg.election_timeout)
                 .with_membership_policy(membership)
-                .snapshot_interval(ENTRIES_PER_SNAPSHOT);
+                .snapshot_interval(ENTRIES_PER_SNAPSHOT)
+                .snapshot_bytes(bytes_per_snapshot(cfg.id))
+                .log_tail_bytes(LOG_TAIL_BYTES);
         Self {
             replica,
             outbox: Outbox::default(),
