--- a/crates/core/src/agreement.rs
+++ b/crates/core/src/agreement.rs
@@ -25,6 +25,7 @@
 mod record;
 mod replica;
 mod replication;
+mod snapshot_transfer;
 mod voter;
 
 pub use entry::{Command, Entry};
@@ -34,4 +35,5 @@
 pub use outbox::Outbox;
 pub use record::{GroupState, Record, Snapshot};
 pub use replica::{NotLeader, Replica, Role};
+pub use snapshot_transfer::SnapshotPart;
 pub use voter::Voter;
--- a/crates/core/src/agreement/bootstrap.rs
+++ b/crates/core/src/agreement/bootstrap.rs
@@ -156,7 +156,9 @@
         }
         let from_leader = matches!(
             message,
-            GroupMessage::AppendEntries { .. } | GroupMessage::InstallSnapshot { .. }
+            GroupMessage::AppendEntries { .. }
+                | GroupMessage::InstallSnapshot { .. }
+                | GroupMessage::SnapshotPart { .. }
         );
         if !from_leader || self.log.last_index() != 0 || epoch < self.epoch {
             return false;
--- a/crates/core/src/agreement/election.rs
+++ b/crates/core/src/agreement/election.rs
@@ -289,6 +289,7 @@
     fn become_follower(&mut self, leader: Option<HostId>) {
         self.role = Role::Follower;
         self.leader = leader;
+        self.outgoing = None;
         self.votes.clear();
     }
 }
--- a/crates/core/src/agreement/inbox.rs
+++ b/crates/core/src/agreement/inbox.rs
@@ -81,6 +81,23 @@
                     self.reject_append(from, out);
                 }
             }
+            GroupMessage::SnapshotPart { term, part, sent_at } => {
+                if self.accept_leader(now, from, term, out) {
+                    self.handle_snapshot_part(from, part, sent_at, out);
+                } else {
+                    self.reject_append(from, out);
+                }
+            }
+            GroupMessage::SnapshotPartReply { term, incarnation, index, next_part, sent_at } => {
+                if term > self.term {
+                    self.step_down(now, term, out);
+                    return;
+                }
+                if term == self.term {
+                    let reply = (index, next_part);
+                    self.handle_snapshot_part_reply(now, from, incarnation, reply, sent_at, out);
+                }
+            }
             GroupMessage::AppendReply { term, incarnation, accepted, match_index, sent_at } => {
                 if term > self.term {
                     self.step_down(now, term, out);
--- a/crates/core/src/agreement/message.rs
+++ b/crates/core/src/agreement/message.rs
@@ -2,7 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::agreement::{Entry, Snapshot, Voter};
+use crate::agreement::{Entry, Snapshot, SnapshotPart, Voter};
 use crate::time::Millis;
 
 /// Identifies one of the groups that a host can be a member of.
@@ -109,7 +109,32 @@
         /// The leader's monotonic clock at the time of sending.
         sent_at: Millis,
     },
-    /// Answers an `AppendEntries` or `InstallSnapshot`.
+    /// Carries one part of the snapshot of a directory. The snapshot replaces the state of a replica
+    /// that needs entries which the leader has compacted.
+    #[serde(rename = "part")]
+    SnapshotPart {
+        /// The leader's term.
+        term: u64,
+        /// The part.
+        part: SnapshotPart,
+        /// The leader's monotonic clock at the time of sending.
+        sent_at: Millis,
+    },
+    /// Answers a `SnapshotPart` unless it was the last one, which an `AppendReply` answers.
+    #[serde(rename = "part_reply")]
+    SnapshotPartReply {
+        /// The sender's term.
+        term: u64,
+        /// The sender's incarnation.
+        incarnation: u64,
+        /// The index of the snapshot.
+        index: u64,
+        /// The next part that the sender needs.
+        next_part: u32,
+        /// `sent_at` of the part that this answers.
+        sent_at: Millis,
+    },
+    /// Answers an `AppendEntries`, an `InstallSnapshot` or the last `SnapshotPart`.
     AppendReply {
         /// The sender's term.
         term: u64,
--- a/crates/core/src/agreement/replica.rs
+++ b/crates/core/src/agreement/replica.rs
@@ -2,6 +2,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
+use super::snapshot_transfer::{IncomingSnapshot, OutgoingSnapshot, TransferProgress};
 use crate::agreement::{
     Command, Entry, GroupId, GroupState, Log, MembershipPolicy, Outbox, Record, Snapshot, Voter,
 };
@@ -46,6 +47,8 @@
     /// When the entries in flight were sent.
     pub(super) sent_at: Millis,
     pub(super) last_join_request: Millis,
+    /// The transfer of a directory snapshot, where the replica needs one.
+    pub(super) transfer: Option<TransferProgress>,
 }
 
 /// One host's replica of a group.
@@ -101,6 +104,8 @@
     pub(super) snapshot_index: u64,
     /// The bytes of the entries that were applied since that snapshot.
     pub(super) applied_bytes: usize,
+    pub(super) outgoing: Option<OutgoingSnapshot>,
+    pub(super) incoming: Option<IncomingSnapshot>,
     pub(super) leader_commit: u64,
 }
 
@@ -161,6 +166,8 @@
             log_tail_bytes: 0,
             snapshot_index: 0,
             applied_bytes: 0,
+            outgoing: None,
+            incoming: None,
             leader_commit: 0,
         }
     }
--- a/crates/core/src/agreement/replication.rs
+++ b/crates/core/src/agreement/replication.rs
@@ -1,6 +1,8 @@
 //! Log replication: appends and their replies, commits, and snapshots.
 
-use crate::agreement::{Entry, GroupMessage, Log, Outbox, Record, Replica, Role, Snapshot, Voter};
+use crate::agreement::{
+    Entry, GroupId, GroupMessage, Log, Outbox, Record, Replica, Role, Snapshot, Voter,
+};
 use crate::key::HostId;
 use crate::time::{Millis, Now};
 
@@ -13,11 +15,11 @@
 
 /// The most bytes of entries in one append, unless its first entry alone is longer. A longer append
 /// could occupy a link for so long that the heartbeats queued after it are late.
-const MAX_APPEND_BYTES: usize = 128 * 1024;
+pub(super) const MAX_APPEND_BYTES: usize = 128 * 1024;
 
 /// The time after which an unanswered append is sent again. It is longer than the largest append
 /// takes: a link loses messages only when it breaks, so an append that is merely slow still arrives.
-const APPEND_RETRY_DELAY: Millis = Millis(1_000);
+pub(super) const APPEND_RETRY_DELAY: Millis = Millis(1_000);
 
 /// Returns the entries of the next append.
 fn next_entries(log: &Log, next_index: u64) -> Vec<Entry> {
@@ -66,10 +68,7 @@
         }
         let prev_index = progress.next_index.saturating_sub(1);
         let Some(prev_term) = self.log.term_at(prev_index) else {
-            progress.in_flight = true;
-            progress.last_sent_index = self.log.base_index();
-            progress.sent_at = now.mono;
-            self.snapshot_targets.insert(host);
+            self.send_missing_state(now, host, awaiting_reply, out);
             return;
         };
         let entries =
@@ -98,10 +97,27 @@
         std::mem::take(&mut self.snapshot_targets).into_iter().collect()
     }
 
-    /// Sends a snapshot to a replica that needs entries which the log no longer holds.
-    pub fn send_snapshot(&mut self, now: Now, host: HostId, snapshot: Snapshot, out: &mut Outbox) {
-        let (term, sent_at) = (self.term, now.mono);
-        out.immediate.push((host, GroupMessage::InstallSnapshot { term, snapshot, sent_at }));
+    /// Brings a replica forward that needs entries which the log no longer holds.
+    fn send_missing_state(
+        &mut self,
+        now: Now,
+        host: HostId,
+        awaiting_reply: bool,
+        out: &mut Outbox,
+    ) {
+        if self.group == GroupId::Directory {
+            self.send_parts(now, host, out);
+            return;
+        }
+        // A snapshot of another group is sent whole, and not again while it is in flight.
+        if awaiting_reply {
+            return;
+        }
+        let Some(progress) = self.progress.get_mut(&host) else { return };
+        progress.in_flight = true;
+        progress.last_sent_index = self.log.base_index();
+        progress.sent_at = now.mono;
+        self.snapshot_targets.insert(host);
     }
 
     /// Rejects a message from the leader of an earlier term. The zero `sent_at` extends no lease.
@@ -109,7 +125,7 @@
         self.reply_append(from, false, self.log.last_index(), Millis(0), out);
     }
 
-    fn reply_append(
+    pub(super) fn reply_append(
         &self,
         to: HostId,
         accepted: bool,
@@ -134,6 +150,7 @@
     ) {
         let (prev_index, prev_term) = previous;
         self.leader_commit = leader_commit;
+        self.incoming = None;
         let behind_base = prev_index < self.log.base_index();
         if !behind_base && self.log.term_at(prev_index) != Some(prev_term) {
             let hint =
@@ -222,12 +239,14 @@
         }
         progress.acked_sent_at = progress.acked_sent_at.max(sent_at);
         if accepted {
+            progress.transfer = None;
             progress.match_index = progress.match_index.max(match_index.min(last));
             progress.next_index = progress.next_index.max(progress.match_index + 1);
         } else {
             progress.next_index =
                 (match_index + 1).min(progress.next_index.saturating_sub(1)).max(1);
         }
+        self.release_outgoing_snapshot();
         self.advance_commit();
         self.send_append(now, from, false, out);
     }
--- /dev/null
+++ b/crates/core/src/agreement/snapshot_transfer.rs
@@ -0,0 +1,230 @@
+//! Transfer of a directory snapshot to replicas that need entries which the log no longer holds.
+//!
+//! The leader sends the commands that rebuild the directory in parts of the size of an append, and
+//! a few of them before the first is answered. A receiver collects the parts and installs the
+//! snapshot with the last one. Neither side ever holds an encoded copy of the whole state.
+
+use serde::{Deserialize, Serialize};
+
+use super::replication::{APPEND_RETRY_DELAY, MAX_APPEND_BYTES};
+use crate::agreement::{GroupMessage, GroupState, Outbox, Replica, Role, Snapshot, Voter};
+use crate::directory::{Directory, DirectoryCommand};
+use crate::key::HostId;
+use crate::time::{Millis, Now};
+
+/// The most parts that are sent to one replica and not yet answered.
+const MAX_PARTS_IN_FLIGHT: u32 = 8;
+
+/// One part of a snapshot.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub struct SnapshotPart {
+    /// The index of the last entry that the snapshot includes.
+    pub index: u64,
+    /// The term of that entry.
+    pub index_term: u64,
+    /// The voter set at that index.
+    pub voters: Vec<Voter>,
+    /// The position of the part, from 0.
+    pub number: u32,
+    /// Whether it is the last part.
+    pub is_last: bool,
+    /// The next commands that rebuild the state from an empty one.
+    pub commands: Vec<DirectoryCommand>,
+}
+
+/// A snapshot that a leader sends, split into parts.
+#[derive(Debug)]
+pub(super) struct OutgoingSnapshot {
+    index: u64,
+    index_term: u64,
+    voters: Vec<Voter>,
+    parts: Vec<Vec<DirectoryCommand>>,
+}
+
+/// A snapshot of which a replica has received the first parts.
+#[derive(Debug)]
+pub(super) struct IncomingSnapshot {
+    index: u64,
+    index_term: u64,
+    next_part: u32,
+    directory: Directory,
+}
+
+/// The leader's view of the transfer to one replica.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct TransferProgress {
+    index: u64,
+    /// The next part to send.
+    next_part: u32,
+    /// The number of parts that the replica has received.
+    received: u32,
+    /// When the last part was sent.
+    sent_at: Millis,
+}
+
+impl OutgoingSnapshot {
+    fn new(snapshot: Snapshot, directory: &Directory) -> Self {
+        let Snapshot { index, term: index_term, voters, .. } = snapshot;
+        Self { index, index_term, voters, parts: directory.rebuild_commands(MAX_APPEND_BYTES) }
+    }
+
+    fn part_count(&self) -> u32 {
+        u32::try_from(self.parts.len()).unwrap_or(u32::MAX)
+    }
+
+    fn part(&self, number: u32) -> Option<SnapshotPart> {
+        let commands = self.parts.get(number as usize)?.clone();
+        let is_last = number + 1 == self.part_count();
+        let (index, index_term, voters) = (self.index, self.index_term, self.voters.clone());
+        Some(SnapshotPart { index, index_term, voters, number, is_last, commands })
+    }
+}
+
+impl Replica {
+    /// Sends a snapshot to replicas that need entries which the log no longer holds: the state of a
+    /// directory in parts, that of another group whole.
+    pub fn send_snapshot(
+        &mut self,
+        now: Now,
+        hosts: impl IntoIterator<Item = HostId>,
+        snapshot: Snapshot,
+        out: &mut Outbox,
+    ) {
+        if let GroupState::Directory(directory) = &snapshot.state {
+            let directory = directory.clone();
+            self.outgoing = Some(OutgoingSnapshot::new(snapshot, &directory));
+            for host in hosts {
+                self.send_parts(now, host, out);
+            }
+            return;
+        }
+        let (term, sent_at) = (self.term, now.mono);
+        for host in hosts {
+            let snapshot = snapshot.clone();
+            out.immediate.push((host, GroupMessage::InstallSnapshot { term, snapshot, sent_at }));
+        }
+    }
+
+    /// Sends the next parts of the snapshot to a replica, or requests a snapshot if there is none
+    /// that the log continues.
+    pub(super) fn send_parts(&mut self, now: Now, host: HostId, out: &mut Outbox) {
+        let Some(progress) = self.progress.get_mut(&host) else { return };
+        let base_index = self.log.base_index();
+        let Some(outgoing) = self.outgoing.as_ref().filter(|sent| sent.index >= base_index) else {
+            self.snapshot_targets.insert(host);
+            return;
+        };
+        let index = outgoing.index;
+        let new = TransferProgress { index, next_part: 0, received: 0, sent_at: now.mono };
+        let known = progress.transfer.filter(|transfer| transfer.index == index);
+        let mut transfer = known.unwrap_or(new);
+        if now.mono.since(transfer.sent_at) >= APPEND_RETRY_DELAY {
+            transfer.next_part = transfer.received;
+        }
+        let (term, sent_at) = (self.term, now.mono);
+        while transfer.next_part < transfer.received + MAX_PARTS_IN_FLIGHT {
+            let Some(part) = outgoing.part(transfer.next_part) else { break };
+            transfer.next_part += 1;
+            transfer.sent_at = sent_at;
+            out.immediate.push((host, GroupMessage::SnapshotPart { term, part, sent_at }));
+        }
+        progress.transfer = Some(transfer);
+    }
+
+    /// Adds a part to the snapshot that is being received, and installs it with the last part.
+    pub(super) fn handle_snapshot_part(
+        &mut self,
+        from: HostId,
+        part: SnapshotPart,
+        sent_at: Millis,
+        out: &mut Outbox,
+    ) {
+        if part.index <= self.commit_index {
+            self.incoming = None;
+            self.reply_append(from, true, self.commit_index, sent_at, out);
+            return;
+        }
+        let SnapshotPart { index, index_term, voters, number, is_last, commands } = part;
+        self.leader_commit = self.leader_commit.max(index);
+        if number == 0 {
+            let directory = Directory::default();
+            self.incoming = Some(IncomingSnapshot { index, index_term, next_part: 0, directory });
+        }
+        let Some(incoming) = &mut self.incoming else {
+            self.reply_part(from, index, 0, sent_at, out);
+            return;
+        };
+        let is_same = (incoming.index, incoming.index_term) == (index, index_term);
+        if is_same && incoming.next_part == number {
+            incoming.next_part += 1;
+            for command in &commands {
+                incoming.directory.apply(command);
+            }
+            if is_last && let Some(IncomingSnapshot { directory, .. }) = self.incoming.take() {
+                let state = GroupState::Directory(directory);
+                let snapshot = Snapshot { index, term: index_term, voters, state };
+                self.handle_install_snapshot(from, snapshot, sent_at, out);
+                return;
+            }
+        }
+        let next_part = self.incoming.as_ref().filter(|_| is_same).map_or(0, |part| part.next_part);
+        self.reply_part(from, index, next_part, sent_at, out);
+    }
+
+    fn reply_part(
+        &self,
+        to: HostId,
+        index: u64,
+        next_part: u32,
+        sent_at: Millis,
+        out: &mut Outbox,
+    ) {
+        let (term, incarnation) = (self.term, self.local.incarnation);
+        let reply =
+            GroupMessage::SnapshotPartReply { term, incarnation, index, next_part, sent_at };
+        out.immediate.push((to, reply));
+    }
+
+    /// Sends further parts to a replica that has received some.
+    ///
+    /// `reply` is the index of the snapshot and the next part that the replica needs.
+    pub(super) fn handle_snapshot_part_reply(
+        &mut self,
+        now: Now,
+        from: HostId,
+        incarnation: u64,
+        reply: (u64, u32),
+        sent_at: Millis,
+        out: &mut Outbox,
+    ) {
+        let (index, next_part) = reply;
+        if self.role != Role::Leader {
+            return;
+        }
+        let Some(progress) = self.progress.get_mut(&from) else { return };
+        if progress.incarnation != incarnation {
+            return;
+        }
+        progress.has_replied = true;
+        progress.acked_sent_at = progress.acked_sent_at.max(sent_at);
+        let Some(transfer) = progress.transfer.as_mut().filter(|known| known.index == index) else {
+            return;
+        };
+        // A replica that has restarted needs all parts again.
+        if next_part < transfer.received {
+            transfer.next_part = next_part;
+        }
+        transfer.received = next_part;
+        transfer.next_part = transfer.next_part.max(next_part);
+        self.advance_commit();
+        self.send_parts(now, from, out);
+    }
+
+    /// Drops the outgoing snapshot once no replica needs it any more.
+    pub(super) fn release_outgoing_snapshot(&mut self) {
+        if self.progress.values().all(|progress| progress.transfer.is_none()) {
+            self.outgoing = None;
+        }
+    }
+}
--- a/crates/core/src/controller/agreement.rs
+++ b/crates/core/src/controller/agreement.rs
@@ -157,9 +157,9 @@
     };
     let now = board.now;
     let Some(group_replica) = board.groups.group_mut(group) else { return };
-    for host in receivers {
+    if !receivers.is_empty() {
         let snapshot = group_replica.replica.build_snapshot(state.clone());
-        group_replica.replica.send_snapshot(now, host, snapshot, &mut group_replica.outbox);
+        group_replica.replica.send_snapshot(now, receivers, snapshot, &mut group_replica.outbox);
     }
     if snapshot_due {
         group_replica.replica.take_snapshot(state, &mut group_replica.outbox);
--- a/crates/core/src/directory.rs
+++ b/crates/core/src/directory.rs
@@ -6,6 +6,7 @@
 
 mod command;
 mod job;
+mod rebuild;
 mod routing;
 mod state;
 mod text;
--- a/crates/core/src/directory/job.rs
+++ b/crates/core/src/directory/job.rs
@@ -219,6 +219,12 @@
         self.partial_texts.get(&item).map(PartialText::text)
     }
 
+    /// Returns the saved parts of the texts of items without a result; those of one text are in
+    /// order.
+    pub fn text_parts(&self) -> impl Iterator<Item = &TextPart> {
+        self.partial_texts.values().flat_map(PartialText::parts)
+    }
+
     /// Returns the indices of the items with a saved part of their text.
     pub fn items_with_partial_text(&self) -> impl Iterator<Item = u32> {
         self.partial_texts.keys().copied()
--- a/crates/core/src/directory/text.rs
+++ b/crates/core/src/directory/text.rs
@@ -90,6 +90,12 @@
         self.parts.retain(|part| part.event_offset < events);
     }
 
+    /// Returns the parts, in order.
+    #[must_use]
+    pub fn parts(&self) -> &[TextPart] {
+        &self.parts
+    }
+
     /// Returns the size of the texts of the parts, in bytes.
     #[must_use]
     pub fn bytes(&self) -> usize {
--- a/crates/core/src/gateway/controller/agreement.rs
+++ b/crates/core/src/gateway/controller/agreement.rs
@@ -7,8 +7,8 @@
 use rand::Rng;
 
 use super::Controller;
-use crate::agreement::{Command, Entry, GroupId, GroupState, Record};
-use crate::directory::{DirectoryCommand, DirectoryOutcome};
+use crate::agreement::{Command, Entry, GroupId, GroupMessage, GroupState, Record};
+use crate::directory::{Directory, DirectoryCommand, DirectoryOutcome};
 use crate::gateway::board::{Board, DirectoryGroup, Origin, PendingCommit};
 use crate::gateway::event::Event;
 use crate::gateway::message::StoreReply;
@@ -31,7 +31,7 @@
                 if let Message::Group(frame) = &envelope.message
                     && frame.group == GroupId::Directory
                 {
-                    let message = frame.message.clone();
+                    let message = share_texts(&group.directory, frame.message.clone());
                     let (now, from) = (board.now, envelope.from);
                     group.replica.handle_message(
                         now,
@@ -66,6 +66,16 @@
     apply_installed(board, group);
 }
 
+/// Lets the part of a snapshot share the texts of the directory that the snapshot replaces.
+fn share_texts(directory: &Directory, mut message: GroupMessage) -> GroupMessage {
+    if let GroupMessage::SnapshotPart { part, .. } = &mut message {
+        for command in &mut part.commands {
+            directory.share_with(command);
+        }
+    }
+    message
+}
+
 fn handle_synced(board: &mut Board, group: &mut DirectoryGroup, token: SyncToken) {
     while let Some((synced, index)) = group.pending_syncs.front().copied() {
         if synced > token {
@@ -190,9 +200,9 @@
         return;
     }
     let state = GroupState::Directory(group.directory.clone());
-    for host in targets {
+    if !targets.is_empty() {
         let snapshot = group.replica.build_snapshot(state.clone());
-        group.replica.send_snapshot(board.now, host, snapshot, &mut group.outbox);
+        group.replica.send_snapshot(board.now, targets, snapshot, &mut group.outbox);
     }
     if is_due {
         group.replica.take_snapshot(state, &mut group.outbox);
--- a/crates/core/tests/it/deployment.rs
+++ b/crates/core/tests/it/deployment.rs
@@ -10,7 +10,8 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, Instant};
 
-use chestnutdrift_core::agreement::{GroupMessage, Record};
+use chestnutdrift_core::agreement::{Entry, GroupMessage, Record};
+use chestnutdrift_core::directory::DirectoryCommand;
 use chestnutdrift_core::gateway::{
     Action, Answer, Call, Event, Gateway, GatewaySettings, IncomingCall, JobBody, Order,
     ResultsPage, Role, RunItem,
@@ -455,6 +456,12 @@
 fn message_bytes(envelope: &Envelope) -> u64 {
     const OVERHEAD_BYTES: u64 = 200;
     let Message::Group(frame) = &envelope.message else { return OVERHEAD_BYTES };
-    let GroupMessage::AppendEntries { entries, .. } = &frame.message else { return OVERHEAD_BYTES };
-    OVERHEAD_BYTES + entries.iter().map(|entry| entry.bytes() as u64).sum::<u64>()
+    let bytes = match &frame.message {
+        GroupMessage::AppendEntries { entries, .. } => entries.iter().map(Entry::bytes).sum(),
+        GroupMessage::SnapshotPart { part, .. } => {
+            part.commands.iter().map(DirectoryCommand::bytes).sum()
+        }
+        _ => 0,
+    };
+    OVERHEAD_BYTES + bytes as u64
 }
--- a/crates/core/tests/it/log_size.rs
+++ b/crates/core/tests/it/log_size.rs
@@ -1,15 +1,28 @@
-//! The size of the log, in bytes.
+//! The sizes of the log and of snapshots, in bytes.
+
+use std::cell::Cell;
+use std::rc::Rc;
+use std::sync::Arc;
 
 use chestnutdrift_core::HostId;
-use chestnutdrift_core::gateway::Call;
+use chestnutdrift_core::agreement::GroupMessage;
+use chestnutdrift_core::directory::{
+    Directory, DirectoryCommand, ItemOutcome, ItemResult, ItemText, JobSpec, NewResult, TextPart,
+};
 use chestnutdrift_core::gateway::board::DirectoryGroup;
+use chestnutdrift_core::message::Message;
+use chestnutdrift_core::{Millis, gateway::Call};
+use test_case::test_case;
 
-use crate::deployment::{Deployment, job};
+use crate::deployment::{Deployment, job, routing};
 use crate::directory::{ENTRY, STORES, started};
 
 /// The most bytes of log entries that a store may hold: a quarter of the memory of a small store.
 const MAX_LOG_BYTES: usize = 32 * 1024 * 1024;
 
+/// The most bytes of a message that carries a part of a snapshot.
+const MAX_PART_BYTES: usize = 256 * 1024;
+
 /// Runs jobs with 12 MB of text each until a number of them have ended.
 fn run_large_jobs(deployment: &mut Deployment, jobs: u32, mut check: impl FnMut(&Deployment)) {
     deployment.event_padding_bytes = 20_000;
@@ -44,3 +57,118 @@
     let held = group(&deployment, STORES[0]).directory.job_bytes();
     assert!(held > MAX_LOG_BYTES, "only {held} bytes of jobs were written");
 }
+
+/// Guards against a snapshot that travels as one message of the size of the whole state.
+#[test_case(0; "over good links")]
+#[test_case(3; "over links that lose messages")]
+fn a_store_without_its_disk_gets_the_state_in_small_parts(drop_percent: u32) {
+    let mut deployment = started(32);
+    run_large_jobs(&mut deployment, 3, |_| {});
+    let leader = deployment.leader().expect("a leader");
+    assert!(group(&deployment, leader).replica.log().base_index() > 0, "no snapshot was taken");
+    let lost = *STORES.iter().find(|id| **id != leader).expect("a follower");
+    let (largest, parts) = (Rc::new(Cell::new(0)), Rc::new(Cell::new(0)));
+    let (seen, counted) = (Rc::clone(&largest), Rc::clone(&parts));
+    deployment.on_send = Some(Box::new(move |_, envelope| {
+        let Message::Group(frame) = &envelope.message else { return };
+        assert!(!matches!(frame.message, GroupMessage::InstallSnapshot { .. }), "sent whole");
+        let GroupMessage::SnapshotPart { part, .. } = &frame.message else { return };
+        seen.set(part.commands.iter().map(DirectoryCommand::bytes).sum::<usize>().max(seen.get()));
+        counted.set(counted.get() + 1);
+    }));
+    deployment.kill(lost);
+    deployment.lose_disk(lost);
+    deployment.drop_percent = drop_percent;
+    deployment.run(500);
+    deployment.start(lost);
+    deployment.run(20_000);
+    deployment.drop_percent = 0;
+    deployment.run(2_000);
+    assert!(parts.get() > 1 && largest.get() < MAX_PART_BYTES, "{} bytes", largest.get());
+    let leader = deployment.leader().expect("a leader");
+    let (found, expected) = (group(&deployment, lost), group(&deployment, leader));
+    assert!(found.directory == expected.directory, "{}", deployment.describe());
+    assert!(found.voter_hosts().contains(&lost), "{}", deployment.describe());
+}
+
+/// Guards against a store that holds two copies of every text while it receives a snapshot.
+#[test]
+fn a_store_that_fell_behind_keeps_its_texts_when_it_gets_a_snapshot() {
+    let mut deployment = started(33);
+    run_large_jobs(&mut deployment, 1, |_| {});
+    let leader = deployment.leader().expect("a leader");
+    let behind = *STORES.iter().find(|id| **id != leader).expect("a follower");
+    let text = |deployment: &Deployment| {
+        let job = &group(deployment, behind).directory.jobs["large-0"];
+        let ItemOutcome::Completed { text, .. } = &job.results[0].outcome else { panic!() };
+        Arc::clone(text)
+    };
+    let before = text(&deployment);
+    deployment.freeze(behind);
+    run_large_jobs(&mut deployment, 5, |_| {});
+    let base = group(&deployment, leader).replica.log().base_index();
+    let last = group(&deployment, behind).replica.log().last_index();
+    assert!(base > last, "the log still holds what the store missed");
+    deployment.thaw(behind);
+    deployment.run(15_000);
+    let caught_up = group(&deployment, behind).directory == group(&deployment, leader).directory;
+    assert!(caught_up, "{}", deployment.describe());
+    assert!(Arc::ptr_eq(&before, &text(&deployment)), "the text was replaced by a copy");
+}
+
+#[test_case(1; "one command a chunk")]
+#[test_case(2_000; "a few commands a chunk")]
+#[test_case(usize::MAX; "one chunk")]
+fn a_directory_is_rebuilt_from_its_commands(max_bytes: usize) {
+    let directory = directory();
+    let mut rebuilt = Directory::default();
+    for command in directory.rebuild_commands(max_bytes).iter().flatten() {
+        rebuilt.apply(command);
+    }
+    assert_eq!(rebuilt, directory);
+}
+
+/// Returns a directory with an ended and an open job, and every other kind of content.
+fn directory() -> Directory {
+    let mut directory = Directory::default();
+    let spec = |id: &str| {
+        let body = job(id, 3, 1);
+        Arc::new(JobSpec {
+            id: body.id,
+            host: "jobs.example".into(),
+            prefix: "/jobs/".into(),
+            services: vec!["engines".into()],
+            model: body.model,
+            min_version: 1,
+            single_version: false,
+            resumable: true,
+            max_attempts: 3,
+            due_after: Millis(7_500),
+            give_up_after: Millis(40_000),
+            items: body.items,
+        })
+    };
+    let result = |item, outcome| NewResult::with_whole_text(ItemResult { item, outcome });
+    let completed = ItemOutcome::Completed { text: "one\ntwo".into(), versions: vec![1, 2] };
+    let mut text = ItemText::default();
+    text.push_event(1, "first", Some(2));
+    let part = |event_offset| TextPart { item: 1, event_offset, text: Arc::new(text.clone()) };
+    let model = Box::from("model");
+    for command in [
+        DirectoryCommand::PutRouting(routing(4)),
+        DirectoryCommand::SetNamedVersion { model, version: 9 },
+        DirectoryCommand::SetOrderer { host: HostId(2) },
+        DirectoryCommand::RetireVoter { host: HostId(3), incarnation: 8 },
+        DirectoryCommand::SubmitJob { spec: spec("ended"), at: Millis(10) },
+        DirectoryCommand::SubmitJob { spec: spec("open"), at: Millis(20) },
+        DirectoryCommand::AppendResults {
+            job: "ended".into(),
+            results: vec![result(2, completed), result(0, ItemOutcome::Errored)],
+        },
+        DirectoryCommand::EndJob { job: "ended".into(), at: Millis(30) },
+        DirectoryCommand::SaveTextParts { job: "open".into(), parts: vec![part(0), part(1)] },
+    ] {
+        directory.apply(&command);
+    }
+    directory
+}
