fix(core): an empty store took a round trip for each append to catch up

Cause: a store that comes back without its disk leaves the voter set at once and votes again once it has the whole log. The leader sent one append of at most 128 KB and waited for its answer, 45 ms between regions and syncs. So 11.4 s passed for some 1,100 entries, and 14.7 s were not enough for 2,600, while the deployment may lose the next disk after 4.7 s.

Excluded: the bandwidth of links (600 Mbit/s carry 30 MB in 0.4 s) and the leader's processor time (it sent 2.3 to 3.5 MB a second).

The number grows with prompt answers and falls back to one after a late answer or none, so that a slow link is not filled ahead of the heartbeats. Rejections of appends that were sent before a reset count for nothing.

--- a/crates/core/src/agreement.rs
+++ b/crates/core/src/agreement.rs
@@ -25,6 +25,7 @@
 mod record;
 mod replica;
 mod replication;
+mod send_window;
 mod snapshot_transfer;
 mod voter;
 
--- a/crates/core/src/agreement/replica.rs
+++ b/crates/core/src/agreement/replica.rs
@@ -2,6 +2,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
+use super::send_window::SendWindow;
 use super::snapshot_transfer::{IncomingSnapshot, OutgoingSnapshot, TransferProgress};
 use crate::agreement::{
     Command, Entry, GroupId, GroupState, Log, MembershipPolicy, Outbox, Record, Snapshot, Voter,
@@ -32,7 +33,7 @@
 /// The leader's view of the replication to another replica.
 #[derive(Debug, Clone, Copy, Default)]
 pub(super) struct Progress {
-    /// The next entry to send.
+    /// The next entry to send if none is in flight.
     pub(super) next_index: u64,
     /// The last entry that the replica is known to have stored.
     pub(super) match_index: u64,
@@ -40,12 +41,10 @@
     /// When the newest append that the replica has answered was sent.
     pub(super) acked_sent_at: Millis,
     pub(super) has_replied: bool,
-    /// Whether entries or a snapshot are sent and not yet answered.
-    pub(super) in_flight: bool,
-    /// The last entry that is in flight.
-    pub(super) last_sent_index: u64,
-    /// When the entries in flight were sent.
-    pub(super) sent_at: Millis,
+    /// The appends with entries that are not yet answered, by their last entries.
+    pub(super) window: SendWindow,
+    /// When entries were last sent again. Rejections of earlier appends count for nothing.
+    pub(super) resent_at: Millis,
     pub(super) last_join_request: Millis,
     /// The transfer of a directory snapshot, where the replica needs one.
     pub(super) transfer: Option<TransferProgress>,
--- a/crates/core/src/agreement/replication.rs
+++ b/crates/core/src/agreement/replication.rs
@@ -35,7 +35,7 @@
 }
 
 impl Replica {
-    /// Sends a heartbeat to every other replica, with new entries if none are in flight to it.
+    /// Sends a heartbeat to every other replica, with new entries if few are in flight to it.
     pub(super) fn heartbeat(&mut self, now: Now, out: &mut Outbox) {
         self.next_heartbeat =
             now.mono + Millis(self.election_timeout.0 / HEARTBEATS_PER_ELECTION_TIMEOUT);
@@ -46,7 +46,7 @@
         self.advance_commit();
     }
 
-    /// Sends new entries to every replica that has no entries in flight.
+    /// Sends new entries to every replica that has few entries in flight.
     pub(super) fn send_appends(&mut self, now: Now, out: &mut Outbox) {
         let peers: Vec<HostId> = self.progress.keys().copied().collect();
         for host in peers {
@@ -60,34 +60,41 @@
             return;
         }
         let Some(progress) = self.progress.get_mut(&host) else { return };
-        let awaiting_reply =
-            progress.in_flight && now.mono.since(progress.sent_at) < APPEND_RETRY_DELAY;
-        let nothing_new = progress.next_index > self.log.last_index();
-        if !is_heartbeat && (awaiting_reply || nothing_new) {
-            return;
+        if progress.window.has_timed_out(now.mono, APPEND_RETRY_DELAY) {
+            progress.window.reset();
+            progress.resent_at = now.mono;
         }
-        let prev_index = progress.next_index.saturating_sub(1);
-        let Some(prev_term) = self.log.term_at(prev_index) else {
-            self.send_missing_state(now, host, awaiting_reply, out);
-            return;
-        };
-        let entries =
-            if awaiting_reply { Vec::new() } else { next_entries(&self.log, progress.next_index) };
-        if let Some(last) = entries.last() {
-            progress.in_flight = true;
-            progress.last_sent_index = last.index;
-            progress.sent_at = now.mono;
+        let mut needs_heartbeat = is_heartbeat;
+        loop {
+            let Some(progress) = self.progress.get_mut(&host) else { return };
+            let next_index = progress.next_index;
+            let prev_index =
+                progress.window.last_position().unwrap_or_else(|| next_index.saturating_sub(1));
+            let has_entries = prev_index < self.log.last_index() && progress.window.has_room();
+            if !has_entries && !needs_heartbeat {
+                return;
+            }
+            let Some(prev_term) = self.log.term_at(prev_index) else {
+                self.send_missing_state(now, host, out);
+                return;
+            };
+            let entries =
+                if has_entries { next_entries(&self.log, prev_index + 1) } else { Vec::new() };
+            if let Some(last) = entries.last() {
+                progress.window.push(last.index, now.mono);
+            }
+            let (term, leader_commit, sent_at) = (self.term, self.commit_index, now.mono);
+            let message = GroupMessage::AppendEntries {
+                term,
+                prev_index,
+                prev_term,
+                entries,
+                leader_commit,
+                sent_at,
+            };
+            out.immediate.push((host, message));
+            needs_heartbeat = false;
         }
-        let (term, leader_commit, sent_at) = (self.term, self.commit_index, now.mono);
-        let message = GroupMessage::AppendEntries {
-            term,
-            prev_index,
-            prev_term,
-            entries,
-            leader_commit,
-            sent_at,
-        };
-        out.immediate.push((host, message));
     }
 
     /// Removes and returns the hosts that need a snapshot, because the log no longer holds the
@@ -98,26 +105,17 @@
     }
 
     /// Brings a replica forward that needs entries which the log no longer holds.
-    fn send_missing_state(
-        &mut self,
-        now: Now,
-        host: HostId,
-        awaiting_reply: bool,
-        out: &mut Outbox,
-    ) {
+    fn send_missing_state(&mut self, now: Now, host: HostId, out: &mut Outbox) {
         if self.group == GroupId::Directory {
             self.send_parts(now, host, out);
             return;
         }
+        let Some(progress) = self.progress.get_mut(&host) else { return };
         // A snapshot of another group is sent whole, and not again while it is in flight.
-        if awaiting_reply {
-            return;
+        if progress.window.is_empty() {
+            progress.window.push(self.log.base_index(), now.mono);
+            self.snapshot_targets.insert(host);
         }
-        let Some(progress) = self.progress.get_mut(&host) else { return };
-        progress.in_flight = true;
-        progress.last_sent_index = self.log.base_index();
-        progress.sent_at = now.mono;
-        self.snapshot_targets.insert(host);
     }
 
     /// Rejects a message from the leader of an earlier term. The zero `sent_at` extends no lease.
@@ -233,18 +231,17 @@
             return;
         }
         progress.has_replied = true;
-        // The reply to a heartbeat does not acknowledge the entries that are still in flight.
-        if !accepted || match_index >= progress.last_sent_index {
-            progress.in_flight = false;
-        }
         progress.acked_sent_at = progress.acked_sent_at.max(sent_at);
         if accepted {
             progress.transfer = None;
             progress.match_index = progress.match_index.max(match_index.min(last));
             progress.next_index = progress.next_index.max(progress.match_index + 1);
-        } else {
-            progress.next_index =
-                (match_index + 1).min(progress.next_index.saturating_sub(1)).max(1);
+            progress.window.confirm(progress.match_index, now.mono);
+        } else if sent_at >= progress.resent_at {
+            let earlier = (match_index + 1).min(progress.next_index.saturating_sub(1));
+            progress.next_index = earlier.max(progress.match_index + 1);
+            progress.window.reset();
+            progress.resent_at = now.mono;
         }
         self.release_outgoing_snapshot();
         self.advance_commit();
--- a/crates/core/src/agreement/snapshot_transfer.rs
+++ b/crates/core/src/agreement/snapshot_transfer.rs
@@ -7,14 +7,12 @@
 use serde::{Deserialize, Serialize};
 
 use super::replication::{APPEND_RETRY_DELAY, MAX_APPEND_BYTES};
+use super::send_window::SendWindow;
 use crate::agreement::{GroupMessage, GroupState, Outbox, Replica, Role, Snapshot, Voter};
 use crate::directory::{Directory, DirectoryCommand};
 use crate::key::HostId;
 use crate::time::{Millis, Now};
 
-/// The most parts that are sent to one replica and not yet answered.
-const MAX_PARTS_IN_FLIGHT: u32 = 8;
-
 /// One part of a snapshot.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -55,12 +53,10 @@
 #[derive(Debug, Clone, Copy)]
 pub(super) struct TransferProgress {
     index: u64,
-    /// The next part to send.
-    next_part: u32,
     /// The number of parts that the replica has received.
     received: u32,
-    /// When the last part was sent.
-    sent_at: Millis,
+    /// The parts that are not yet answered, by the number of parts up to each.
+    window: SendWindow,
 }
 
 impl OutgoingSnapshot {
@@ -69,13 +65,10 @@
         Self { index, index_term, voters, parts: directory.rebuild_commands(MAX_APPEND_BYTES) }
     }
 
-    fn part_count(&self) -> u32 {
-        u32::try_from(self.parts.len()).unwrap_or(u32::MAX)
-    }
-
-    fn part(&self, number: u32) -> Option<SnapshotPart> {
+    fn part(&self, number: u64) -> Option<SnapshotPart> {
+        let number = u32::try_from(number).ok()?;
         let commands = self.parts.get(number as usize)?.clone();
-        let is_last = number + 1 == self.part_count();
+        let is_last = number as usize + 1 == self.parts.len();
         let (index, index_term, voters) = (self.index, self.index_term, self.voters.clone());
         Some(SnapshotPart { index, index_term, voters, number, is_last, commands })
     }
@@ -116,17 +109,17 @@
             return;
         };
         let index = outgoing.index;
-        let new = TransferProgress { index, next_part: 0, received: 0, sent_at: now.mono };
         let known = progress.transfer.filter(|transfer| transfer.index == index);
+        let new = TransferProgress { index, received: 0, window: SendWindow::default() };
         let mut transfer = known.unwrap_or(new);
-        if now.mono.since(transfer.sent_at) >= APPEND_RETRY_DELAY {
-            transfer.next_part = transfer.received;
+        if transfer.window.has_timed_out(now.mono, APPEND_RETRY_DELAY) {
+            transfer.window.reset();
         }
         let (term, sent_at) = (self.term, now.mono);
-        while transfer.next_part < transfer.received + MAX_PARTS_IN_FLIGHT {
-            let Some(part) = outgoing.part(transfer.next_part) else { break };
-            transfer.next_part += 1;
-            transfer.sent_at = sent_at;
+        while transfer.window.has_room() {
+            let sent = transfer.window.last_position().unwrap_or(u64::from(transfer.received));
+            let Some(part) = outgoing.part(sent) else { break };
+            transfer.window.push(sent + 1, sent_at);
             out.immediate.push((host, GroupMessage::SnapshotPart { term, part, sent_at }));
         }
         progress.transfer = Some(transfer);
@@ -213,10 +206,10 @@
         };
         // A replica that has restarted needs all parts again.
         if next_part < transfer.received {
-            transfer.next_part = next_part;
+            transfer.window.reset();
         }
         transfer.received = next_part;
-        transfer.next_part = transfer.next_part.max(next_part);
+        transfer.window.confirm(u64::from(next_part), now.mono);
         self.advance_commit();
         self.send_parts(now, from, out);
     }
--- a/crates/core/tests/it/directory.rs
+++ b/crates/core/tests/it/directory.rs
@@ -288,6 +288,32 @@
     assert!(voters.contains(&HostId(4)), "the spare is not a voter: {voters:?}");
 }
 
+/// Guards against a leader that waited for the answer to each append before it sent the next one.
+#[test_case(10, 1_700; "from the log")]
+#[test_case(30, 4_700; "from a snapshot")]
+fn an_empty_store_catches_up_in_time(megabytes: u32, limit_ms: u64) {
+    let mut deployment = started(27);
+    // 600 Mbit/s: 30 MB of results take 400 ms.
+    deployment.bytes_per_ms = 75_000;
+    deployment.event_padding_bytes = 10_000;
+    deployment.events_per_item = Some(10);
+    // A job has 2 MB of text.
+    for number in 0..megabytes / 2 {
+        deployment.submit(ENTRY, job(&format!("job-{number}"), 20, 1));
+        deployment.run(1_500);
+    }
+    let leader = deployment.leader().expect("a leader");
+    let lost = *STORES.iter().find(|id| **id != leader).expect("a follower");
+    deployment.kill(lost);
+    deployment.lose_disk(lost);
+    deployment.run(500);
+    deployment.start(lost);
+    deployment.run(limit_ms);
+    let leader = deployment.leader().expect("a leader");
+    let group = deployment.gateway(leader).board().group.as_ref().expect("a store has a group");
+    assert!(group.voter_hosts().contains(&lost), "{}", deployment.describe());
+}
+
 #[test]
 fn an_empty_store_votes_again_before_the_next_disk_may_be_lost() {
     const CATCH_UP_MS: u64 = 4_700;
