--- a/crates/daemon/src/disk.rs
+++ b/crates/daemon/src/disk.rs
@@ -10,6 +10,8 @@
 mod compactor;
 mod folder;
 mod queue;
+mod reader;
+mod tail;
 
 use std::io;
 use std::path::Path;
--- a/crates/daemon/src/disk/codec.rs
+++ b/crates/daemon/src/disk/codec.rs
@@ -4,11 +4,45 @@
 //! batch. It can damage any part of that batch: a sector in the middle may be lost while later ones
 //! are intact.
 
-use anyhow::{Context, bail};
+use std::io::Cursor;
+
+use anyhow::Context;
 use chestnutdrift_core::agreement::Record;
 
+use super::reader::JournalReader;
+
 /// The size of the header of a batch, which holds its length and its checksum, little-endian.
-const HEADER_BYTES: usize = 8;
+pub(super) const HEADER_BYTES: usize = 8;
+
+/// The size of the buffers between the journal and records, in bytes.
+pub(super) const BUFFER_BYTES: usize = 64 * 1024;
+
+/// The header of a batch.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) struct Header {
+    /// The length of the encoded records, in bytes.
+    pub(super) length: u32,
+    /// The checksum of the encoded records.
+    pub(super) sum: u32,
+}
+
+impl Header {
+    fn new(length: u64, sum: u32) -> anyhow::Result<Self> {
+        let length = u32::try_from(length).context("a batch of records is longer than 4 GB")?;
+        Ok(Self { length, sum })
+    }
+
+    pub(super) fn decode(bytes: [u8; HEADER_BYTES]) -> Self {
+        let [a, b, c, d, e, f, g, h] = bytes;
+        Self { length: u32::from_le_bytes([a, b, c, d]), sum: u32::from_le_bytes([e, f, g, h]) }
+    }
+
+    fn encode(self) -> [u8; HEADER_BYTES] {
+        let [a, b, c, d] = self.length.to_le_bytes();
+        let [e, f, g, h] = self.sum.to_le_bytes();
+        [a, b, c, d, e, f, g, h]
+    }
+}
 
 /// Encodes a batch of records that are synced together.
 ///
@@ -19,11 +53,9 @@
 pub fn encode_batch(records: &[Record]) -> anyhow::Result<Vec<u8>> {
     let mut buf = vec![0; HEADER_BYTES];
     ciborium::into_writer(records, &mut buf).context("can't encode a batch of records")?;
-    let length = u32::try_from(buf.len() - HEADER_BYTES)
-        .context("a batch of records is longer than 4 GB")?;
-    let sum = crc32fast::hash(&buf[HEADER_BYTES..]);
-    buf[..4].copy_from_slice(&length.to_le_bytes());
-    buf[4..HEADER_BYTES].copy_from_slice(&sum.to_le_bytes());
+    let body = &buf[HEADER_BYTES..];
+    let header = Header::new(body.len() as u64, crc32fast::hash(body))?;
+    buf[..HEADER_BYTES].copy_from_slice(&header.encode());
     Ok(buf)
 }
 
@@ -37,31 +69,6 @@
 /// Returns an error if a damaged batch is followed by an intact one: its records may have been
 /// reported as durable.
 pub fn decode_batches(bytes: &[u8]) -> anyhow::Result<(Vec<Record>, usize)> {
-    let mut records = Vec::new();
-    let mut at = 0;
-    while at < bytes.len() {
-        let Some((batch, next)) = batch_at(bytes, at) else {
-            if (at + 1..bytes.len()).any(|later| batch_at(bytes, later).is_some()) {
-                bail!("the batch at byte {at} is damaged and others follow it");
-            }
-            break;
-        };
-        records.extend(batch);
-        at = next;
-    }
-    Ok((records, at))
-}
-
-/// Returns the batch at `at` and the offset of the next one; `None` if the batch is incomplete or
-/// damaged.
-fn batch_at(bytes: &[u8], at: usize) -> Option<(Vec<Record>, usize)> {
-    let header = bytes.get(at..at + HEADER_BYTES)?;
-    let length = u32::from_le_bytes([header[0], header[1], header[2], header[3]]) as usize;
-    let sum = u32::from_le_bytes([header[4], header[5], header[6], header[7]]);
-    let next = at.checked_add(HEADER_BYTES)?.checked_add(length)?;
-    let body = bytes.get(at + HEADER_BYTES..next).filter(|body| !body.is_empty())?;
-    if crc32fast::hash(body) != sum {
-        return None;
-    }
-    Some((ciborium::from_reader(body).ok()?, next))
+    let (records, used) = JournalReader::new(Cursor::new(bytes), bytes.len() as u64).read()?;
+    Ok((records, usize::try_from(used)?))
 }
--- a/crates/daemon/src/disk/folder.rs
+++ b/crates/daemon/src/disk/folder.rs
@@ -10,6 +10,7 @@
 use chestnutdrift_core::agreement::Record;
 use serde::{Deserialize, Serialize};
 
+use super::reader::JournalReader;
 use super::{JournalCompactor, codec};
 use crate::clock;
 use crate::memory::{self, HOLDERS};
@@ -61,25 +62,26 @@
         fs::create_dir_all(path).with_context(|| format!("{} can't be created", path.display()))?;
         let identity = load_identity(path, host)?;
         let name = path.join(JOURNAL_FILE);
-        let bytes = if name.exists() { fs::read(&name)? } else { Vec::new() };
-        let (records, length) =
-            codec::decode_batches(&bytes).with_context(|| format!("{}", name.display()))?;
         let mut journal = OpenOptions::new()
             .create(true)
             .truncate(false)
+            .read(true)
             .write(true)
             .open(&name)
             .with_context(|| format!("{} can't be opened", name.display()))?;
-        if length < bytes.len() {
+        let file_length = journal.metadata()?.len();
+        let (records, length) = JournalReader::new(&journal, file_length)
+            .read()
+            .with_context(|| format!("{}", name.display()))?;
+        if length < file_length {
             log::warn!(event = "journal-cut"; "the last batch is incomplete and was removed");
         }
-        journal.set_len(length as u64)?;
+        journal.set_len(length)?;
         journal.seek(SeekFrom::End(0))?;
         journal.sync_all()?;
         sync_folder(path)?;
         let mut compactor = JournalCompactor::default();
         records.iter().for_each(|record| compactor.apply(record));
-        let length = length as u64;
         let folder = Self { path: path.into(), journal, length, failed: false, compactor };
         Ok((folder, identity, records))
     }
--- a/crates/daemon/tests/process/disk.rs
+++ b/crates/daemon/tests/process/disk.rs
@@ -236,3 +236,27 @@
     let [snapshot, last] = batch;
     assert_eq!(found, [snapshot, entry(5, 1), last, entry(7, 1)]);
 }
+
+#[test]
+fn an_intact_batch_is_found_anywhere_in_a_long_damaged_tail() {
+    const TAIL_BYTES: usize = 20_000_000;
+    let before = encode_batch(&records()).unwrap();
+    let mut tail = vec![0; TAIL_BYTES];
+    let mut state = 1_u64;
+    for byte in &mut tail {
+        state = state.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1);
+        *byte = state.to_be_bytes()[0];
+    }
+    let bytes = [before.clone(), tail].concat();
+    let started = std::time::Instant::now();
+    let (found, used) = decode_batches(&bytes).unwrap();
+    println!("searched {TAIL_BYTES} bytes in {:?}", started.elapsed());
+    assert_eq!((found, used), (records(), before.len()));
+    let later: Vec<Record> = (6..=4_000).map(|index| entry(index, 1)).collect();
+    let later = encode_batch(&later).unwrap();
+    for at in [before.len() + 1, 9_999_999, bytes.len() - later.len()] {
+        let mut bytes = bytes.clone();
+        bytes[at..at + later.len()].copy_from_slice(&later);
+        assert!(decode_batches(&bytes).is_err(), "the batch at byte {at} was not found");
+    }
+}
