fix(daemon): a host read the bodies of requests until it was over its memory

Cause: each connection could hold a body of up to the configured limit, 32 MB on the platform, and nothing bounded their sum.

Change: the bodies of requests in flight share a quarter of the memory limit. A body that does not fit is refused before it is read, as not run and with Retry-After; one without a length as soon as it grows too large. Bodies up to 4 KiB are always read. The reservation ends with the answer.

--- a/crates/daemon/src/gateway.rs
+++ b/crates/daemon/src/gateway.rs
@@ -7,6 +7,7 @@
 //! log. The format of messages is behind the trait in [`protocol`]: this module depends on HTTP,
 //! but on no particular message.
 
+pub mod bodies;
 pub mod control;
 pub mod events;
 pub mod forward;
--- a/crates/daemon/src/gateway/metrics.rs
+++ b/crates/daemon/src/gateway/metrics.rs
@@ -7,8 +7,8 @@
 use bytes::Bytes;
 use chestnutdrift_core::gateway::Counters;
 use prometheus::{
-    CounterVec, Encoder, Gauge, Histogram, HistogramOpts, HistogramVec, IntGauge, IntGaugeVec,
-    Opts, Registry, TextEncoder,
+    CounterVec, Encoder, Gauge, Histogram, HistogramOpts, HistogramVec, IntCounter, IntGauge,
+    IntGaugeVec, Opts, Registry, TextEncoder,
 };
 
 use super::pool::Pool;
@@ -35,6 +35,7 @@
     memory: IntGaugeVec,
     snapshots_written: IntGauge,
     snapshot_bytes: IntGauge,
+    refused_bodies: IntCounter,
 }
 
 static METRICS: LazyLock<Option<Metrics>> = LazyLock::new(|| match Metrics::new() {
@@ -76,6 +77,9 @@
         let snapshots_written = IntGauge::new("chestnutdrift_disk_snapshots_written", help)?;
         let help = "Bytes of the journals written with snapshots";
         let snapshot_bytes = IntGauge::new("chestnutdrift_disk_snapshot_bytes", help)?;
+        let help = "Requests refused because no memory was left for their bodies";
+        let refused_bodies = IntCounter::new("chestnutdrift_refused_bodies", help)?;
+        registry.register(Box::new(refused_bodies.clone()))?;
         registry.register(Box::new(gateway.clone()))?;
         registry.register(Box::new(answers.clone()))?;
         registry.register(Box::new(event_wait.clone()))?;
@@ -104,6 +108,7 @@
             memory,
             snapshots_written,
             snapshot_bytes,
+            refused_bodies,
         })
     }
 }
@@ -132,6 +137,12 @@
     metrics.thread_busy.with_label_values(&[thread]).inc_by(busy.as_secs_f64());
 }
 
+/// Counts a request that was refused because no memory was left for its body.
+pub(super) fn count_refused_body() {
+    let Some(metrics) = METRICS.as_ref() else { return };
+    metrics.refused_bodies.inc();
+}
+
 /// Encodes the metrics page.
 pub(super) fn encode_page(counters: &Counters, pool: &Pool) -> FullReply {
     let mut body = Vec::new();
--- a/crates/daemon/src/gateway/server.rs
+++ b/crates/daemon/src/gateway/server.rs
@@ -24,6 +24,7 @@
 use tokio::runtime::Runtime;
 use tokio::sync::{Semaphore, mpsc, watch};
 
+use super::bodies::BodyMemory;
 use super::control::{Directive, MAX_QUEUED_DIRECTIVES};
 use super::forward::{self, Outcome, ReceivedRequest, StreamedBody, UpstreamResponse};
 use super::input::{Input, InputSender, NotQueued};
@@ -96,6 +97,8 @@
     pub inputs: InputSender,
     /// The state that is shared with the control thread.
     pub state: Arc<ServerState>,
+    /// The memory for bodies.
+    pub bodies: BodyMemory,
     /// The permits for open connections, one for each.
     pub connections: Arc<Semaphore>,
     /// The tag of the next exchange.
@@ -178,7 +181,9 @@
         request: Request<Incoming>,
     ) -> Result<Response<ResponseBody>, Problem> {
         let (head, body) = request.into_parts();
-        let body = read_body(body, self.state.max_body_bytes.load(Ordering::Relaxed)).await?;
+        let mut reserved = self.bodies.reservation();
+        let max_bytes = self.state.max_body_bytes.load(Ordering::Relaxed);
+        let body = read_body(body, max_bytes, |bytes| reserved.extend_to(bytes)).await?;
         let parsed = self.protocol.parse_request(listener, &head, &body)?;
         let tag = RequestTag(self.next_tag.fetch_add(1, Ordering::Relaxed));
         let call = IncomingCall {
@@ -197,6 +202,7 @@
             held_failure: None,
         };
         let response = exchange.run(rx).await;
+        drop(reserved);
         guard.armed = false;
         response
     }
--- a/crates/daemon/src/gateway/start.rs
+++ b/crates/daemon/src/gateway/start.rs
@@ -12,6 +12,7 @@
 use signal_hook::iterator::Signals;
 use tokio::sync::Semaphore;
 
+use super::bodies::BodyMemory;
 use super::control::{GatewayControl, Outputs};
 use super::input::{self, Input, InputSender, QueuedInput};
 use super::items::ItemRuns;
@@ -63,6 +64,7 @@
         pool: pool.clone(),
         inputs: inputs.clone(),
         state: Arc::clone(&state),
+        bodies: BodyMemory::new(file.gateway.memory_limit),
         connections: Arc::clone(&connections),
         next_tag: AtomicU64::new(1),
     });
--- a/crates/daemon/src/http/request.rs
+++ b/crates/daemon/src/http/request.rs
@@ -45,7 +45,9 @@
         limits: BodyLimits,
     ) -> Result<Self, Problem> {
         let (parts, body) = request.into_parts();
-        let read = tokio::time::timeout(limits.timeout, read_body(body, limits.max_bytes)).await;
+        let read =
+            tokio::time::timeout(limits.timeout, read_body(body, limits.max_bytes, |_| Ok(())))
+                .await;
         let Ok(body) = read else {
             let detail = format!("the body took longer than {:?} to arrive", limits.timeout);
             return Err(Problem::not_run(ErrorKind::SlowSender, detail));
@@ -123,7 +125,14 @@
 }
 
 /// Reads a body of at most `max_bytes` bytes.
-pub(crate) async fn read_body(mut body: Incoming, max_bytes: u64) -> Result<Bytes, Problem> {
+///
+/// `admit` is called with the length that the head states, before anything is read, and with the
+/// length so far before more is kept.
+pub(crate) async fn read_body(
+    mut body: Incoming,
+    max_bytes: u64,
+    mut admit: impl FnMut(u64) -> Result<(), Problem>,
+) -> Result<Bytes, Problem> {
     let too_large = || {
         let detail = format!("the body has more than {max_bytes} bytes");
         Problem::not_run(ErrorKind::BodyTooLarge, detail)
@@ -131,6 +140,7 @@
     if body.size_hint().lower() > max_bytes {
         return Err(too_large());
     }
+    admit(body.size_hint().lower())?;
     let mut buf = BytesMut::new();
     while let Some(frame) = body.frame().await {
         let failed = |error: hyper::Error| {
@@ -140,6 +150,7 @@
         if buf.len() as u64 + data.len() as u64 > max_bytes {
             return Err(too_large());
         }
+        admit(buf.len() as u64 + data.len() as u64)?;
         buf.extend_from_slice(&data);
     }
     Ok(buf.freeze())
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -8,6 +8,7 @@
 //!
 //! [`gateway`] does the same for a deployment whose hosts discover each other.
 
+pub mod byte_budget;
 pub mod call;
 pub mod clock;
 pub mod control;
