fix(core): a store accepted jobs until it was over its memory

Cause: a store knew no limit of its memory and accepted every job.

Change: the leader refuses a job whose items and expected texts would take the directory over a fifth of the memory beyond 16 MiB, and every job while resident memory is above 85 percent of the limit: 429 with Retry-After, not run. A job that was accepted or proposed before is acknowledged again. Pages of results are short while memory is scarce. The control thread measures the resident memory each second.

--- a/crates/core/src/gateway/action.rs
+++ b/crates/core/src/gateway/action.rs
@@ -258,6 +258,8 @@
     pub forwards: u64,
     /// Jobs accepted, counted on every store host.
     pub jobs: u64,
+    /// Jobs refused for lack of memory, counted on the host that refused them.
+    pub jobs_without_memory: u64,
     /// Runs of items that were started.
     pub item_runs: u64,
     /// Items with a completed result.
--- a/crates/core/src/gateway/board.rs
+++ b/crates/core/src/gateway/board.rs
@@ -3,6 +3,7 @@
 mod group;
 mod host;
 mod item;
+mod memory;
 mod order;
 mod request;
 mod store_request;
@@ -34,6 +35,7 @@
 pub use group::{DirectoryGroup, PendingCommit};
 pub use host::{HOST_SILENCE_TIMEOUT, Host};
 pub use item::{Item, ItemState, JobRun};
+pub use memory::ProcessMemory;
 pub use order::{LoadState, PendingOrder};
 pub use request::{Request, RequestState};
 pub use store_request::{
@@ -71,6 +73,8 @@
     pub cfg: GatewaySettings,
     /// The clocks at the event that is being handled.
     pub now: Now,
+    /// The memory of the process.
+    pub memory: ProcessMemory,
     /// The only source of randomness.
     pub rng: Pcg64Mcg,
     /// The clock that stamps events and messages.
@@ -171,6 +175,7 @@
         let seed = checksum(&[&cfg.name, &cfg.seed.to_string(), &cfg.boot_id.to_string()]);
         let mut board = Self {
             now,
+            memory: ProcessMemory::new(cfg.memory_limit),
             rng: Pcg64Mcg::seed_from_u64(seed),
             clock: HybridClock::default(),
             timeline: Timeline::new(cfg.timeline_capacity),
--- /dev/null
+++ b/crates/core/src/gateway/board/memory.rs
@@ -0,0 +1,42 @@
+//! The memory of the process: its limit and its measured size.
+
+/// The memory of a process that holds no jobs, in bytes.
+const BASE_BYTES: u64 = 16 << 20;
+
+/// The share of the memory beyond [`BASE_BYTES`], in percent, that the directory may hold.
+///
+/// The rest is for what a restart or a replica that has fallen behind needs beside it: the records
+/// that are read, a snapshot in encoded form, and messages.
+const DIRECTORY_PERCENT: u64 = 20;
+
+/// The share of the limit, in percent, from which resident memory counts as scarce.
+const SCARCE_PERCENT: u64 = 85;
+
+/// The memory of the process.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct ProcessMemory {
+    /// The limit, in bytes; `None` if there is none.
+    pub limit: Option<u64>,
+    /// The resident memory at the last measurement, in bytes; zero before the first.
+    pub resident: u64,
+}
+
+impl ProcessMemory {
+    /// Creates the state before the first measurement.
+    #[must_use]
+    pub fn new(limit: Option<u64>) -> Self {
+        Self { limit, resident: 0 }
+    }
+
+    /// Returns the bytes that the directory may hold, or `None` if there is no limit.
+    #[must_use]
+    pub fn directory_budget(&self) -> Option<u64> {
+        self.limit.map(|limit| limit.saturating_sub(BASE_BYTES) / 100 * DIRECTORY_PERCENT)
+    }
+
+    /// Returns whether little memory is left.
+    #[must_use]
+    pub fn is_scarce(&self) -> bool {
+        self.limit.is_some_and(|limit| self.resident > limit / 100 * SCARCE_PERCENT)
+    }
+}
--- a/crates/core/src/gateway/controller.rs
+++ b/crates/core/src/gateway/controller.rs
@@ -13,6 +13,7 @@
 mod lifecycle;
 mod loads;
 mod membership;
+mod memory;
 mod outbox;
 mod registry;
 mod routing;
@@ -46,7 +47,8 @@
 #[must_use]
 pub fn rounds(role: Role, policies: Policies) -> Vec<Box<dyn Controller>> {
     let Policies { choice, placement } = policies;
-    let mut controllers: Vec<Box<dyn Controller>> = vec![Box::new(membership::Membership)];
+    let mut controllers: Vec<Box<dyn Controller>> =
+        vec![Box::new(memory::Memory), Box::new(membership::Membership)];
     if role == Role::Store {
         controllers.push(Box::new(agreement::Agreement));
     }
--- a/crates/core/src/gateway/controller/decisions.rs
+++ b/crates/core/src/gateway/controller/decisions.rs
@@ -1,18 +1,21 @@
 //! Decisions: answers store requests from this host's replica, or proposes commands to its log.
 //!
-//! Reads: `pending_decisions`, `results_readers`, `group`, `hosts`, `leader`, `draining`, the
-//! clock.
-//! Writes: `proposals`, `results_readers`, `replies`, `actions`.
+//! Reads: `pending_decisions`, `results_readers`, `group`, `hosts`, `leader`, `draining`,
+//! `memory`, the clock.
+//! Writes: `proposals`, `results_readers`, `replies`, `counters`, `actions`.
 //!
 //! Any replica may return the results and the item bodies that it holds, because results never
 //! change their position. It returns an empty page only while it keeps up with the leader. Only the
 //! leader, under its lease, reports that a job or an item does not exist, and only it answers all
-//! other requests.
+//! other requests. It refuses a job that does not fit into the memory of the process.
+
+mod job_memory;
 
 use std::sync::Arc;
 
+use self::job_memory::JobMemory;
 use super::Controller;
-use crate::directory::{Directory, DirectoryCommand, Job};
+use crate::directory::{Directory, DirectoryCommand, Job, JobSpec};
 use crate::gateway::action::{ResultsEntry, ResultsPage};
 use crate::gateway::board::{Board, Origin, PendingDecision, ResultsReader};
 use crate::gateway::event::Event;
@@ -20,11 +23,17 @@
 use crate::gateway::settings::Role;
 use crate::key::HostId;
 use crate::time::Millis;
+use crate::timeline::EventKind;
 
 /// The maximum size of a page with several results, well below the one megabyte that readers
 /// accept.
 const MAX_PAGE_BYTES: usize = 600 * 1024;
 
+/// The maximum size of a page with several results while memory is scarce.
+///
+/// Reads are not refused then: a job whose results are read can be removed.
+const MAX_SCARCE_PAGE_BYTES: usize = 64 * 1024;
+
 /// The size of each result in a page in addition to its text.
 const RESULT_OVERHEAD_BYTES: usize = 128;
 
@@ -87,6 +96,9 @@
         StoreRequest::Submit(spec) => {
             if job(board, &spec.id).is_some() {
                 board.reply(origin, StoreReply::Done);
+            } else if !has_memory_for(board, &spec) {
+                board.counters.jobs_without_memory += 1;
+                board.reply(origin, StoreReply::NoMemory);
             } else {
                 let at = board.now.wall;
                 propose(board, DirectoryCommand::SubmitJob { spec: Arc::clone(&spec), at }, origin);
@@ -108,6 +120,31 @@
     }
 }
 
+/// Returns whether a job fits into the memory of the process; logs the reason if it does not.
+///
+/// A job that was proposed before is never refused, because it may be accepted.
+fn has_memory_for(board: &mut Board, spec: &JobSpec) -> bool {
+    let memory = board.memory;
+    let (Some(group), Some(budget)) = (&board.group, memory.directory_budget()) else {
+        return true;
+    };
+    let need = JobMemory::with_job(board, group, spec);
+    let fits = need.total() <= budget && !memory.is_scarce();
+    if fits || job_memory::is_proposed(board, group, &spec.id) {
+        return true;
+    }
+    let detail = format!(
+        "no memory: held={} expected={} job={} budget={budget} resident={} limit={}",
+        need.held,
+        need.expected,
+        need.job,
+        memory.resident,
+        memory.limit.unwrap_or_default()
+    );
+    board.note(EventKind::Refused, spec.id.clone(), detail);
+    false
+}
+
 fn propose(board: &mut Board, command: DirectoryCommand, origin: Origin) {
     board.proposals.push((command, Some(origin)));
     board.another_round = true;
@@ -153,6 +190,7 @@
     let now = board.now.mono;
     let draining = board.draining.is_some();
     let caught_up = is_caught_up(board);
+    let max_bytes = if board.memory.is_scarce() { MAX_SCARCE_PAGE_BYTES } else { MAX_PAGE_BYTES };
     let mut waiting = Vec::new();
     for reader in std::mem::take(&mut board.results_readers) {
         let Some(job) = job(board, &reader.job) else {
@@ -170,7 +208,7 @@
             waiting.push(reader);
             continue;
         }
-        let page = page(job, reader.after);
+        let page = page(job, reader.after, max_bytes);
         let reply = if has_result || caught_up {
             StoreReply::Results(page)
         } else {
@@ -181,12 +219,12 @@
     board.results_readers = waiting;
 }
 
-fn page(job: &Job, after: u32) -> ResultsPage {
+fn page(job: &Job, after: u32, max_bytes: usize) -> ResultsPage {
     let total = u32::try_from(job.spec.items.len()).unwrap_or(u32::MAX);
     let (mut results, mut bytes) = (Vec::new(), 0);
     for result in job.results.iter().skip(after as usize) {
         bytes += RESULT_OVERHEAD_BYTES + result.outcome.text_bytes();
-        if !results.is_empty() && bytes > MAX_PAGE_BYTES {
+        if !results.is_empty() && bytes > max_bytes {
             break;
         }
         let id = job.spec.items[result.item as usize].id.clone();
--- a/crates/core/src/gateway/controller/store_requests.rs
+++ b/crates/core/src/gateway/controller/store_requests.rs
@@ -33,6 +33,9 @@
 /// waits for [`RETRY_DELAY`] first.
 const MAX_REDIRECTS: u32 = 6;
 
+/// The delay after which a caller may submit a job again that found no memory.
+const NO_MEMORY_RETRY_AFTER: Millis = Millis(2_000);
+
 /// Completes store requests.
 #[derive(Debug)]
 pub(super) struct StoreRequests;
@@ -151,6 +154,7 @@
         StoreReply::TooFew => {
             (problem(ErrorKind::TooFewHosts, "too few store hosts would remain"), "too-few")
         }
+        StoreReply::NoMemory => (Answer::Problem(no_memory(pending.maybe_done)), "no-memory"),
         StoreReply::NotLeader { .. } | StoreReply::Undetermined => return,
     };
     let text = detail(outcome);
@@ -158,6 +162,15 @@
     board.answer(pending.tag, answer);
 }
 
+/// Returns the problem of a job that found no memory; `maybe_done` says whether another host may
+/// have accepted it.
+fn no_memory(maybe_done: bool) -> Problem {
+    let text = "the store hosts have no memory for the job";
+    let ran = if maybe_done { Ran::Unknown } else { Ran::No };
+    let kind = if maybe_done { ErrorKind::OutcomeUnknown } else { ErrorKind::Overloaded };
+    Problem::not_run(kind, text).ran(ran).retry_after(NO_MEMORY_RETRY_AFTER)
+}
+
 /// Decides a due request here, sends it to the next host, or expires it.
 fn advance(board: &mut Board, key: StoreRequestKey) {
     let now = board.now.mono;
--- a/crates/core/src/gateway/event.rs
+++ b/crates/core/src/gateway/event.rs
@@ -67,6 +67,11 @@
     },
     /// The host has been asked to stop.
     Stop,
+    /// The resident memory of the process was measured.
+    MemoryMeasured {
+        /// Its size in bytes.
+        resident: u64,
+    },
 }
 
 /// A call as it arrived at this host.
--- a/crates/core/src/gateway/message.rs
+++ b/crates/core/src/gateway/message.rs
@@ -181,6 +181,10 @@
         /// The leader, as far as the sender knows.
         leader: Option<HostId>,
     },
+    /// The sender has no memory for the job, and has not accepted it.
+    ///
+    /// A host of an earlier version drops this reply and times out.
+    NoMemory,
     /// The sender can't determine the answer at the moment; a requested change may have been
     /// made.
     #[serde(rename = "not_sure")]
--- a/crates/core/tests/it/deployment.rs
+++ b/crates/core/tests/it/deployment.rs
@@ -85,6 +85,8 @@
     pub(crate) on_event: Option<EventObserver>,
     /// Called with each message that a host sends.
     pub(crate) on_send: Option<SendObserver>,
+    /// The memory limit of hosts that start from now on, in bytes.
+    pub(crate) memory_limit: Option<u64>,
     nodes: BTreeMap<HostId, Node>,
     seeds: Vec<HostId>,
     /// The bandwidth of a link, in bytes per millisecond.
@@ -116,6 +118,7 @@
             event_interval_ms: 20,
             on_event: None,
             on_send: None,
+            memory_limit: None,
             nodes: BTreeMap::new(),
             seeds: (1..=stores.min(3)).map(HostId).collect(),
             bytes_per_ms: 10_000,
@@ -177,7 +180,8 @@
             .seeds(seeds)
             .first_start(first_start)
             .instance_ids(node.incarnation, boot_id)
-            .seed(self.seed);
+            .seed(self.seed)
+            .memory_limit(self.memory_limit);
         node.gateway = Some(Gateway::new(cfg, Now::new(Millis(0), Millis(START_WALL_MS + now))));
         let records = node.disk.clone();
         self.handle(id, &Event::Restored(records));
@@ -343,7 +347,7 @@
         self.queue.insert((time, self.sequence), event);
     }
 
-    fn deliver(&mut self, id: HostId, event: Event) {
+    pub(crate) fn deliver(&mut self, id: HostId, event: Event) {
         let Some(node) = self.nodes.get(&id) else { return };
         let boot_id = node.boot_id;
         self.schedule(self.now, Scheduled::Event(id, boot_id, event));
--- /dev/null
+++ b/crates/core/tests/it/job_memory.rs
@@ -0,0 +1,103 @@
+//! Jobs and the memory limit of the store hosts.
+
+use chestnutdrift_core::gateway::{Answer, Event};
+use chestnutdrift_core::{ErrorKind, HostId, Problem, RequestTag};
+
+use crate::deployment::{Deployment, SimEngine, job};
+
+const ENTRY: HostId = HostId(101);
+const STORES: u32 = 3;
+
+/// The directory may hold some 4 MB of it: 460 items with their texts.
+const MEMORY_LIMIT: u64 = 37_000_000;
+
+/// The longest time until a refusal: two messages each way, and no time-out.
+const REFUSAL_MS: u64 = 200;
+
+/// Starts a deployment whose hosts have a memory limit, and returns it with its leader.
+fn limited_deployment(seed: u64) -> (Deployment, HostId) {
+    let mut deployment = Deployment::new(seed, STORES, 1);
+    deployment.memory_limit = Some(MEMORY_LIMIT);
+    for id in (1..=STORES).map(HostId) {
+        deployment.kill(id);
+        deployment.add(id, chestnutdrift_core::gateway::Role::Store, true);
+    }
+    let leader = deployment.start_serving();
+    (deployment, leader)
+}
+
+fn problem(deployment: &Deployment, tag: RequestTag) -> Problem {
+    match deployment.answers.get(&tag) {
+        Some(Answer::Problem(problem)) => problem.clone(),
+        other => panic!("expected a problem, got {other:?}"),
+    }
+}
+
+fn is_accepted(deployment: &Deployment, tag: RequestTag) -> bool {
+    deployment.answers.get(&tag) == Some(&Answer::Accepted)
+}
+
+/// Guards against stores that accepted jobs until they were over their memory limit.
+#[test]
+fn a_job_that_does_not_fit_into_memory_is_refused_at_once_as_not_run() {
+    let (mut deployment, leader) = limited_deployment(7);
+    let small = deployment.submit(ENTRY, job("small", 300, 1));
+    deployment.run(1_000);
+    assert!(is_accepted(&deployment, small));
+
+    let large = deployment.submit(ENTRY, job("large", 300, 1));
+    deployment.run(REFUSAL_MS);
+    let problem = problem(&deployment, large);
+    assert_eq!(problem.kind, ErrorKind::Overloaded);
+    assert_eq!(problem.ran, chestnutdrift_core::Ran::No);
+    assert!(problem.retry_after_ms.is_some());
+    let board = deployment.gateway(leader).board();
+    assert_eq!(board.counters.jobs_without_memory, 1);
+    assert!(!board.group.as_ref().expect("a store").directory.jobs.contains_key("large"));
+
+    let again = deployment.submit(ENTRY, job("small", 300, 1));
+    deployment.run(REFUSAL_MS);
+    assert!(is_accepted(&deployment, again), "an accepted job is acknowledged again");
+}
+
+#[test]
+fn jobs_that_arrive_together_do_not_exceed_the_memory() {
+    let (mut deployment, _) = limited_deployment(8);
+    let tags: Vec<RequestTag> =
+        (0..10).map(|at| deployment.submit(ENTRY, job(&format!("job-{at}"), 100, 1))).collect();
+    deployment.run(2_000);
+    let accepted = tags.iter().filter(|tag| is_accepted(&deployment, **tag)).count();
+    assert_eq!(accepted, 4);
+}
+
+#[test]
+fn a_job_fits_once_short_results_have_replaced_the_expected_texts() {
+    let (mut deployment, _) = limited_deployment(9);
+    deployment.submit(ENTRY, job("first", 300, 1));
+    deployment.run(1_000);
+    let early = deployment.submit(ENTRY, job("second", 300, 1));
+    deployment.run(REFUSAL_MS);
+    assert_eq!(problem(&deployment, early).kind, ErrorKind::Overloaded);
+    for number in 1..=8 {
+        deployment.add_engine(SimEngine::new(number));
+    }
+    deployment.run(60_000);
+    let late = deployment.submit(ENTRY, job("second", 300, 1));
+    deployment.run(1_000);
+    assert!(is_accepted(&deployment, late));
+}
+
+#[test]
+fn jobs_are_refused_while_resident_memory_is_scarce() {
+    let (mut deployment, leader) = limited_deployment(10);
+    let measured = |percent: u64| Event::MemoryMeasured { resident: MEMORY_LIMIT / 100 * percent };
+    deployment.deliver(leader, measured(90));
+    let refused = deployment.submit(ENTRY, job("job", 10, 1));
+    deployment.run(REFUSAL_MS);
+    assert_eq!(problem(&deployment, refused).kind, ErrorKind::Overloaded);
+
+    deployment.deliver(leader, measured(80));
+    let accepted = deployment.submit(ENTRY, job("job", 10, 1));
+    deployment.run(1_000);
+    assert!(is_accepted(&deployment, accepted));
+}
--- a/crates/core/tests/it/main.rs
+++ b/crates/core/tests/it/main.rs
@@ -9,6 +9,7 @@
 mod directory;
 mod fleet_settings;
 mod item_queue;
+mod job_memory;
 mod lifecycle;
 mod log_size;
 mod partial_texts;
--- a/crates/daemon/src/gateway/control.rs
+++ b/crates/daemon/src/gateway/control.rs
@@ -20,6 +20,7 @@
 use crate::control::write_event;
 use crate::disk::{DiskJob, DiskQueue};
 use crate::link::Links;
+use crate::memory::MemoryUse;
 
 /// The capacity of an exchange's queue of directives; an answer may be queued behind the attempt
 /// that it replaces.
@@ -89,6 +90,7 @@
         inputs: Receiver<QueuedInput>,
         outputs: Outputs,
     ) -> Self {
+        let load = LoadMeter::default().memory_limit(gateway.board().cfg.memory_limit);
         Self {
             gateway,
             clock,
@@ -97,7 +99,7 @@
             exchanges: BTreeMap::new(),
             routing_version: 0,
             next_sweep: Millis(0),
-            load: LoadMeter::default(),
+            load,
             ended: false,
         }
     }
@@ -121,7 +123,10 @@
             }
             let Self { load, gateway, inputs, outputs, .. } = &mut self;
             load.record_handled(started.elapsed());
-            load.report(gateway.board(), inputs.len(), &outputs.runtime);
+            let memory = load.report(gateway.board(), inputs.len(), &outputs.runtime);
+            if let Some(MemoryUse { resident, .. }) = memory {
+                self.handle_event(&Event::MemoryMeasured { resident });
+            }
         }
         self.outputs.links.close();
         Ok(())
--- a/crates/daemon/src/gateway/load.rs
+++ b/crates/daemon/src/gateway/load.rs
@@ -9,7 +9,7 @@
 
 use super::metrics;
 use crate::link::LINK_COUNTERS;
-use crate::memory::{HOLDERS, MemoryMeter};
+use crate::memory::{HOLDERS, MemoryMeter, MemoryUse};
 
 /// The interval between two reports.
 const REPORT_INTERVAL: Duration = Duration::from_secs(1);
@@ -69,6 +69,13 @@
 }
 
 impl LoadMeter {
+    /// Sets the memory that the process may use, in bytes; the default is no limit.
+    #[must_use]
+    pub fn memory_limit(mut self, limit: Option<u64>) -> Self {
+        self.memory = self.memory.limit(limit);
+        self
+    }
+
     /// Records how long an event waited in the queue before it was handled.
     pub fn record_wait(&mut self, waited: Duration) {
         self.waited += waited;
@@ -84,11 +91,11 @@
     }
 
     /// Reports the load of the last interval once it has passed: as metrics, and as a log line if a
-    /// thread was busy or an event waited. Reports the memory too.
-    pub fn report(&mut self, board: &Board, queued: usize, runtime: &Runtime) {
+    /// thread was busy or an event waited. Reports the memory too, and returns it.
+    pub fn report(&mut self, board: &Board, queued: usize, runtime: &Runtime) -> Option<MemoryUse> {
         let elapsed = self.reported_at.elapsed();
         if elapsed < REPORT_INTERVAL {
-            return;
+            return None;
         }
         let totals = ThreadTotals::read(runtime);
         let traffic_busy = totals.traffic_busy.saturating_sub(self.reported.traffic_busy);
@@ -100,9 +107,10 @@
             self.log(board, queued, &totals, traffic_busy);
         }
         record_holders(board);
-        self.memory.report();
+        let used = self.memory.report();
         let memory = std::mem::take(&mut self.memory);
         *self = Self { reported: totals, memory, ..Self::default() };
+        Some(used)
     }
 
     fn log(&self, board: &Board, queued: usize, totals: &ThreadTotals, traffic_busy: Duration) {
--- a/crates/daemon/src/gateway/metrics.rs
+++ b/crates/daemon/src/gateway/metrics.rs
@@ -200,6 +200,7 @@
         ("abandoned", counters.abandoned),
         ("forwards", counters.forwards),
         ("jobs", counters.jobs),
+        ("jobs_without_memory", counters.jobs_without_memory),
         ("item_runs", counters.item_runs),
         ("items_completed", counters.items_completed),
         ("items_errored", counters.items_errored),
--- a/crates/daemon/src/memory.rs
+++ b/crates/daemon/src/memory.rs
@@ -78,19 +78,20 @@
         self
     }
 
-    /// Logs the memory if it has changed much since it was last logged, or has passed one of the
-    /// logged shares of the limit.
-    pub fn report(&mut self) {
+    /// Measures the memory, and logs it if it has changed much since it was last logged or has
+    /// passed one of the logged shares of the limit.
+    pub fn report(&mut self) -> MemoryUse {
         let used = MemoryUse::read();
         let percent = self.limit_percent(used.resident);
         let change = used.resident.abs_diff(self.logged_resident);
         let is_change = change * 100 > self.logged_resident * LOGGED_CHANGE_PERCENT;
         if !is_change && percent == self.logged_percent {
-            return;
+            return used;
         }
         self.logged_resident = used.resident;
         self.logged_percent = percent;
         log(&used, "change");
+        used
     }
 
     /// Returns the highest logged share of the limit that `resident` has reached, in percent.
