fix(core): an early digest of a zone hid its leader from the other zones

Cause: each host numbers the digests of its zone by itself. A host that has not heard its neighbours yet takes itself for the one that sends for the zone. If its digest, without a leader, has a higher number than the last one of the true sender, other zones keep it, as the true one no longer changes.

Excluded: an election that fails (all groups led within 0.5 s in the log of the earlier hang), ports in use (no bind error there).

Change: heartbeats within a zone carry the number of the digest that the host last sent to other zones. The zone's sender goes beyond a higher one and sends again. Hosts of an earlier version ignore the field.

--- a/crates/core/examples/event_cost.rs
+++ b/crates/core/examples/event_cost.rs
@@ -57,6 +57,7 @@
         fleet_leader: None,
         zone_leader: None,
         digests: Vec::new(),
+        digest_sent: 0,
     };
     let message = Message::Heartbeat(heartbeat);
     Event::Received(Envelope { from: HostId(host), stamp: Stamp::default(), message })
--- a/crates/core/src/board.rs
+++ b/crates/core/src/board.rs
@@ -256,6 +256,12 @@
         ids
     }
 
+    /// Returns whether this host sends the zone's heartbeats to other zones.
+    #[must_use]
+    pub fn is_zone_sender(&self) -> bool {
+        self.available_hosts().first() == Some(&self.cfg.id)
+    }
+
     /// Adds a request, with a timer for its deadline.
     pub fn add_request(&mut self, request: Request) -> RequestKey {
         let (origin, deadline) = (request.origin.clone(), request.deadline);
--- a/crates/core/src/board/zone.rs
+++ b/crates/core/src/board/zone.rs
@@ -15,6 +15,8 @@
     pub hosts: Vec<HostKey>,
     /// The newest digest of the zone that this host has.
     pub digest: ZoneDigest,
+    /// The sequence of the last digest of the host's own zone that it sent to other zones.
+    pub digest_sent: u64,
 }
 
 impl Zone {
@@ -23,7 +25,7 @@
     pub fn new(name: impl Into<Box<str>>) -> Self {
         let name = name.into();
         let digest = ZoneDigest { zone: name.clone(), ..Default::default() };
-        Self { name, hosts: Vec::new(), digest }
+        Self { name, hosts: Vec::new(), digest, digest_sent: 0 }
     }
 
     /// Returns how many upstreams of a service accept work in the zone, by its newest digest.
--- a/crates/core/src/controller/membership.rs
+++ b/crates/core/src/controller/membership.rs
@@ -12,6 +12,11 @@
 //! zones are included if they changed since they were last sent to the receiver while it was up.
 //! One heartbeat in [`FULL_ONE_IN`] includes them all, in case a message was lost. The digest of
 //! the receiver's zone is left out.
+//!
+//! Each host numbers the digests of its zone by itself. A host that has not heard its neighbours yet
+//! may have sent a digest with a higher number than the zone's current sender uses, which other zones
+//! would prefer. So heartbeats within a zone carry the number that was sent last, and the sender goes
+//! beyond it.
 
 use rand::Rng;
 use rand::seq::SliceRandom;
@@ -76,7 +81,7 @@
         }
         let remote_due = now >= board.schedule.remote_heartbeat || changed;
         if remote_due || board.active_settings.push_pending {
-            let is_zone_sender = board.available_hosts().first() == Some(&board.cfg.id);
+            let is_zone_sender = board.is_zone_sender();
             if now >= board.schedule.remote_heartbeat {
                 board.schedule.remote_heartbeat = now + REMOTE_HEARTBEAT_INTERVAL;
             }
@@ -138,11 +143,29 @@
     if same_zone && heartbeat.zone_leader > board.groups.zone_leader {
         board.groups.zone_leader = heartbeat.zone_leader;
     }
+    if same_zone {
+        exceed_digest_sequence(board, heartbeat.digest_sent);
+    }
     for digest in &heartbeat.digests {
         store_digest(board, digest);
     }
 }
 
+/// Numbers the digest of this zone beyond one that another host of the zone has sent, and has it sent
+/// again if this host sends for the zone.
+fn exceed_digest_sequence(board: &mut Board, sent: u64) {
+    let is_zone_sender = board.is_zone_sender();
+    let digest = &mut board.zones[board.my_zone].digest;
+    if sent == 0 || sent < digest.sequence || (sent == digest.sequence && !is_zone_sender) {
+        return;
+    }
+    digest.sequence = sent;
+    if is_zone_sender {
+        digest.sequence += 1;
+        board.schedule.remote_heartbeat = board.now.mono;
+    }
+}
+
 fn store_digest(board: &mut Board, digest: &ZoneDigest) {
     let Some(key) = board.zone_key(&digest.zone) else { return };
     if key == board.my_zone {
@@ -292,6 +315,11 @@
         digests.push(zone.digest.clone());
     }
     let id = host.id;
+    let own_zone = &mut board.zones[my_zone];
+    if host.zone != my_zone {
+        own_zone.digest_sent = own_zone.digest.sequence;
+    }
+    let digest_sent = own_zone.digest_sent;
     let heartbeat = Heartbeat {
         incarnation: board.cfg.incarnation,
         boot_id: board.boot_id,
@@ -300,6 +328,7 @@
         fleet_leader: board.fleet_leader(),
         zone_leader: board.zone_leader(),
         digests,
+        digest_sent,
     };
     board.send(id, Message::Heartbeat(heartbeat));
 }
--- a/crates/core/src/message.rs
+++ b/crates/core/src/message.rs
@@ -78,6 +78,9 @@
     pub zone_leader: Option<(u64, HostId)>,
     /// The sender's digests of the zones; not every heartbeat carries all of them.
     pub digests: Vec<ZoneDigest>,
+    /// The sequence of the last digest of its zone that the sender sent to other zones.
+    #[serde(default)]
+    pub digest_sent: u64,
 }
 
 /// A summary of one availability zone.
--- a/crates/core/tests/it/lifecycle.rs
+++ b/crates/core/tests/it/lifecycle.rs
@@ -4,6 +4,7 @@
 use chestnutdrift_core::agreement::GroupId;
 use chestnutdrift_core::event::{Call, Query};
 use rand::Rng;
+use rand::seq::SliceRandom;
 
 use crate::world::World;
 
@@ -197,3 +198,30 @@
     let answer = world.sent_calls[number].answer();
     assert!(matches!(answer, Some(Answer::Recorded { .. })), "{answer:?}");
 }
+
+/// Guards against a zone's early digest, from a host that had not heard its neighbours yet, which hid
+/// the zone's leader from the other zones for good.
+#[test]
+fn a_host_that_starts_first_does_not_hide_its_zones_leader_from_other_zones() {
+    for seed in 0..100 {
+        let mut world = World::new(seed, 3, 3, 1);
+        world.run_until_ready();
+        (0..9).for_each(|host| world.kill(host));
+        let mut order: Vec<usize> = (0..9).collect();
+        order.shuffle(&mut world.rng);
+        for host in order {
+            let gap = world.rng.random_range(0..100);
+            world.run(gap);
+            world.start(host);
+        }
+        world.run_until_ready();
+        world.run(10_000);
+        for host in 0..9 {
+            let Answer::Hosts(hosts) = world.call(host, Call::Query(Query::Hosts)) else {
+                panic!()
+            };
+            let leaders = hosts.iter().flat_map(|host| &host.leads).count();
+            assert_eq!(leaders, 4, "seed {seed}, seen by host {host}: {hosts:?}");
+        }
+    }
+}
