--- a/crates/daemon/tests/process/disk.rs
+++ b/crates/daemon/tests/process/disk.rs
@@ -13,7 +13,7 @@
 };
 use crossbeam::channel;
 
-use crate::fixture::{TestFolder, WAIT_TIMEOUT, one_host};
+use crate::fixture::{TestFolder, WAIT_TIMEOUT, change, one_host};
 
 fn entry(index: u64, term: u64) -> Record {
     let entry = Entry { index, term, command: Command::Noop };
@@ -111,13 +111,28 @@
     assert!(DataFolder::open(&path, "host-1").is_err());
 }
 
+/// Returns the number of batches in a journal; each begins with a header of eight bytes, of which the
+/// first four are the length of the rest.
+fn batch_count(mut journal: &[u8]) -> usize {
+    let mut count = 0;
+    while let Some((length, _)) = journal.split_first_chunk() {
+        count += 1;
+        journal = journal.get(8 + u32::from_le_bytes(*length) as usize..).unwrap_or_default();
+    }
+    count
+}
+
 #[test]
 fn the_daemon_exits_with_code_1_on_a_damaged_folder() {
     let folder = TestFolder::new();
     let mut fleet = one_host(&folder);
+    // Damage to a single batch is taken for a torn write, so the host has to sync another one.
+    let answer = fleet.propose_change(0, &change("c0", 0, 1)).unwrap();
+    assert!(answer.accepted, "{answer:?}");
     fleet.kill_host(0).unwrap();
     let journal = fleet.hosts[0].data.clone().unwrap().join("journal");
     let mut bytes = std::fs::read(&journal).unwrap();
+    assert!(batch_count(&bytes) > 1, "the journal has a single batch");
     bytes[10] ^= 1;
     std::fs::write(&journal, bytes).unwrap();
     fleet.start_host(0).unwrap();
--- a/crates/daemon/tests/process/fixture.rs
+++ b/crates/daemon/tests/process/fixture.rs
@@ -8,6 +8,7 @@
 use chestnutdrift_standins::engine::{Engine, EngineSettings};
 use chestnutdrift_standins::fleet::{Fleet, FleetPlan};
 use chestnutdrift_standins::process::wait_until;
+use chestnutdrift_wire::api::operator::{ChangeBody, EditBody};
 use serde_json::{Value, json};
 
 /// How long a condition may take to become true; tests continue as soon as it is.
@@ -50,6 +51,13 @@
     fleet(&FleetPlan::new(&["zone-a"]).hosts_per_zone(1), folder)
 }
 
+/// Returns a change of the staleness bound in the fleet's settings.
+pub(crate) fn change(id: &str, base: u64, value: u64) -> ChangeBody {
+    let (key, value) = ("staleness".into(), Some(value));
+    let edits = vec![EditBody { key, value, scope: None, reason: "".into() }];
+    ChangeBody { id: id.into(), base_version: base, author: "test".into(), edits }
+}
+
 /// Starts an engine that announces itself to every host of a zone, and waits until they list it.
 pub(crate) fn engine(fleet: &Fleet, zone: &str, name: &str) -> Engine {
     let cfg = EngineSettings::new(name, MODEL).hosts(fleet.zone_hosts(zone));
--- a/crates/daemon/tests/process/lifecycle.rs
+++ b/crates/daemon/tests/process/lifecycle.rs
@@ -2,15 +2,10 @@
 
 use chestnutdrift_standins::fleet::FleetPlan;
 use chestnutdrift_standins::process::{Signal, wait_until};
-use chestnutdrift_wire::api::operator::{ChangeBody, EditBody};
 
-use crate::fixture::{TestFolder, WAIT_TIMEOUT, chat, engine, expected_answer, fleet, one_host};
-
-fn change(id: &str, base: u64, value: u64) -> ChangeBody {
-    let (key, value) = ("staleness".into(), Some(value));
-    let edits = vec![EditBody { key, value, scope: None, reason: "".into() }];
-    ChangeBody { id: id.into(), base_version: base, author: "test".into(), edits }
-}
+use crate::fixture::{
+    TestFolder, WAIT_TIMEOUT, change, chat, engine, expected_answer, fleet, one_host,
+};
 
 #[test]
 fn invariant_8_a_stopping_host_finishes_the_stream_that_it_holds() {
