fix(daemon): the queues to slow hosts held messages without a bound in bytes

Cause: a link held up to 4,096 messages of any size, and the encoded message beside the one that it was encoded from.

Change: the messages of all links share a tenth of the memory limit (64 MiB without one). Three quarters are for messages above 16 KiB; heartbeats, votes and other small messages have the rest, so that they pass when bulk is refused. The large messages of one link take at most as much as is left, so that a slow link leaves room for the others; a message larger than the budget passes alone. A message is dropped once it is encoded, and its bytes are released once it is written. Dropped messages are counted and logged once a second; replication and store requests send them again by themselves.

--- a/crates/core/src/agreement/message.rs
+++ b/crates/core/src/agreement/message.rs
@@ -3,6 +3,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::agreement::{Entry, Snapshot, SnapshotPart, Voter};
+use crate::directory::DirectoryCommand;
 use crate::time::Millis;
 
 /// Identifies one of the groups that a host can be a member of.
@@ -150,3 +151,24 @@
         sent_at: Millis,
     },
 }
+
+impl GroupMessage {
+    /// Returns the approximate size of the entries or the state in the message, in bytes.
+    #[must_use]
+    pub fn bytes(&self) -> usize {
+        match self {
+            Self::AppendEntries { entries, .. } => entries.iter().map(Entry::bytes).sum(),
+            Self::InstallSnapshot { snapshot, .. } => snapshot.bytes(),
+            Self::SnapshotPart { part, .. } => {
+                part.commands.iter().map(DirectoryCommand::bytes).sum()
+            }
+            Self::JoinRequest { .. }
+            | Self::Bootstrap { .. }
+            | Self::RequestVote { .. }
+            | Self::TimeoutNow { .. }
+            | Self::VoteReply { .. }
+            | Self::SnapshotPartReply { .. }
+            | Self::AppendReply { .. } => 0,
+        }
+    }
+}
--- a/crates/core/src/agreement/record.rs
+++ b/crates/core/src/agreement/record.rs
@@ -77,6 +77,18 @@
     }
 }
 
+impl Snapshot {
+    /// Returns the approximate size of the state in a message, in bytes; that of a small state is
+    /// left out.
+    #[must_use]
+    pub fn bytes(&self) -> usize {
+        match &self.state {
+            GroupState::Directory(directory) => directory.job_bytes(),
+            GroupState::Fleet(_) | GroupState::Zone(_) => 0,
+        }
+    }
+}
+
 /// The state of a group up to an index.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
--- a/crates/core/src/directory/command.rs
+++ b/crates/core/src/directory/command.rs
@@ -82,8 +82,7 @@
     #[must_use]
     pub fn bytes(&self) -> usize {
         match self {
-            // A message carries the document and the configuration that was decoded from it.
-            Self::PutRouting(routing) => 2 * routing.document.len(),
+            Self::PutRouting(routing) => routing.bytes(),
             Self::SubmitJob { spec, .. } => spec.bytes(),
             Self::AppendResults { results, .. } => {
                 results.iter().map(|result| result.result.outcome.text_bytes()).sum()
--- a/crates/core/src/directory/routing.rs
+++ b/crates/core/src/directory/routing.rs
@@ -24,6 +24,15 @@
     pub limits: RequestLimits,
 }
 
+impl RoutingConfig {
+    /// Returns the approximate size of the configuration in a message, in bytes.
+    #[must_use]
+    pub fn bytes(&self) -> usize {
+        // A message carries the document and the configuration that was decoded from it.
+        2 * self.document.len()
+    }
+}
+
 /// One route.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
--- a/crates/core/src/gateway/action.rs
+++ b/crates/core/src/gateway/action.rs
@@ -188,6 +188,15 @@
     pub results: Vec<ResultsEntry>,
 }
 
+impl ResultsPage {
+    /// Returns the approximate size of the page in a message, in bytes.
+    #[must_use]
+    pub fn bytes(&self) -> usize {
+        const OVERHEAD: usize = 128;
+        self.results.iter().map(|result| OVERHEAD + result.outcome.text_bytes()).sum()
+    }
+}
+
 /// A result with the id of its item.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
--- a/crates/core/src/gateway/message.rs
+++ b/crates/core/src/gateway/message.rs
@@ -191,7 +191,60 @@
     Undetermined,
 }
 
+impl GatewayMessage {
+    /// Returns the approximate size of the contents of the message, in bytes.
+    #[must_use]
+    pub fn bytes(&self) -> usize {
+        const BYTES_PER_SEEN_UPSTREAM: usize = 64;
+        const BYTES_PER_UPSTREAM: usize = 256;
+        match self {
+            Self::Hello(hello) => hello.seen_upstreams.len() * BYTES_PER_SEEN_UPSTREAM,
+            Self::View(view) => {
+                let routing = view.routing.as_ref().map_or(0, |routing| routing.bytes());
+                routing + view.upstreams.len() * BYTES_PER_UPSTREAM
+            }
+            Self::Request { request, .. } => request.bytes(),
+            Self::Reply { reply, .. } => reply.bytes(),
+        }
+    }
+}
+
+impl StoreReply {
+    /// Returns the approximate size of the contents of the reply, in bytes.
+    #[must_use]
+    pub fn bytes(&self) -> usize {
+        match self {
+            Self::Routing(routing) => routing.as_ref().map_or(0, |routing| routing.bytes()),
+            Self::Results(page) => page.bytes(),
+            Self::Body(body) => body.len(),
+            Self::Done
+            | Self::Retiring { .. }
+            | Self::Unknown
+            | Self::TooFew
+            | Self::NotLeader { .. }
+            | Self::NoMemory
+            | Self::Undetermined => 0,
+        }
+    }
+}
+
 impl StoreRequest {
+    /// Returns the approximate size of the contents of the request, in bytes.
+    #[must_use]
+    pub fn bytes(&self) -> usize {
+        match self {
+            Self::PutRouting(routing) => routing.bytes(),
+            Self::Submit(spec) => spec.bytes(),
+            Self::GetRouting { .. }
+            | Self::NameVersion { .. }
+            | Self::Results { .. }
+            | Self::ItemBody { .. }
+            | Self::EndJob { .. }
+            | Self::Retire { .. }
+            | Self::RetireStatus { .. } => 0,
+        }
+    }
+
     /// Returns whether only the leader can answer.
     ///
     /// Every store host can answer a read of results or of an item's body from its replica.
--- a/crates/core/src/message.rs
+++ b/crates/core/src/message.rs
@@ -23,6 +23,27 @@
     pub message: Message,
 }
 
+impl Envelope {
+    /// Returns the approximate size of the message, in bytes.
+    #[must_use]
+    pub fn bytes(&self) -> usize {
+        const OVERHEAD: usize = 256;
+        OVERHEAD
+            + match &self.message {
+                Message::Group(frame) => frame.message.bytes(),
+                Message::Gateway(message) => message.bytes(),
+                Message::Assign(job) => job.prompt.len(),
+                Message::Generated(result) => {
+                    result.output.as_ref().map_or(0, |output| output.text.len())
+                }
+                Message::Heartbeat(_)
+                | Message::SettingsPull { .. }
+                | Message::SettingsPush { .. }
+                | Message::Conclude { .. } => 0,
+            }
+    }
+}
+
 /// A message from one host to another.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -113,7 +113,7 @@
     });
     let runtime = link::socket_runtime("link")?;
     let links =
-        Links::start(runtime, settings.local_peer().link, Box::new(link_addresses), deliver)?;
+        Links::start(runtime, settings.local_peer().link, Box::new(link_addresses), deliver, None)?;
     Ok(Outputs { calls, links, disk })
 }
 
--- a/crates/daemon/src/disk/queue.rs
+++ b/crates/daemon/src/disk/queue.rs
@@ -2,7 +2,7 @@
 
 use std::sync::atomic::Ordering;
 
-use chestnutdrift_core::agreement::{GroupState, Record};
+use chestnutdrift_core::agreement::Record;
 use crossbeam::channel::{self, Receiver, SendError, Sender};
 
 use super::DiskJob;
@@ -69,15 +69,11 @@
     }
 }
 
-/// Returns the approximate size of a record, in bytes; that of a group with a small state is left
-/// out.
+/// Returns the approximate size of a record, in bytes.
 fn record_bytes(record: &Record) -> usize {
     match record {
         Record::Entry { entry, .. } => entry.bytes(),
-        Record::Snapshot { snapshot, .. } => match &snapshot.state {
-            GroupState::Directory(directory) => directory.job_bytes(),
-            GroupState::Fleet(_) | GroupState::Zone(_) => 0,
-        },
+        Record::Snapshot { snapshot, .. } => snapshot.bytes(),
         Record::Bootstrapped { .. }
         | Record::Term { .. }
         | Record::Truncate { .. }
--- a/crates/daemon/src/gateway/control.rs
+++ b/crates/daemon/src/gateway/control.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
 use chestnutdrift_core::gateway::{Action, Answer, Event, Forward, Gateway};
@@ -20,7 +21,7 @@
 use crate::control::write_event;
 use crate::disk::{DiskJob, DiskQueue};
 use crate::link::Links;
-use crate::memory::MemoryUse;
+use crate::memory::{HOLDERS, MemoryUse};
 
 /// The capacity of an exchange's queue of directives; an answer may be queued behind the attempt
 /// that it replaces.
@@ -123,6 +124,8 @@
             }
             let Self { load, gateway, inputs, outputs, .. } = &mut self;
             load.record_handled(started.elapsed());
+            let queued_bytes = outputs.links.queued_bytes() as u64;
+            HOLDERS.link_queue_bytes.store(queued_bytes, Ordering::Relaxed);
             let memory = load.report(gateway.board(), inputs.len(), &outputs.runtime);
             if let Some(MemoryUse { resident, .. }) = memory {
                 self.handle_event(&Event::MemoryMeasured { resident });
--- a/crates/daemon/src/gateway/metrics.rs
+++ b/crates/daemon/src/gateway/metrics.rs
@@ -31,6 +31,7 @@
     sent_bytes: IntGauge,
     deflated_bytes: IntGauge,
     sent_messages: IntGauge,
+    dropped_messages: IntGauge,
     connections: IntGauge,
     memory: IntGaugeVec,
     snapshots_written: IntGauge,
@@ -68,6 +69,8 @@
         let deflated_bytes = IntGauge::new("chestnutdrift_link_deflated_bytes", help)?;
         let help = "Messages sent to hosts";
         let sent_messages = IntGauge::new("chestnutdrift_link_sent_messages", help)?;
+        let help = "Messages to hosts that were dropped because no room was left for them";
+        let dropped_messages = IntGauge::new("chestnutdrift_link_dropped_messages", help)?;
         let help = "Connections opened to upstreams";
         let connections = IntGauge::new("chestnutdrift_upstream_connections", help)?;
         let opts =
@@ -89,6 +92,7 @@
         registry.register(Box::new(sent_bytes.clone()))?;
         registry.register(Box::new(deflated_bytes.clone()))?;
         registry.register(Box::new(sent_messages.clone()))?;
+        registry.register(Box::new(dropped_messages.clone()))?;
         registry.register(Box::new(connections.clone()))?;
         registry.register(Box::new(memory.clone()))?;
         registry.register(Box::new(snapshots_written.clone()))?;
@@ -104,6 +108,7 @@
             sent_bytes,
             deflated_bytes,
             sent_messages,
+            dropped_messages,
             connections,
             memory,
             snapshots_written,
@@ -154,6 +159,8 @@
         let deflated = LINK_COUNTERS.deflated_bytes.load(Ordering::Relaxed);
         metrics.deflated_bytes.set(gauge_value(deflated));
         metrics.sent_messages.set(gauge_value(LINK_COUNTERS.sent_messages.load(Ordering::Relaxed)));
+        let dropped = LINK_COUNTERS.dropped_messages.load(Ordering::Relaxed);
+        metrics.dropped_messages.set(gauge_value(dropped));
         metrics.connections.set(gauge_value(pool.opened()));
         set_memory(metrics);
         if let Err(error) = TextEncoder::new().encode(&metrics.registry.gather(), &mut body) {
@@ -180,6 +187,7 @@
         ("peak_allocated", used.peak_allocated),
         ("log", HOLDERS.log_bytes.load(Ordering::Relaxed)),
         ("jobs", HOLDERS.job_bytes.load(Ordering::Relaxed)),
+        ("link_queues", HOLDERS.link_queue_bytes.load(Ordering::Relaxed)),
         ("disk_queue", HOLDERS.disk_queue_bytes.load(Ordering::Relaxed)),
     ];
     for (kind, bytes) in values {
--- a/crates/daemon/src/gateway/start.rs
+++ b/crates/daemon/src/gateway/start.rs
@@ -57,7 +57,9 @@
         gateway_inputs.try_send(Input::Event(Event::Received(envelope))).is_ok()
     });
     let addresses = Box::new(SharedPort(file.link_address.port()));
-    let links = Links::start(Arc::clone(&runtime), file.link_address, addresses, deliver)?;
+    let memory_limit = file.gateway.memory_limit;
+    let links =
+        Links::start(Arc::clone(&runtime), file.link_address, addresses, deliver, memory_limit)?;
     let connections = Arc::new(Semaphore::new(file.max_connections));
     let server = Arc::new(Server {
         protocol: Arc::clone(&protocol),
--- a/crates/daemon/src/link.rs
+++ b/crates/daemon/src/link.rs
@@ -2,11 +2,13 @@
 //!
 //! A host opens a link when it has something to send. A link carries messages in one direction; the
 //! other host opens a link of its own for the other direction. Messages are lost when a link breaks
-//! or a queue is full, which the core's protocols tolerate. No messages are kept for a host that
-//! can't be reached.
+//! or a queue is full, which the core's protocols tolerate. The messages of all queues share a budget
+//! of bytes; when it is used up, small messages still pass. No messages are kept for a host that can't
+//! be reached.
 
 mod inbound;
 mod outbound;
+mod queue;
 
 use std::collections::BTreeMap;
 use std::fmt::Debug;
@@ -21,11 +23,14 @@
 use chestnutdrift_wire::frame::Encoder;
 use tokio::net::TcpListener;
 use tokio::runtime::Runtime;
-use tokio::sync::mpsc;
 use tokio_tungstenite::tungstenite::protocol::WebSocketConfig;
 
-/// The most messages that may wait for a link.
-const MAX_QUEUED_MESSAGES: usize = 4_096;
+use self::queue::{LinkQueue, QueueError};
+use crate::drop_meter::DropMeter;
+use crate::message_budget::MessageBudget;
+
+/// The share of the memory limit, in percent, that the messages waiting for all links may take.
+const QUEUED_PERCENT: u64 = 10;
 
 /// The size of the read buffer of a link.
 const READ_BUFFER_BYTES: usize = 16 * 1024;
@@ -37,6 +42,9 @@
     pub sent_bytes: AtomicU64,
     /// The number of messages.
     pub sent_messages: AtomicU64,
+    /// The number of messages that were dropped because their queue was full or their bytes were not
+    /// left.
+    pub dropped_messages: AtomicU64,
     /// The time spent on encoding messages, in microseconds.
     pub encode_us: AtomicU64,
     /// The bytes that were compressed.
@@ -49,6 +57,7 @@
 pub static LINK_COUNTERS: LinkCounters = LinkCounters {
     sent_bytes: AtomicU64::new(0),
     sent_messages: AtomicU64::new(0),
+    dropped_messages: AtomicU64::new(0),
     encode_us: AtomicU64::new(0),
     deflated_bytes: AtomicU64::new(0),
     decode_us: AtomicU64::new(0),
@@ -95,12 +104,17 @@
     runtime: Arc<Runtime>,
     addresses: Box<dyn AddressResolver>,
     encoder: Arc<Mutex<Encoder>>,
-    queues: BTreeMap<HostId, mpsc::Sender<Envelope>>,
+    queues: BTreeMap<HostId, LinkQueue>,
+    budget: MessageBudget,
+    dropped: DropMeter,
 }
 
 impl Links {
     /// Starts to accept links; links to other hosts are opened when messages are sent.
     ///
+    /// `memory_limit` is the memory of the process in bytes, if it is limited; the waiting messages
+    /// take a share of it.
+    ///
     /// # Errors
     ///
     /// Returns an error if the address can't be bound.
@@ -109,26 +123,55 @@
         address: SocketAddr,
         addresses: Box<dyn AddressResolver>,
         deliver: MessageHandler,
+        memory_limit: Option<u64>,
     ) -> anyhow::Result<Self> {
         let listener = runtime
             .block_on(TcpListener::bind(address))
             .with_context(|| format!("{address} can't be bound"))?;
         runtime.spawn(inbound::accept(listener, deliver));
-        Ok(Self { runtime, addresses, encoder: Arc::default(), queues: BTreeMap::new() })
+        Ok(Self {
+            runtime,
+            addresses,
+            encoder: Arc::default(),
+            queues: BTreeMap::new(),
+            budget: MessageBudget::new(memory_limit, QUEUED_PERCENT),
+            dropped: DropMeter::default(),
+        })
+    }
+
+    /// Returns the approximate size of the messages that wait for their links, in bytes.
+    #[must_use]
+    pub fn queued_bytes(&self) -> usize {
+        self.budget.used()
     }
 
-    /// Sends a message; drops it if the address is unknown or the queue of the link is full.
+    /// Sends a message; drops it if the address is unknown, the queue of the link is full, or its
+    /// bytes are not left.
     pub fn send(&mut self, to: HostId, envelope: Envelope) {
         let Some(address) = self.addresses.resolve(to) else { return };
         let (runtime, encoder) = (&self.runtime, &self.encoder);
         let queue = self.queues.entry(to).or_insert_with(|| {
-            let (tx, rx) = mpsc::channel(MAX_QUEUED_MESSAGES);
-            runtime.spawn(outbound::run(address, rx, Arc::clone(encoder)));
-            tx
+            let (queue, queued) = queue::queue();
+            runtime.spawn(outbound::run(address, queued, Arc::clone(encoder)));
+            queue
         });
-        if queue.try_send(envelope).is_err() {
-            log::debug!(event = "message-dropped", host = to.0; "the queue of the link is full");
-        }
+        let bytes = envelope.bytes();
+        let Err(error) = queue.try_send(envelope, bytes, &self.budget) else { return };
+        LINK_COUNTERS.dropped_messages.fetch_add(1, Ordering::Relaxed);
+        let Some(dropped) = self.dropped.record() else { return };
+        let reason = match error {
+            QueueError::Full => "the queue of the link is full",
+            QueueError::NoMemory => "the messages for other hosts take too much memory",
+        };
+        let queued_bytes = self.budget.used() as u64;
+        log::warn!(
+            event = "message-dropped",
+            host = to.0,
+            bytes = bytes as u64,
+            queued_bytes = queued_bytes,
+            dropped = dropped;
+            "{reason}"
+        );
     }
 
     /// Closes the links to other hosts.
--- a/crates/daemon/src/link/outbound.rs
+++ b/crates/daemon/src/link/outbound.rs
@@ -15,6 +15,8 @@
 use tokio_tungstenite::WebSocketStream;
 use tokio_tungstenite::tungstenite::Message;
 
+use super::queue::QueuedEnvelope;
+
 /// How long opening a link may take.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -39,12 +41,15 @@
 /// delay.
 pub(super) async fn run(
     address: SocketAddr,
-    mut queue: Receiver<Envelope>,
+    mut queue: Receiver<QueuedEnvelope>,
     encoder: Arc<Mutex<Encoder>>,
 ) {
     let mut link = None;
-    while let Some(envelope) = queue.recv().await {
-        let bytes = match encode(&encoder, &envelope) {
+    while let Some(QueuedEnvelope { envelope, reserved }) = queue.recv().await {
+        let encoded = encode(&encoder, &envelope);
+        // Only the encoded message is held while it is written, and the reservation is for it.
+        drop(envelope);
+        let bytes = match encoded {
             Ok(bytes) => bytes,
             Err(error) => {
                 log::error!(event = "message-dropped"; "{error}");
@@ -62,6 +67,7 @@
         };
         let length = bytes.len() as u64;
         let written = tokio::time::timeout(WRITE_TIMEOUT, opened.write(bytes)).await;
+        drop(reserved);
         if written == Ok(true) {
             super::LINK_COUNTERS.sent_bytes.fetch_add(length, Ordering::Relaxed);
             super::LINK_COUNTERS.sent_messages.fetch_add(1, Ordering::Relaxed);
--- a/crates/daemon/src/memory.rs
+++ b/crates/daemon/src/memory.rs
@@ -45,6 +45,8 @@
     pub log_bytes: AtomicU64,
     /// The jobs of the directory, with their results and partial texts.
     pub job_bytes: AtomicU64,
+    /// The messages that wait for links to other hosts.
+    pub link_queue_bytes: AtomicU64,
     /// The records that wait for the disk.
     pub disk_queue_bytes: AtomicU64,
     /// The number of snapshots written to the disk.
@@ -57,6 +59,7 @@
 pub static HOLDERS: Holders = Holders {
     log_bytes: AtomicU64::new(0),
     job_bytes: AtomicU64::new(0),
+    link_queue_bytes: AtomicU64::new(0),
     disk_queue_bytes: AtomicU64::new(0),
     snapshots_written: AtomicU64::new(0),
     snapshot_bytes: AtomicU64::new(0),
@@ -117,6 +120,7 @@
         peak_allocated_bytes = used.peak_allocated,
         log_bytes = read(&HOLDERS.log_bytes),
         job_bytes = read(&HOLDERS.job_bytes),
+        link_queue_bytes = read(&HOLDERS.link_queue_bytes),
         disk_queue_bytes = read(&HOLDERS.disk_queue_bytes),
         snapshots_written = read(&HOLDERS.snapshots_written),
         snapshot_bytes = read(&HOLDERS.snapshot_bytes);
--- /dev/null
+++ b/crates/daemon/tests/process/link_queue.rs
@@ -0,0 +1,132 @@
+//! The queues of messages to other hosts, and the memory limit.
+
+use std::collections::BTreeMap;
+use std::net::{SocketAddr, TcpListener};
+use std::sync::Arc;
+use std::sync::mpsc::{self, Receiver, Sender};
+
+use chestnutdrift_core::agreement::{Command, Entry, GroupFrame, GroupId, GroupMessage};
+use chestnutdrift_core::directory::{DirectoryCommand, ItemOutcome, ItemResult, NewResult};
+use chestnutdrift_core::message::{Envelope, Message};
+use chestnutdrift_core::timeline::Stamp;
+use chestnutdrift_core::{HostId, Millis};
+use chestnutdrift_daemon::link::{self, Links};
+use chestnutdrift_standins::process::wait_until;
+use chestnutdrift_wire::frame;
+use tokio_tungstenite::tungstenite;
+
+use crate::fixture::WAIT_TIMEOUT;
+
+const MIB: usize = 1_024 * 1_024;
+
+/// The messages of all links may take a tenth of it, the large ones three quarters of that: 2.4 MiB.
+const MEMORY_LIMIT: usize = 32 * MIB;
+
+const APPEND_BYTES: usize = 128 * 1_024;
+
+/// The number of large messages that are sent: more than three times as many bytes as may wait.
+const APPENDS: u64 = 80;
+
+const SLOW: HostId = HostId(2);
+const OTHER: HostId = HostId(3);
+
+fn envelope(message: GroupMessage) -> Envelope {
+    let frame = GroupFrame { group: GroupId::Directory, epoch: 1, message };
+    Envelope { from: HostId(1), stamp: Stamp::default(), message: Message::Group(frame) }
+}
+
+fn append(index: u64) -> Envelope {
+    let text = "a".repeat(APPEND_BYTES).into();
+    let outcome = ItemOutcome::Completed { text, versions: vec![1] };
+    let results = vec![NewResult::with_whole_text(ItemResult { item: 0, outcome })];
+    let command =
+        Command::Directory(DirectoryCommand::AppendResults { job: "job".into(), results });
+    let entries = vec![Entry { index, term: 1, command }];
+    let (prev_index, prev_term, sent_at) = (index - 1, 1, Millis(0));
+    let leader_commit = 0;
+    let message = GroupMessage::AppendEntries {
+        term: 1,
+        prev_index,
+        prev_term,
+        entries,
+        leader_commit,
+        sent_at,
+    };
+    envelope(message)
+}
+
+fn vote(term: u64) -> Envelope {
+    envelope(GroupMessage::VoteReply { term, granted: true, pre_vote: false })
+}
+
+/// A host that accepts one link, and reads its messages once it is told to.
+struct Peer {
+    address: SocketAddr,
+    begin: Sender<()>,
+    messages: Receiver<GroupMessage>,
+}
+
+impl Peer {
+    fn start() -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("an address");
+        let address = listener.local_addr().expect("an address");
+        let (begin, begun) = mpsc::channel();
+        let (tx, messages) = mpsc::channel();
+        std::thread::spawn(move || read_link(&listener, &begun, &tx));
+        Self { address, begin, messages }
+    }
+
+    fn receive(&self) -> GroupMessage {
+        self.messages.recv_timeout(WAIT_TIMEOUT).expect("a message")
+    }
+}
+
+fn read_link(listener: &TcpListener, begun: &Receiver<()>, messages: &Sender<GroupMessage>) {
+    let (stream, _) = listener.accept().expect("a link");
+    begun.recv().expect("the test continues");
+    let mut link = tungstenite::accept(stream).expect("a handshake");
+    while let Ok(message) = link.read() {
+        let tungstenite::Message::Binary(bytes) = message else { continue };
+        let envelope = frame::decode(&bytes).expect("a message");
+        let Message::Group(frame) = envelope.message else { continue };
+        if messages.send(frame.message).is_err() {
+            return;
+        }
+    }
+}
+
+fn links_to(peers: &[(HostId, &Peer)]) -> Links {
+    let runtime = link::socket_runtime("test-links").expect("a runtime");
+    let own = TcpListener::bind("127.0.0.1:0").and_then(|listener| listener.local_addr());
+    let addresses: BTreeMap<HostId, SocketAddr> =
+        peers.iter().map(|(host, peer)| (*host, peer.address)).collect();
+    let (own, limit) = (own.expect("an address"), Some(MEMORY_LIMIT as u64));
+    Links::start(runtime, own, Box::new(addresses), Arc::new(|_| true), limit).expect("links")
+}
+
+/// Guards against links to slow hosts whose queues held more bytes than the process may use.
+#[test]
+fn messages_for_a_slow_host_take_a_bounded_share_of_the_memory() {
+    let (slow, other) = (Peer::start(), Peer::start());
+    let mut links = links_to(&[(SLOW, &slow), (OTHER, &other)]);
+    for index in 1..=APPENDS {
+        links.send(SLOW, append(index));
+    }
+    let queued = links.queued_bytes();
+    assert!(queued <= MEMORY_LIMIT / 10, "{queued} bytes wait");
+
+    links.send(SLOW, vote(7));
+    links.send(OTHER, append(1));
+    other.begin.send(()).expect("the peer runs");
+    assert!(matches!(other.receive(), GroupMessage::AppendEntries { .. }));
+
+    slow.begin.send(()).expect("the peer runs");
+    let mut appends = 0;
+    while matches!(slow.receive(), GroupMessage::AppendEntries { .. }) {
+        appends += 1;
+    }
+    assert!(appends > 0 && appends < APPENDS, "{appends} appends before the vote");
+    wait_until("the bytes are released", WAIT_TIMEOUT, || links.queued_bytes() == 0)
+        .expect("the bytes are released");
+    links.close();
+}
--- a/crates/daemon/tests/process/main.rs
+++ b/crates/daemon/tests/process/main.rs
@@ -7,5 +7,6 @@
 mod fixture;
 mod gateway_settings;
 mod lifecycle;
+mod link_queue;
 mod samples;
 mod settings;
