fix(core): a store with a stalled disk took jobs and entries without a bound

Cause: the queue of the disk counts batches, up to 4,096 of any size. A leader commits with the other voters while its own disk stalls, and accepted every job meanwhile. The disk thread also encoded up to 256 waiting batches together.

Change: a store knows the bytes of its entries that are not synced. Above a tenth of the memory limit the leader refuses new jobs (429 with Retry-After, not run), and a follower takes an append as a heartbeat; the leader sends its entries again. The control thread still never waits for bytes: it would lose its lease. Results of accepted jobs are not refused; the budget for accepted jobs bounds them. The disk thread joins batches up to 1 MiB.

Excluded: waiting in the control thread, and handing over the leadership, which would wander when all disks are slow.

--- a/crates/core/src/gateway/action.rs
+++ b/crates/core/src/gateway/action.rs
@@ -269,6 +269,8 @@
     pub jobs: u64,
     /// Jobs refused for lack of memory, counted on the host that refused them.
     pub jobs_without_memory: u64,
+    /// Number of appends whose entries were not taken because too many bytes waited for the disk.
+    pub appends_without_memory: u64,
     /// Runs of items that were started.
     pub item_runs: u64,
     /// Items with a completed result.
--- a/crates/core/src/gateway/board.rs
+++ b/crates/core/src/gateway/board.rs
@@ -32,7 +32,7 @@
 use crate::time::{Millis, Now};
 use crate::timeline::{EventKind, HybridClock, Timeline, TimelineEvent};
 
-pub use group::{DirectoryGroup, PendingCommit};
+pub use group::{DirectoryGroup, PendingCommit, PendingSync};
 pub use host::{HOST_SILENCE_TIMEOUT, Host};
 pub use item::{Item, ItemState, JobRun};
 pub use memory::ProcessMemory;
--- a/crates/core/src/gateway/board/group.rs
+++ b/crates/core/src/gateway/board/group.rs
@@ -40,6 +40,17 @@
     pub proposed_at: Millis,
 }
 
+/// A batch of records that is not synced yet.
+#[derive(Debug, Clone, Copy)]
+pub struct PendingSync {
+    /// The token that is reported once it is synced.
+    pub token: SyncToken,
+    /// The last log index that it covers.
+    pub last_index: u64,
+    /// The approximate size of its entries, in bytes.
+    pub entry_bytes: u64,
+}
+
 /// The directory group, as a store host takes part in it.
 #[derive(Debug)]
 pub struct DirectoryGroup {
@@ -55,8 +66,10 @@
     pub was_leader: bool,
     /// The voters at the last check.
     pub known_voters: Vec<Voter>,
-    /// Batches of records that are not synced yet, with the last log index that each covers.
-    pub pending_syncs: VecDeque<(SyncToken, u64)>,
+    /// Batches of records that are not synced yet.
+    pub pending_syncs: VecDeque<PendingSync>,
+    /// Whether the entries of the last append were refused because too many bytes wait for the disk.
+    pub refuses_entries: bool,
     /// Messages that may be sent only after a batch is synced.
     pub held_messages: VecDeque<HeldMessage>,
     /// The token of the last batch.
@@ -96,6 +109,7 @@
             was_leader: false,
             known_voters: Vec::new(),
             pending_syncs: VecDeque::new(),
+            refuses_entries: false,
             held_messages: VecDeque::new(),
             last_token: SyncToken(0),
             next_job_cleanup: Millis(0),
@@ -104,6 +118,14 @@
 }
 
 impl DirectoryGroup {
+    /// Returns the approximate size of the entries that wait for the disk, in bytes.
+    ///
+    /// A snapshot is left out: there is one at most, and it shares its texts with the directory.
+    #[must_use]
+    pub fn unsynced_bytes(&self) -> u64 {
+        self.pending_syncs.iter().map(|batch| batch.entry_bytes).sum()
+    }
+
     /// Returns the hosts that vote in the group.
     #[must_use]
     pub fn voter_hosts(&self) -> Vec<HostId> {
--- a/crates/core/src/gateway/board/memory.rs
+++ b/crates/core/src/gateway/board/memory.rs
@@ -9,6 +9,9 @@
 /// that are read, a snapshot in encoded form, and messages.
 const DIRECTORY_PERCENT: u64 = 20;
 
+/// The share of the limit, in percent, that log entries may take which wait for the disk.
+const UNSYNCED_PERCENT: u64 = 10;
+
 /// The share of the limit, in percent, from which resident memory counts as scarce.
 const SCARCE_PERCENT: u64 = 85;
 
@@ -34,6 +37,12 @@
         self.limit.map(|limit| limit.saturating_sub(BASE_BYTES) / 100 * DIRECTORY_PERCENT)
     }
 
+    /// Returns the bytes of log entries that may wait for the disk, or `None` if there is no limit.
+    #[must_use]
+    pub fn unsynced_budget(&self) -> Option<u64> {
+        self.limit.map(|limit| limit / 100 * UNSYNCED_PERCENT)
+    }
+
     /// Returns whether little memory is left.
     #[must_use]
     pub fn is_scarce(&self) -> bool {
--- a/crates/core/src/gateway/controller/agreement.rs
+++ b/crates/core/src/gateway/controller/agreement.rs
@@ -1,6 +1,6 @@
 //! Agreement: drives this host's replica of the directory group and applies committed entries.
 //!
-//! Reads: group messages, synced batches, restored records, `proposals`, the clock.
+//! Reads: group messages, synced batches, restored records, `proposals`, `memory`, the clock.
 //! Writes: `group`, `leader`, `received_routing`, `changed_jobs`, `counters`, `actions`, replies to
 //! the origins of commands.
 
@@ -32,6 +32,7 @@
                     && frame.group == GroupId::Directory
                 {
                     let message = share_texts(&group.directory, frame.message.clone());
+                    let message = without_entries_for_a_slow_disk(board, &mut group, message);
                     let (now, from) = (board.now, envelope.from);
                     group.replica.handle_message(
                         now,
@@ -76,13 +77,42 @@
     message
 }
 
+/// Removes the entries of an append while too many bytes wait for the disk.
+///
+/// What is left is a heartbeat. The leader sends the entries again, because it gets no answer that
+/// covers them.
+fn without_entries_for_a_slow_disk(
+    board: &mut Board,
+    group: &mut DirectoryGroup,
+    mut message: GroupMessage,
+) -> GroupMessage {
+    let GroupMessage::AppendEntries { entries, .. } = &mut message else { return message };
+    let Some(budget) = board.memory.unsynced_budget() else { return message };
+    if entries.is_empty() {
+        return message;
+    }
+    let unsynced = group.unsynced_bytes();
+    let was_refusing = std::mem::replace(&mut group.refuses_entries, unsynced > budget);
+    if group.refuses_entries {
+        entries.clear();
+        board.counters.appends_without_memory += 1;
+    }
+    if group.refuses_entries != was_refusing {
+        let name = board.cfg.name.clone();
+        let refused = group.refuses_entries;
+        let detail = format!("disk_behind={refused} unsynced={unsynced} budget={budget}");
+        board.note(EventKind::Dependency, name, detail);
+    }
+    message
+}
+
 fn handle_synced(board: &mut Board, group: &mut DirectoryGroup, token: SyncToken) {
-    while let Some((synced, index)) = group.pending_syncs.front().copied() {
-        if synced > token {
+    while let Some(batch) = group.pending_syncs.front().copied() {
+        if batch.token > token {
             break;
         }
         group.pending_syncs.pop_front();
-        group.replica.mark_synced(index);
+        group.replica.mark_synced(batch.last_index);
     }
     while group.held_messages.front().is_some_and(|held| held.token <= token) {
         let Some(held) = group.held_messages.pop_front() else { break };
--- a/crates/core/src/gateway/controller/decisions.rs
+++ b/crates/core/src/gateway/controller/decisions.rs
@@ -129,12 +129,14 @@
         return true;
     };
     let need = JobMemory::with_job(board, group, spec);
-    let fits = need.total() <= budget && !memory.is_scarce();
+    let unsynced = group.unsynced_bytes();
+    let disk_keeps_up = memory.unsynced_budget().is_none_or(|budget| unsynced <= budget);
+    let fits = need.total() <= budget && disk_keeps_up && !memory.is_scarce();
     if fits || job_memory::is_proposed(board, group, &spec.id) {
         return true;
     }
     let detail = format!(
-        "no memory: held={} expected={} job={} budget={budget} resident={} limit={}",
+        "no memory: held={} expected={} job={} budget={budget} unsynced={unsynced} resident={} limit={}",
         need.held,
         need.expected,
         need.job,
--- a/crates/core/src/gateway/controller/outbox.rs
+++ b/crates/core/src/gateway/controller/outbox.rs
@@ -5,10 +5,10 @@
 //! A vote or an acknowledgement is sent only after the records that it refers to are synced.
 
 use super::Controller;
-use crate::agreement::{GroupFrame, GroupId, GroupMessage};
+use crate::agreement::{GroupFrame, GroupId, GroupMessage, Record};
 use crate::board::HeldMessage;
 use crate::gateway::action::Action;
-use crate::gateway::board::Board;
+use crate::gateway::board::{Board, PendingSync};
 use crate::gateway::event::Event;
 use crate::key::SyncToken;
 use crate::message::Message;
@@ -24,7 +24,9 @@
         if !records.is_empty() {
             let token = SyncToken(group.last_token.0 + 1);
             group.last_token = token;
-            group.pending_syncs.push_back((token, group.replica.log().last_index()));
+            let last_index = group.replica.log().last_index();
+            let entry_bytes = records.iter().map(entry_bytes).sum();
+            group.pending_syncs.push_back(PendingSync { token, last_index, entry_bytes });
             board.actions.push(Action::Persist { token, records });
         }
         let epoch = group.replica.epoch();
@@ -44,6 +46,13 @@
     }
 }
 
+fn entry_bytes(record: &Record) -> u64 {
+    match record {
+        Record::Entry { entry, .. } => u64::try_from(entry.bytes()).unwrap_or(u64::MAX),
+        _ => 0,
+    }
+}
+
 fn frame(epoch: u64, message: GroupMessage) -> Message {
     Message::Group(GroupFrame { group: GroupId::Directory, epoch, message })
 }
--- a/crates/core/tests/it/deployment.rs
+++ b/crates/core/tests/it/deployment.rs
@@ -16,6 +16,7 @@
     Action, Answer, Call, Event, Gateway, GatewaySettings, IncomingCall, JobBody, Order,
     ResultsPage, Role, RunItem,
 };
+use chestnutdrift_core::key::SyncToken;
 use chestnutdrift_core::message::{Envelope, Message};
 use chestnutdrift_core::timeline::TimelineEvent;
 use chestnutdrift_core::{HostId, Millis, Now, RequestTag};
@@ -87,6 +88,8 @@
     pub(crate) on_send: Option<SendObserver>,
     /// The memory limit of hosts that start from now on, in bytes.
     pub(crate) memory_limit: Option<u64>,
+    /// The hosts whose disks sync nothing, with the last token that waits.
+    stalled_disks: BTreeMap<HostId, Option<SyncToken>>,
     nodes: BTreeMap<HostId, Node>,
     seeds: Vec<HostId>,
     /// The bandwidth of a link, in bytes per millisecond.
@@ -119,6 +122,7 @@
             on_event: None,
             on_send: None,
             memory_limit: None,
+            stalled_disks: BTreeMap::new(),
             nodes: BTreeMap::new(),
             seeds: (1..=stores.min(3)).map(HostId).collect(),
             bytes_per_ms: 10_000,
@@ -222,6 +226,18 @@
         }
     }
 
+    /// Lets a disk sync nothing until [`Deployment::resume_disk`].
+    pub(crate) fn stall_disk(&mut self, id: HostId) {
+        self.stalled_disks.insert(id, None);
+    }
+
+    /// Lets a stalled disk sync what waits for it.
+    pub(crate) fn resume_disk(&mut self, id: HostId) {
+        if let Some(token) = self.stalled_disks.remove(&id).flatten() {
+            self.deliver(id, Event::Synced(token));
+        }
+    }
+
     /// Cuts the links between two hosts, or restores them.
     pub(crate) fn cut(&mut self, a: HostId, b: HostId, cut: bool) {
         for pair in [(a, b), (b, a)] {
@@ -406,6 +422,10 @@
             Action::Persist { token, records } => {
                 let node = self.nodes.get_mut(&id).expect("a known host");
                 node.disk.extend(records);
+                if let Some(waiting) = self.stalled_disks.get_mut(&id) {
+                    *waiting = Some(token);
+                    return;
+                }
                 let synced_at = self.now + self.rng.random_range(1..4);
                 self.schedule(synced_at, Scheduled::Event(id, boot_id, Event::Synced(token)));
             }
--- a/crates/core/tests/it/main.rs
+++ b/crates/core/tests/it/main.rs
@@ -18,4 +18,5 @@
 mod routing;
 mod samples;
 mod scripts;
+mod stalled_disk;
 mod tables;
--- a/crates/daemon/src/disk.rs
+++ b/crates/daemon/src/disk.rs
@@ -35,6 +35,10 @@
 /// The most waiting batches that are synced together with the first one.
 const MAX_JOINED_BATCHES: usize = 256;
 
+/// The size of the records in bytes from which no further batch is synced together with them, because
+/// they are encoded together.
+const MAX_JOINED_BYTES: usize = 1024 * 1024;
+
 /// The time between two attempts to write to a full disk.
 const DISK_FULL_RETRY_DELAY: Duration = Duration::from_millis(250);
 
@@ -134,6 +138,9 @@
         let mut token = first.token;
         let mut records = first.records;
         for _ in 0..MAX_JOINED_BATCHES {
+            if bytes >= MAX_JOINED_BYTES {
+                break;
+            }
             let Some(job) = jobs.try_recv() else { break };
             bytes += job.bytes();
             token = job.token;
--- a/crates/daemon/src/gateway/metrics.rs
+++ b/crates/daemon/src/gateway/metrics.rs
@@ -209,6 +209,7 @@
         ("forwards", counters.forwards),
         ("jobs", counters.jobs),
         ("jobs_without_memory", counters.jobs_without_memory),
+        ("appends_without_memory", counters.appends_without_memory),
         ("item_runs", counters.item_runs),
         ("items_completed", counters.items_completed),
         ("items_errored", counters.items_errored),
