fix(daemon): the inputs of a slow control thread had no bound in bytes

Cause: the queue counted inputs, up to 8,192 of any size: messages of hosts, decoded jobs, texts of items, routing configurations.

Dropped messages are counted and logged once a second.

--- a/crates/daemon/src/gateway/control.rs
+++ b/crates/daemon/src/gateway/control.rs
@@ -126,6 +126,8 @@
             load.record_handled(started.elapsed());
             let queued_bytes = outputs.links.queued_bytes() as u64;
             HOLDERS.link_queue_bytes.store(queued_bytes, Ordering::Relaxed);
+            let input_bytes = outputs.orders.inputs.queued_bytes() as u64;
+            HOLDERS.input_queue_bytes.store(input_bytes, Ordering::Relaxed);
             let memory = load.report(gateway.board(), inputs.len(), &outputs.runtime);
             if let Some(MemoryUse { resident, .. }) = memory {
                 self.handle_event(&Event::MemoryMeasured { resident });
--- a/crates/daemon/src/gateway/metrics.rs
+++ b/crates/daemon/src/gateway/metrics.rs
@@ -32,6 +32,7 @@
     deflated_bytes: IntGauge,
     sent_messages: IntGauge,
     dropped_messages: IntGauge,
+    unhandled_messages: IntGauge,
     connections: IntGauge,
     memory: IntGaugeVec,
     snapshots_written: IntGauge,
@@ -71,6 +72,8 @@
         let sent_messages = IntGauge::new("chestnutdrift_link_sent_messages", help)?;
         let help = "Messages to hosts that were dropped because no room was left for them";
         let dropped_messages = IntGauge::new("chestnutdrift_link_dropped_messages", help)?;
+        let help = "Messages from hosts that were dropped because no room was left for them";
+        let unhandled_messages = IntGauge::new("chestnutdrift_link_unhandled_messages", help)?;
         let help = "Connections opened to upstreams";
         let connections = IntGauge::new("chestnutdrift_upstream_connections", help)?;
         let opts =
@@ -93,6 +96,7 @@
         registry.register(Box::new(deflated_bytes.clone()))?;
         registry.register(Box::new(sent_messages.clone()))?;
         registry.register(Box::new(dropped_messages.clone()))?;
+        registry.register(Box::new(unhandled_messages.clone()))?;
         registry.register(Box::new(connections.clone()))?;
         registry.register(Box::new(memory.clone()))?;
         registry.register(Box::new(snapshots_written.clone()))?;
@@ -109,6 +113,7 @@
             deflated_bytes,
             sent_messages,
             dropped_messages,
+            unhandled_messages,
             connections,
             memory,
             snapshots_written,
@@ -161,6 +166,8 @@
         metrics.sent_messages.set(gauge_value(LINK_COUNTERS.sent_messages.load(Ordering::Relaxed)));
         let dropped = LINK_COUNTERS.dropped_messages.load(Ordering::Relaxed);
         metrics.dropped_messages.set(gauge_value(dropped));
+        let unhandled = LINK_COUNTERS.unhandled_messages.load(Ordering::Relaxed);
+        metrics.unhandled_messages.set(gauge_value(unhandled));
         metrics.connections.set(gauge_value(pool.opened()));
         set_memory(metrics);
         if let Err(error) = TextEncoder::new().encode(&metrics.registry.gather(), &mut body) {
@@ -188,6 +195,7 @@
         ("log", HOLDERS.log_bytes.load(Ordering::Relaxed)),
         ("jobs", HOLDERS.job_bytes.load(Ordering::Relaxed)),
         ("link_queues", HOLDERS.link_queue_bytes.load(Ordering::Relaxed)),
+        ("input_queue", HOLDERS.input_queue_bytes.load(Ordering::Relaxed)),
         ("disk_queue", HOLDERS.disk_queue_bytes.load(Ordering::Relaxed)),
     ];
     for (kind, bytes) in values {
--- a/crates/daemon/src/gateway/start.rs
+++ b/crates/daemon/src/gateway/start.rs
@@ -39,7 +39,9 @@
 /// Returns an error if the data folder can't be used, an address can't be bound, or the disk fails.
 pub fn run(file: &GatewaySettingsFile, protocol: Arc<dyn Protocol>) -> anyhow::Result<()> {
     let clock = Clock::start();
+    let memory_limit = file.gateway.memory_limit;
     let (inputs, events) = input::queue();
+    let inputs = inputs.memory_limit(memory_limit);
     let watch = Arc::new(Mutex::new(FileWatch::new(file)));
     watch_signals(Arc::clone(&watch), inputs.clone())?;
     let (data_dir, name) = (file.data_dir.as_deref(), &file.gateway.name);
@@ -57,7 +59,6 @@
         gateway_inputs.try_send(Input::Event(Event::Received(envelope))).is_ok()
     });
     let addresses = Box::new(SharedPort(file.link_address.port()));
-    let memory_limit = file.gateway.memory_limit;
     let links =
         Links::start(Arc::clone(&runtime), file.link_address, addresses, deliver, memory_limit)?;
     let connections = Arc::new(Semaphore::new(file.max_connections));
@@ -66,7 +67,7 @@
         pool: pool.clone(),
         inputs: inputs.clone(),
         state: Arc::clone(&state),
-        bodies: BodyMemory::new(file.gateway.memory_limit),
+        bodies: BodyMemory::new(memory_limit),
         connections: Arc::clone(&connections),
         next_tag: AtomicU64::new(1),
     });
--- a/crates/daemon/src/link.rs
+++ b/crates/daemon/src/link.rs
@@ -47,6 +47,8 @@
     pub dropped_messages: AtomicU64,
     /// The time spent on encoding messages, in microseconds.
     pub encode_us: AtomicU64,
+    /// The number of received messages that were dropped because too many inputs wait.
+    pub unhandled_messages: AtomicU64,
     /// The bytes that were compressed.
     pub deflated_bytes: AtomicU64,
     /// The time spent on decoding messages, in microseconds.
@@ -58,6 +60,7 @@
     sent_bytes: AtomicU64::new(0),
     sent_messages: AtomicU64::new(0),
     dropped_messages: AtomicU64::new(0),
+    unhandled_messages: AtomicU64::new(0),
     encode_us: AtomicU64::new(0),
     deflated_bytes: AtomicU64::new(0),
     decode_us: AtomicU64::new(0),
--- a/crates/daemon/src/link/inbound.rs
+++ b/crates/daemon/src/link/inbound.rs
@@ -1,6 +1,7 @@
 //! Links that other hosts open to this one.
 
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use chestnutdrift_wire::frame;
@@ -8,7 +9,8 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio_tungstenite::tungstenite::Message;
 
-use super::MessageHandler;
+use super::{LINK_COUNTERS, MessageHandler};
+use crate::drop_meter::DropMeter;
 
 /// How long the listener pauses after a failed accept.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
@@ -18,10 +20,11 @@
 
 /// Accepts links and reads their messages.
 pub(super) async fn accept(listener: TcpListener, deliver: MessageHandler) {
+    let dropped = Arc::new(DropMeter::default());
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
-                tokio::spawn(read(stream, Arc::clone(&deliver)));
+                tokio::spawn(read(stream, Arc::clone(&deliver), Arc::clone(&dropped)));
             }
             Err(error) => {
                 log::warn!(event = "accept-failed"; "{error}");
@@ -31,13 +34,13 @@
     }
 }
 
-async fn read(stream: TcpStream, deliver: MessageHandler) {
+async fn read(stream: TcpStream, deliver: MessageHandler, dropped: Arc<DropMeter>) {
     let handshake =
         tokio_tungstenite::accept_async_with_config(stream, Some(super::websocket_config()));
     let Ok(Ok(mut link)) = tokio::time::timeout(HANDSHAKE_TIMEOUT, handshake).await else { return };
     while let Some(Ok(message)) = link.next().await {
         let Message::Binary(bytes) = message else { continue };
-        let decoded = super::timed(&super::LINK_COUNTERS.decode_us, || frame::decode(&bytes));
+        let decoded = super::timed(&LINK_COUNTERS.decode_us, || frame::decode(&bytes));
         let envelope = match decoded {
             Ok(envelope) => envelope,
             Err(error) => {
@@ -45,8 +48,20 @@
                 continue;
             }
         };
-        if !deliver(envelope) {
-            log::debug!(event = "message-dropped"; "too many events are waiting");
+        let from = envelope.from;
+        if deliver(envelope) {
+            continue;
+        }
+        LINK_COUNTERS.unhandled_messages.fetch_add(1, Ordering::Relaxed);
+        if let Some(dropped) = dropped.record() {
+            let bytes = bytes.len() as u64;
+            log::warn!(
+                event = "message-unhandled",
+                host = from.0,
+                bytes = bytes,
+                dropped = dropped;
+                "too many inputs are waiting"
+            );
         }
     }
 }
--- a/crates/daemon/src/memory.rs
+++ b/crates/daemon/src/memory.rs
@@ -47,6 +47,8 @@
     pub job_bytes: AtomicU64,
     /// The messages that wait for links to other hosts.
     pub link_queue_bytes: AtomicU64,
+    /// The inputs that wait for the control thread.
+    pub input_queue_bytes: AtomicU64,
     /// The records that wait for the disk.
     pub disk_queue_bytes: AtomicU64,
     /// The number of snapshots written to the disk.
@@ -60,6 +62,7 @@
     log_bytes: AtomicU64::new(0),
     job_bytes: AtomicU64::new(0),
     link_queue_bytes: AtomicU64::new(0),
+    input_queue_bytes: AtomicU64::new(0),
     disk_queue_bytes: AtomicU64::new(0),
     snapshots_written: AtomicU64::new(0),
     snapshot_bytes: AtomicU64::new(0),
@@ -121,6 +124,7 @@
         log_bytes = read(&HOLDERS.log_bytes),
         job_bytes = read(&HOLDERS.job_bytes),
         link_queue_bytes = read(&HOLDERS.link_queue_bytes),
+        input_queue_bytes = read(&HOLDERS.input_queue_bytes),
         disk_queue_bytes = read(&HOLDERS.disk_queue_bytes),
         snapshots_written = read(&HOLDERS.snapshots_written),
         snapshot_bytes = read(&HOLDERS.snapshot_bytes);
--- a/crates/daemon/tests/process/link_queue.rs
+++ b/crates/daemon/tests/process/link_queue.rs
@@ -20,9 +20,9 @@
 const MIB: usize = 1_024 * 1_024;
 
 /// The messages of all links may take a tenth of it, the large ones three quarters of that: 2.4 MiB.
-const MEMORY_LIMIT: usize = 32 * MIB;
+pub(crate) const MEMORY_LIMIT: usize = 32 * MIB;
 
-const APPEND_BYTES: usize = 128 * 1_024;
+pub(crate) const APPEND_BYTES: usize = 128 * 1_024;
 
 /// The number of large messages that are sent: more than three times as many bytes as may wait.
 const APPENDS: u64 = 80;
@@ -35,7 +35,7 @@
     Envelope { from: HostId(1), stamp: Stamp::default(), message: Message::Group(frame) }
 }
 
-fn append(index: u64) -> Envelope {
+pub(crate) fn append(index: u64) -> Envelope {
     let text = "a".repeat(APPEND_BYTES).into();
     let outcome = ItemOutcome::Completed { text, versions: vec![1] };
     let results = vec![NewResult::with_whole_text(ItemResult { item: 0, outcome })];
@@ -55,7 +55,7 @@
     envelope(message)
 }
 
-fn vote(term: u64) -> Envelope {
+pub(crate) fn vote(term: u64) -> Envelope {
     envelope(GroupMessage::VoteReply { term, granted: true, pre_vote: false })
 }
 
--- a/crates/daemon/tests/process/main.rs
+++ b/crates/daemon/tests/process/main.rs
@@ -6,6 +6,7 @@
 mod disk;
 mod fixture;
 mod gateway_settings;
+mod input_queue;
 mod lifecycle;
 mod link_queue;
 mod samples;
