fix(daemon): one received message could take more memory than the host has

Cause: a link accepted messages of up to 64 MiB, as received and again when inflated, whatever the memory limit.

Change: a message may take a quarter of the limit, and 64 MiB at most.

One thread decodes, so one message is inflated at a time. A longer message is refused with a log line; the link is closed if the frame itself is too long.

--- a/crates/daemon/src/link.rs
+++ b/crates/daemon/src/link.rs
@@ -20,7 +20,7 @@
 use anyhow::Context;
 use chestnutdrift_core::HostId;
 use chestnutdrift_core::message::Envelope;
-use chestnutdrift_wire::frame::Encoder;
+use chestnutdrift_wire::frame::{Encoder, MAX_MESSAGE_BYTES};
 use tokio::net::TcpListener;
 use tokio::runtime::Runtime;
 use tokio_tungstenite::tungstenite::protocol::WebSocketConfig;
@@ -32,6 +32,11 @@
 /// The share of the memory limit, in percent, that the messages waiting for all links may take.
 const QUEUED_PERCENT: u64 = 10;
 
+/// The share of the memory limit, in percent, that one received message may take, as received and
+/// when inflated. A snapshot is sent in parts, so the largest message is the entry of a job, and a job
+/// of that size would not be accepted.
+const RECEIVED_PERCENT: u64 = 25;
+
 /// The size of the read buffer of a link.
 const READ_BUFFER_BYTES: usize = 16 * 1024;
 
@@ -131,7 +136,8 @@
         let listener = runtime
             .block_on(TcpListener::bind(address))
             .with_context(|| format!("{address} can't be bound"))?;
-        runtime.spawn(inbound::accept(listener, deliver));
+        let max_bytes = max_received_bytes(memory_limit);
+        runtime.spawn(inbound::accept(listener, deliver, max_bytes));
         Ok(Self {
             runtime,
             addresses,
@@ -198,10 +204,16 @@
     Ok(Arc::new(runtime))
 }
 
-fn websocket_config() -> WebSocketConfig {
+fn max_received_bytes(memory_limit: Option<u64>) -> usize {
+    let share = memory_limit.map(|limit| limit / 100 * RECEIVED_PERCENT);
+    let share = share.and_then(|share| usize::try_from(share).ok());
+    share.map_or(MAX_MESSAGE_BYTES, |share| share.min(MAX_MESSAGE_BYTES))
+}
+
+fn websocket_config(max_message_bytes: usize) -> WebSocketConfig {
     WebSocketConfig::default()
         .read_buffer_size(READ_BUFFER_BYTES)
         .write_buffer_size(0)
-        .max_message_size(Some(chestnutdrift_wire::frame::MAX_MESSAGE_BYTES))
-        .max_frame_size(Some(chestnutdrift_wire::frame::MAX_MESSAGE_BYTES))
+        .max_message_size(Some(max_message_bytes))
+        .max_frame_size(Some(max_message_bytes))
 }
--- a/crates/daemon/src/link/inbound.rs
+++ b/crates/daemon/src/link/inbound.rs
@@ -7,7 +7,7 @@
 use chestnutdrift_wire::frame;
 use futures_util::StreamExt;
 use tokio::net::{TcpListener, TcpStream};
-use tokio_tungstenite::tungstenite::Message;
+use tokio_tungstenite::tungstenite::{self, Message};
 
 use super::{LINK_COUNTERS, MessageHandler};
 use crate::drop_meter::DropMeter;
@@ -19,12 +19,12 @@
 const HANDSHAKE_TIMEOUT: Duration = Duration::from_secs(5);
 
 /// Accepts links and reads their messages.
-pub(super) async fn accept(listener: TcpListener, deliver: MessageHandler) {
+pub(super) async fn accept(listener: TcpListener, deliver: MessageHandler, max_bytes: usize) {
     let dropped = Arc::new(DropMeter::default());
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
-                tokio::spawn(read(stream, Arc::clone(&deliver), Arc::clone(&dropped)));
+                tokio::spawn(read(stream, Arc::clone(&deliver), Arc::clone(&dropped), max_bytes));
             }
             Err(error) => {
                 log::warn!(event = "accept-failed"; "{error}");
@@ -34,13 +34,27 @@
     }
 }
 
-async fn read(stream: TcpStream, deliver: MessageHandler, dropped: Arc<DropMeter>) {
-    let handshake =
-        tokio_tungstenite::accept_async_with_config(stream, Some(super::websocket_config()));
+async fn read(
+    stream: TcpStream,
+    deliver: MessageHandler,
+    dropped: Arc<DropMeter>,
+    max_bytes: usize,
+) {
+    let config = Some(super::websocket_config(max_bytes));
+    let handshake = tokio_tungstenite::accept_async_with_config(stream, config);
     let Ok(Ok(mut link)) = tokio::time::timeout(HANDSHAKE_TIMEOUT, handshake).await else { return };
-    while let Some(Ok(message)) = link.next().await {
+    while let Some(received) = link.next().await {
+        let message = match received {
+            Ok(message) => message,
+            Err(tungstenite::Error::Capacity(error)) => {
+                log::warn!(event = "message-refused", max_bytes = max_bytes as u64; "{error}");
+                return;
+            }
+            Err(_) => return,
+        };
         let Message::Binary(bytes) = message else { continue };
-        let decoded = super::timed(&LINK_COUNTERS.decode_us, || frame::decode(&bytes));
+        let decoded =
+            super::timed(&LINK_COUNTERS.decode_us, || frame::decode_within(&bytes, max_bytes));
         let envelope = match decoded {
             Ok(envelope) => envelope,
             Err(error) => {
--- a/crates/daemon/src/link/outbound.rs
+++ b/crates/daemon/src/link/outbound.rs
@@ -7,7 +7,7 @@
 
 use bytes::Bytes;
 use chestnutdrift_core::message::Envelope;
-use chestnutdrift_wire::frame::{Encoder, FrameError};
+use chestnutdrift_wire::frame::{Encoder, FrameError, MAX_MESSAGE_BYTES};
 use futures_util::{FutureExt, SinkExt, StreamExt};
 use rustix::net::sockopt::set_tcp_user_timeout;
 use tokio::net::TcpStream;
@@ -101,7 +101,7 @@
             let stream = TcpStream::connect(address).await.ok()?;
             stream.set_nodelay(true).ok()?;
             set_tcp_user_timeout(&stream, UNACKNOWLEDGED_TIMEOUT_MS).ok()?;
-            let config = Some(super::websocket_config());
+            let config = Some(super::websocket_config(MAX_MESSAGE_BYTES));
             let handshake = tokio_tungstenite::client_async_with_config(url, stream, config).await;
             let (socket, _) = handshake.ok()?;
             Some(Self { socket, last_ping: Instant::now(), answered: true })
--- a/crates/daemon/tests/process/link_queue.rs
+++ b/crates/daemon/tests/process/link_queue.rs
@@ -1,19 +1,21 @@
 //! The queues of messages to other hosts, and the memory limit.
 
 use std::collections::BTreeMap;
-use std::net::{SocketAddr, TcpListener};
+use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::Arc;
 use std::sync::mpsc::{self, Receiver, Sender};
 
+use bytes::Bytes;
 use chestnutdrift_core::agreement::{Command, Entry, GroupFrame, GroupId, GroupMessage};
 use chestnutdrift_core::directory::{DirectoryCommand, ItemOutcome, ItemResult, NewResult};
+use chestnutdrift_core::gateway::{GatewayMessage, StoreRequest};
 use chestnutdrift_core::message::{Envelope, Message};
 use chestnutdrift_core::timeline::Stamp;
 use chestnutdrift_core::{HostId, Millis};
 use chestnutdrift_daemon::link::{self, Links};
 use chestnutdrift_standins::process::wait_until;
-use chestnutdrift_wire::frame;
-use tokio_tungstenite::tungstenite;
+use chestnutdrift_wire::frame::{self, Encoder};
+use tokio_tungstenite::tungstenite::{self, WebSocket};
 
 use crate::fixture::WAIT_TIMEOUT;
 
@@ -130,3 +132,44 @@
         .expect("the bytes are released");
     links.close();
 }
+
+/// A message whose contents are `bytes` long, and shrink much when they are deflated.
+fn long_message(bytes: usize) -> Envelope {
+    let request = StoreRequest::EndJob { job: "a".repeat(bytes).into() };
+    let message = GatewayMessage::Request { boot_id: 1, key: 1, request };
+    let message = Message::Gateway(Box::new(message));
+    Envelope { from: HostId(1), stamp: Stamp::default(), message }
+}
+
+/// Guards against a received message that alone took more memory than the process may use.
+#[test]
+fn a_message_that_exceeds_its_share_of_the_memory_is_not_read() {
+    let runtime = link::socket_runtime("test-links").expect("a runtime");
+    let own = TcpListener::bind("127.0.0.1:0").and_then(|listener| listener.local_addr());
+    let (address, limit) = (own.expect("an address"), Some(MEMORY_LIMIT as u64));
+    let (tx, received) = mpsc::channel();
+    let deliver = Arc::new(move |envelope| tx.send(envelope).is_ok());
+    let addresses = Box::new(BTreeMap::<HostId, SocketAddr>::new());
+    let links = Links::start(runtime, address, addresses, deliver, limit).expect("links");
+    let connect = || {
+        let stream = TcpStream::connect(address).expect("a connection");
+        tungstenite::client(format!("ws://{address}/"), stream).expect("a handshake").0
+    };
+    let send = |link: &mut WebSocket<TcpStream>, bytes: Bytes| {
+        link.send(tungstenite::Message::Binary(bytes)).expect("a link");
+    };
+    let encode = |message: &Envelope| Encoder::default().encode(message).expect("bytes");
+
+    let mut link = connect();
+    send(&mut link, encode(&long_message(MEMORY_LIMIT / 2)));
+    send(&mut link, encode(&vote(7)));
+    assert_eq!(received.recv_timeout(WAIT_TIMEOUT), Ok(vote(7)));
+
+    let padding = Bytes::from(vec![0; MEMORY_LIMIT / 2]);
+    // The host may close the link before all bytes are sent.
+    let _ = link.send(tungstenite::Message::Binary(padding));
+    while link.read().is_ok() {}
+    send(&mut connect(), encode(&vote(8)));
+    assert_eq!(received.recv_timeout(WAIT_TIMEOUT), Ok(vote(8)));
+    links.close();
+}
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -45,22 +45,28 @@
 /// Returns an error if the bytes are not a message of this version, or if they are longer than
 /// [`MAX_MESSAGE_BYTES`] as received or when inflated.
 pub fn decode(bytes: &[u8]) -> Result<Envelope, FrameError> {
-    if bytes.len() > MAX_MESSAGE_BYTES {
-        return Err(FrameError(
-            format!("{} bytes exceed the limit of {MAX_MESSAGE_BYTES}", bytes.len()).into(),
-        ));
+    decode_within(bytes, MAX_MESSAGE_BYTES)
+}
+
+/// Decodes a message of at most `max` bytes.
+///
+/// # Errors
+///
+/// Returns an error if the bytes are not a message of this version, or if they are longer than `max`
+/// as received or when inflated.
+pub fn decode_within(bytes: &[u8], max: usize) -> Result<Envelope, FrameError> {
+    if bytes.len() > max {
+        return Err(FrameError(format!("{} bytes exceed the limit of {max}", bytes.len()).into()));
     }
     let Some(deflated) = bytes.strip_prefix(&[DEFLATE_MARKER]) else {
         return ciborium::from_reader(bytes).map_err(|error| frame_error(&error));
     };
-    let inflated = DeflateDecoder::new(deflated).take(MAX_MESSAGE_BYTES as u64);
+    let inflated = DeflateDecoder::new(deflated).take(max as u64);
     // The CBOR decoder reads a few bytes at a time.
     let mut buffered = BufReader::new(inflated);
     let decoded = ciborium::from_reader(&mut buffered);
     if buffered.get_ref().limit() == 0 {
-        return Err(FrameError(
-            format!("too long when inflated: the limit is {MAX_MESSAGE_BYTES} bytes").into(),
-        ));
+        return Err(FrameError(format!("too long when inflated: the limit is {max} bytes").into()));
     }
     decoded.map_err(|error| frame_error(&error))
 }
