fix(core): the cached texts of unfinished items had no bound in bytes

Cause: the cache counted texts, up to 2,048 of up to 4 MiB.

Change: the texts and their items take at most a twentieth of the memory limit, 64 MiB without one; those added first are evicted, as before. A gauge and the memory line give their size.

--- a/crates/core/src/gateway/board.rs
+++ b/crates/core/src/gateway/board.rs
@@ -173,9 +173,10 @@
         let group = (cfg.role == Role::Store).then(|| DirectoryGroup::new(&cfg));
         // Hosts that start in the same millisecond must not draw the same election time-outs.
         let seed = checksum(&[&cfg.name, &cfg.seed.to_string(), &cfg.boot_id.to_string()]);
+        let memory = ProcessMemory::new(cfg.memory_limit);
         let mut board = Self {
             now,
-            memory: ProcessMemory::new(cfg.memory_limit),
+            memory,
             rng: Pcg64Mcg::seed_from_u64(seed),
             clock: HybridClock::default(),
             timeline: Timeline::new(cfg.timeline_capacity),
@@ -205,7 +206,7 @@
             job_index: BTreeMap::new(),
             items: SlotMap::with_key(),
             orphans: BTreeMap::new(),
-            text_cache: TextCache::default(),
+            text_cache: TextCache::new(memory.text_cache_budget()),
             orders: SlotMap::with_key(),
             ready: false,
             draining: None,
--- a/crates/core/src/gateway/board/memory.rs
+++ b/crates/core/src/gateway/board/memory.rs
@@ -12,6 +12,9 @@
 /// The share of the limit, in percent, that log entries may take which wait for the disk.
 const UNSYNCED_PERCENT: u64 = 10;
 
+/// The share of the limit, in percent, that the cached texts of unfinished items may take.
+const TEXT_CACHE_PERCENT: u64 = 5;
+
 /// The share of the limit, in percent, from which resident memory counts as scarce.
 const SCARCE_PERCENT: u64 = 85;
 
@@ -43,6 +46,12 @@
         self.limit.map(|limit| limit / 100 * UNSYNCED_PERCENT)
     }
 
+    /// Returns the bytes of texts that may be cached, or `None` if there is no limit.
+    #[must_use]
+    pub fn text_cache_budget(&self) -> Option<u64> {
+        self.limit.map(|limit| limit / 100 * TEXT_CACHE_PERCENT)
+    }
+
     /// Returns whether little memory is left.
     #[must_use]
     pub fn is_scarce(&self) -> bool {
--- a/crates/core/src/gateway/board/text.rs
+++ b/crates/core/src/gateway/board/text.rs
@@ -8,6 +8,9 @@
 /// Maximum number of cached texts: the open items of two jobs of 1,024 samples.
 const MAX_TEXTS: usize = 2_048;
 
+/// Maximum size of the cached texts on a host without a memory limit, in bytes.
+const DEFAULT_MAX_BYTES: u64 = 64 * 1024 * 1024;
+
 /// An item with its text.
 #[derive(Debug, Clone)]
 struct CachedText {
@@ -17,27 +20,54 @@
 
 /// Texts of items that were stopped before they had a result, by item id.
 ///
-/// At capacity the text that was added first is evicted.
-#[derive(Debug, Clone, Default)]
+/// At capacity, in texts or in bytes, the texts that were added first are evicted.
+#[derive(Debug, Clone)]
 pub struct TextCache {
     texts: BTreeMap<Box<str>, CachedText>,
     insertion_order: VecDeque<Box<str>>,
+    max_bytes: u64,
+    bytes: u64,
+}
+
+impl CachedText {
+    /// Returns the approximate size of the item and its text, in bytes.
+    fn bytes(&self) -> u64 {
+        u64::try_from(self.spec.bytes() + self.text.text.len()).unwrap_or(u64::MAX)
+    }
 }
 
 impl TextCache {
+    /// Creates an empty cache of at most `max_bytes` bytes; `None` stands for 64 MiB.
+    #[must_use]
+    pub fn new(max_bytes: Option<u64>) -> Self {
+        Self {
+            texts: BTreeMap::new(),
+            insertion_order: VecDeque::new(),
+            max_bytes: max_bytes.unwrap_or(DEFAULT_MAX_BYTES),
+            bytes: 0,
+        }
+    }
+
+    /// Returns the approximate size of the cached items and their texts, in bytes.
+    #[must_use]
+    pub fn bytes(&self) -> u64 {
+        self.bytes
+    }
+
     /// Caches the text of an item in place of an earlier one; an empty text is ignored.
     pub fn insert(&mut self, spec: &ItemSpec, item: &Item) {
         if item.text.events == 0 {
             return;
         }
         let text = CachedText { spec: spec.clone(), text: item.text.clone() };
-        if self.texts.insert(spec.id.clone(), text).is_none() {
-            self.insertion_order.push_back(spec.id.clone());
+        self.bytes += text.bytes();
+        match self.texts.insert(spec.id.clone(), text) {
+            Some(earlier) => self.bytes -= earlier.bytes(),
+            None => self.insertion_order.push_back(spec.id.clone()),
         }
-        if self.insertion_order.len() > MAX_TEXTS
-            && let Some(oldest) = self.insertion_order.pop_front()
-        {
-            self.texts.remove(&oldest);
+        while self.insertion_order.len() > MAX_TEXTS || self.bytes > self.max_bytes {
+            let Some(oldest) = self.insertion_order.pop_front() else { break };
+            self.bytes -= self.texts.remove(&oldest).map_or(0, |text| text.bytes());
         }
     }
 
--- a/crates/core/tests/it/main.rs
+++ b/crates/core/tests/it/main.rs
@@ -20,3 +20,4 @@
 mod scripts;
 mod stalled_disk;
 mod tables;
+mod text_cache;
--- a/crates/daemon/src/gateway/load.rs
+++ b/crates/daemon/src/gateway/load.rs
@@ -173,6 +173,7 @@
 }
 
 fn record_holders(board: &Board) {
+    HOLDERS.text_cache_bytes.store(board.text_cache.bytes(), Ordering::Relaxed);
     let Some(group) = &board.group else { return };
     HOLDERS.log_bytes.store(group.replica.log().bytes() as u64, Ordering::Relaxed);
     HOLDERS.job_bytes.store(group.directory.job_bytes() as u64, Ordering::Relaxed);
--- a/crates/daemon/src/gateway/metrics.rs
+++ b/crates/daemon/src/gateway/metrics.rs
@@ -194,6 +194,7 @@
         ("peak_allocated", used.peak_allocated),
         ("log", HOLDERS.log_bytes.load(Ordering::Relaxed)),
         ("jobs", HOLDERS.job_bytes.load(Ordering::Relaxed)),
+        ("text_cache", HOLDERS.text_cache_bytes.load(Ordering::Relaxed)),
         ("link_queues", HOLDERS.link_queue_bytes.load(Ordering::Relaxed)),
         ("input_queue", HOLDERS.input_queue_bytes.load(Ordering::Relaxed)),
         ("disk_queue", HOLDERS.disk_queue_bytes.load(Ordering::Relaxed)),
--- a/crates/daemon/src/memory.rs
+++ b/crates/daemon/src/memory.rs
@@ -45,6 +45,8 @@
     pub log_bytes: AtomicU64,
     /// The jobs of the directory, with their results and partial texts.
     pub job_bytes: AtomicU64,
+    /// The cached texts of unfinished items, with their items.
+    pub text_cache_bytes: AtomicU64,
     /// The messages that wait for links to other hosts.
     pub link_queue_bytes: AtomicU64,
     /// The inputs that wait for the control thread.
@@ -61,6 +63,7 @@
 pub static HOLDERS: Holders = Holders {
     log_bytes: AtomicU64::new(0),
     job_bytes: AtomicU64::new(0),
+    text_cache_bytes: AtomicU64::new(0),
     link_queue_bytes: AtomicU64::new(0),
     input_queue_bytes: AtomicU64::new(0),
     disk_queue_bytes: AtomicU64::new(0),
@@ -123,6 +126,7 @@
         peak_allocated_bytes = used.peak_allocated,
         log_bytes = read(&HOLDERS.log_bytes),
         job_bytes = read(&HOLDERS.job_bytes),
+        text_cache_bytes = read(&HOLDERS.text_cache_bytes),
         link_queue_bytes = read(&HOLDERS.link_queue_bytes),
         input_queue_bytes = read(&HOLDERS.input_queue_bytes),
         disk_queue_bytes = read(&HOLDERS.disk_queue_bytes),
