fix(daemon): the entry of a large job could wait without end for its link

Cause: a message above the budget passed only while no other large one waited for any link; a steady traffic of pages could keep it out.

Change: one message above a quarter of the budget for large messages passes in addition to it.

After: it passes; the budget is exceeded by one message at most.

--- a/crates/daemon/src/link/queue.rs
+++ b/crates/daemon/src/link/queue.rs
@@ -68,7 +68,8 @@
     fn reserve(&self, bytes: usize, budget: &MessageBudget) -> Option<QueueReservation> {
         let is_large = bytes > SMALL_MESSAGE_BYTES;
         let queued = self.large.used();
-        if is_large && queued > 0 && queued + bytes > budget.large_left() {
+        let must_share = is_large && queued > 0 && !budget.is_huge(bytes);
+        if must_share && queued + bytes > budget.large_left() {
             return None;
         }
         let of_all_links = budget.try_reserve(bytes)?;
--- a/crates/daemon/src/message_budget.rs
+++ b/crates/daemon/src/message_budget.rs
@@ -10,6 +10,9 @@
 /// ones are refused.
 const SMALL_PERCENT: usize = 25;
 
+/// The share of the bytes for large messages, in percent, from which a message counts as huge.
+const HUGE_PERCENT: usize = 25;
+
 /// The size of a budget in a process without a memory limit, in bytes.
 const DEFAULT_BYTES: usize = 64 * 1024 * 1024;
 
@@ -18,6 +21,8 @@
 pub struct MessageBudget {
     small: ByteBudget,
     large: ByteBudget,
+    /// One huge message in addition to the large ones, which would else wait until they are few.
+    huge: ByteBudget,
 }
 
 impl MessageBudget {
@@ -28,13 +33,17 @@
         let share = memory_limit.and_then(|limit| usize::try_from(limit / 100 * percent).ok());
         let max = share.unwrap_or(DEFAULT_BYTES);
         let small = max / 100 * SMALL_PERCENT;
-        Self { small: ByteBudget::new(small), large: ByteBudget::new(max - small) }
+        Self {
+            small: ByteBudget::new(small),
+            large: ByteBudget::new(max - small),
+            huge: ByteBudget::new(0),
+        }
     }
 
     /// Returns the bytes of the messages that wait.
     #[must_use]
     pub fn used(&self) -> usize {
-        self.small.used() + self.large.used()
+        self.small.used() + self.large.used() + self.huge.used()
     }
 
     /// Returns the bytes that are left for large messages.
@@ -43,14 +52,24 @@
         self.large.max().saturating_sub(self.large.used())
     }
 
+    /// Returns whether a message of this size passes whatever waits, unless another huge one does.
+    #[must_use]
+    pub fn is_huge(&self, bytes: usize) -> bool {
+        bytes > self.large.max() / 100 * HUGE_PERCENT
+    }
+
     /// Reserves the bytes of a message; returns `None` if they are not left.
     ///
-    /// A large message that exceeds the whole budget passes if no other large one waits.
+    /// One huge message passes even if its bytes are not left: the log can't go on without the entry
+    /// of a large job.
     #[must_use]
     pub fn try_reserve(&self, bytes: usize) -> Option<ByteReservation> {
         if bytes <= SMALL_MESSAGE_BYTES {
             return self.small.try_reserve(bytes);
         }
-        self.large.try_reserve_or_alone(bytes)
+        if let Some(reserved) = self.large.try_reserve(bytes) {
+            return Some(reserved);
+        }
+        if self.is_huge(bytes) { self.huge.try_reserve_or_alone(bytes) } else { None }
     }
 }
--- a/crates/daemon/tests/process/link_queue.rs
+++ b/crates/daemon/tests/process/link_queue.rs
@@ -38,7 +38,11 @@
 }
 
 pub(crate) fn append(index: u64) -> Envelope {
-    let text = "a".repeat(APPEND_BYTES).into();
+    append_of(index, APPEND_BYTES)
+}
+
+fn append_of(index: u64, bytes: usize) -> Envelope {
+    let text = "a".repeat(bytes).into();
     let outcome = ItemOutcome::Completed { text, versions: vec![1] };
     let results = vec![NewResult::with_whole_text(ItemResult { item: 0, outcome })];
     let command =
@@ -133,6 +137,25 @@
     links.close();
 }
 
+/// Guards against logs that stand still because the entry of a large job never fits beside the
+/// messages that wait for other hosts.
+#[test]
+fn one_message_that_exceeds_the_share_passes_while_others_wait() {
+    let (slow, other) = (Peer::start(), Peer::start());
+    let mut links = links_to(&[(SLOW, &slow), (OTHER, &other)]);
+    for index in 1..=APPENDS {
+        links.send(SLOW, append(index));
+    }
+    let queued = links.queued_bytes();
+    for index in 1..=3 {
+        links.send(OTHER, append_of(index, MEMORY_LIMIT / 10));
+    }
+    assert!(links.queued_bytes() < queued + MEMORY_LIMIT / 10 + APPEND_BYTES);
+    other.begin.send(()).expect("the peer runs");
+    assert!(matches!(other.receive(), GroupMessage::AppendEntries { prev_index: 0, .. }));
+    links.close();
+}
+
 /// A message whose contents are `bytes` long, and shrink much when they are deflated.
 fn long_message(bytes: usize) -> Envelope {
     let request = StoreRequest::EndJob { job: "a".repeat(bytes).into() };
