--- a/crates/daemon/src/gateway/input.rs
+++ b/crates/daemon/src/gateway/input.rs
@@ -65,7 +65,7 @@
     /// When it was queued.
     pub queued_at: Instant,
     /// The bytes that are reserved for it; `None` if it has no contents or may not be refused.
-    pub reserved: Option<ByteReservation>,
+    pub reserved: Option<Box<ByteReservation>>,
 }
 
 impl From<Input> for QueuedInput {
@@ -123,7 +123,7 @@
         let bytes = input.bytes();
         let mut queued = QueuedInput::from(input);
         if bytes > 0 {
-            queued.reserved = self.budget.try_reserve(bytes);
+            queued.reserved = self.budget.try_reserve(bytes).map(Box::new);
             if queued.reserved.is_none() {
                 return Err(NotQueued::Full(Box::new(queued.input)));
             }
