--- a/crates/daemon/src/disk/codec.rs
+++ b/crates/daemon/src/disk/codec.rs
@@ -4,10 +4,11 @@
 //! batch. It can damage any part of that batch: a sector in the middle may be lost while later ones
 //! are intact.
 
-use std::io::Cursor;
+use std::io::{self, BufWriter, Cursor, Seek, SeekFrom, Write};
 
-use anyhow::Context;
+use anyhow::{Context, anyhow};
 use chestnutdrift_core::agreement::Record;
+use crc32fast::Hasher;
 
 use super::reader::JournalReader;
 
@@ -59,6 +60,54 @@
     Ok(buf)
 }
 
+/// Computes the length and the checksum of what is written through it.
+#[derive(Debug)]
+struct SummingWriter<W: Write> {
+    out: W,
+    length: u64,
+    hasher: Hasher,
+}
+
+impl<W: Write> Write for SummingWriter<W> {
+    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        let written = self.out.write(bytes)?;
+        self.length += written as u64;
+        self.hasher.update(&bytes[..written]);
+        Ok(written)
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        self.out.flush()
+    }
+}
+
+/// Writes a batch to the start of an empty file without an encoded copy of it in memory; returns
+/// its length, in bytes. The file is positioned behind the batch, and not synced.
+///
+/// # Errors
+///
+/// Returns an error if the file can't be written, or if the batch is longer than 4 GB.
+pub(super) fn write_first_batch(
+    mut file: impl Write + Seek,
+    records: &[Record],
+) -> anyhow::Result<u64> {
+    file.write_all(&[0; HEADER_BYTES])?;
+    let mut body = SummingWriter { out: &mut file, length: 0, hasher: Hasher::new() };
+    let mut buffer = BufWriter::with_capacity(BUFFER_BYTES, &mut body);
+    ciborium::into_writer(records, &mut buffer).map_err(|error| match error {
+        ciborium::ser::Error::Io(error) => anyhow::Error::from(error),
+        ciborium::ser::Error::Value(reason) => anyhow!("can't encode a batch of records: {reason}"),
+    })?;
+    buffer.flush()?;
+    drop(buffer);
+    let SummingWriter { length, hasher, .. } = body;
+    let header = Header::new(length, hasher.finalize())?;
+    file.rewind()?;
+    file.write_all(&header.encode())?;
+    file.seek(SeekFrom::End(0))?;
+    Ok(HEADER_BYTES as u64 + length)
+}
+
 /// Decodes batches; returns their records and the number of bytes that the batches take up.
 ///
 /// A last batch that is incomplete or damaged, as after a power failure, is ignored: it was never
--- a/crates/daemon/src/disk/folder.rs
+++ b/crates/daemon/src/disk/folder.rs
@@ -90,13 +90,12 @@
     fn compact(&mut self) -> anyhow::Result<()> {
         let new = self.path.join(NEW_JOURNAL_FILE);
         let mut journal = File::create(&new)?;
-        let bytes = codec::encode_batch(&self.compactor.records())?;
-        journal.write_all(&bytes)?;
+        let length = codec::write_first_batch(&mut journal, &self.compactor.records())?;
         journal.sync_all()?;
         fs::rename(&new, self.path.join(JOURNAL_FILE))?;
         sync_folder(&self.path)?;
         self.journal = journal;
-        self.length = bytes.len() as u64;
+        self.length = length;
         HOLDERS.snapshots_written.fetch_add(1, Ordering::Relaxed);
         HOLDERS.snapshot_bytes.fetch_add(self.length, Ordering::Relaxed);
         memory::log_use("snapshot-written");
