fix(core): the log of a small store had the bound of a large one

Change: the log has a quarter of the memory beyond 16 MiB as its budget, and at most the sizes of before; those of a host without a limit stay.

--- a/crates/core/src/gateway/board/group.rs
+++ b/crates/core/src/gateway/board/group.rs
@@ -5,7 +5,7 @@
 use crate::agreement::{GroupId, MembershipPolicy, Outbox, Replica, Voter};
 use crate::board::HeldMessage;
 use crate::directory::Directory;
-use crate::gateway::board::Origin;
+use crate::gateway::board::{Origin, ProcessMemory};
 use crate::gateway::settings::GatewaySettings;
 use crate::key::{HostId, SyncToken};
 use crate::time::Millis;
@@ -16,7 +16,7 @@
 /// Number of log entries between two snapshots.
 const ENTRIES_PER_SNAPSHOT: u64 = 8_192;
 
-/// Bytes of log entries between two snapshots; some hosts wait for up to twice as many.
+/// The most bytes of log entries between two snapshots; some hosts wait for up to twice as many.
 ///
 /// A snapshot rewrites the results of every job, so it must be rare. The log and the journal between
 /// two snapshots hold texts of jobs that the directory has removed, so it must not be too rare.
@@ -26,8 +26,12 @@
 /// at the same time.
 const SNAPSHOT_STEPS: u32 = 4;
 
-/// Bytes of log entries that are kept for replicas that lag behind a snapshot.
-const LOG_TAIL_BYTES: usize = 4 * 1024 * 1024;
+/// The share of the log's budget, in percent, that is written between two snapshots.
+const SNAPSHOT_PERCENT: usize = 40;
+
+/// The entries that are kept for replicas that lag behind a snapshot: one byte of so many that are
+/// written between two snapshots.
+const LOG_TAIL_DIVISOR: usize = 3;
 
 /// A command that this host has proposed.
 #[derive(Debug, Clone, Copy)]
@@ -65,11 +69,20 @@
     pub next_job_cleanup: Millis,
 }
 
-/// Returns the bytes of log entries between two snapshots of a host.
-fn bytes_per_snapshot(host: HostId) -> usize {
+/// Returns the least bytes of log entries between two snapshots of a host with a memory limit.
+fn bytes_per_snapshot(memory_limit: Option<u64>) -> usize {
+    let Some(budget) = ProcessMemory::new(memory_limit).log_budget() else {
+        return BYTES_PER_SNAPSHOT;
+    };
+    let budget = usize::try_from(budget).unwrap_or(usize::MAX);
+    BYTES_PER_SNAPSHOT.min(budget / 100 * SNAPSHOT_PERCENT)
+}
+
+/// Returns `bytes`, or up to twice as many, by the id of a host.
+fn spread(bytes: usize, host: HostId) -> usize {
     // The multiplier spreads ids that differ in any of their bits.
     let step = host.0.wrapping_mul(0x9e37_79b9).rotate_left(2) % SNAPSHOT_STEPS;
-    BYTES_PER_SNAPSHOT + BYTES_PER_SNAPSHOT * step as usize / SNAPSHOT_STEPS as usize
+    bytes + bytes * step as usize / SNAPSHOT_STEPS as usize
 }
 
 impl DirectoryGroup {
@@ -82,12 +95,13 @@
             replace_after: VOTER_REPLACE_TIMEOUT,
             may_bootstrap: cfg.first_start,
         };
+        let bytes_per_snapshot = bytes_per_snapshot(cfg.memory_limit);
         let replica =
             Replica::new(GroupId::Directory, voter, cfg.seeds.clone(), true, cfg.election_timeout)
                 .with_membership_policy(membership)
                 .snapshot_interval(ENTRIES_PER_SNAPSHOT)
-                .snapshot_bytes(bytes_per_snapshot(cfg.id))
-                .log_tail_bytes(LOG_TAIL_BYTES);
+                .snapshot_bytes(spread(bytes_per_snapshot, cfg.id))
+                .log_tail_bytes(bytes_per_snapshot / LOG_TAIL_DIVISOR);
         Self {
             replica,
             outbox: Outbox::default(),
--- a/crates/core/src/gateway/board/memory.rs
+++ b/crates/core/src/gateway/board/memory.rs
@@ -9,6 +9,9 @@
 /// and what the allocator keeps.
 const DIRECTORY_PERCENT: u64 = 50;
 
+/// The share of the memory beyond [`BASE_BYTES`], in percent, that the log may hold.
+const LOG_PERCENT: u64 = 25;
+
 /// The share of the limit, in percent, from which resident memory counts as scarce.
 const SCARCE_PERCENT: u64 = 85;
 
@@ -31,7 +34,13 @@
     /// Returns the bytes that the directory may hold, or `None` if there is no limit.
     #[must_use]
     pub fn directory_budget(&self) -> Option<u64> {
-        self.limit.map(|limit| limit.saturating_sub(BASE_BYTES) / 100 * DIRECTORY_PERCENT)
+        self.share(DIRECTORY_PERCENT)
+    }
+
+    /// Returns the bytes that the log may hold, or `None` if there is no limit.
+    #[must_use]
+    pub fn log_budget(&self) -> Option<u64> {
+        self.share(LOG_PERCENT)
     }
 
     /// Returns whether little memory is left.
@@ -39,4 +48,8 @@
     pub fn is_scarce(&self) -> bool {
         self.limit.is_some_and(|limit| self.resident > limit / 100 * SCARCE_PERCENT)
     }
+
+    fn share(&self, percent: u64) -> Option<u64> {
+        self.limit.map(|limit| limit.saturating_sub(BASE_BYTES) / 100 * percent)
+    }
 }
--- a/crates/core/tests/it/log_size.rs
+++ b/crates/core/tests/it/log_size.rs
@@ -11,10 +11,10 @@
 };
 use chestnutdrift_core::gateway::board::DirectoryGroup;
 use chestnutdrift_core::message::Message;
-use chestnutdrift_core::{Millis, gateway::Call};
+use chestnutdrift_core::{Millis, gateway::Call, gateway::Role};
 use test_case::test_case;
 
-use crate::deployment::{Deployment, job, routing};
+use crate::deployment::{Deployment, SimEngine, job, routing};
 use crate::directory::{ENTRY, STORES, started};
 
 /// The most bytes of log entries that a store may hold: a quarter of the memory of a small store.
@@ -58,6 +58,29 @@
     assert!(held > MAX_LOG_BYTES, "only {held} bytes of jobs were written");
 }
 
+/// Guards against a log whose bound is that of a large store, and takes the memory of a small one.
+#[test]
+fn the_log_of_a_small_store_takes_a_quarter_of_its_memory_at_most() {
+    const LIMIT: u64 = 80_000_000;
+    const MAX_BYTES: usize = 16_000_000;
+    let mut deployment = Deployment::new(34, 3, 1);
+    deployment.memory_limit = Some(LIMIT);
+    for id in STORES {
+        deployment.kill(id);
+        deployment.add(id, Role::Store, true);
+    }
+    deployment.start_serving();
+    deployment.add_engine(SimEngine::new(1));
+    run_large_jobs(&mut deployment, 3, |deployment| {
+        for id in STORES {
+            let bytes = group(deployment, id).replica.log().bytes();
+            assert!(bytes < MAX_BYTES, "the log of {id:?} has {bytes} bytes");
+        }
+    });
+    let held = group(&deployment, STORES[0]).directory.job_bytes();
+    assert!(held > MAX_BYTES, "only {held} bytes of jobs were written");
+}
+
 /// Guards against a snapshot that travels as one message of the size of the whole state.
 #[test_case(0; "over good links")]
 #[test_case(3; "over links that lose messages")]
