--- a/crates/core/src/agreement/membership.rs
+++ b/crates/core/src/agreement/membership.rs
@@ -84,7 +84,7 @@
     pub fn is_caught_up(&self, now: Now) -> bool {
         let last_seen = self.leader_last_seen.filter(|_| self.role == Role::Follower);
         let is_live = last_seen.is_some_and(|at| now.mono.since(at) < self.election_timeout);
-        is_live && self.applied_index >= self.leader_commit
+        is_live && self.leader_commit.is_some_and(|commit| self.applied_index >= commit)
     }
 
     /// Returns whether a learner lags so little that it would not delay commits as a voter.
--- a/crates/core/src/agreement/replica.rs
+++ b/crates/core/src/agreement/replica.rs
@@ -105,7 +105,9 @@
     pub(super) applied_bytes: usize,
     pub(super) outgoing: Option<OutgoingSnapshot>,
     pub(super) incoming: Option<IncomingSnapshot>,
-    pub(super) leader_commit: u64,
+    /// What the leader's last message reported as committed; `None` if that was a snapshot, which
+    /// may be old.
+    pub(super) leader_commit: Option<u64>,
 }
 
 impl Replica {
@@ -167,7 +169,7 @@
             applied_bytes: 0,
             outgoing: None,
             incoming: None,
-            leader_commit: 0,
+            leader_commit: None,
         }
     }
 
--- a/crates/core/src/agreement/replication.rs
+++ b/crates/core/src/agreement/replication.rs
@@ -147,7 +147,7 @@
         out: &mut Outbox,
     ) {
         let (prev_index, prev_term) = previous;
-        self.leader_commit = leader_commit;
+        self.leader_commit = Some(leader_commit);
         self.incoming = None;
         let behind_base = prev_index < self.log.base_index();
         if !behind_base && self.log.term_at(prev_index) != Some(prev_term) {
@@ -193,6 +193,7 @@
         sent_at: Millis,
         out: &mut Outbox,
     ) {
+        self.leader_commit = None;
         if snapshot.index > self.commit_index {
             self.log.reset(snapshot.index, snapshot.term);
             self.base_voters.clone_from(&snapshot.voters);
--- a/crates/core/src/agreement/snapshot_transfer.rs
+++ b/crates/core/src/agreement/snapshot_transfer.rs
@@ -133,13 +133,13 @@
         sent_at: Millis,
         out: &mut Outbox,
     ) {
+        self.leader_commit = None;
         if part.index <= self.commit_index {
             self.incoming = None;
             self.reply_append(from, true, self.commit_index, sent_at, out);
             return;
         }
         let SnapshotPart { index, index_term, voters, number, is_last, commands } = part;
-        self.leader_commit = self.leader_commit.max(index);
         if number == 0 {
             let directory = Directory::default();
             self.incoming = Some(IncomingSnapshot { index, index_term, next_part: 0, directory });
--- a/crates/core/tests/it/log_size.rs
+++ b/crates/core/tests/it/log_size.rs
@@ -114,6 +114,39 @@
     assert!(found.voter_hosts().contains(&lost), "{}", deployment.describe());
 }
 
+/// Guards against a store that took the index of an old snapshot for what its leader has committed.
+#[test]
+fn a_store_that_has_installed_a_snapshot_is_not_caught_up_with_later_commits() {
+    const STEP_MS: u64 = 20;
+    const MAX_LAG_STEPS: usize = 50;
+    let mut deployment = started(36);
+    run_large_jobs(&mut deployment, 3, |_| {});
+    let leader = deployment.leader().expect("a leader");
+    let lost = *STORES.iter().find(|id| **id != leader).expect("a follower");
+    deployment.kill(lost);
+    deployment.lose_disk(lost);
+    deployment.run(500);
+    deployment.bytes_per_ms = 5_000;
+    deployment.start(lost);
+    let (mut committed, mut caught_up_steps) = (Vec::new(), 0);
+    for step in 0..1_500_u64 {
+        let call = Call::NameVersion { model: format!("model-{step}").into(), version: 2 };
+        deployment.send_call(leader, call);
+        deployment.run(STEP_MS);
+        committed.push(group(&deployment, leader).replica.commit_index());
+        let board = deployment.gateway(lost).board();
+        let replica = &board.group.as_ref().expect("a store").replica;
+        if !replica.is_caught_up(board.now) {
+            continue;
+        }
+        caught_up_steps += 1;
+        let least = committed[committed.len().saturating_sub(MAX_LAG_STEPS)];
+        let applied = replica.applied_index();
+        assert!(applied >= least, "caught up at {applied}; {least} was committed before");
+    }
+    assert!(caught_up_steps > 0, "{}", deployment.describe());
+}
+
 /// Guards against a store that holds two copies of every text while it receives a snapshot.
 #[test]
 fn a_store_that_fell_behind_keeps_its_texts_when_it_gets_a_snapshot() {
