fix(core): a new leader sent the whole state to every learner

Cause: the leader assumed of a host that sends a join request that it has nothing, although its log and directory are on its disk. Every learner got the log from its first entry, or the whole state once the log no longer began there, after each change of the leader.

Change: the leader begins at the end of its log, as it does with voters. A host with fewer entries rejects the first append and names its last one.

--- a/crates/core/src/agreement/bootstrap.rs
+++ b/crates/core/src/agreement/bootstrap.rs
@@ -174,10 +174,11 @@
         if self.role != super::Role::Leader {
             return;
         }
+        // A host that has fewer entries rejects the first append and names its last one.
+        let next_index = self.log.last_index() + 1;
         let progress = self.progress.entry(host).or_default();
         if progress.incarnation != incarnation {
-            *progress =
-                super::replica::Progress { next_index: 1, incarnation, ..Default::default() };
+            *progress = super::replica::Progress { next_index, incarnation, ..Default::default() };
         }
         progress.last_join_request = now.mono;
         if !self.may_change_voters() {
--- a/crates/core/tests/it/log_size.rs
+++ b/crates/core/tests/it/log_size.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 
 use chestnutdrift_core::HostId;
-use chestnutdrift_core::agreement::GroupMessage;
+use chestnutdrift_core::agreement::{Entry, GroupMessage};
 use chestnutdrift_core::directory::{
     Directory, DirectoryCommand, ItemOutcome, ItemResult, ItemText, JobSpec, NewResult, TextPart,
 };
@@ -114,6 +114,43 @@
     assert!(found.voter_hosts().contains(&lost), "{}", deployment.describe());
 }
 
+/// Guards against a new leader that sends the whole state to every learner.
+#[test]
+fn a_new_leader_sends_a_learner_only_the_entries_that_it_misses() {
+    const LEARNERS: [HostId; 2] = [HostId(4), HostId(5)];
+    const MAX_SENT_BYTES: usize = 1024 * 1024;
+    let mut deployment = started(35);
+    for id in LEARNERS {
+        deployment.add(id, Role::Store, false);
+    }
+    run_large_jobs(&mut deployment, 3, |_| {});
+    deployment.run(10_000);
+    let sent = Rc::new(Cell::new(0));
+    let counted = Rc::clone(&sent);
+    deployment.on_send = Some(Box::new(move |_, envelope| {
+        let Message::Group(frame) = &envelope.message else { return };
+        let bytes: usize = match &frame.message {
+            GroupMessage::AppendEntries { entries, .. } => entries.iter().map(Entry::bytes).sum(),
+            GroupMessage::SnapshotPart { part, .. } => {
+                part.commands.iter().map(DirectoryCommand::bytes).sum()
+            }
+            _ => return,
+        };
+        counted.set(counted.get() + bytes);
+    }));
+    let all = [STORES.as_slice(), LEARNERS.as_slice()].concat();
+    all.iter().for_each(|id| deployment.kill(*id));
+    deployment.run(500);
+    all.iter().for_each(|id| deployment.start(*id));
+    deployment.run(15_000);
+    let leader = deployment.leader().expect("a leader");
+    for id in all {
+        let caught_up = group(&deployment, id).directory == group(&deployment, leader).directory;
+        assert!(caught_up, "{id:?}: {}", deployment.describe());
+    }
+    assert!(sent.get() < MAX_SENT_BYTES, "{} bytes were sent", sent.get());
+}
+
 /// Guards against a store that took the index of an old snapshot for what its leader has committed.
 #[test]
 fn a_store_that_has_installed_a_snapshot_is_not_caught_up_with_later_commits() {
