--- a/crates/core/src/gateway/board/memory.rs
+++ b/crates/core/src/gateway/board/memory.rs
@@ -5,9 +5,12 @@
 
 /// The share of the memory beyond [`BASE_BYTES`], in percent, that the directory may hold.
 ///
-/// The rest is for what a restart or a replica that has fallen behind needs beside it: the records
-/// that are read, a snapshot in encoded form, and messages.
-const DIRECTORY_PERCENT: u64 = 20;
+/// The rest is for the log, which shares little with the directory, and for messages, runs of items
+/// and what the allocator keeps.
+const DIRECTORY_PERCENT: u64 = 50;
+
+/// The share of the memory beyond [`BASE_BYTES`], in percent, that the log may hold.
+const LOG_PERCENT: u64 = 25;
 
 /// The share of the limit, in percent, that log entries may take which wait for the disk.
 const UNSYNCED_PERCENT: u64 = 10;
@@ -37,7 +40,13 @@
     /// Returns the bytes that the directory may hold, or `None` if there is no limit.
     #[must_use]
     pub fn directory_budget(&self) -> Option<u64> {
-        self.limit.map(|limit| limit.saturating_sub(BASE_BYTES) / 100 * DIRECTORY_PERCENT)
+        self.share(DIRECTORY_PERCENT)
+    }
+
+    /// Returns the bytes that the log may hold, or `None` if there is no limit.
+    #[must_use]
+    pub fn log_budget(&self) -> Option<u64> {
+        self.share(LOG_PERCENT)
     }
 
     /// Returns the bytes of log entries that may wait for the disk, or `None` if there is no limit.
@@ -57,4 +66,8 @@
     pub fn is_scarce(&self) -> bool {
         self.limit.is_some_and(|limit| self.resident > limit / 100 * SCARCE_PERCENT)
     }
+
+    fn share(&self, percent: u64) -> Option<u64> {
+        self.limit.map(|limit| limit.saturating_sub(BASE_BYTES) / 100 * percent)
+    }
 }
--- a/crates/core/tests/it/log_size.rs
+++ b/crates/core/tests/it/log_size.rs
@@ -5,16 +5,16 @@
 use std::sync::Arc;
 
 use chestnutdrift_core::HostId;
-use chestnutdrift_core::agreement::GroupMessage;
+use chestnutdrift_core::agreement::{Entry, GroupMessage};
 use chestnutdrift_core::directory::{
     Directory, DirectoryCommand, ItemOutcome, ItemResult, ItemText, JobSpec, NewResult, TextPart,
 };
 use chestnutdrift_core::gateway::board::DirectoryGroup;
 use chestnutdrift_core::message::Message;
-use chestnutdrift_core::{Millis, gateway::Call};
+use chestnutdrift_core::{Millis, gateway::Call, gateway::Role};
 use test_case::test_case;
 
-use crate::deployment::{Deployment, job, routing};
+use crate::deployment::{Deployment, SimEngine, job, routing};
 use crate::directory::{ENTRY, STORES, started};
 
 /// The most bytes of log entries that a store may hold: a quarter of the memory of a small store.
@@ -58,6 +58,29 @@
     assert!(held > MAX_LOG_BYTES, "only {held} bytes of jobs were written");
 }
 
+/// Guards against a log whose bound is that of a large store, and takes the memory of a small one.
+#[test]
+fn the_log_of_a_small_store_takes_a_quarter_of_its_memory_at_most() {
+    const LIMIT: u64 = 80_000_000;
+    const MAX_BYTES: usize = 16_000_000;
+    let mut deployment = Deployment::new(34, 3, 1);
+    deployment.memory_limit = Some(LIMIT);
+    for id in STORES {
+        deployment.kill(id);
+        deployment.add(id, Role::Store, true);
+    }
+    deployment.start_serving();
+    deployment.add_engine(SimEngine::new(1));
+    run_large_jobs(&mut deployment, 3, |deployment| {
+        for id in STORES {
+            let bytes = group(deployment, id).replica.log().bytes();
+            assert!(bytes < MAX_BYTES, "the log of {id:?} has {bytes} bytes");
+        }
+    });
+    let held = group(&deployment, STORES[0]).directory.job_bytes();
+    assert!(held > MAX_BYTES, "only {held} bytes of jobs were written");
+}
+
 /// Guards against a snapshot that travels as one message of the size of the whole state.
 #[test_case(0; "over good links")]
 #[test_case(3; "over links that lose messages")]
@@ -91,6 +114,76 @@
     assert!(found.voter_hosts().contains(&lost), "{}", deployment.describe());
 }
 
+/// Guards against a new leader that sends the whole state to every learner.
+#[test]
+fn a_new_leader_sends_a_learner_only_the_entries_that_it_misses() {
+    const LEARNERS: [HostId; 2] = [HostId(4), HostId(5)];
+    const MAX_SENT_BYTES: usize = 1024 * 1024;
+    let mut deployment = started(35);
+    for id in LEARNERS {
+        deployment.add(id, Role::Store, false);
+    }
+    run_large_jobs(&mut deployment, 3, |_| {});
+    deployment.run(10_000);
+    let sent = Rc::new(Cell::new(0));
+    let counted = Rc::clone(&sent);
+    deployment.on_send = Some(Box::new(move |_, envelope| {
+        let Message::Group(frame) = &envelope.message else { return };
+        let bytes: usize = match &frame.message {
+            GroupMessage::AppendEntries { entries, .. } => entries.iter().map(Entry::bytes).sum(),
+            GroupMessage::SnapshotPart { part, .. } => {
+                part.commands.iter().map(DirectoryCommand::bytes).sum()
+            }
+            _ => return,
+        };
+        counted.set(counted.get() + bytes);
+    }));
+    let all = [STORES.as_slice(), LEARNERS.as_slice()].concat();
+    all.iter().for_each(|id| deployment.kill(*id));
+    deployment.run(500);
+    all.iter().for_each(|id| deployment.start(*id));
+    deployment.run(15_000);
+    let leader = deployment.leader().expect("a leader");
+    for id in all {
+        let caught_up = group(&deployment, id).directory == group(&deployment, leader).directory;
+        assert!(caught_up, "{id:?}: {}", deployment.describe());
+    }
+    assert!(sent.get() < MAX_SENT_BYTES, "{} bytes were sent", sent.get());
+}
+
+/// Guards against a store that took the index of an old snapshot for what its leader has committed.
+#[test]
+fn a_store_that_has_installed_a_snapshot_is_not_caught_up_with_later_commits() {
+    const STEP_MS: u64 = 20;
+    const MAX_LAG_STEPS: usize = 50;
+    let mut deployment = started(36);
+    run_large_jobs(&mut deployment, 3, |_| {});
+    let leader = deployment.leader().expect("a leader");
+    let lost = *STORES.iter().find(|id| **id != leader).expect("a follower");
+    deployment.kill(lost);
+    deployment.lose_disk(lost);
+    deployment.run(500);
+    deployment.bytes_per_ms = 5_000;
+    deployment.start(lost);
+    let (mut committed, mut caught_up_steps) = (Vec::new(), 0);
+    for step in 0..1_500_u64 {
+        let call = Call::NameVersion { model: format!("model-{step}").into(), version: 2 };
+        deployment.send_call(leader, call);
+        deployment.run(STEP_MS);
+        committed.push(group(&deployment, leader).replica.commit_index());
+        let board = deployment.gateway(lost).board();
+        let replica = &board.group.as_ref().expect("a store").replica;
+        if !replica.is_caught_up(board.now) {
+            continue;
+        }
+        caught_up_steps += 1;
+        let least = committed[committed.len().saturating_sub(MAX_LAG_STEPS)];
+        let applied = replica.applied_index();
+        assert!(applied >= least, "caught up at {applied}; {least} was committed before");
+    }
+    assert!(caught_up_steps > 0, "{}", deployment.describe());
+}
+
 /// Guards against a store that holds two copies of every text while it receives a snapshot.
 #[test]
 fn a_store_that_fell_behind_keeps_its_texts_when_it_gets_a_snapshot() {
