fix(core): memory that the allocator keeps could refuse jobs until the process ended

Cause: memory counted as scarce by the resident size, which the allocator does not give back after a peak, and which counts mapped files that no limit counts. What the allocator keeps is used again before the process grows.

Change: scarce is what is allocated above 75 percent of the limit; it falls as soon as memory is freed. The shares of the directory and the log are within it.

--- a/crates/core/src/gateway/board/memory.rs
+++ b/crates/core/src/gateway/board/memory.rs
@@ -18,23 +18,27 @@
 /// The share of the limit, in percent, that the cached texts of unfinished items may take.
 const TEXT_CACHE_PERCENT: u64 = 5;
 
-/// The share of the limit, in percent, from which resident memory counts as scarce.
-const SCARCE_PERCENT: u64 = 85;
+/// The share of the limit, in percent, from which memory counts as scarce.
+///
+/// The rest is for what the allocator needs beside the allocated memory.
+const SCARCE_PERCENT: u64 = 75;
 
 /// The memory of the process.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct ProcessMemory {
     /// The limit, in bytes; `None` if there is none.
     pub limit: Option<u64>,
-    /// The resident memory at the last measurement, in bytes; zero before the first.
-    pub resident: u64,
+    /// The allocated memory at the last measurement, in bytes; zero before the first.
+    ///
+    /// Resident memory may stay high after a peak, although what the allocator keeps can be used.
+    pub allocated: u64,
 }
 
 impl ProcessMemory {
     /// Creates the state before the first measurement.
     #[must_use]
     pub fn new(limit: Option<u64>) -> Self {
-        Self { limit, resident: 0 }
+        Self { limit, allocated: 0 }
     }
 
     /// Returns the bytes that the directory may hold, or `None` if there is no limit.
@@ -64,7 +68,7 @@
     /// Returns whether little memory is left.
     #[must_use]
     pub fn is_scarce(&self) -> bool {
-        self.limit.is_some_and(|limit| self.resident > limit / 100 * SCARCE_PERCENT)
+        self.limit.is_some_and(|limit| self.allocated > limit / 100 * SCARCE_PERCENT)
     }
 
     fn share(&self, percent: u64) -> Option<u64> {
--- a/crates/core/src/gateway/controller/decisions.rs
+++ b/crates/core/src/gateway/controller/decisions.rs
@@ -136,11 +136,11 @@
         return true;
     }
     let detail = format!(
-        "no memory: held={} expected={} job={} budget={budget} unsynced={unsynced} resident={} limit={}",
+        "no memory: held={} expected={} job={} budget={budget} unsynced={unsynced} allocated={} limit={}",
         need.held,
         need.expected,
         need.job,
-        memory.resident,
+        memory.allocated,
         memory.limit.unwrap_or_default()
     );
     board.note(EventKind::Refused, spec.id.clone(), detail);
--- a/crates/core/src/gateway/event.rs
+++ b/crates/core/src/gateway/event.rs
@@ -67,10 +67,10 @@
     },
     /// The host has been asked to stop.
     Stop,
-    /// The resident memory of the process was measured.
+    /// The allocated memory of the process was measured.
     MemoryMeasured {
         /// Its size in bytes.
-        resident: u64,
+        allocated: u64,
     },
 }
 
--- a/crates/daemon/src/gateway/control.rs
+++ b/crates/daemon/src/gateway/control.rs
@@ -129,8 +129,8 @@
             let input_bytes = outputs.orders.inputs.queued_bytes() as u64;
             HOLDERS.input_queue_bytes.store(input_bytes, Ordering::Relaxed);
             let memory = load.report(gateway.board(), inputs.len(), &outputs.runtime);
-            if let Some(MemoryUse { resident, .. }) = memory {
-                self.handle_event(&Event::MemoryMeasured { resident });
+            if let Some(MemoryUse { allocated, .. }) = memory {
+                self.handle_event(&Event::MemoryMeasured { allocated });
             }
         }
         self.outputs.links.close();
