feat(core): logs follow a request over hosts, and say when its upstream ended

A request's fingerprint (128 bits of method, host, path with query, and body) stands in Dispatched and AttemptFailed lines. After an attempt whose connection broke, the shell checks once whether the address refuses connections; that end is reported as UpstreamEnded and counted.

--- a/crates/core/src/gateway/action.rs
+++ b/crates/core/src/gateway/action.rs
@@ -256,6 +256,8 @@
     pub abandoned: u64,
     /// Attempts to forward.
     pub forwards: u64,
+    /// Attempts that ended with the process of their upstream.
+    pub upstreams_ended: u64,
     /// Jobs accepted, counted on every store host.
     pub jobs: u64,
     /// Jobs refused for lack of memory, counted on the host that refused them.
--- a/crates/core/src/gateway/board/request.rs
+++ b/crates/core/src/gateway/board/request.rs
@@ -1,7 +1,7 @@
 //! Callers' requests, on an entry host.
 
 use crate::directory::Route;
-use crate::key::{AttemptKey, RequestTag, UpstreamKey};
+use crate::key::{AttemptKey, Fingerprint, RequestTag, UpstreamKey};
 use crate::time::Millis;
 
 /// The state of a request.
@@ -22,6 +22,8 @@
     pub tag: RequestTag,
     /// The name of the request in log lines.
     pub trace: Box<str>,
+    /// Identifies the request when it comes again, here or at another host.
+    pub fingerprint: Fingerprint,
     /// The route that it matched.
     pub route: Route,
     /// The service chosen from the route's targets.
--- a/crates/core/src/gateway/controller/forwarding.rs
+++ b/crates/core/src/gateway/controller/forwarding.rs
@@ -104,9 +104,8 @@
 }
 
 fn handle_opened(board: &mut Board, opened: IncomingCall) {
-    let IncomingCall { tag, trace, wait_limit, call: Call::Request { host, path } } = opened else {
-        return;
-    };
+    let IncomingCall { tag, trace, wait_limit, call } = opened;
+    let Call::Request { host, path, fingerprint } = call else { return };
     board.counters.requests += 1;
     let Some(routing) = board.routing.clone() else {
         board.reject(tag, &trace, not_ready("no routing configuration received yet"));
@@ -125,6 +124,7 @@
     let request = Request {
         tag,
         trace,
+        fingerprint,
         route: route.clone(),
         service: draw_service(board, route),
         opened: now,
@@ -254,11 +254,20 @@
             request.maybe_ran = true;
             request.last_failure = detail.clone();
         }
+        ForwardEnd::UpstreamEnded { detail } => {
+            board.counters.upstreams_ended += 1;
+            request.maybe_ran = true;
+            request.last_failure = format!("upstream ended: {detail}").into();
+        }
     }
     let (trace, failure) = (request.trace.clone(), request.last_failure.clone());
     let (attempts, repeatable) = (request.attempts, request.route.kind.allows_retry());
     let over = (request.maybe_ran && !repeatable) || !has_attempts_left(request);
-    let detail = format!("attempt={attempts} took_ms={} over={over} {failure}", took.0);
+    let fingerprint = request.fingerprint;
+    let detail = format!(
+        "attempt={attempts} took_ms={} over={over} fingerprint={fingerprint} {failure}",
+        took.0
+    );
     board.note(EventKind::AttemptFailed, trace, detail);
     if over {
         fail(board, request_key);
@@ -284,7 +293,8 @@
         ForwardEnd::Held { .. }
         | ForwardEnd::NotRun { .. }
         | ForwardEnd::NotSent { .. }
-        | ForwardEnd::Broken { .. } => upstream.health.record_failure(now),
+        | ForwardEnd::Broken { .. }
+        | ForwardEnd::UpstreamEnded { .. } => upstream.health.record_failure(now),
     }
 }
 
@@ -430,7 +440,7 @@
     };
     let detail = format!(
         "upstream={} service={} attempt={} in_flight={}/{} answer_us={} heard_ms_ago={} \
-         routing={routing} left_ms={}",
+         routing={routing} left_ms={} fingerprint={}",
         upstream.announced.id,
         request.service,
         request.attempts,
@@ -438,7 +448,8 @@
         upstream.announced.slots,
         upstream.health.response_time_us,
         now.since(upstream.last_seen).0,
-        remaining.0
+        remaining.0,
+        request.fingerprint
     );
     let trace = request.trace.clone();
     board.counters.forwards += 1;
--- a/crates/core/src/gateway/event.rs
+++ b/crates/core/src/gateway/event.rs
@@ -7,7 +7,7 @@
 use crate::agreement::Record;
 use crate::directory::{ItemSpec, ItemText, RoutingConfig};
 use crate::error::Problem;
-use crate::key::{AttemptKey, HostId, OrderKey, RequestTag, SyncToken};
+use crate::key::{AttemptKey, Fingerprint, HostId, OrderKey, RequestTag, SyncToken};
 use crate::message::Envelope;
 use crate::time::Millis;
 
@@ -99,6 +99,8 @@
         host: Box<str>,
         /// The path without the query.
         path: Box<str>,
+        /// Identifies the request when it comes again, here or at another host.
+        fingerprint: Fingerprint,
     },
     /// Reads results of a job.
     Results {
@@ -250,6 +252,12 @@
         /// The cause.
         detail: Box<str>,
     },
+    /// As [`ForwardEnd::Broken`], and afterwards the upstream's address refused a new connection: its
+    /// process has ended.
+    UpstreamEnded {
+        /// The cause.
+        detail: Box<str>,
+    },
 }
 
 /// The last report of a run of an item.
--- a/crates/core/src/key.rs
+++ b/crates/core/src/key.rs
@@ -1,8 +1,12 @@
 //! Small `Copy` keys: into the arenas of this process, and identifiers shared between processes.
 
+use std::fmt;
+
 use serde::{Deserialize, Serialize};
 use slotmap::new_key_type;
 
+use crate::checksum::checksum_pair;
+
 pub use slotmap::Key;
 
 new_key_type! {
@@ -47,3 +51,25 @@
 )]
 #[serde(transparent)]
 pub struct SyncToken(pub u64);
+
+/// Identifies what a request asks for: the same request from the same caller has the same
+/// fingerprint on every host.
+#[derive(
+    Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+pub struct Fingerprint(u64, u64);
+
+impl Fingerprint {
+    /// Returns the fingerprint of a request, given the parts that identify it.
+    #[must_use]
+    pub fn new(parts: &[&[u8]]) -> Self {
+        let (high, low) = checksum_pair(parts);
+        Self(high, low)
+    }
+}
+
+impl fmt::Display for Fingerprint {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:016x}{:016x}", self.0, self.1)
+    }
+}
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -42,5 +42,5 @@
 pub use crate::error::{ErrorKind, Problem, Ran};
 pub use crate::event::Event;
 pub use crate::host_settings::{HostSettings, PeerSpec};
-pub use crate::key::{AttemptKey, HostId, RequestTag, UpstreamKey};
+pub use crate::key::{AttemptKey, Fingerprint, HostId, RequestTag, UpstreamKey};
 pub use crate::time::{Millis, Now};
--- a/crates/core/tests/it/deployment.rs
+++ b/crates/core/tests/it/deployment.rs
@@ -18,7 +18,7 @@
 };
 use chestnutdrift_core::message::{Envelope, Message};
 use chestnutdrift_core::timeline::TimelineEvent;
-use chestnutdrift_core::{HostId, Millis, Now, RequestTag};
+use chestnutdrift_core::{Fingerprint, HostId, Millis, Now, RequestTag};
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 
@@ -276,7 +276,11 @@
 
     /// Submits a job through an entry and returns the tag of the call.
     pub(crate) fn submit(&mut self, entry: HostId, body: JobBody) -> RequestTag {
-        let call = Call::Request { host: "jobs.example".into(), path: "/jobs/1".into() };
+        let call = Call::Request {
+            host: "jobs.example".into(),
+            path: "/jobs/1".into(),
+            fingerprint: Fingerprint::default(),
+        };
         let tag = self.send_call(entry, call);
         self.jobs.insert(tag, body);
         tag
--- a/crates/core/tests/it/directory.rs
+++ b/crates/core/tests/it/directory.rs
@@ -3,7 +3,7 @@
 use chestnutdrift_core::directory::ItemOutcome;
 use chestnutdrift_core::gateway::board::{DirectoryGroup, UpstreamHealth};
 use chestnutdrift_core::gateway::{Announcement, Answer, Call, Role};
-use chestnutdrift_core::{HostId, Millis};
+use chestnutdrift_core::{Fingerprint, HostId, Millis};
 use test_case::test_case;
 
 use crate::deployment::{Deployment, SimEngine, job, routing};
@@ -499,8 +499,12 @@
     };
     deployment.send_call(STORES[0], Call::Announce(announcement));
     deployment.run(200);
-    deployment
-        .send_call(ENTRY, Call::Request { host: "desk.example".into(), path: "/desk/1".into() });
+    let request = Call::Request {
+        host: "desk.example".into(),
+        path: "/desk/1".into(),
+        fingerprint: Fingerprint::default(),
+    };
+    deployment.send_call(ENTRY, request);
     deployment.run(700);
     assert_eq!(deployment.forwards.len(), 1);
     assert!(!deployment.is_overdue(ENTRY), "the only upstream has the request");
--- a/crates/daemon/src/gateway/forward.rs
+++ b/crates/daemon/src/gateway/forward.rs
@@ -78,9 +78,7 @@
         Err(SendError::NotSent(detail)) => {
             return Outcome::NoResponse(ForwardEnd::NotSent { detail });
         }
-        Err(SendError::Broken(detail)) => {
-            return Outcome::NoResponse(ForwardEnd::Broken { detail });
-        }
+        Err(SendError::Broken(detail)) => return broken(pool, forward, detail).await,
     };
     let (head, body) = response.into_parts();
     let request_id = protocol.request_id(&received.head.headers);
@@ -102,6 +100,18 @@
     }
 }
 
+/// Returns the outcome of an attempt whose connection broke, after a check whether the upstream's
+/// process has ended.
+async fn broken(pool: &Pool, forward: &Forward, detail: Box<str>) -> Outcome {
+    let connect_timeout = Duration::from_millis(forward.connect.0);
+    let ended = pool.is_refused(&forward.upstream, connect_timeout).await;
+    Outcome::NoResponse(if ended {
+        ForwardEnd::UpstreamEnded { detail }
+    } else {
+        ForwardEnd::Broken { detail }
+    })
+}
+
 async fn read_response(
     protocol: &dyn Protocol,
     pool: &Pool,
@@ -121,7 +131,7 @@
         Ok(buffered) => buffered,
         Err(error) => {
             let detail = format!("the response was cut off: {error}").into();
-            return Outcome::NoResponse(ForwardEnd::Broken { detail });
+            return broken(pool, forward, detail).await;
         }
     };
     let answer = UpstreamResponse { status: head.status, headers, body: buffered.bytes };
--- a/crates/daemon/src/gateway/metrics.rs
+++ b/crates/daemon/src/gateway/metrics.rs
@@ -199,6 +199,7 @@
         ("failed", counters.failed),
         ("abandoned", counters.abandoned),
         ("forwards", counters.forwards),
+        ("upstreams_ended", counters.upstreams_ended),
         ("jobs", counters.jobs),
         ("jobs_without_memory", counters.jobs_without_memory),
         ("item_runs", counters.item_runs),
--- a/crates/daemon/src/gateway/pool.rs
+++ b/crates/daemon/src/gateway/pool.rs
@@ -1,6 +1,7 @@
 //! A pool of connections to upstreams, which stay open between requests.
 
 use std::collections::BTreeMap;
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
@@ -136,6 +137,14 @@
         idle_by_upstream.retain(|_, list| !list.is_empty());
     }
 
+    /// Returns whether an upstream's address refuses connections, as it does when no process listens
+    /// there.
+    pub async fn is_refused(&self, upstream: &UpstreamAddress, timeout: Duration) -> bool {
+        let Ok(address) = upstream.address.parse::<SocketAddr>() else { return false };
+        let connected = tokio::time::timeout(timeout, TcpStream::connect(address)).await;
+        matches!(connected, Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused)
+    }
+
     fn take_idle(&self, id: &str) -> Option<Connection> {
         let now = Instant::now();
         let mut idle_by_upstream = self.idle.lock().ok()?;
