fix(core): a request that crashes upstreams was sent on by every host

Cause: nothing remembered under which request an upstream ended. A host bounded the retries of one attempt of a caller by its route; the next attempt, there or at another host, started from nothing.

Excluded: several deadly requests (one fingerprint), and hosts that know but do not tell (no state to tell).

Change: a table of suspects on the board, fingerprint and the incarnations that ended under it, merged between hosts in any order. From three crashes on a request is refused at once: 503 with Retry-After, or 502 if it ran in this attempt of its caller. A success anywhere clears it; crashes expire after 300 s. Items of jobs have no fingerprint. A new message between hosts and a field of hellos, which hosts of earlier versions ignore.

--- a/crates/core/src/gateway/action.rs
+++ b/crates/core/src/gateway/action.rs
@@ -258,6 +258,10 @@
     pub forwards: u64,
     /// Attempts that ended with the process of their upstream.
     pub upstreams_ended: u64,
+    /// Requests not sent on because upstreams ended under them before.
+    pub quarantined: u64,
+    /// Requests under which upstreams ended, as far as the host knows.
+    pub suspects: u64,
     /// Jobs accepted, counted on every store host.
     pub jobs: u64,
     /// Jobs refused for lack of memory, counted on the host that refused them.
--- a/crates/core/src/gateway/board.rs
+++ b/crates/core/src/gateway/board.rs
@@ -7,6 +7,7 @@
 mod order;
 mod request;
 mod store_request;
+mod suspects;
 mod text;
 mod upstream;
 
@@ -41,6 +42,7 @@
 pub use store_request::{
     Origin, PendingDecision, PendingStoreRequest, ResultsReader, StoreRequestState,
 };
+pub use suspects::{CRASH_RETENTION, QUARANTINE_CRASHES, Suspects, incarnation};
 pub use text::{TextCache, is_same_item};
 pub use upstream::{Upstream, UpstreamHealth};
 
@@ -109,6 +111,10 @@
     pub requests: SlotMap<RequestKey, Request>,
     /// The requests by exchange.
     pub request_index: BTreeMap<RequestTag, RequestKey>,
+    /// The requests under which upstreams ended.
+    pub suspects: Suspects,
+    /// Whether `suspects` changed since other hosts were last told.
+    pub suspects_changed: bool,
     /// The running attempts.
     pub attempts: SlotMap<AttemptKey, Attempt>,
     /// Store requests that this host has sent or will send.
@@ -193,6 +199,8 @@
             pending_calls: VecDeque::new(),
             requests: SlotMap::with_key(),
             request_index: BTreeMap::new(),
+            suspects: Suspects::default(),
+            suspects_changed: false,
             attempts: SlotMap::with_key(),
             store_requests: SlotMap::with_key(),
             replies: Vec::new(),
--- a/crates/core/src/gateway/controller.rs
+++ b/crates/core/src/gateway/controller.rs
@@ -18,6 +18,7 @@
 mod registry;
 mod routing;
 mod store_requests;
+mod suspects;
 mod views;
 
 use std::fmt::Debug;
@@ -58,6 +59,7 @@
     if role == Role::Entry {
         controllers.push(Box::new(forwarding::Forwarding::new(choice)));
     }
+    controllers.push(Box::new(suspects::Suspects::default()));
     controllers.push(Box::new(store_requests::StoreRequests));
     if role == Role::Store {
         controllers.push(Box::new(decisions::Decisions));
--- a/crates/core/src/gateway/controller/calls.rs
+++ b/crates/core/src/gateway/controller/calls.rs
@@ -90,6 +90,7 @@
             counters.ready = board.ready;
             counters.leads = board.leads();
             counters.upstreams = board.upstreams.len() as u64;
+            counters.suspects = board.suspects.len() as u64;
             counters.routing_version = board.routing.as_ref().map_or(0, |r| r.version);
             Answer::Counters(counters)
         }
--- a/crates/core/src/gateway/controller/forwarding.rs
+++ b/crates/core/src/gateway/controller/forwarding.rs
@@ -2,8 +2,8 @@
 //!
 //! Reads: opened requests, ended attempts, decoded jobs, callers that are gone, `routing`,
 //! `upstreams`, the clock.
-//! Writes: `requests`, `request_index`, `attempts`, `upstreams` (health), `store_requests`,
-//! `counters`, `actions`.
+//! Writes: `requests`, `request_index`, `attempts`, `upstreams` (health), `suspects`,
+//! `suspects_changed`, `store_requests`, `counters`, `actions`.
 
 use std::sync::Arc;
 
@@ -11,7 +11,7 @@
 
 use super::Controller;
 use super::calls::not_ready;
-use super::registry;
+use super::{registry, suspects};
 use crate::directory::{JobSpec, Route, RouteKind, RoutingConfig};
 use crate::error::{ErrorKind, Problem, Ran};
 use crate::gateway::action::{Action, Forward, UpstreamAddress};
@@ -221,6 +221,7 @@
     let Purpose::Request(request_key) = attempt.purpose else { return };
     let took = board.now.mono.since(attempt.started);
     update_health(board, &attempt, took, end);
+    suspects::record_end(board, request_key, &attempt, end);
     let Some(request) = board.requests.get_mut(request_key) else { return };
     request.state = RequestState::Waiting;
     match end {
@@ -362,6 +363,7 @@
                 start_attempt(board, key, next);
             }
             RequestState::Waiting if now >= request.until => fail(board, key),
+            RequestState::Waiting if is_quarantined(board, request) => refuse(board, key),
             RequestState::Waiting => match self.choose(board, key) {
                 Some(upstream) => start_attempt(board, key, upstream),
                 None => fail_after_max_wait(board, key),
@@ -403,6 +405,31 @@
     }
 }
 
+fn is_quarantined(board: &Board, request: &Request) -> bool {
+    board.suspects.quarantined_until(request.fingerprint, board.now.mono).is_some()
+}
+
+/// Ends a request under which too many upstreams ended.
+fn refuse(board: &mut Board, key: RequestKey) {
+    let (now, request) = (board.now.mono, &board.requests[key]);
+    let (fingerprint, ran) = (request.fingerprint, request.maybe_ran);
+    board.counters.quarantined += 1;
+    if request.held {
+        deliver_held(board, key);
+        return;
+    }
+    let Some(request) = remove_request(board, key) else { return };
+    let until = board.suspects.quarantined_until(fingerprint, now).unwrap_or(now);
+    let crashes = board.suspects.crashes(fingerprint, now);
+    let detail = format!("quarantined fingerprint={fingerprint} crashes={crashes}");
+    let problem = if ran {
+        Problem::unknown(detail)
+    } else {
+        Problem::not_run(ErrorKind::Unavailable, detail).retry_after(until.since(now))
+    };
+    board.reject(request.tag, &request.trace, problem);
+}
+
 /// Ends a request that has waited too long for a free upstream.
 fn fail_after_max_wait(board: &mut Board, key: RequestKey) {
     let request = &board.requests[key];
--- a/crates/core/src/gateway/controller/membership.rs
+++ b/crates/core/src/gateway/controller/membership.rs
@@ -1,6 +1,6 @@
 //! Membership: discovers the store hosts, starting from the seeds, and exchanges state with them.
 //!
-//! Reads: messages of other hosts, reloaded seeds, `routing`, the clock.
+//! Reads: messages of other hosts, reloaded seeds, `routing`, `suspects`, the clock.
 //! Writes: `hosts`, `leader`, `received_routing`, `pending_announcements`, `upstreams` (time and
 //! number of the last announcement), `actions`.
 
@@ -59,7 +59,9 @@
         Message::Gateway(message) => match &**message {
             GatewayMessage::Hello(hello) => handle_hello(board, from, hello),
             GatewayMessage::View(view) => handle_view(board, from, view),
-            GatewayMessage::Request { .. } | GatewayMessage::Reply { .. } => {}
+            GatewayMessage::Request { .. }
+            | GatewayMessage::Reply { .. }
+            | GatewayMessage::Suspects(_) => {}
         },
         Message::Group(_) => {
             board.ensure_host(from, Role::Store);
@@ -164,6 +166,7 @@
     }
     let seen_upstreams =
         if board.cfg.role == Role::Store { take_direct_announcements(board) } else { Vec::new() };
+    let suspects = board.suspects.digest();
     for id in due {
         let Some(key) = board.host_index.get(&id).copied() else { continue };
         let routing = board.routing.as_ref().map_or(0, |routing| routing.version);
@@ -178,6 +181,7 @@
             routing_version: routing,
             known_revision: host.known_revision,
             seen_upstreams: seen_upstreams.clone(),
+            suspects,
         };
         board.send(id, GatewayMessage::Hello(hello));
     }
--- /dev/null
+++ b/crates/core/src/gateway/controller/suspects.rs
@@ -0,0 +1,197 @@
+//! Suspects: tells other hosts under which requests upstreams ended, and learns it from them.
+//!
+//! Reads: messages of other hosts, `hosts`, the clock.
+//! Writes: `suspects`, `suspects_changed`, `actions`.
+//!
+//! An entry host tells the store hosts what it saw itself. A store host passes on what is new to it:
+//! to the entry hosts of its zone and of zones without a store, and to a host whose hello shows that
+//! its table differs. Without any store host, a host decides by what it saw itself.
+
+use super::Controller;
+use crate::directory::RouteKind;
+use crate::gateway::board::{Attempt, Board, CRASH_RETENTION, incarnation};
+use crate::gateway::event::{Event, ForwardEnd};
+use crate::gateway::message::{GatewayMessage, Hello, SuspectRecord};
+use crate::gateway::settings::Role;
+use crate::key::{Fingerprint, HostId, RequestKey, UpstreamKey};
+use crate::message::Message;
+use crate::time::Millis;
+use crate::timeline::EventKind;
+
+/// The least time between two messages about changes to the same hosts.
+const CHANGE_INTERVAL: Millis = Millis(200);
+
+/// How long a change is sent again, as messages may be lost.
+const RESEND_WINDOW: Millis = Millis(5_000);
+
+/// The interval between two sends of what this host saw, within [`RESEND_WINDOW`].
+const RESEND_INTERVAL: Millis = Millis(1_000);
+
+/// The interval between two checks for expired crashes.
+const SWEEP_INTERVAL: Millis = Millis(10_000);
+
+/// Exchanges the requests under which upstreams ended.
+#[derive(Debug, Default)]
+pub(super) struct Suspects {
+    sent_at: Millis,
+    next_change: Millis,
+    next_resend: Millis,
+    next_sweep: Millis,
+}
+
+impl Controller for Suspects {
+    fn run(&mut self, board: &mut Board, event: Option<&Event>) {
+        if let Some(Event::Received(envelope)) = event
+            && let Message::Gateway(message) = &envelope.message
+        {
+            match &**message {
+                GatewayMessage::Suspects(records) => handle_records(board, records),
+                GatewayMessage::Hello(hello) => answer_hello(board, envelope.from, hello),
+                _ => {}
+            }
+        }
+        let now = board.now.mono;
+        if now >= self.next_sweep {
+            self.next_sweep = now + SWEEP_INTERVAL;
+            board.suspects.expire(now);
+        }
+        if board.suspects_changed && now >= self.next_change {
+            board.suspects_changed = false;
+            self.send_changes(board, self.sent_at);
+            self.sent_at = now;
+            self.next_change = now + CHANGE_INTERVAL;
+            self.next_resend = now + RESEND_INTERVAL;
+        } else if now >= self.next_resend && now.since(self.sent_at) < RESEND_WINDOW {
+            self.next_resend = now + RESEND_INTERVAL;
+            if board.cfg.role == Role::Entry {
+                self.send_changes(board, now - RESEND_WINDOW);
+            }
+        }
+    }
+
+    fn next_deadline(&self, board: &Board) -> Millis {
+        if board.suspects_changed { self.next_change } else { Millis::MAX }
+    }
+}
+
+impl Suspects {
+    fn send_changes(&self, board: &mut Board, since: Millis) {
+        let now = board.now.mono;
+        let (records, receivers) = if board.cfg.role == Role::Entry {
+            (board.suspects.changed_here_since(since, now), board.live_stores())
+        } else {
+            (board.suspects.changed_since(since, now), entries_nearby(board))
+        };
+        if records.is_empty() {
+            return;
+        }
+        for receiver in receivers {
+            board.send(receiver, GatewayMessage::Suspects(records.clone()));
+        }
+    }
+}
+
+/// Returns the live entry hosts of this zone and of the zones without a live store host.
+fn entries_nearby(board: &Board) -> Vec<HostId> {
+    let now = board.now.mono;
+    let mut zones_with_store = Vec::new();
+    for host in board.hosts.values() {
+        if host.role == Role::Store && host.is_live(now) {
+            zones_with_store.push(&host.zone);
+        }
+    }
+    let mut entries = Vec::new();
+    for host in board.hosts.values() {
+        if host.role != Role::Entry || !host.is_live(now) {
+            continue;
+        }
+        if host.zone == board.cfg.zone || !zones_with_store.contains(&&host.zone) {
+            entries.push(host.id);
+        }
+    }
+    entries
+}
+
+fn handle_records(board: &mut Board, records: &[SuspectRecord]) {
+    let now = board.now.mono;
+    for record in records {
+        let was_quarantined = board.suspects.quarantined_until(record.fingerprint, now).is_some();
+        if !board.suspects.merge(record, now) {
+            continue;
+        }
+        if board.cfg.role == Role::Store {
+            board.suspects_changed = true;
+        }
+        if !was_quarantined {
+            report_quarantine(board, record.fingerprint);
+        }
+    }
+}
+
+/// Sends a host what its hello shows to be different: all that it may lack if it has just started,
+/// and otherwise what changed a short time ago.
+fn answer_hello(board: &mut Board, from: HostId, hello: &Hello) {
+    if hello.suspects == board.suspects.digest() {
+        return;
+    }
+    let now = board.now.mono;
+    let since = if hello.suspects == 0 { Millis(0) } else { now - RESEND_WINDOW };
+    let records = board.suspects.changed_since(since, now);
+    if !records.is_empty() {
+        board.send(from, GatewayMessage::Suspects(records));
+    }
+}
+
+/// Records what the end of an attempt says about a request that may crash upstreams.
+pub(super) fn record_end(board: &mut Board, key: RequestKey, attempt: &Attempt, end: &ForwardEnd) {
+    let Some(request) = board.requests.get(key) else { return };
+    let fingerprint = request.fingerprint;
+    match end {
+        ForwardEnd::UpstreamEnded { .. } => {
+            record_crash(board, fingerprint, attempt.upstream);
+        }
+        // A stream counts as delivered when it begins, and its upstream may still end.
+        ForwardEnd::Delivered { .. } if request.route.kind != RouteKind::Stream => {
+            record_success(board, fingerprint);
+        }
+        _ => {}
+    }
+}
+
+fn record_crash(board: &mut Board, fingerprint: Fingerprint, upstream: UpstreamKey) {
+    let Some(upstream) = board.upstreams.get(upstream) else { return };
+    let id = upstream.announced.id.clone();
+    let number = incarnation(&id, upstream.announced.started_at);
+    let now = board.now.mono;
+    let was_quarantined = board.suspects.quarantined_until(fingerprint, now).is_some();
+    if !board.suspects.record_crash(fingerprint, number, now) {
+        return;
+    }
+    board.suspects_changed = true;
+    let crashes = board.suspects.crashes(fingerprint, now);
+    let detail = format!("upstream={id} ended under the request; crashes={crashes}");
+    board.note(EventKind::Dependency, fingerprint.to_string(), detail);
+    if !was_quarantined {
+        report_quarantine(board, fingerprint);
+    }
+}
+
+fn report_quarantine(board: &mut Board, fingerprint: Fingerprint) {
+    let now = board.now.mono;
+    let Some(until) = board.suspects.quarantined_until(fingerprint, now) else { return };
+    let crashes = board.suspects.crashes(fingerprint, now);
+    let detail = format!(
+        "quarantined crashes={crashes} for_ms={} of_ms={}",
+        until.since(now).0,
+        CRASH_RETENTION.0
+    );
+    board.note(EventKind::Dependency, fingerprint.to_string(), detail);
+}
+
+fn record_success(board: &mut Board, fingerprint: Fingerprint) {
+    if board.suspects.is_empty() || !board.suspects.clear(fingerprint, board.now.mono) {
+        return;
+    }
+    board.suspects_changed = true;
+    board.note(EventKind::Dependency, fingerprint.to_string(), "cleared by a success");
+}
--- a/crates/core/src/gateway/message.rs
+++ b/crates/core/src/gateway/message.rs
@@ -9,7 +9,7 @@
 use crate::gateway::action::ResultsPage;
 use crate::gateway::event::Announcement;
 use crate::gateway::settings::Role;
-use crate::key::HostId;
+use crate::key::{Fingerprint, HostId};
 use crate::time::Millis;
 
 /// A message from one host to another.
@@ -42,6 +42,32 @@
         /// The reply.
         reply: StoreReply,
     },
+    /// Requests under which upstreams ended, as far as they are news to the receiver.
+    ///
+    /// A host of an earlier version drops this message.
+    Suspects(Vec<SuspectRecord>),
+}
+
+/// A request under which upstreams ended.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub struct SuspectRecord {
+    /// The request.
+    pub fingerprint: Fingerprint,
+    /// The upstreams that ended under it.
+    pub crashes: Vec<CrashRecord>,
+}
+
+/// The end of an upstream while a request ran there.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub struct CrashRecord {
+    /// The number of the upstream's incarnation.
+    pub incarnation: u64,
+    /// How long it still counts.
+    pub expires_in: Millis,
+    /// Whether the request has succeeded since.
+    pub cleared: bool,
 }
 
 /// The message that announces a host to a store host, repeated while the host is alive.
@@ -66,6 +92,10 @@
     /// instance id, with the sequence number of the last announcement.
     #[serde(rename = "heard")]
     pub seen_upstreams: Vec<(Box<str>, u64)>,
+    /// The digest of the sender's table of suspects; zero if it is empty, and from a host of an
+    /// earlier version.
+    #[serde(default)]
+    pub suspects: u64,
 }
 
 /// The state that a store host sends to the hosts that have sent it a hello.
--- a/crates/core/src/key.rs
+++ b/crates/core/src/key.rs
@@ -30,6 +30,8 @@
     pub struct JobKey;
     /// Identifies an item of a job that has no listed result yet.
     pub struct ItemKey;
+    /// Identifies a request under which upstreams ended.
+    pub struct SuspectKey;
 }
 
 /// The number of a host, the same in every process of the fleet.
--- a/crates/core/tests/it/deadly_requests.rs
+++ b/crates/core/tests/it/deadly_requests.rs
@@ -1,11 +1,15 @@
 //! Requests that crash the upstreams that begin to run them, in a simulated deployment.
 
-use chestnutdrift_core::gateway::{Announcement, Call, Event, Forward, ForwardEnd};
-use chestnutdrift_core::{Fingerprint, HostId, RequestTag};
+use chestnutdrift_core::gateway::board::{QUARANTINE_CRASHES, Suspects};
+use chestnutdrift_core::gateway::{
+    Announcement, Answer, Call, Event, Forward, ForwardEnd, Gateway,
+};
+use chestnutdrift_core::{ErrorKind, Fingerprint, HostId, Millis, Ran, RequestTag};
 
-use crate::deployment::Deployment;
+use crate::deployment::{Deployment, SimEngine, job};
 
 const STORE: HostId = HostId(1);
+const STORES: [HostId; 3] = [HostId(1), HostId(2), HostId(3)];
 const ENTRIES: [HostId; 3] = [HostId(101), HostId(102), HostId(103)];
 const UPSTREAMS: u32 = 20;
 
@@ -15,6 +19,9 @@
 /// The time between two arrivals of a request, in milliseconds.
 const ARRIVAL_INTERVAL_MS: u64 = 700;
 
+/// How long a crash counts against a request, in milliseconds.
+const RETENTION_MS: u64 = 300_000;
+
 /// The most times that a request may be sent once hosts know that it crashed three upstreams.
 const MAX_LATE_SENDS: usize = 3;
 
@@ -45,26 +52,45 @@
 }
 
 fn request(path: &str) -> Call {
-    Call::Request {
-        host: "desk.example".into(),
-        path: "/desk/1".into(),
-        fingerprint: Fingerprint::new(&[path.as_bytes()]),
-    }
+    request_with(Fingerprint::new(&[path.as_bytes()]))
+}
+
+fn request_with(fingerprint: Fingerprint) -> Call {
+    Call::Request { host: "desk.example".into(), path: "/desk/1".into(), fingerprint }
 }
 
 fn ended() -> ForwardEnd {
     ForwardEnd::UpstreamEnded { detail: "connection closed".into() }
 }
 
-/// Sends a request to an entry, ends each of its attempts with `end`, and returns how often
-/// it was sent to upstreams.
+fn reset() -> ForwardEnd {
+    ForwardEnd::Broken { detail: "connection reset".into() }
+}
+
+fn delivered() -> ForwardEnd {
+    ForwardEnd::Delivered { status: 200 }
+}
+
+/// Sends a request to an entry, ends each of its attempts with `end`, and returns its tag and how
+/// often it was sent to upstreams.
 fn arrive(
     deployment: &mut Deployment,
     entry: HostId,
     path: &str,
     end: impl Fn() -> ForwardEnd,
-) -> usize {
+) -> (RequestTag, usize) {
     let tag = deployment.send_call(entry, request(path));
+    let sends = finish(deployment, entry, tag, end);
+    (tag, sends)
+}
+
+/// Ends each attempt of a request with `end`, and returns the number of attempts.
+fn finish(
+    deployment: &mut Deployment,
+    entry: HostId,
+    tag: RequestTag,
+    end: impl Fn() -> ForwardEnd,
+) -> usize {
     deployment.run(5);
     let mut sends = 0;
     while let Some(forward) = take_forward(deployment, tag) {
@@ -80,6 +106,11 @@
     Some(deployment.forwards.remove(index).1)
 }
 
+fn quarantined(deployment: &Deployment) -> u64 {
+    let gateways = ENTRIES.iter().map(|entry| deployment.gateway(*entry));
+    gateways.map(|gateway: &Gateway| gateway.board().counters.quarantined).sum()
+}
+
 /// Guards against hosts that each sent a request on that had crashed upstream after upstream at
 /// others.
 #[test]
@@ -87,7 +118,7 @@
     let mut deployment = deployment();
     let (mut crashes, mut third_crash, mut late) = (0, None, 0);
     for round in 0..20 {
-        let sends = arrive(&mut deployment, ENTRIES[round % 3], "deadly", ended);
+        let (_, sends) = arrive(&mut deployment, ENTRIES[round % 3], "deadly", ended);
         if third_crash.is_some_and(|at| deployment.now > at + CONTACT_MS) {
             late += sends;
         }
@@ -100,3 +131,162 @@
     assert!(third_crash.is_some(), "it ran");
     assert!(late <= MAX_LATE_SENDS, "sent {late} times later than the hosts must know");
 }
+
+/// Guards against holding a request until its deadline, or a vague answer, once it is known to
+/// crash upstreams: it has not run, and the caller learns for how long it will not.
+#[test]
+fn a_quarantined_request_is_refused_at_once_as_not_run() {
+    let mut deployment = deployment();
+    for entry in &ENTRIES[..2] {
+        arrive(&mut deployment, *entry, "deadly", ended);
+    }
+    deployment.run(CONTACT_MS);
+    let (tag, sends) = arrive(&mut deployment, ENTRIES[2], "deadly", ended);
+    assert_eq!(sends, 0);
+    let Some(Answer::Problem(problem)) = deployment.answers.get(&tag) else {
+        panic!("no refusal within 10 ms: {:?}", deployment.answers.get(&tag));
+    };
+    assert_eq!((problem.kind, problem.ran), (ErrorKind::Unavailable, Ran::No));
+    let delay = problem.retry_after_ms.expect("a delay");
+    assert!(delay > 200_000 && delay < 300_000, "{delay} ms");
+    let (_, sends) = arrive(&mut deployment, ENTRIES[2], "another", delivered);
+    assert_eq!(sends, 1, "another request is sent on");
+}
+
+/// Guards against the retry, within one attempt of a caller, of a request that crashed its third
+/// upstream: it may have run, which the answer must say.
+#[test]
+fn a_request_that_crashes_its_third_upstream_is_not_retried() {
+    let mut deployment = deployment();
+    let (_, sends) = arrive(&mut deployment, ENTRIES[0], "deadly", ended);
+    assert_eq!(sends, 2);
+    let (tag, sends) = arrive(&mut deployment, ENTRIES[0], "deadly", ended);
+    assert_eq!(sends, 1);
+    let Some(Answer::Problem(problem)) = deployment.answers.get(&tag) else { panic!("no answer") };
+    assert_eq!((problem.kind, problem.ran), (ErrorKind::OutcomeUnknown, Ran::Unknown));
+    assert_eq!(quarantined(&deployment), 1);
+}
+
+/// Guards against refusing requests whose upstreams reset connections, or whose answers are lost,
+/// but go on running.
+#[test]
+fn requests_whose_connections_are_reset_are_never_quarantined() {
+    let mut deployment = deployment();
+    for round in 0..20 {
+        let (_, sends) = arrive(&mut deployment, ENTRIES[round % 3], "innocent", reset);
+        assert!(sends > 0, "refused in round {round}");
+        deployment.run(ARRIVAL_INTERVAL_MS);
+    }
+    assert_eq!(quarantined(&deployment), 0);
+}
+
+/// Guards against refusing a request that only ran beside one that crashes upstreams: a success at
+/// any host clears it at all of them.
+#[test]
+fn a_success_clears_a_request_at_all_hosts() {
+    let mut deployment = deployment();
+    for _ in 0..4 {
+        arrive(&mut deployment, ENTRIES[0], "innocent", ended);
+        deployment.run(CONTACT_MS);
+        arrive(&mut deployment, ENTRIES[1], "innocent", delivered);
+        deployment.run(CONTACT_MS);
+    }
+    assert_eq!(quarantined(&deployment), 0);
+}
+
+/// Guards against a host that restarted after the crashes and sends the request on again.
+#[test]
+fn a_host_that_restarts_learns_what_is_quarantined() {
+    let mut deployment = deployment();
+    for entry in &ENTRIES[..2] {
+        arrive(&mut deployment, *entry, "deadly", ended);
+    }
+    deployment.run(30_000);
+    deployment.kill(ENTRIES[2]);
+    deployment.start(ENTRIES[2]);
+    deployment.run(CONTACT_MS);
+    let (_, sends) = arrive(&mut deployment, ENTRIES[2], "deadly", ended);
+    assert_eq!(sends, 0);
+}
+
+/// Guards against a request that is sent on without limit by a host that reaches no store host.
+#[test]
+fn a_host_without_store_hosts_quarantines_what_it_saw_itself() {
+    let mut deployment = deployment();
+    for store in STORES {
+        deployment.cut(store, ENTRIES[0], true);
+    }
+    deployment.run(CONTACT_MS);
+    let mut sends = 0;
+    for _ in 0..10 {
+        sends += arrive(&mut deployment, ENTRIES[0], "deadly", ended).1;
+        deployment.run(ARRIVAL_INTERVAL_MS);
+    }
+    assert_eq!(sends, 3);
+    for store in STORES {
+        deployment.cut(store, ENTRIES[0], false);
+    }
+}
+
+/// Guards against messages about crashes that are lost for good.
+#[test]
+fn hosts_learn_what_is_quarantined_although_messages_are_lost() {
+    let mut deployment = deployment();
+    deployment.drop_percent = 30;
+    for entry in &ENTRIES[..2] {
+        arrive(&mut deployment, *entry, "deadly", ended);
+    }
+    deployment.run(CONTACT_MS);
+    let (_, sends) = arrive(&mut deployment, ENTRIES[2], "deadly", ended);
+    assert_eq!(sends, 0);
+}
+
+/// Guards against a request that is refused for good: its crashes expire at every host.
+#[test]
+fn a_quarantine_expires() {
+    let mut deployment = deployment();
+    for entry in &ENTRIES[..2] {
+        arrive(&mut deployment, *entry, "deadly", ended);
+    }
+    deployment.run(RETENTION_MS + 1_000);
+    for number in 1..=UPSTREAMS {
+        announce(&mut deployment, number, 2);
+    }
+    deployment.run(500);
+    let (_, sends) = arrive(&mut deployment, ENTRIES[2], "deadly", delivered);
+    assert_eq!(sends, 1);
+}
+
+/// Guards against refusing jobs: their items are owed, whatever crashed under a request with the
+/// same content.
+#[test]
+fn jobs_are_never_quarantined() {
+    let mut deployment = deployment();
+    deployment.add_engine(SimEngine::new(1));
+    for _ in 0..2 {
+        let tag = deployment.send_call(ENTRIES[0], request_with(Fingerprint::default()));
+        finish(&mut deployment, ENTRIES[0], tag, ended);
+    }
+    let tag = deployment.submit(ENTRIES[0], job("job-1", 4, 1));
+    deployment.run(3_000);
+    assert_eq!(deployment.answers.get(&tag), Some(&Answer::Accepted));
+    deployment.run(5_000);
+    let page = deployment.results(STORE, "job-1", 0).expect("results");
+    assert_eq!(page.results.len(), 4);
+}
+
+/// Guards against a table that grows with each request that ran on an upstream that ended.
+#[test]
+fn the_table_of_suspects_is_bounded_and_keeps_the_quarantined() {
+    let mut suspects = Suspects::default();
+    let deadly = Fingerprint::new(&[b"deadly"]);
+    for upstream in 0..QUARANTINE_CRASHES as u64 {
+        suspects.record_crash(deadly, upstream, Millis(1));
+    }
+    for number in 0..5_000_u32 {
+        let fingerprint = Fingerprint::new(&[&number.to_le_bytes()]);
+        suspects.record_crash(fingerprint, 1, Millis(2 + u64::from(number)));
+    }
+    assert!(suspects.len() <= 1_024, "{} suspects", suspects.len());
+    assert!(suspects.quarantined_until(deadly, Millis(6_000)).is_some());
+}
--- a/crates/daemon/src/gateway/metrics.rs
+++ b/crates/daemon/src/gateway/metrics.rs
@@ -200,6 +200,8 @@
         ("abandoned", counters.abandoned),
         ("forwards", counters.forwards),
         ("upstreams_ended", counters.upstreams_ended),
+        ("quarantined", counters.quarantined),
+        ("suspects", counters.suspects),
         ("jobs", counters.jobs),
         ("jobs_without_memory", counters.jobs_without_memory),
         ("item_runs", counters.item_runs),
--- a/crates/wire/tests/frame.rs
+++ b/crates/wire/tests/frame.rs
@@ -4,10 +4,12 @@
 
 use bytes::Bytes;
 use chestnutdrift_core::HostId;
-use chestnutdrift_core::gateway::{GatewayMessage, StoreRequest};
+use chestnutdrift_core::gateway::message::Hello;
+use chestnutdrift_core::gateway::{GatewayMessage, Role, StoreRequest};
 use chestnutdrift_core::message::{Envelope, Message};
 use chestnutdrift_core::timeline::Stamp;
 use chestnutdrift_wire::frame::{Encoder, FrameError, MAX_MESSAGE_BYTES, decode};
+use ciborium::Value;
 use flate2::Compression;
 use flate2::write::DeflateEncoder;
 use test_case::test_case;
@@ -75,3 +77,36 @@
     encoder.write_all(&vec![0; 1 << 20]).expect("zeros");
     assert!(decode(&encoder.finish().expect("bytes")).is_err());
 }
+
+/// Guards against a host that drops the hellos of hosts of an earlier version, which have no digest
+/// of suspects.
+#[test]
+fn a_hello_of_an_earlier_version_is_accepted() {
+    let hello = Hello {
+        name: "entry-1".into(),
+        zone: "zone-1".into(),
+        role: Role::Entry,
+        incarnation: 1,
+        routing_version: 2,
+        known_revision: (3, 4),
+        seen_upstreams: Vec::new(),
+        suspects: 0,
+    };
+    let message = Message::Gateway(Box::new(GatewayMessage::Hello(hello)));
+    let envelope = Envelope { from: HostId(1), stamp: Stamp::default(), message };
+    let encoded = encode(&envelope).expect("bytes");
+    let mut earlier: Value = ciborium::from_reader(&*encoded).expect("a value");
+    let mut hello = &mut earlier;
+    for name in ["message", "gateway", "hello"] {
+        let fields = hello.as_map_mut().expect("a map");
+        let field = fields.iter_mut().find(|(key, _)| key.as_text() == Some(name));
+        hello = &mut field.expect("a field").1;
+    }
+    let fields = hello.as_map_mut().expect("a map");
+    let all = fields.len();
+    fields.retain(|(key, _)| key.as_text() != Some("suspects"));
+    assert_eq!(fields.len() + 1, all, "the field has another name");
+    let mut bytes = Vec::new();
+    ciborium::into_writer(&earlier, &mut bytes).expect("bytes");
+    assert_eq!(decode(&bytes).expect("a message"), envelope);
+}
