fix(core): hosts that were cut off never learned what was quarantined meanwhile

A host that was cut off for longer than 5 s, and already knew one suspect, was told only later changes; what it saw itself meanwhile stayed with it. After the cut it sent on requests that had crashed three upstreams.

Change: a host whose digest differs is sent the whole table every 5 s, and a store that was silent is told what an entry saw itself. Messages have 128 requests at most. The digest is kept up to date with each change, as it is compared with each hello.

Before: hosts_that_were_cut_off_learn_what_was_quarantined_meanwhile fails, 2 sends where none is allowed. After: it passes.

--- a/crates/core/src/gateway/board/suspects.rs
+++ b/crates/core/src/gateway/board/suspects.rs
@@ -4,11 +4,12 @@
 //! merge their tables in any order: a pair is only added, and once cleared it stays cleared until it
 //! expires.
 
+use std::cmp::Reverse;
 use std::collections::BTreeMap;
 
 use slotmap::SlotMap;
 
-use crate::checksum::checksum;
+use crate::checksum::{checksum, checksum_pair};
 use crate::gateway::message::{CrashRecord, SuspectRecord};
 use crate::key::{Fingerprint, SuspectKey};
 use crate::time::Millis;
@@ -25,6 +26,9 @@
 /// The maximum number of crashes kept of one request.
 const MAX_CRASHES: usize = 8;
 
+/// The maximum number of records in one message; those with the most crashes go first.
+const MAX_RECORDS: usize = 128;
+
 /// The end of one incarnation of an upstream while a request ran there.
 #[derive(Debug, Clone, Copy)]
 struct Crash {
@@ -55,6 +59,15 @@
 pub struct Suspects {
     entries: SlotMap<SuspectKey, Suspect>,
     index: BTreeMap<Fingerprint, SuspectKey>,
+    /// The digests of all crashes, combined so that their order does not matter.
+    digest: u64,
+}
+
+fn crash_digest(fingerprint: Fingerprint, crash: &Crash) -> u64 {
+    let numbers = fingerprint.halves();
+    let words = [numbers.0, numbers.1, crash.incarnation, u64::from(crash.cleared)];
+    let bytes = words.map(u64::to_le_bytes);
+    checksum_pair(&[bytes.as_flattened()]).0
 }
 
 /// Returns the number of an upstream's incarnation, the same on every host.
@@ -124,7 +137,13 @@
         let Some(suspect) = key.and_then(|key| self.entries.get_mut(key)) else { return false };
         let mut changed = false;
         for crash in &mut suspect.crashes {
-            changed |= !std::mem::replace(&mut crash.cleared, true);
+            if crash.cleared {
+                continue;
+            }
+            self.digest ^= crash_digest(fingerprint, crash);
+            crash.cleared = true;
+            self.digest ^= crash_digest(fingerprint, crash);
+            changed = true;
         }
         if changed {
             suspect.changed = now;
@@ -162,14 +181,18 @@
             if known.cleared || !crash.cleared {
                 return false;
             }
+            self.digest ^= crash_digest(fingerprint, known);
             known.cleared = true;
+            self.digest ^= crash_digest(fingerprint, known);
         } else {
             if suspect.crashes.len() >= MAX_CRASHES {
                 let Some(cleared) = suspect.crashes.iter().position(|crash| crash.cleared) else {
                     return false;
                 };
-                suspect.crashes.remove(cleared);
+                let dropped = suspect.crashes.remove(cleared);
+                self.digest ^= crash_digest(fingerprint, &dropped);
             }
+            self.digest ^= crash_digest(fingerprint, &crash);
             suspect.crashes.push(crash);
         }
         suspect.changed = now;
@@ -203,8 +226,10 @@
     }
 
     fn remove(&mut self, fingerprint: Fingerprint) {
-        if let Some(key) = self.index.remove(&fingerprint) {
-            self.entries.remove(key);
+        let key = self.index.remove(&fingerprint);
+        let Some(suspect) = key.and_then(|key| self.entries.remove(key)) else { return };
+        for crash in &suspect.crashes {
+            self.digest ^= crash_digest(fingerprint, crash);
         }
     }
 
@@ -212,7 +237,9 @@
     pub fn expire(&mut self, now: Millis) {
         let mut expired = Vec::new();
         for suspect in self.entries.values_mut() {
-            suspect.crashes.retain(|crash| crash.expires > now);
+            for crash in suspect.crashes.extract_if(.., |crash| crash.expires <= now) {
+                self.digest ^= crash_digest(suspect.fingerprint, &crash);
+            }
             if suspect.crashes.is_empty() {
                 expired.push(suspect.fingerprint);
             }
@@ -226,15 +253,7 @@
     /// empty one has zero.
     #[must_use]
     pub fn digest(&self) -> u64 {
-        let mut digest = 0;
-        for suspect in self.entries.values() {
-            for crash in &suspect.crashes {
-                let pair =
-                    format!("{} {} {}", suspect.fingerprint, crash.incarnation, crash.cleared);
-                digest ^= checksum(&[&pair]);
-            }
-        }
-        digest
+        self.digest
     }
 
     /// Returns the records that changed at the given time or later, from any source.
@@ -263,6 +282,8 @@
             let crashes = suspect.crashes.iter().map(record).collect();
             records.push(SuspectRecord { fingerprint: suspect.fingerprint, crashes });
         }
+        records.sort_by_key(|record: &SuspectRecord| Reverse(record.crashes.len()));
+        records.truncate(MAX_RECORDS);
         records
     }
 }
--- a/crates/core/src/gateway/controller/suspects.rs
+++ b/crates/core/src/gateway/controller/suspects.rs
@@ -5,7 +5,10 @@
 //!
 //! An entry host tells the store hosts what it saw itself. A store host passes on what is new to it:
 //! to the entry hosts of its zone and of zones without a store, and to a host whose hello shows that
-//! its table differs. Without any store host, a host decides by what it saw itself.
+//! its table differs. Hosts that were silent are told everything. Without any store host, a host
+//! decides by what it saw itself.
+
+use std::collections::BTreeMap;
 
 use super::Controller;
 use crate::directory::RouteKind;
@@ -37,6 +40,15 @@
     next_change: Millis,
     next_resend: Millis,
     next_sweep: Millis,
+    /// When each host was last sent the whole table, and when its last hello or view arrived.
+    contacts: BTreeMap<HostId, Contact>,
+}
+
+/// The exchange with one host.
+#[derive(Debug, Clone, Copy, Default)]
+struct Contact {
+    told_all: Option<Millis>,
+    heard: Option<Millis>,
 }
 
 impl Controller for Suspects {
@@ -46,7 +58,8 @@
         {
             match &**message {
                 GatewayMessage::Suspects(records) => handle_records(board, records),
-                GatewayMessage::Hello(hello) => answer_hello(board, envelope.from, hello),
+                GatewayMessage::Hello(hello) => self.answer_hello(board, envelope.from, hello),
+                GatewayMessage::View(_) => self.handle_view(board, envelope.from),
                 _ => {}
             }
         }
@@ -54,6 +67,7 @@
         if now >= self.next_sweep {
             self.next_sweep = now + SWEEP_INTERVAL;
             board.suspects.expire(now);
+            self.contacts.retain(|id, _| board.host_index.contains_key(id));
         }
         if board.suspects_changed && now >= self.next_change {
             board.suspects_changed = false;
@@ -75,6 +89,38 @@
 }
 
 impl Suspects {
+    /// Sends a host what its hello shows that it may lack: what changed a short time ago, and from
+    /// time to time the whole table.
+    fn answer_hello(&mut self, board: &mut Board, from: HostId, hello: &Hello) {
+        if hello.suspects == board.suspects.digest() {
+            return;
+        }
+        let now = board.now.mono;
+        let contact = self.contacts.entry(from).or_default();
+        let all_due = contact.told_all.is_none_or(|at| now.since(at) >= RESEND_WINDOW);
+        if all_due {
+            contact.told_all = Some(now);
+        }
+        let since = if all_due { Millis(0) } else { now - RESEND_WINDOW };
+        let records = board.suspects.changed_since(since, now);
+        if !records.is_empty() {
+            board.send(from, GatewayMessage::Suspects(records));
+        }
+    }
+
+    /// Tells a store host that was silent, or is new, all that this host saw itself.
+    fn handle_view(&mut self, board: &mut Board, from: HostId) {
+        let now = board.now.mono;
+        let heard = self.contacts.entry(from).or_default().heard.replace(now);
+        if heard.is_some_and(|at| now.since(at) < RESEND_WINDOW) {
+            return;
+        }
+        let records = board.suspects.changed_here_since(Millis(0), now);
+        if !records.is_empty() {
+            board.send(from, GatewayMessage::Suspects(records));
+        }
+    }
+
     fn send_changes(&self, board: &mut Board, since: Millis) {
         let now = board.now.mono;
         let (records, receivers) = if board.cfg.role == Role::Entry {
@@ -128,20 +174,6 @@
     }
 }
 
-/// Sends a host what its hello shows to be different: all that it may lack if it has just started,
-/// and otherwise what changed a short time ago.
-fn answer_hello(board: &mut Board, from: HostId, hello: &Hello) {
-    if hello.suspects == board.suspects.digest() {
-        return;
-    }
-    let now = board.now.mono;
-    let since = if hello.suspects == 0 { Millis(0) } else { now - RESEND_WINDOW };
-    let records = board.suspects.changed_since(since, now);
-    if !records.is_empty() {
-        board.send(from, GatewayMessage::Suspects(records));
-    }
-}
-
 /// Records what the end of an attempt says about a request that may crash upstreams.
 pub(super) fn record_end(board: &mut Board, key: RequestKey, attempt: &Attempt, end: &ForwardEnd) {
     let Some(request) = board.requests.get(key) else { return };
--- a/crates/core/src/key.rs
+++ b/crates/core/src/key.rs
@@ -68,6 +68,12 @@
         let (high, low) = checksum_pair(parts);
         Self(high, low)
     }
+
+    /// Returns the two halves of the fingerprint.
+    #[must_use]
+    pub fn halves(self) -> (u64, u64) {
+        (self.0, self.1)
+    }
 }
 
 impl fmt::Display for Fingerprint {
--- a/crates/core/tests/it/deadly_requests.rs
+++ b/crates/core/tests/it/deadly_requests.rs
@@ -228,6 +228,31 @@
     }
 }
 
+/// Guards against hosts that were cut off from each other for long and then learn nothing of what
+/// the other side saw meanwhile.
+#[test]
+fn hosts_that_were_cut_off_learn_what_was_quarantined_meanwhile() {
+    let mut deployment = deployment();
+    arrive(&mut deployment, ENTRIES[0], "known to all", ended);
+    deployment.run(CONTACT_MS);
+    for store in STORES {
+        deployment.cut(store, ENTRIES[0], true);
+    }
+    for _ in 0..2 {
+        arrive(&mut deployment, ENTRIES[0], "seen by the one", ended);
+        arrive(&mut deployment, ENTRIES[1], "seen by others", ended);
+    }
+    deployment.run(20_000);
+    for store in STORES {
+        deployment.cut(store, ENTRIES[0], false);
+    }
+    deployment.run(CONTACT_MS);
+    let (_, sends) = arrive(&mut deployment, ENTRIES[0], "seen by others", ended);
+    assert_eq!(sends, 0);
+    let (_, sends) = arrive(&mut deployment, ENTRIES[1], "seen by the one", ended);
+    assert_eq!(sends, 0);
+}
+
 /// Guards against messages about crashes that are lost for good.
 #[test]
 fn hosts_learn_what_is_quarantined_although_messages_are_lost() {
@@ -290,3 +315,27 @@
     assert!(suspects.len() <= 1_024, "{} suspects", suspects.len());
     assert!(suspects.quarantined_until(deadly, Millis(6_000)).is_some());
 }
+
+/// Guards against hosts that send each other the same table without end, or never, as their digests
+/// depend on the order of what they learned.
+#[test]
+fn the_digest_of_a_table_depends_only_on_its_content() {
+    let (mut one, mut other) = (Suspects::default(), Suspects::default());
+    let [first, second] = [Fingerprint::new(&[b"first"]), Fingerprint::new(&[b"second"])];
+    for upstream in 0..4 {
+        one.record_crash(first, upstream, Millis(1));
+    }
+    one.record_crash(second, 9, Millis(2));
+    one.clear(first, Millis(3));
+    other.record_crash(second, 9, Millis(4));
+    assert_ne!(one.digest(), other.digest());
+    for record in one.changed_since(Millis(0), Millis(5)) {
+        other.merge(&record, Millis(5));
+    }
+    assert_eq!(one.digest(), other.digest());
+    for suspects in [&mut one, &mut other] {
+        suspects.expire(Millis(RETENTION_MS + 10));
+        assert!(suspects.is_empty());
+        assert_eq!(suspects.digest(), 0);
+    }
+}
