--- a/crates/core/src/gateway/controller/forwarding.rs
+++ b/crates/core/src/gateway/controller/forwarding.rs
@@ -2,8 +2,8 @@
 //!
 //! Reads: opened requests, ended attempts, decoded jobs, callers that are gone, `routing`,
 //! `upstreams`, the clock.
-//! Writes: `requests`, `request_index`, `attempts`, `upstreams` (health), `store_requests`,
-//! `counters`, `actions`.
+//! Writes: `requests`, `request_index`, `attempts`, `upstreams` (health), `suspects`,
+//! `suspects_changed`, `store_requests`, `counters`, `actions`.
 
 use std::sync::Arc;
 
@@ -11,7 +11,7 @@
 
 use super::Controller;
 use super::calls::not_ready;
-use super::registry;
+use super::{registry, suspects};
 use crate::directory::{JobSpec, Route, RouteKind, RoutingConfig};
 use crate::error::{ErrorKind, Problem, Ran};
 use crate::gateway::action::{Action, Forward, UpstreamAddress};
@@ -104,9 +104,8 @@
 }
 
 fn handle_opened(board: &mut Board, opened: IncomingCall) {
-    let IncomingCall { tag, trace, wait_limit, call: Call::Request { host, path } } = opened else {
-        return;
-    };
+    let IncomingCall { tag, trace, wait_limit, call } = opened;
+    let Call::Request { host, path, fingerprint } = call else { return };
     board.counters.requests += 1;
     let Some(routing) = board.routing.clone() else {
         board.reject(tag, &trace, not_ready("no routing configuration received yet"));
@@ -125,6 +124,7 @@
     let request = Request {
         tag,
         trace,
+        fingerprint,
         route: route.clone(),
         service: draw_service(board, route),
         opened: now,
@@ -221,6 +221,7 @@
     let Purpose::Request(request_key) = attempt.purpose else { return };
     let took = board.now.mono.since(attempt.started);
     update_health(board, &attempt, took, end);
+    suspects::record_end(board, request_key, &attempt, end);
     let Some(request) = board.requests.get_mut(request_key) else { return };
     request.state = RequestState::Waiting;
     match end {
@@ -254,11 +255,20 @@
             request.maybe_ran = true;
             request.last_failure = detail.clone();
         }
+        ForwardEnd::UpstreamEnded { detail } => {
+            board.counters.upstreams_ended += 1;
+            request.maybe_ran = true;
+            request.last_failure = format!("upstream ended: {detail}").into();
+        }
     }
     let (trace, failure) = (request.trace.clone(), request.last_failure.clone());
     let (attempts, repeatable) = (request.attempts, request.route.kind.allows_retry());
     let over = (request.maybe_ran && !repeatable) || !has_attempts_left(request);
-    let detail = format!("attempt={attempts} took_ms={} over={over} {failure}", took.0);
+    let fingerprint = request.fingerprint;
+    let detail = format!(
+        "attempt={attempts} took_ms={} over={over} fingerprint={fingerprint} {failure}",
+        took.0
+    );
     board.note(EventKind::AttemptFailed, trace, detail);
     if over {
         fail(board, request_key);
@@ -284,7 +294,8 @@
         ForwardEnd::Held { .. }
         | ForwardEnd::NotRun { .. }
         | ForwardEnd::NotSent { .. }
-        | ForwardEnd::Broken { .. } => upstream.health.record_failure(now),
+        | ForwardEnd::Broken { .. }
+        | ForwardEnd::UpstreamEnded { .. } => upstream.health.record_failure(now),
     }
 }
 
@@ -352,6 +363,7 @@
                 start_attempt(board, key, next);
             }
             RequestState::Waiting if now >= request.until => fail(board, key),
+            RequestState::Waiting if is_quarantined(board, request) => refuse(board, key),
             RequestState::Waiting => match self.choose(board, key) {
                 Some(upstream) => start_attempt(board, key, upstream),
                 None => fail_after_max_wait(board, key),
@@ -393,6 +405,31 @@
     }
 }
 
+fn is_quarantined(board: &Board, request: &Request) -> bool {
+    board.suspects.quarantined_until(request.fingerprint, board.now.mono).is_some()
+}
+
+/// Ends a request under which too many upstreams ended.
+fn refuse(board: &mut Board, key: RequestKey) {
+    let (now, request) = (board.now.mono, &board.requests[key]);
+    let (fingerprint, ran) = (request.fingerprint, request.maybe_ran);
+    board.counters.quarantined += 1;
+    if request.held {
+        deliver_held(board, key);
+        return;
+    }
+    let Some(request) = remove_request(board, key) else { return };
+    let until = board.suspects.quarantined_until(fingerprint, now).unwrap_or(now);
+    let crashes = board.suspects.crashes(fingerprint, now);
+    let detail = format!("quarantined fingerprint={fingerprint} crashes={crashes}");
+    let problem = if ran {
+        Problem::unknown(detail)
+    } else {
+        Problem::not_run(ErrorKind::Unavailable, detail).retry_after(until.since(now))
+    };
+    board.reject(request.tag, &request.trace, problem);
+}
+
 /// Ends a request that has waited too long for a free upstream.
 fn fail_after_max_wait(board: &mut Board, key: RequestKey) {
     let request = &board.requests[key];
@@ -430,7 +467,7 @@
     };
     let detail = format!(
         "upstream={} service={} attempt={} in_flight={}/{} answer_us={} heard_ms_ago={} \
-         routing={routing} left_ms={}",
+         routing={routing} left_ms={} fingerprint={}",
         upstream.announced.id,
         request.service,
         request.attempts,
@@ -438,7 +475,8 @@
         upstream.announced.slots,
         upstream.health.response_time_us,
         now.since(upstream.last_seen).0,
-        remaining.0
+        remaining.0,
+        request.fingerprint
     );
     let trace = request.trace.clone();
     board.counters.forwards += 1;
