fix(daemon): a reset of a service's connection ended its answer

Seen: a plain service answered without a length and its connection was reset on the way; the caller got a 200 with the part that had come, or with an empty body, framed as complete, and a recorded call kept it as its answer for every repetition.

Cause: the HTTP client takes a connection that is reset for one that is closed, and a body without a length ends with its connection.

Evidence: the cases "body without a length, reset" and "empty body without a length, reset" of crates/daemon/tests/broken_answers.rs ended as whole with status 200.

Excluded: answers that stop in their head, in a body of a length or in chunks, closed or reset, and streams of engines: these cases passed before.

Change: the client's connections report a reset as another kind of error, which it passes on. A connection that is closed in order still ends such a body.

--- a/crates/daemon/src/call.rs
+++ b/crates/daemon/src/call.rs
@@ -9,6 +9,7 @@
 mod host;
 mod plain;
 mod pool;
+mod transport;
 
 pub use adaptor::{Adaptor, CallContext};
 pub use clients::HttpClients;
--- a/crates/daemon/src/call/clients.rs
+++ b/crates/daemon/src/call/clients.rs
@@ -4,8 +4,12 @@
 use std::time::Duration;
 
 use chestnutdrift_core::event::AttemptEnd;
+use ureq::config::Config;
+use ureq::unversioned::resolver::DefaultResolver;
 use ureq::{Agent, Error, Timeout};
 
+use super::transport::ResetConnector;
+
 /// How long connecting may take.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(1_000);
 
@@ -54,10 +58,14 @@
             .input_buffer_size(BUFFER_BYTES)
             .output_buffer_size(BUFFER_BYTES)
             .build();
-        Self { pooled: pooled.new_agent(), unpooled: unpooled.new_agent() }
+        Self { pooled: agent(pooled), unpooled: agent(unpooled) }
     }
 }
 
+fn agent(config: Config) -> Agent {
+    Agent::with_parts(config, ResetConnector::default(), DefaultResolver::default())
+}
+
 impl Default for HttpClients {
     fn default() -> Self {
         Self::new()
