fix(daemon): a service's change of protocols was passed on as its answer

Seen: a plain service answered 101; the call ended as complete with status 101 and an empty body, and was recorded so.

Cause: 101 is the one informational status that the HTTP client doesn't skip, and any status was taken for an answer.

Change: an informational status is no answer; the attempt is broken.

--- a/crates/daemon/src/call/plain.rs
+++ b/crates/daemon/src/call/plain.rs
@@ -83,6 +83,11 @@
 pub(super) fn read_answer(
     answer: ureq::http::Response<ureq::Body>,
 ) -> Result<RecordedAnswer, AttemptEnd> {
+    // No request asks for another protocol, so an informational status answers none.
+    if answer.status().is_informational() {
+        let detail = format!("the answer has status {}", answer.status()).into();
+        return Err(AttemptEnd::Broken { detail });
+    }
     let status = answer.status().as_u16();
     let content_type = content_type(&answer);
     let mut body = answer.into_body();
--- a/crates/daemon/tests/broken_answers.rs
+++ b/crates/daemon/tests/broken_answers.rs
@@ -119,6 +119,7 @@
 #[test_case("HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n5\r\nhal", End::Close; "in a chunk")]
 #[test_case("HTTP/1.1 200 OK\r\n\r\nhal", End::Reset; "body without a length, reset")]
 #[test_case("HTTP/1.1 200 OK\r\n\r\n", End::Reset; "empty body without a length, reset")]
+#[test_case("HTTP/1.1 101 Switching Protocols\r\n\r\nhal", End::Close; "change of protocols")]
 fn a_broken_answer_of_a_service_is_not_complete(reply: &str, end: End) {
     let end = call_plain_service(reply.to_string(), end);
     assert!(matches!(end, AttemptEnd::Broken { .. }), "{end:?}");
