fix(daemon): answers that are no failure of an item used up its attempts

Seen: an item whose runs were answered 404 and 502 was listed as errored after maxAttempts of them.

Cause: each failure status but 422 counted as a failed attempt.

Change: any other failure status ends the run as broken: the upstream is avoided for a while and the item resumes elsewhere until its give-up time.

--- a/crates/daemon/src/gateway/items.rs
+++ b/crates/daemon/src/gateway/items.rs
@@ -26,6 +26,9 @@
 /// The most bytes of text of one run; a longer one is broken off.
 const MAX_RUN_TEXT_BYTES: usize = 4 * 1024 * 1024;
 
+/// The HTTP status of a run that counts as one of the item's attempts.
+const FAILED_STATUS: u16 = 500;
+
 /// The HTTP status of an item that no engine can process.
 const UNPROCESSABLE_STATUS: u16 = 422;
 
@@ -161,7 +164,10 @@
                 return ItemEnd::NotRun { status, other_instance };
             }
             ResponseClass::Failure if status == UNPROCESSABLE_STATUS => return ItemEnd::Impossible,
-            ResponseClass::Failure => return ItemEnd::Failed { status },
+            ResponseClass::Failure if status == FAILED_STATUS => return ItemEnd::Failed { status },
+            ResponseClass::Failure => {
+                return ItemEnd::Broken { detail: format!("the engine answered {status}").into() };
+            }
             ResponseClass::Success => {}
         }
         if let Ok(mut text) = text.lock() {
