--- a/crates/daemon/tests/broken_answers.rs
+++ b/crates/daemon/tests/broken_answers.rs
@@ -10,8 +10,10 @@
 use chestnutdrift_core::action::{Dispatch, Source, Target};
 use chestnutdrift_core::event::{AttemptEnd, UpstreamKind};
 use chestnutdrift_core::records::SampleId;
-use chestnutdrift_core::{AttemptKey, Millis, RequestTag};
-use chestnutdrift_daemon::call::{Adaptor, CallContext, EngineAdaptor, HttpClients, PlainAdaptor};
+use chestnutdrift_core::{AttemptKey, HostId, Millis, RequestTag};
+use chestnutdrift_daemon::call::{
+    Adaptor, CallContext, EngineAdaptor, HostAdaptor, HttpClients, PlainAdaptor,
+};
 use chestnutdrift_daemon::exchange::{AnswerFormat, Exchange, InboundRequest, ReplyPart};
 use chestnutdrift_wire::api::chat::{ChatBody, ChatWriter};
 use rustix::net::sockopt::set_socket_linger;
@@ -188,6 +190,37 @@
     assert!(parts.blocking_recv().is_none(), "more than the first engine sent");
 }
 
+/// Guards against streams of another host that break off and end as if they were complete.
+#[test_case("content-length: 500\r\n\r\ndata: a\n\n", End::Close; "short body, closed")]
+#[test_case("content-length: 500\r\n\r\ndata: a\n\n", End::Reset; "short body, reset")]
+#[test_case("transfer-encoding: chunked\r\n\r\n9\r\ndata: a\n\n\r\n", End::Close; "no last chunk, closed")]
+#[test_case("transfer-encoding: chunked\r\n\r\n9\r\ndata: a\n\n\r\n", End::Reset; "no last chunk, reset")]
+#[test_case("transfer-encoding: chunked\r\n\r\n20\r\ndata: a\n\n", End::Close; "in a chunk")]
+#[test_case("\r\ndata: a\n\n", End::Reset; "body without a length, reset")]
+fn a_relayed_stream_that_breaks_off_has_no_end(rest: &str, end: End) {
+    let (tag, host) = (RequestTag(1), HostId(2));
+    let head = "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n";
+    let address = upstream(format!("{head}{rest}"), end).parse().expect("an address");
+    let (exchange, mut parts) = Exchange::open(tag, inbound(AnswerFormat::Core));
+    exchange.set_writer(AttemptKey::default());
+    let dispatch = Dispatch {
+        attempt: AttemptKey::default(),
+        source: Source::Exchange { tag },
+        target: Target::Host { host, hops: 1, granted: false, maybe_ran: false },
+        resume_at: 0,
+        timeout: Millis(5_000),
+        record_answer: false,
+    };
+    let adaptor = HostAdaptor::new(HttpClients::new(), [(host, address)].into());
+    let end = run(&adaptor, &dispatch, Some(&exchange));
+    assert!(matches!(end, AttemptEnd::Broken { .. }), "{end:?}");
+    drop(exchange);
+    assert!(matches!(parts.blocking_recv(), Some(ReplyPart::Start(200, _))));
+    let Some(ReplyPart::Data(data)) = parts.blocking_recv() else { panic!("no data") };
+    assert_eq!(data, "data: a\n\n");
+    assert!(parts.blocking_recv().is_none(), "more than the other host sent");
+}
+
 /// Keeps the end line in use: a stream that has it is whole.
 #[test]
 fn a_sample_with_its_end_is_complete() {
