fix(core): a request of many callers could be refused after upstreams ended together

Cause: three upstreams that end at the same moment, by a lost rack or a series of kills, count as three crashes of whatever ran on them. As the request is refused from then on, it can't succeed and be cleared.

A success of that time clears a request when its crash is seen or heard of, and the other hosts are told. After 10 s without a success it counts as before, so that a request that begins to crash upstreams is still found.

After: it passes.

--- a/crates/core/src/gateway/board.rs
+++ b/crates/core/src/gateway/board.rs
@@ -5,6 +5,7 @@
 mod item;
 mod memory;
 mod order;
+mod recent_successes;
 mod request;
 mod store_request;
 mod suspects;
@@ -38,6 +39,7 @@
 pub use item::{Item, ItemState, JobRun};
 pub use memory::ProcessMemory;
 pub use order::{LoadState, PendingOrder};
+pub use recent_successes::RecentSuccesses;
 pub use request::{Request, RequestState};
 pub use store_request::{
     Origin, PendingDecision, PendingStoreRequest, ResultsReader, StoreRequestState,
@@ -113,6 +115,8 @@
     pub request_index: BTreeMap<RequestTag, RequestKey>,
     /// The requests under which upstreams ended.
     pub suspects: Suspects,
+    /// The requests that succeeded here a short time ago.
+    pub recent_successes: RecentSuccesses,
     /// Whether `suspects` changed since other hosts were last told.
     pub suspects_changed: bool,
     /// The running attempts.
@@ -201,6 +205,7 @@
             requests: SlotMap::with_key(),
             request_index: BTreeMap::new(),
             suspects: Suspects::default(),
+            recent_successes: RecentSuccesses::default(),
             suspects_changed: false,
             attempts: SlotMap::with_key(),
             store_requests: SlotMap::with_key(),
--- a/crates/core/src/gateway/controller/suspects.rs
+++ b/crates/core/src/gateway/controller/suspects.rs
@@ -1,7 +1,7 @@
 //! Suspects: tells other hosts under which requests upstreams ended, and learns it from them.
 //!
 //! Reads: messages of other hosts, `hosts`, the clock.
-//! Writes: `suspects`, `suspects_changed`, `actions`.
+//! Writes: `suspects`, `suspects_changed`, `recent_successes`, `actions`.
 //!
 //! An entry host tells the store hosts what it saw itself. A store host passes on what is new to it:
 //! to the entry hosts of its zone and of zones without a store, and to a host whose hello shows that
@@ -67,6 +67,7 @@
         if now >= self.next_sweep {
             self.next_sweep = now + SWEEP_INTERVAL;
             board.suspects.expire(now);
+            board.recent_successes.expire(now);
             self.contacts.retain(|id, _| board.host_index.contains_key(id));
         }
         if board.suspects_changed && now >= self.next_change {
@@ -168,6 +169,7 @@
         if board.cfg.role == Role::Store {
             board.suspects_changed = true;
         }
+        clear_if_succeeded(board, record.fingerprint);
         if !was_quarantined {
             report_quarantine(board, record.fingerprint);
         }
@@ -203,6 +205,7 @@
     let crashes = board.suspects.crashes(fingerprint, now);
     let detail = format!("upstream={id} ended under the request; crashes={crashes}");
     board.note(EventKind::Dependency, fingerprint.to_string(), detail);
+    clear_if_succeeded(board, fingerprint);
     if !was_quarantined {
         report_quarantine(board, fingerprint);
     }
@@ -221,6 +224,19 @@
 }
 
 fn record_success(board: &mut Board, fingerprint: Fingerprint) {
+    board.recent_successes.record(fingerprint, board.now.mono);
+    clear(board, fingerprint);
+}
+
+/// Clears a request that succeeded here a short time before upstreams ended under it: many callers may
+/// send the same request, and upstreams may end together for another reason.
+fn clear_if_succeeded(board: &mut Board, fingerprint: Fingerprint) {
+    if board.recent_successes.contains(fingerprint, board.now.mono) {
+        clear(board, fingerprint);
+    }
+}
+
+fn clear(board: &mut Board, fingerprint: Fingerprint) {
     if board.suspects.is_empty() || !board.suspects.clear(fingerprint, board.now.mono) {
         return;
     }
--- a/crates/core/tests/it/deadly_requests.rs
+++ b/crates/core/tests/it/deadly_requests.rs
@@ -22,6 +22,9 @@
 /// How long a crash counts against a request, in milliseconds.
 const RETENTION_MS: u64 = 300_000;
 
+/// How long a success speaks for a request, in milliseconds.
+const SUCCESS_RETENTION_MS: u64 = 10_000;
+
 /// The most times that a request may be sent once hosts know that it crashed three upstreams.
 const MAX_LATE_SENDS: usize = 3;
 
@@ -194,6 +197,38 @@
     assert_eq!(quarantined(&deployment), 0);
 }
 
+/// Guards against refusing a request that many callers send, after upstreams ended together for
+/// another reason.
+#[test]
+fn a_request_that_just_succeeded_is_not_quarantined_when_upstreams_end_together() {
+    let mut deployment = deployment();
+    arrive(&mut deployment, ENTRIES[2], "popular", delivered);
+    let tags = ENTRIES.map(|entry| deployment.send_call(entry, request("popular")));
+    for (entry, tag) in ENTRIES.into_iter().zip(tags) {
+        assert_eq!(finish(&mut deployment, entry, tag, ended), 2);
+    }
+    deployment.run(CONTACT_MS);
+    for entry in ENTRIES {
+        let (_, sends) = arrive(&mut deployment, entry, "popular", delivered);
+        assert_eq!(sends, 1, "refused by {entry:?}");
+    }
+}
+
+/// Guards against a request that crashes upstreams since a change of theirs, and is sent on for good
+/// because it succeeded before.
+#[test]
+fn an_old_success_does_not_keep_a_request_from_quarantine() {
+    let mut deployment = deployment();
+    arrive(&mut deployment, ENTRIES[2], "deadly", delivered);
+    deployment.run(SUCCESS_RETENTION_MS);
+    for entry in &ENTRIES[..2] {
+        arrive(&mut deployment, *entry, "deadly", ended);
+    }
+    deployment.run(CONTACT_MS);
+    let (_, sends) = arrive(&mut deployment, ENTRIES[2], "deadly", ended);
+    assert_eq!(sends, 0);
+}
+
 /// Guards against a host that restarted after the crashes and sends the request on again.
 #[test]
 fn a_host_that_restarts_learns_what_is_quarantined() {
