--- a/crates/core/src/agreement/log.rs
+++ b/crates/core/src/agreement/log.rs
@@ -107,8 +107,14 @@
         self.base_term = term;
     }
 
-    /// Drops all entries and continues after a snapshot of `index` and `term`.
-    pub fn reset(&mut self, index: u64, term: u64) {
+    /// Continues after a snapshot of `index` and `term`. Later entries are kept if the entry at
+    /// `index` has that term; otherwise the log differs from the snapshot, and all entries are
+    /// dropped.
+    pub fn continue_after(&mut self, index: u64, term: u64) {
+        if self.term_at(index) == Some(term) {
+            self.compact(index);
+            return;
+        }
         self.entries.clear();
         self.bytes = 0;
         self.base_index = index;
--- a/crates/core/src/agreement/replica.rs
+++ b/crates/core/src/agreement/replica.rs
@@ -191,11 +191,7 @@
                 self.voted_for = voted_for;
                 self.term_leader = leader;
             }
-            Record::Entry { entry, .. } => {
-                if entry.index == self.log.last_index() + 1 {
-                    self.log.push(entry);
-                }
-            }
+            Record::Entry { entry, .. } => self.restore_entry(entry),
             Record::Truncate { index, .. } => self.log.truncate(index),
             Record::Snapshot { snapshot, .. } => self.restore_snapshot(snapshot),
             Record::InForce { .. } => {}
@@ -203,12 +199,19 @@
         self.synced_index = self.log.last_index();
     }
 
-    fn restore_snapshot(&mut self, snapshot: Snapshot) {
-        if self.log.term_at(snapshot.index) == Some(snapshot.term) {
-            self.log.compact(snapshot.index);
-        } else {
-            self.log.reset(snapshot.index, snapshot.term);
+    /// Restores an entry. It replaces the entries from its index on: earlier versions recorded no
+    /// truncation when they installed a snapshot.
+    fn restore_entry(&mut self, entry: Entry) {
+        let index = entry.index;
+        if index <= self.log.base_index() || index > self.log.last_index() + 1 {
+            return;
         }
+        self.log.truncate(index);
+        self.log.push(entry);
+    }
+
+    fn restore_snapshot(&mut self, snapshot: Snapshot) {
+        self.log.continue_after(snapshot.index, snapshot.term);
         self.base_voters = snapshot.voters;
         self.commit_index = self.commit_index.max(snapshot.index);
         self.applied_index = snapshot.index;
--- a/crates/core/src/agreement/replication.rs
+++ b/crates/core/src/agreement/replication.rs
@@ -186,6 +186,8 @@
     }
 
     /// Installs a snapshot, unless this replica has already committed as much.
+    ///
+    /// Later entries stay in the log if the log agrees with the snapshot, as they do on the disk.
     pub(super) fn handle_install_snapshot(
         &mut self,
         from: HostId,
@@ -194,13 +196,13 @@
         out: &mut Outbox,
     ) {
         if snapshot.index > self.commit_index {
-            self.log.reset(snapshot.index, snapshot.term);
+            self.log.continue_after(snapshot.index, snapshot.term);
             self.base_voters.clone_from(&snapshot.voters);
             self.commit_index = snapshot.index;
             self.applied_index = snapshot.index;
             self.snapshot_index = snapshot.index;
             self.applied_bytes = 0;
-            self.synced_index = snapshot.index;
+            self.synced_index = self.synced_index.min(self.log.last_index()).max(snapshot.index);
             self.installed_state = Some(snapshot.state.clone());
             if self.durable {
                 out.records.push(Record::Snapshot { group: self.group, snapshot });
--- a/crates/core/tests/it/main.rs
+++ b/crates/core/tests/it/main.rs
@@ -8,6 +8,7 @@
 mod determinism;
 mod directory;
 mod fleet_settings;
+mod installed_snapshot;
 mod item_queue;
 mod job_memory;
 mod lifecycle;
--- a/crates/daemon/src/disk/compactor.rs
+++ b/crates/daemon/src/disk/compactor.rs
@@ -31,9 +31,7 @@
         match record {
             Record::Bootstrapped { .. } => group_records.bootstrapped = Some(record.clone()),
             Record::Term { .. } => group_records.term = Some(record.clone()),
-            Record::Entry { entry, .. } => {
-                group_records.entries.insert(entry.index, entry.clone());
-            }
+            Record::Entry { entry, .. } => group_records.apply_entry(entry),
             Record::Truncate { index, .. } => {
                 group_records.entries.split_off(index);
             }
@@ -62,6 +60,17 @@
 }
 
 impl GroupRecords {
+    /// Adds an entry, which replaces those from its index on.
+    fn apply_entry(&mut self, entry: &Entry) {
+        while let Some(last) = self.entries.last_entry() {
+            if *last.key() < entry.index {
+                break;
+            }
+            last.remove();
+        }
+        self.entries.insert(entry.index, entry.clone());
+    }
+
     /// Drops the entries that a snapshot covers.
     ///
     /// Later entries are kept only if the entry at the snapshot's index has the snapshot's term. A
--- a/crates/daemon/tests/process/disk.rs
+++ b/crates/daemon/tests/process/disk.rs
@@ -167,6 +167,22 @@
     assert_eq!(compactor.records(), [entry(1, 1), entry(2, 1), entry(3, 2)]);
 }
 
+/// Guards against a compaction that keeps entries which an installed snapshot had dropped beside
+/// the acknowledged ones that replaced them.
+#[test]
+fn a_compaction_drops_the_entries_that_a_later_entry_replaced() {
+    let mut compactor = JournalCompactor::default();
+    records().iter().for_each(|record| compactor.apply(record));
+    let state = GroupState::Fleet(FleetState::default());
+    let snapshot = Snapshot { index: 2, term: 1, voters: Vec::new(), state };
+    let snapshot = Record::Snapshot { group: GroupId::Zone, snapshot };
+    compactor.apply(&snapshot);
+    assert_eq!(compactor.records(), [snapshot.clone(), entry(3, 1), entry(4, 1), entry(5, 1)]);
+    compactor.apply(&entry(3, 1));
+    compactor.apply(&entry(4, 2));
+    assert_eq!(compactor.records(), [snapshot, entry(3, 1), entry(4, 2)]);
+}
+
 /// A disk that fails after `left` batches.
 #[derive(Debug)]
 struct FailingDisk {
