fix(core): an empty store with a slow disk voted again too late

Callers saw: nothing yet; found in review. An empty store with syncs of 250 ms took 19.4 s for 10 MB from the log; the site allows 4.7 s, and a second disk lost in that time loses accepted work.

Cause: an append is answered once it is synced. Answers that take longer than 200 ms keep the window of the leader at one append of 128 KB, so that each append waits for a sync.

Change: an empty store that would need several appends gets the applied state in parts, although the log holds all entries: the answers to parts wait for no sync, and the whole state for one.

Excluded: halving the window with a floor of two was not tried: with one sync of 250 ms for every two appends, 10 MB would still need more than 4.7 s.

--- a/crates/core/src/agreement/replication.rs
+++ b/crates/core/src/agreement/replication.rs
@@ -65,6 +65,7 @@
             progress.resent_at = now.mono;
         }
         let mut needs_heartbeat = is_heartbeat;
+        let sends_state_to_empty = self.sends_state_to_empty();
         loop {
             let Some(progress) = self.progress.get_mut(&host) else { return };
             let next_index = progress.next_index;
@@ -74,7 +75,9 @@
             if !has_entries && !needs_heartbeat {
                 return;
             }
-            let Some(prev_term) = self.log.term_at(prev_index) else {
+            let sends_entries = prev_index > 0 || !sends_state_to_empty;
+            let prev_term = self.log.term_at(prev_index).filter(|_| sends_entries);
+            let Some(prev_term) = prev_term else {
                 self.send_missing_state(now, host, out);
                 return;
             };
@@ -97,8 +100,16 @@
         }
     }
 
-    /// Removes and returns the hosts that need a snapshot, because the log no longer holds the
-    /// entries that they need.
+    /// Returns whether an empty replica gets the applied state although the log holds all entries.
+    ///
+    /// It does where it would need several appends: the answers to the parts of a snapshot wait for
+    /// no sync.
+    fn sends_state_to_empty(&self) -> bool {
+        let has_parts = self.group == GroupId::Directory && self.applied_index > 0;
+        has_parts && self.log.bytes() > MAX_APPEND_BYTES
+    }
+
+    /// Removes and returns the hosts that need a snapshot.
     #[must_use]
     pub fn take_snapshot_targets(&mut self) -> Vec<HostId> {
         std::mem::take(&mut self.snapshot_targets).into_iter().collect()
--- a/crates/core/tests/it/deployment.rs
+++ b/crates/core/tests/it/deployment.rs
@@ -86,6 +86,8 @@
     pub(crate) on_event: Option<EventObserver>,
     /// Called with each message that a host sends.
     pub(crate) on_send: Option<SendObserver>,
+    /// The time that a sync takes in addition, by host, in milliseconds.
+    pub(crate) sync_ms: BTreeMap<HostId, u64>,
     /// The memory limit of hosts that start from now on, in bytes.
     pub(crate) memory_limit: Option<u64>,
     /// The hosts whose disks sync nothing, with the last token that waits.
@@ -121,6 +123,7 @@
             event_interval_ms: 20,
             on_event: None,
             on_send: None,
+            sync_ms: BTreeMap::new(),
             memory_limit: None,
             stalled_disks: BTreeMap::new(),
             nodes: BTreeMap::new(),
@@ -426,7 +429,8 @@
                     *waiting = Some(token);
                     return;
                 }
-                let synced_at = self.now + self.rng.random_range(1..4);
+                let sync_ms = self.sync_ms.get(&id).copied().unwrap_or_default();
+                let synced_at = self.now + self.rng.random_range(1..4) + sync_ms;
                 self.schedule(synced_at, Scheduled::Event(id, boot_id, Event::Synced(token)));
             }
             Action::Answer { tag, answer } => {
--- a/crates/core/tests/it/main.rs
+++ b/crates/core/tests/it/main.rs
@@ -5,6 +5,7 @@
 
 mod agreement;
 mod bookings;
+mod catch_up;
 mod determinism;
 mod directory;
 mod fleet_settings;
