test(core): the test of shared texts passed without sharing

Cause: the simulated deployment handed messages over as values, so a receiver got the texts of the sender by reference.

Change: a deployment can encode and decode the messages between its hosts, and this test does so. The sizes of messages moved to the same file.

--- a/crates/core/tests/it/deployment.rs
+++ b/crates/core/tests/it/deployment.rs
@@ -5,19 +5,19 @@
 //! or without their disks.
 
 mod documents;
+mod messages;
 mod upstreams;
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, Instant};
 
-use chestnutdrift_core::agreement::{Entry, GroupMessage, Record};
-use chestnutdrift_core::directory::DirectoryCommand;
+use chestnutdrift_core::agreement::Record;
 use chestnutdrift_core::gateway::{
     Action, Answer, Call, Event, Gateway, GatewaySettings, IncomingCall, JobBody, Order,
     ResultsPage, Role, RunItem,
 };
 use chestnutdrift_core::key::SyncToken;
-use chestnutdrift_core::message::{Envelope, Message};
+use chestnutdrift_core::message::Envelope;
 use chestnutdrift_core::timeline::TimelineEvent;
 use chestnutdrift_core::{HostId, Millis, Now, RequestTag};
 use rand::{Rng, SeedableRng};
@@ -86,6 +86,8 @@
     pub(crate) on_event: Option<EventObserver>,
     /// Called with each message that a host sends.
     pub(crate) on_send: Option<SendObserver>,
+    /// Whether messages are encoded and decoded, so that hosts share no memory.
+    pub(crate) encodes_messages: bool,
     /// The time that a sync takes in addition, by host, in milliseconds.
     pub(crate) sync_ms: BTreeMap<HostId, u64>,
     /// The memory limit of hosts that start from now on, in bytes.
@@ -123,6 +125,7 @@
             event_interval_ms: 20,
             on_event: None,
             on_send: None,
+            encodes_messages: false,
             sync_ms: BTreeMap::new(),
             memory_limit: None,
             stalled_disks: BTreeMap::new(),
@@ -465,8 +468,9 @@
         // The messages of a link arrive in order and share its bandwidth.
         let delay = 2 + u64::from((from.0 * 7 + to.0 * 13) % 20);
         let free_at = self.link_free_at.entry((from, to)).or_default();
-        *free_at = (*free_at).max(self.now) + message_bytes(&envelope) / self.bytes_per_ms;
+        *free_at = (*free_at).max(self.now) + messages::bytes(&envelope) / self.bytes_per_ms;
         let arrival_time = *free_at + delay;
+        let envelope = if self.encodes_messages { messages::copy(&envelope) } else { envelope };
         self.schedule(arrival_time, Scheduled::Event(to, boot_id, Event::Received(envelope)));
     }
 
@@ -479,17 +483,3 @@
         stores.map(|(id, _)| *id).collect()
     }
 }
-
-/// Estimates the size of a message on its link, in bytes.
-fn message_bytes(envelope: &Envelope) -> u64 {
-    const OVERHEAD_BYTES: u64 = 200;
-    let Message::Group(frame) = &envelope.message else { return OVERHEAD_BYTES };
-    let bytes = match &frame.message {
-        GroupMessage::AppendEntries { entries, .. } => entries.iter().map(Entry::bytes).sum(),
-        GroupMessage::SnapshotPart { part, .. } => {
-            part.commands.iter().map(DirectoryCommand::bytes).sum()
-        }
-        _ => 0,
-    };
-    OVERHEAD_BYTES + bytes as u64
-}
--- a/crates/core/tests/it/log_size.rs
+++ b/crates/core/tests/it/log_size.rs
@@ -95,6 +95,7 @@
 #[test]
 fn a_store_that_fell_behind_keeps_its_texts_when_it_gets_a_snapshot() {
     let mut deployment = started(33);
+    deployment.encodes_messages = true;
     run_large_jobs(&mut deployment, 1, |_| {});
     let leader = deployment.leader().expect("a leader");
     let behind = *STORES.iter().find(|id| **id != leader).expect("a follower");
