fix(core): a leader held an old state for a store that was down

Callers saw: nothing yet; found by reading.

Cause: a transfer ended only with the answer to an append or with the leadership, and a dead host answers nothing.

The answer to a heartbeat, or a join request, starts another transfer.

--- a/crates/core/src/agreement/replication.rs
+++ b/crates/core/src/agreement/replication.rs
@@ -78,7 +78,11 @@
             let sends_entries = prev_index > 0 || !sends_state_to_empty;
             let prev_term = self.log.term_at(prev_index).filter(|_| sends_entries);
             let Some(prev_term) = prev_term else {
-                self.send_missing_state(now, host, out);
+                if !self.is_transfer_suspended(now, host) {
+                    self.send_missing_state(now, host, out);
+                } else if needs_heartbeat {
+                    self.suspend_transfer(now, host, out);
+                }
                 return;
             };
             let entries =
--- a/crates/core/src/agreement/snapshot_transfer.rs
+++ b/crates/core/src/agreement/snapshot_transfer.rs
@@ -8,11 +8,15 @@
 
 use super::replication::{APPEND_RETRY_DELAY, MAX_APPEND_BYTES};
 use super::send_window::SendWindow;
-use crate::agreement::{GroupMessage, GroupState, Outbox, Replica, Role, Snapshot, Voter};
+use crate::agreement::{GroupId, GroupMessage, GroupState, Outbox, Replica, Role, Snapshot, Voter};
 use crate::directory::{Directory, DirectoryCommand};
 use crate::key::HostId;
 use crate::time::{Millis, Now};
 
+/// The time without an answer after which a leader sends a replica no parts and holds no snapshot for
+/// it.
+const TRANSFER_TIMEOUT: Millis = Millis(5_000);
+
 /// One part of a snapshot.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -214,6 +218,32 @@
         self.send_parts(now, from, out);
     }
 
+    /// Returns whether a replica that needs a snapshot has been silent for so long that the leader
+    /// sends it none.
+    pub(super) fn is_transfer_suspended(&self, now: Now, host: HostId) -> bool {
+        let Some(progress) = self.progress.get(&host) else { return false };
+        let heard_at = progress.acked_sent_at.max(progress.last_join_request);
+        let is_silent = now.mono.since(heard_at.max(self.leader_since)) >= TRANSFER_TIMEOUT;
+        is_silent && self.group == GroupId::Directory
+    }
+
+    /// Ends the transfer to a silent replica and sends it a heartbeat, whose answer starts another.
+    pub(super) fn suspend_transfer(&mut self, now: Now, host: HostId, out: &mut Outbox) {
+        let Some(progress) = self.progress.get_mut(&host) else { return };
+        progress.transfer = None;
+        self.release_outgoing_snapshot();
+        let (prev_index, leader_commit) = (self.log.last_index(), self.commit_index);
+        let message = GroupMessage::AppendEntries {
+            term: self.term,
+            prev_index,
+            prev_term: self.log.last_term(),
+            entries: Vec::new(),
+            leader_commit,
+            sent_at: now.mono,
+        };
+        out.immediate.push((host, message));
+    }
+
     /// Drops the outgoing snapshot once no replica needs it any more.
     pub(super) fn release_outgoing_snapshot(&mut self) {
         if self.progress.values().all(|progress| progress.transfer.is_none()) {
--- a/crates/core/tests/it/main.rs
+++ b/crates/core/tests/it/main.rs
@@ -20,6 +20,7 @@
 mod routing;
 mod samples;
 mod scripts;
+mod silent_replica;
 mod stalled_disk;
 mod tables;
 mod text_cache;
