--- a/crates/core/src/agreement/replication.rs
+++ b/crates/core/src/agreement/replication.rs
@@ -65,6 +65,7 @@
             progress.resent_at = now.mono;
         }
         let mut needs_heartbeat = is_heartbeat;
+        let sends_state_to_empty = self.sends_state_to_empty();
         loop {
             let Some(progress) = self.progress.get_mut(&host) else { return };
             let next_index = progress.next_index;
@@ -74,8 +75,14 @@
             if !has_entries && !needs_heartbeat {
                 return;
             }
-            let Some(prev_term) = self.log.term_at(prev_index) else {
-                self.send_missing_state(now, host, out);
+            let sends_entries = prev_index > 0 || !sends_state_to_empty;
+            let prev_term = self.log.term_at(prev_index).filter(|_| sends_entries);
+            let Some(prev_term) = prev_term else {
+                if !self.is_transfer_suspended(now, host) {
+                    self.send_missing_state(now, host, out);
+                } else if needs_heartbeat {
+                    self.suspend_transfer(now, host, out);
+                }
                 return;
             };
             let entries =
@@ -97,8 +104,16 @@
         }
     }
 
-    /// Removes and returns the hosts that need a snapshot, because the log no longer holds the
-    /// entries that they need.
+    /// Returns whether an empty replica gets the applied state although the log holds all entries.
+    ///
+    /// It does where it would need several appends: the answers to the parts of a snapshot wait for
+    /// no sync.
+    fn sends_state_to_empty(&self) -> bool {
+        let has_parts = self.group == GroupId::Directory && self.applied_index > 0;
+        has_parts && self.log.bytes() > MAX_APPEND_BYTES
+    }
+
+    /// Removes and returns the hosts that need a snapshot.
     #[must_use]
     pub fn take_snapshot_targets(&mut self) -> Vec<HostId> {
         std::mem::take(&mut self.snapshot_targets).into_iter().collect()
@@ -186,6 +201,8 @@
     }
 
     /// Installs a snapshot, unless this replica has already committed as much.
+    ///
+    /// Later entries stay in the log if the log agrees with the snapshot, as they do on the disk.
     pub(super) fn handle_install_snapshot(
         &mut self,
         from: HostId,
@@ -195,13 +212,13 @@
     ) {
         self.leader_commit = None;
         if snapshot.index > self.commit_index {
-            self.log.reset(snapshot.index, snapshot.term);
+            self.log.continue_after(snapshot.index, snapshot.term);
             self.base_voters.clone_from(&snapshot.voters);
             self.commit_index = snapshot.index;
             self.applied_index = snapshot.index;
             self.snapshot_index = snapshot.index;
             self.applied_bytes = 0;
-            self.synced_index = snapshot.index;
+            self.synced_index = self.synced_index.min(self.log.last_index()).max(snapshot.index);
             self.installed_state = Some(snapshot.state.clone());
             if self.durable {
                 out.records.push(Record::Snapshot { group: self.group, snapshot });
