--- a/crates/core/tests/it/job_memory.rs
+++ b/crates/core/tests/it/job_memory.rs
@@ -1,7 +1,8 @@
 //! Jobs and the memory limit of the store hosts.
 
-use chestnutdrift_core::gateway::{Answer, Event};
+use chestnutdrift_core::gateway::{Answer, Call, Event};
 use chestnutdrift_core::{ErrorKind, HostId, Problem, RequestTag};
+use test_case::test_case;
 
 use crate::deployment::{Deployment, SimEngine, job};
 
@@ -119,3 +120,27 @@
     deployment.run(1_000);
     assert!(is_accepted(&deployment, accepted));
 }
+
+/// Guards against a leader that refuses every job for good because its log, which is compacted only
+/// when it grows, takes the memory of the jobs.
+#[test_case(46_000_000)]
+#[test_case(130_000_000)]
+fn a_leader_whose_jobs_were_removed_accepts_jobs_again(memory_limit: u64) {
+    const JOBS: usize = 120;
+    const JOB_INTERVAL_MS: u64 = 10_000;
+    let (mut deployment, _) = limited_deployment(1, memory_limit);
+    for number in 1..=8 {
+        deployment.add_engine(SimEngine::new(number));
+    }
+    deployment.event_padding_bytes = 4_000;
+    deployment.events_per_item = Some(10);
+    let mut refused_in_a_row = 0;
+    for number in 0..JOBS {
+        let id = format!("job-{number}");
+        let tag = deployment.submit(ENTRY, job(&id, 20, 1));
+        deployment.run(JOB_INTERVAL_MS);
+        refused_in_a_row = if is_accepted(&deployment, tag) { 0 } else { refused_in_a_row + 1 };
+        assert!(refused_in_a_row < 30, "no job was accepted for 300 s");
+        deployment.call(ENTRY, Call::EndJob { job: id.into() }, 1_000);
+    }
+}
