feat(core): an upstream that says in an answer that it leaves

Callers saw: nothing yet; the event has no sender in this commit. A host learned that an upstream drains from announcements alone, and those don't reach a host that is cut off from the stores.

The statement is a fact of the upstream on the board, with its source and time, and ends new requests, item runs and orders there. It belongs to the arena key, so that only a later start or another id brings the address back. What runs there runs on. Idle connections are closed, and the others are not kept after their answers. The gauge `upstreams_leaving` counts the upstreams that have said so and are not gone.

--- a/crates/core/src/gateway/action.rs
+++ b/crates/core/src/gateway/action.rs
@@ -9,7 +9,7 @@
 use crate::directory::{ItemOutcome, JobSpec};
 use crate::error::Problem;
 use crate::gateway::settings::Role;
-use crate::key::{AttemptKey, HostId, OrderKey, RequestTag, SyncToken};
+use crate::key::{AttemptKey, HostId, OrderKey, RequestTag, SyncToken, UpstreamKey};
 use crate::message::Envelope;
 use crate::time::Millis;
 use crate::timeline::TimelineEvent;
@@ -46,6 +46,11 @@
     },
     /// Orders an upstream to load a weight version.
     Order(Order),
+    /// Closes the idle connections to an upstream, and each of the others when its answer ends.
+    CloseUpstream {
+        /// The upstream.
+        upstream: UpstreamAddress,
+    },
     /// Sends a message to another host.
     Send {
         /// The receiving host.
@@ -74,6 +79,8 @@
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub struct UpstreamAddress {
+    /// The upstream's key on the board of the host, by which reports name it.
+    pub key: UpstreamKey,
     /// The instance id.
     pub id: Box<str>,
     /// The IP address and port.
@@ -272,6 +279,8 @@
     pub orders: u64,
     /// Upstreams that the host knows.
     pub upstreams: u64,
+    /// Upstreams that have said in an answer that they leave, and are not gone.
+    pub upstreams_leaving: u64,
     /// The version of the routing configuration in force.
     pub routing_version: u64,
     /// Whether the host takes requests.
--- a/crates/core/src/gateway/board.rs
+++ b/crates/core/src/gateway/board.rs
@@ -42,7 +42,7 @@
     Origin, PendingDecision, PendingStoreRequest, ResultsReader, StoreRequestState,
 };
 pub use text::{TextCache, is_same_item};
-pub use upstream::{Upstream, UpstreamHealth};
+pub use upstream::{LeaveSource, SaidLeaving, Upstream, UpstreamHealth};
 
 /// The purpose of an attempt.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
--- a/crates/core/src/gateway/board/upstream.rs
+++ b/crates/core/src/gateway/board/upstream.rs
@@ -34,6 +34,24 @@
     pub event_interval_us: u64,
 }
 
+/// The source from which a host knows that an upstream leaves, other than its announcements.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum LeaveSource {
+    /// An answer of the upstream to this host.
+    Answer,
+    /// Another host, directly or through a store host.
+    Host(HostId),
+}
+
+/// A statement of an upstream that it leaves; an instance never takes it back.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct SaidLeaving {
+    /// When this host learned of it.
+    pub at: Millis,
+    /// From where.
+    pub source: LeaveSource,
+}
+
 /// An upstream, as this host sees it.
 #[derive(Debug, Clone)]
 pub struct Upstream {
@@ -44,6 +62,8 @@
     /// When it left without having announced that it drains, and the sequence number of its last
     /// announcement before that; `None` otherwise.
     pub left: Option<(Millis, u64)>,
+    /// Its statement in an answer that it leaves; `None` before the first one.
+    pub said_leaving: Option<SaidLeaving>,
     /// When its last announcement arrived, directly or through another host.
     pub last_seen: Millis,
     /// Whether the upstream itself sent this host an announcement since this host's last hello to
@@ -73,6 +93,7 @@
             announced,
             gone: false,
             left: None,
+            said_leaving: None,
             last_seen: now,
             seen_directly: false,
             silent: false,
@@ -88,7 +109,7 @@
     /// Returns whether the upstream may be sent new requests.
     #[must_use]
     pub fn accepts_requests(&self) -> bool {
-        !self.gone && !self.announced.leaving
+        !self.gone && !self.announced.leaving && self.said_leaving.is_none()
     }
 
     /// Returns whether the upstream is avoided at the given time.
--- a/crates/core/src/gateway/controller/calls.rs
+++ b/crates/core/src/gateway/controller/calls.rs
@@ -13,7 +13,7 @@
 use super::Controller;
 use crate::error::{ErrorKind, Problem};
 use crate::gateway::action::{Answer, HostView, UpstreamView};
-use crate::gateway::board::{Board, DirectoryGroup};
+use crate::gateway::board::{Board, DirectoryGroup, Upstream};
 use crate::gateway::event::{Call, Event, IncomingCall, Query};
 use crate::gateway::message::StoreRequest;
 use crate::key::{HostId, RequestTag};
@@ -90,6 +90,8 @@
             counters.ready = board.ready;
             counters.leads = board.leads();
             counters.upstreams = board.upstreams.len() as u64;
+            let leaving = |upstream: &&Upstream| upstream.said_leaving.is_some() && !upstream.gone;
+            counters.upstreams_leaving = board.upstreams.values().filter(leaving).count() as u64;
             counters.routing_version = board.routing.as_ref().map_or(0, |r| r.version);
             Answer::Counters(counters)
         }
--- a/crates/core/src/gateway/controller/forwarding.rs
+++ b/crates/core/src/gateway/controller/forwarding.rs
@@ -412,6 +412,7 @@
     let routing = board.routing.as_deref().map_or(0, |routing: &RoutingConfig| routing.version);
     let upstream = &board.upstreams[upstream_key];
     let address = UpstreamAddress {
+        key: upstream_key,
         id: upstream.announced.id.clone(),
         address: upstream.announced.address.clone(),
     };
--- a/crates/core/src/gateway/controller/items.rs
+++ b/crates/core/src/gateway/controller/items.rs
@@ -318,6 +318,7 @@
     let run = RunItem {
         attempt,
         upstream: UpstreamAddress {
+            key: upstream_key,
             id: upstream.announced.id.clone(),
             address: upstream.announced.address.clone(),
         },
--- a/crates/core/src/gateway/controller/loads.rs
+++ b/crates/core/src/gateway/controller/loads.rs
@@ -188,6 +188,7 @@
     let order = Order {
         order: order_key,
         upstream: UpstreamAddress {
+            key,
             id: upstream.announced.id.clone(),
             address: upstream.announced.address.clone(),
         },
--- a/crates/core/src/gateway/controller/registry.rs
+++ b/crates/core/src/gateway/controller/registry.rs
@@ -1,6 +1,7 @@
 //! Registry: tracks the upstreams that announce themselves, to this host or to another store host.
 //!
-//! Reads: `pending_calls` (announcements and leaves), `pending_announcements`, the clock.
+//! Reads: `pending_calls` (announcements and leaves), `pending_announcements`, upstreams that said
+//! in an answer that they leave, the clock.
 //! Writes: `pending_calls`, `upstreams`, `upstream_index`, `revision`, `registry_changed`,
 //! `actions`.
 //!
@@ -11,8 +12,8 @@
 //! cut off from the store hosts only, so requests merely prefer other upstreams.
 
 use super::Controller;
-use crate::gateway::action::Answer;
-use crate::gateway::board::{AnnouncementSource, Board, Upstream};
+use crate::gateway::action::{Action, Answer, UpstreamAddress};
+use crate::gateway::board::{AnnouncementSource, Board, LeaveSource, SaidLeaving, Upstream};
 use crate::gateway::event::{Announcement, Call, Event, IncomingCall};
 use crate::gateway::settings::Role;
 use crate::key::{HostId, UpstreamKey};
@@ -40,7 +41,10 @@
 }
 
 impl Controller for Registry {
-    fn run(&mut self, board: &mut Board, _event: Option<&Event>) {
+    fn run(&mut self, board: &mut Board, event: Option<&Event>) {
+        if let Some(Event::UpstreamLeaving { upstream, answer }) = event {
+            mark_leaving(board, *upstream, LeaveSource::Answer, answer);
+        }
         handle_calls(board);
         for (announced, source) in std::mem::take(&mut board.pending_announcements) {
             handle_announcement(board, announced, source);
@@ -77,6 +81,21 @@
     board.pending_calls = remaining;
 }
 
+/// Records that an upstream has said that it leaves. Only another instance ends this state: neither
+/// an announcement of the same instance nor its silence does.
+fn mark_leaving(board: &mut Board, key: UpstreamKey, source: LeaveSource, answer: &str) {
+    let at = board.now.mono;
+    let Some(upstream) = board.upstreams.get_mut(key) else { return };
+    if upstream.said_leaving.is_some() {
+        return;
+    }
+    upstream.said_leaving = Some(SaidLeaving { at, source });
+    let (id, address) = (upstream.announced.id.clone(), upstream.announced.address.clone());
+    let upstream = UpstreamAddress { key, id, address };
+    board.actions.push(Action::CloseUpstream { upstream });
+    report_change(board, key, &format!("said that it leaves: {answer}"));
+}
+
 fn handle_leave(board: &mut Board, id: &str) {
     let now = board.now.mono;
     let Some(key) = board.upstream_index.get(id).copied() else { return };
--- a/crates/core/src/gateway/event.rs
+++ b/crates/core/src/gateway/event.rs
@@ -7,7 +7,7 @@
 use crate::agreement::Record;
 use crate::directory::{ItemSpec, ItemText, RoutingConfig};
 use crate::error::Problem;
-use crate::key::{AttemptKey, HostId, OrderKey, RequestTag, SyncToken};
+use crate::key::{AttemptKey, HostId, OrderKey, RequestTag, SyncToken, UpstreamKey};
 use crate::message::Envelope;
 use crate::time::Millis;
 
@@ -56,6 +56,13 @@
         /// How it ended.
         end: OrderEnd,
     },
+    /// An upstream has said in the head of an answer that it leaves.
+    UpstreamLeaving {
+        /// The upstream.
+        upstream: UpstreamKey,
+        /// The answer, for the log.
+        answer: Box<str>,
+    },
     /// A message from another host has arrived.
     Received(Envelope),
     /// A batch of records is synced to the disk.
--- a/crates/core/tests/it/deployment.rs
+++ b/crates/core/tests/it/deployment.rs
@@ -424,7 +424,11 @@
             }
             Action::Note(event) => self.timeline.push(event),
             Action::Exit => self.kill(id),
-            Action::Cancel { .. } | Action::Deliver { .. } | Action::Drain | Action::CloseIdle => {}
+            Action::Cancel { .. }
+            | Action::CloseUpstream { .. }
+            | Action::Deliver { .. }
+            | Action::Drain
+            | Action::CloseIdle => {}
         }
     }
 
--- /dev/null
+++ b/crates/core/tests/it/leaving.rs
@@ -0,0 +1,170 @@
+//! Upstreams that say in an answer that they leave.
+
+use chestnutdrift_core::gateway::board::LeaveSource;
+use chestnutdrift_core::gateway::{Announcement, Answer, Call, Event};
+use chestnutdrift_core::{HostId, UpstreamKey};
+
+use crate::deployment::Deployment;
+
+const STORE: HostId = HostId(1);
+const STORES: u32 = 3;
+const ENTRY: HostId = HostId(101);
+
+/// How long an announcement takes from a store to the other hosts, with a margin, in milliseconds.
+const SPREAD_MS: u64 = 1_500;
+
+fn announcement(id: &str, started_at: u64, seq: u64) -> Announcement {
+    Announcement {
+        id: id.into(),
+        service: "desk".into(),
+        address: "10.0.0.8:8000".into(),
+        zone: "zone-1".into(),
+        slots: 8,
+        leaving: false,
+        started_at,
+        seq,
+        versions: Vec::new(),
+    }
+}
+
+fn announce(deployment: &mut Deployment, announced: Announcement) {
+    deployment.send_call(STORE, Call::Announce(announced));
+    deployment.run(SPREAD_MS);
+}
+
+fn start(seed: u64) -> Deployment {
+    let mut deployment = Deployment::new(seed, STORES, 2);
+    deployment.start_serving();
+    for id in ["desk-1", "desk-2"] {
+        announce(&mut deployment, announcement(id, 1, 5));
+    }
+    deployment
+}
+
+fn cut_from_stores(deployment: &mut Deployment, entry: HostId, cut: bool) {
+    for store in 1..=STORES {
+        deployment.cut(entry, HostId(store), cut);
+    }
+}
+
+fn key(deployment: &Deployment, host: HostId, id: &str) -> UpstreamKey {
+    deployment.gateway(host).board().upstream_index[id]
+}
+
+/// Reports that an answer to a host said that an upstream leaves.
+fn say_leaving(deployment: &mut Deployment, host: HostId, id: &str) {
+    let upstream = key(deployment, host, id);
+    let answer = "status=200".into();
+    deployment.deliver(host, Event::UpstreamLeaving { upstream, answer });
+    deployment.run(1);
+}
+
+fn request() -> Call {
+    Call::Request { host: "desk.example".into(), path: "/desk/1".into() }
+}
+
+/// Sends requests to an entry and returns how many of them went to each of the upstreams.
+fn forwards(deployment: &mut Deployment, entry: HostId, ids: [&str; 2]) -> [usize; 2] {
+    let before = deployment.forwards.len();
+    for _ in 0..10 {
+        deployment.call(entry, request(), 20);
+    }
+    let sent = &deployment.forwards[before..];
+    ids.map(|id| {
+        let to = |(host, forward): &&(HostId, _)| {
+            let forward: &chestnutdrift_core::gateway::Forward = forward;
+            *host == entry && *forward.upstream.id == *id
+        };
+        sent.iter().filter(to).count()
+    })
+}
+
+/// Guards against requests to an upstream that says that it leaves while its announcements say that
+/// it is ready, on a host that hears from no store.
+#[test]
+fn an_upstream_that_says_it_leaves_gets_no_request_from_a_host_cut_off_from_the_stores() {
+    let mut deployment = start(31);
+    cut_from_stores(&mut deployment, ENTRY, true);
+    deployment.run(5_000);
+    say_leaving(&mut deployment, ENTRY, "desk-1");
+    let [leaving, other] = forwards(&mut deployment, ENTRY, ["desk-1", "desk-2"]);
+    assert_eq!(leaving, 0);
+    assert!(other > 0);
+    let log = deployment.timeline.iter().filter(|event| &*event.subject == "desk-1");
+    let said = log.filter(|event| event.detail.contains("said that it leaves: status=200"));
+    assert_eq!(said.filter(|event| event.host == ENTRY).count(), 1, "one log line of this host");
+}
+
+/// Guards against announcements of an instance that bring it back after it said that it leaves.
+#[test]
+fn no_announcement_of_the_same_instance_brings_a_leaving_upstream_back() {
+    let mut deployment = start(32);
+    say_leaving(&mut deployment, ENTRY, "desk-1");
+    for seq in [4, 5, 6, 60] {
+        announce(&mut deployment, announcement("desk-1", 1, seq));
+        let [leaving, _] = forwards(&mut deployment, ENTRY, ["desk-1", "desk-2"]);
+        assert_eq!(leaving, 0, "after announcement {seq}");
+    }
+    cut_from_stores(&mut deployment, ENTRY, true);
+    deployment.run(5_000);
+    cut_from_stores(&mut deployment, ENTRY, false);
+    deployment.run(5_000);
+    let [leaving, _] = forwards(&mut deployment, ENTRY, ["desk-1", "desk-2"]);
+    assert_eq!(leaving, 0, "after a cut");
+}
+
+/// Guards against a new instance that gets nothing because the one before it said that it leaves.
+#[test]
+fn a_new_instance_serves_at_once_after_one_that_said_it_leaves() {
+    let mut deployment = start(33);
+    let old = key(&deployment, ENTRY, "desk-1");
+    say_leaving(&mut deployment, ENTRY, "desk-1");
+    say_leaving(&mut deployment, ENTRY, "desk-2");
+    announce(&mut deployment, announcement("desk-1", 2, 1));
+    let [restarted, _] = forwards(&mut deployment, ENTRY, ["desk-1", "desk-2"]);
+    assert!(restarted > 0, "the same id with a later start");
+    announce(&mut deployment, announcement("desk-3", 1, 1));
+    let [other, _] = forwards(&mut deployment, ENTRY, ["desk-3", "desk-2"]);
+    assert!(other > 0, "another id at the same address");
+    // A late answer of the old instance.
+    let late = Event::UpstreamLeaving { upstream: old, answer: "status=200".into() };
+    deployment.deliver(ENTRY, late);
+    announce(&mut deployment, announcement("desk-1", 1, 90));
+    let [restarted, _] = forwards(&mut deployment, ENTRY, ["desk-1", "desk-2"]);
+    assert!(restarted > 0, "after a late answer and a late announcement");
+}
+
+/// Guards against a request or a stream that is broken off because its upstream says that it leaves.
+#[test]
+fn what_runs_at_a_leaving_upstream_runs_on() {
+    let mut deployment = start(34);
+    let tag = deployment.send_call(ENTRY, request());
+    deployment.run(20);
+    let (_, running) = deployment.forwards.last().cloned().expect("a forward");
+    say_leaving(&mut deployment, ENTRY, &running.upstream.id);
+    deployment.run(100);
+    assert!(!deployment.answers.contains_key(&tag));
+    let upstream = deployment.gateway(ENTRY).board().upstreams.get(running.upstream.key);
+    let upstream = upstream.expect("the upstream");
+    assert_eq!(upstream.in_flight, 1);
+    assert_eq!(upstream.said_leaving.map(|said| said.source), Some(LeaveSource::Answer));
+}
+
+/// Guards against orders that change an upstream that has said that it leaves.
+#[test]
+fn a_leaving_engine_gets_no_order() {
+    let mut deployment = Deployment::new(36, STORES, 2);
+    let leader = deployment.start_serving();
+    for number in [1, 2] {
+        deployment.add_engine(crate::deployment::SimEngine::new(number));
+    }
+    deployment.run(SPREAD_MS + 3_000);
+    say_leaving(&mut deployment, leader, "engine-1");
+    let named = Call::NameVersion { model: "model".into(), version: 2 };
+    assert_eq!(deployment.call(leader, named, 900), Some(Answer::Done));
+    deployment.run(8_000);
+    let ordered: Vec<&str> =
+        deployment.orders.iter().map(|(_, _, order)| &*order.upstream.id).collect();
+    assert!(ordered.contains(&"engine-2"), "{ordered:?}");
+    assert!(!ordered.contains(&"engine-1"), "{ordered:?}");
+}
--- a/crates/core/tests/it/main.rs
+++ b/crates/core/tests/it/main.rs
@@ -10,6 +10,7 @@
 mod fleet_settings;
 mod item_queue;
 mod job_memory;
+mod leaving;
 mod lifecycle;
 mod log_size;
 mod partial_texts;
--- a/crates/daemon/src/gateway/control.rs
+++ b/crates/daemon/src/gateway/control.rs
@@ -188,6 +188,7 @@
             Action::Order(order) => {
                 self.outputs.runtime.spawn(self.outputs.orders.clone().run(order));
             }
+            Action::CloseUpstream { upstream } => self.outputs.pool.close_upstream(&upstream),
             Action::Send { to, envelope } => self.outputs.links.send(to, envelope),
             Action::Persist { token, records } => {
                 let Some(disk) = &self.outputs.disk else { return };
--- a/crates/daemon/src/gateway/metrics.rs
+++ b/crates/daemon/src/gateway/metrics.rs
@@ -207,6 +207,7 @@
         ("items_moved", counters.items_moved),
         ("orders", counters.orders),
         ("upstreams", counters.upstreams),
+        ("upstreams_leaving", counters.upstreams_leaving),
         ("routing_version", counters.routing_version),
         ("ready", u64::from(counters.ready)),
         ("leads", u64::from(counters.leads)),
--- a/crates/daemon/src/gateway/pool.rs
+++ b/crates/daemon/src/gateway/pool.rs
@@ -7,6 +7,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
+use chestnutdrift_core::UpstreamKey;
 use chestnutdrift_core::gateway::UpstreamAddress;
 use http_body_util::Full;
 use hyper::body::Incoming;
@@ -33,6 +34,10 @@
 /// How long sent bytes may stay unacknowledged before the system closes the connection.
 const TCP_USER_TIMEOUT_MS: u32 = 2_000;
 
+/// How long connections to a closed upstream are not kept; the answers that run there end within
+/// this time.
+const CLOSED_RETENTION: Duration = Duration::from_secs(60);
+
 /// The reason why a request got no response.
 #[derive(Debug)]
 pub enum SendError {
@@ -65,6 +70,8 @@
 #[derive(Debug, Clone, Default)]
 pub struct Pool {
     idle: Arc<Mutex<BTreeMap<Box<str>, Vec<IdleConnection>>>>,
+    /// Until when connections to closed upstreams are not kept.
+    closed: Arc<Mutex<BTreeMap<UpstreamKey, Instant>>>,
     opened: Arc<AtomicU64>,
 }
 
@@ -112,7 +119,7 @@
         connection: Connection,
         keep_alive_secs: Option<u64>,
     ) {
-        if connection.sender.is_closed() {
+        if connection.sender.is_closed() || self.is_closed(upstream.key) {
             return;
         }
         let idle = keep_alive_secs
@@ -126,9 +133,26 @@
         }
     }
 
+    /// Closes the idle connections to an upstream, and keeps no connection to it from now on.
+    pub fn close_upstream(&self, upstream: &UpstreamAddress) {
+        if let Ok(mut closed) = self.closed.lock() {
+            closed.insert(upstream.key, Instant::now() + CLOSED_RETENTION);
+        }
+        if let Ok(mut idle_by_upstream) = self.idle.lock() {
+            idle_by_upstream.remove(&upstream.id);
+        }
+    }
+
+    fn is_closed(&self, upstream: UpstreamKey) -> bool {
+        self.closed.lock().is_ok_and(|closed| closed.contains_key(&upstream))
+    }
+
     /// Closes the idle connections that have expired.
     pub fn sweep(&self) {
         let now = Instant::now();
+        if let Ok(mut closed) = self.closed.lock() {
+            closed.retain(|_, until| *until > now);
+        }
         let Ok(mut idle_by_upstream) = self.idle.lock() else { return };
         for list in idle_by_upstream.values_mut() {
             list.retain(|idle| idle.expires_at > now && !idle.connection.sender.is_closed());
