fix(daemon): the header of a leaving upstream was not looked at

Cause: no code read the header.

The protocol says whether the head of an answer states that the instance asked leaves: in successes, failures, refusals, answers that do not match (with the instance's id only), streams, order reports and orders. The control thread is told when the head has come, not at the end of the body, and before the caller gets the answer. An order is not sent where the report before it says so. The header concerns no connection, so callers get it as it came.

--- a/crates/core/src/gateway/controller/loads.rs
+++ b/crates/core/src/gateway/controller/loads.rs
@@ -127,7 +127,9 @@
             load.orders = *orders;
             load.retry_at = now + ORDER_RETRY_DELAY;
         }
-        OrderEnd::Refused { .. } | OrderEnd::Expired => load.retry_at = now + ORDER_RETRY_DELAY,
+        OrderEnd::Refused { .. } | OrderEnd::Expired | OrderEnd::Leaving => {
+            load.retry_at = now + ORDER_RETRY_DELAY;
+        }
         OrderEnd::Unknown { .. } => {
             load.orders = None;
             load.retry_at = now + ORDER_RETRY_DELAY;
--- a/crates/core/src/gateway/event.rs
+++ b/crates/core/src/gateway/event.rs
@@ -325,6 +325,8 @@
     },
     /// The lease expired before the order was sent.
     Expired,
+    /// The upstream said that it leaves before the order was sent.
+    Leaving,
     /// No answer came; the order may still be carried out.
     Unknown {
         /// The cause.
--- a/crates/daemon/src/gateway/forward.rs
+++ b/crates/daemon/src/gateway/forward.rs
@@ -9,6 +9,8 @@
 use hyper::http::{request, response};
 use hyper::{HeaderMap, Response, StatusCode};
 
+use super::input::InputSender;
+use super::leaving::report_if_leaving;
 use super::pool::{Connection, Pool, SendError};
 use super::protocol::{Protocol, ResponseClass};
 
@@ -63,10 +65,12 @@
 
 /// Sends a request to an upstream and reads its response.
 ///
-/// A connection whose response was read in full goes back to the pool.
+/// A connection whose response was read in full goes back to the pool. If the response says that the
+/// upstream leaves, `inputs` is told as soon as its head has come.
 pub async fn run(
     protocol: &dyn Protocol,
     pool: &Pool,
+    inputs: &InputSender,
     received: &ReceivedRequest,
     forward: &Forward,
 ) -> Outcome {
@@ -84,6 +88,8 @@
     };
     let (head, body) = response.into_parts();
     let request_id = protocol.request_id(&received.head.headers);
+    let call = format!("request={}", request_id.unwrap_or_default());
+    report_if_leaving(protocol, inputs, &forward.upstream, &head, request_id, call);
     match protocol.classify_response(request_id, &forward.upstream, &head) {
         ResponseClass::Mismatched => {
             let detail = "the response does not match the request".into();
--- a/crates/daemon/src/gateway/items.rs
+++ b/crates/daemon/src/gateway/items.rs
@@ -14,6 +14,7 @@
 
 use super::events::{EventReader, StreamEvent};
 use super::input::{Input, InputSender, NotQueued};
+use super::leaving::report_if_leaving;
 use super::pool::{Connection, Pool, SendError};
 use super::protocol::{Protocol, ResponseClass};
 
@@ -154,6 +155,9 @@
         let (head, body) = response.into_parts();
         let status = head.status.as_u16();
         let request_id = self.protocol.request_id(request.headers());
+        let call = format!("item={}", request_id.unwrap_or_default());
+        let protocol = &*self.protocol;
+        report_if_leaving(protocol, &self.inputs, &run.upstream, &head, request_id, call);
         match self.protocol.classify_response(request_id, &run.upstream, &head) {
             ResponseClass::Mismatched => {
                 return ItemEnd::Broken {
--- a/crates/daemon/src/gateway/orders.rs
+++ b/crates/daemon/src/gateway/orders.rs
@@ -9,6 +9,7 @@
 use hyper::Request;
 
 use super::input::{Input, InputSender};
+use super::leaving::report_if_leaving;
 use super::pool::{Pool, SendError};
 use super::protocol::{OrderReport, Protocol};
 use crate::clock::Clock;
@@ -38,6 +39,24 @@
     pub inputs: InputSender,
 }
 
+/// An upstream's answer to a call of its own interface.
+#[derive(Debug)]
+struct Reply {
+    status: u16,
+    body: Bytes,
+    /// Whether the upstream says that it leaves.
+    leaving: bool,
+}
+
+/// The outcome of a request for an order report.
+#[derive(Debug, Default)]
+struct FetchedReport {
+    /// `None` where none was returned.
+    report: Option<OrderReport>,
+    /// Whether the upstream says that it leaves.
+    leaving: bool,
+}
+
 impl OrderSender {
     /// Sends an order and reports its end to the control thread.
     pub async fn run(self, order: Order) {
@@ -52,11 +71,12 @@
         let orders_before = match order.orders_before {
             Some(orders_before) => orders_before,
             None => match self.fetch_report(&order.upstream).await {
-                Some(report) if report.busy => {
+                FetchedReport { leaving: true, .. } => return OrderEnd::Leaving,
+                FetchedReport { report: Some(report), .. } if report.busy => {
                     return OrderEnd::Conflict { orders: Some(report.orders) };
                 }
-                Some(report) => report.orders,
-                None => {
+                FetchedReport { report: Some(report), .. } => report.orders,
+                FetchedReport { report: None, .. } => {
                     return OrderEnd::Unknown {
                         detail: "the upstream did not return its order report".into(),
                     };
@@ -67,32 +87,38 @@
             return OrderEnd::Expired;
         }
         let request = self.protocol.order_request(order, orders_before);
-        match self.send_request(&order.upstream, &request).await {
-            Ok((202, _)) => OrderEnd::Begun { orders: orders_before + 1 },
-            Ok((200, _)) => OrderEnd::Holds { orders: Some(orders_before) },
-            Ok((409, _)) => {
-                let report = self.fetch_report(&order.upstream).await;
-                OrderEnd::Conflict { orders: report.map(|report| report.orders) }
+        match self.send_request(&order.upstream, &request, "order").await {
+            Ok(Reply { status: 202, .. }) => OrderEnd::Begun { orders: orders_before + 1 },
+            Ok(Reply { status: 200, .. }) => OrderEnd::Holds { orders: Some(orders_before) },
+            Ok(Reply { status: 409, .. }) => {
+                let fetched = self.fetch_report(&order.upstream).await;
+                OrderEnd::Conflict { orders: fetched.report.map(|report| report.orders) }
             }
-            Ok((status, _)) => OrderEnd::Refused { status },
+            Ok(Reply { status, .. }) => OrderEnd::Refused { status },
             Err(detail) => OrderEnd::Unknown { detail },
         }
     }
 
-    async fn fetch_report(&self, upstream: &UpstreamAddress) -> Option<OrderReport> {
+    async fn fetch_report(&self, upstream: &UpstreamAddress) -> FetchedReport {
         let request = self.protocol.order_report_request(upstream);
-        let (status, body) = self.send_request(upstream, &request).await.ok()?;
-        if status != 200 {
-            return None;
-        }
-        self.protocol.parse_order_report(&body)
+        let reply = match self.send_request(upstream, &request, "report").await {
+            Ok(reply) => reply,
+            Err(error) => {
+                log::debug!(event = "no-order-report", upstream = &*upstream.id; "{error}");
+                return FetchedReport::default();
+            }
+        };
+        let is_report = reply.status == 200;
+        let report = is_report.then(|| self.protocol.parse_order_report(&reply.body)).flatten();
+        FetchedReport { report, leaving: reply.leaving }
     }
 
     async fn send_request(
         &self,
         upstream: &UpstreamAddress,
         request: &Request<Bytes>,
-    ) -> Result<(u16, Bytes), Box<str>> {
+        call: &str,
+    ) -> Result<Reply, Box<str>> {
         let sent = self.pool.send(upstream, request, CONNECT_TIMEOUT);
         let Ok(sent) = tokio::time::timeout(RESPONSE_TIMEOUT, sent).await else {
             return Err(format!("no response within {RESPONSE_TIMEOUT:?}").into());
@@ -102,18 +128,20 @@
         })?;
         let (head, body) = response.into_parts();
         let status = head.status.as_u16();
+        let protocol = &*self.protocol;
+        let leaving = report_if_leaving(protocol, &self.inputs, upstream, &head, None, call);
         let body = Limited::new(body, MAX_BODY_BYTES).collect();
         match tokio::time::timeout(BODY_TIMEOUT, body).await {
             Ok(Ok(body)) => {
                 let keep_alive_secs = self.protocol.keep_alive_secs(&head.headers);
                 self.pool.release(upstream, connection, keep_alive_secs);
-                Ok((status, body.to_bytes()))
+                Ok(Reply { status, body: body.to_bytes(), leaving })
             }
             // The status alone tells the end of an order; a report needs its body.
             unread => {
                 let why = unread.map_or_else(|late| late.to_string(), |read| format!("{read:?}"));
                 log::warn!(event = "order-body-unread", upstream = &*upstream.id; "{why}");
-                Ok((status, Bytes::new()))
+                Ok(Reply { status, body: Bytes::new(), leaving })
             }
         }
     }
--- a/crates/daemon/src/gateway/pool.rs
+++ b/crates/daemon/src/gateway/pool.rs
@@ -82,6 +82,12 @@
         self.opened.load(Ordering::Relaxed)
     }
 
+    /// Returns the number of idle connections.
+    #[must_use]
+    pub fn idle(&self) -> usize {
+        self.idle.lock().map_or(0, |idle| idle.values().map(Vec::len).sum())
+    }
+
     /// Sends a request over an idle connection or a new one.
     ///
     /// An idle connection that turns out to be closed before anything was sent on it is replaced by
--- a/crates/daemon/src/gateway/protocol.rs
+++ b/crates/daemon/src/gateway/protocol.rs
@@ -104,6 +104,15 @@
         head: &response::Parts,
     ) -> ResponseClass;
 
+    /// Returns whether the head of a response to the request with an id, where it has one, says that
+    /// the instance at `upstream` leaves.
+    fn is_leaving(
+        &self,
+        request_id: Option<&str>,
+        upstream: &UpstreamAddress,
+        headers: &HeaderMap,
+    ) -> bool;
+
     /// Returns the headers of an upstream's response that are passed on to the caller.
     fn forwarded_headers(&self, headers: &HeaderMap) -> HeaderMap;
 
--- a/crates/daemon/src/gateway/server.rs
+++ b/crates/daemon/src/gateway/server.rs
@@ -282,7 +282,10 @@
                     attempt = Some(Box::pin(async move {
                         let key = forward.attempt;
                         let (protocol, pool) = (&*server.protocol, &server.pool);
-                        (key, forward::run(protocol, pool, &received, &forward).await)
+                        (
+                            key,
+                            forward::run(protocol, pool, &server.inputs, &received, &forward).await,
+                        )
                     }));
                 }
                 Some(Directive::Deliver) => {
