fix(core): requests waited although all upstreams of their service leave

Callers saw: a rejection after a quarter of the objective where every upstream that the host knows of a service leaves or is gone.

A request that can't be served is rejected at once, as not run, with the delay after which the caller may return. A host that knows no upstream of a service still waits, since it may not have heard of them yet.

--- a/crates/core/src/gateway/controller/forwarding.rs
+++ b/crates/core/src/gateway/controller/forwarding.rs
@@ -393,9 +393,24 @@
     }
 }
 
-/// Ends a request that has waited too long for a free upstream.
+/// Returns whether the upstreams of a service that this host knows all leave or are gone.
+fn all_leave(board: &Board, service: &str) -> bool {
+    let mut known = board.upstreams.values().filter(|u| *u.announced.service == *service);
+    let Some(first) = known.next() else { return false };
+    !first.accepts_requests() && known.all(|upstream| !upstream.accepts_requests())
+}
+
+/// Ends a request that has waited too long for a free upstream, or waits for none.
 fn fail_after_max_wait(board: &mut Board, key: RequestKey) {
     let request = &board.requests[key];
+    if all_leave(board, &request.service) {
+        let request = &mut board.requests[key];
+        if request.last_failure.is_empty() {
+            request.last_failure = "all upstreams leave".into();
+        }
+        fail(board, key);
+        return;
+    }
     let waited = board.now.mono.since(request.opened);
     if waited.0 * MAX_WAIT_DIVISOR >= request.route.latency_objective.0 {
         let request = &mut board.requests[key];
--- a/crates/core/tests/it/leaving.rs
+++ b/crates/core/tests/it/leaving.rs
@@ -2,7 +2,7 @@
 
 use chestnutdrift_core::gateway::board::LeaveSource;
 use chestnutdrift_core::gateway::{Announcement, Answer, Call, Event};
-use chestnutdrift_core::{HostId, UpstreamKey};
+use chestnutdrift_core::{ErrorKind, HostId, Ran, UpstreamKey};
 
 use crate::deployment::Deployment;
 
@@ -150,6 +150,21 @@
     assert_eq!(upstream.said_leaving.map(|said| said.source), Some(LeaveSource::Answer));
 }
 
+/// Guards against requests that wait although every upstream of their service leaves.
+#[test]
+fn a_request_is_rejected_at_once_where_all_upstreams_leave() {
+    let mut deployment = start(35);
+    say_leaving(&mut deployment, ENTRY, "desk-1");
+    say_leaving(&mut deployment, ENTRY, "desk-2");
+    let answer = deployment.call(ENTRY, request(), 2);
+    let Some(Answer::Problem(problem)) = answer else { panic!("{answer:?}") };
+    assert_eq!((problem.kind, problem.ran), (ErrorKind::Unavailable, Ran::No));
+    assert!(problem.retry_after_ms.is_some());
+    let page = deployment.call(ENTRY, Call::Query(chestnutdrift_core::gateway::Query::Counters), 2);
+    let Some(Answer::Counters(counters)) = page else { panic!("{page:?}") };
+    assert_eq!(counters.upstreams_leaving, 2);
+}
+
 /// Guards against orders that change an upstream that has said that it leaves.
 #[test]
 fn a_leaving_engine_gets_no_order() {
