feat(core): other hosts learn that an upstream said it leaves

Callers saw: a retry at another host met the leaving upstream again, until that host got an answer or an announcement of it.

A host names the upstreams that said so to itself in its hellos to the store hosts, the next of which goes out 200 ms after the statement at the latest. The stores record it for the same start of the upstream and pass it on with the registry, as they do when they get such an answer themselves. Both fields are left out or ignored between this version and an earlier one.

--- a/crates/core/src/gateway/board.rs
+++ b/crates/core/src/gateway/board.rs
@@ -99,6 +99,9 @@
     pub registry_changed: bool,
     /// Announcements from other hosts that are not handled yet.
     pub pending_announcements: Vec<(Announcement, AnnouncementSource)>,
+    /// Reports of other hosts that an upstream has said in an answer that it leaves, by its id and
+    /// the wall time of its start, with the host; not handled yet.
+    pub pending_leaves: Vec<(Box<str>, u64, HostId)>,
     /// The routing configuration in force on this host.
     pub routing: Option<Arc<RoutingConfig>>,
     /// A received routing configuration, to put in force if it is newer than the current one.
@@ -163,6 +166,8 @@
         silent: bool,
         /// Whether the upstream has left for good.
         gone: bool,
+        /// Whether the upstream has said in an answer that it leaves.
+        said_leaving: bool,
     },
 }
 
@@ -188,6 +193,7 @@
             revision: 0,
             registry_changed: false,
             pending_announcements: Vec::new(),
+            pending_leaves: Vec::new(),
             routing: None,
             received_routing: None,
             pending_calls: VecDeque::new(),
--- a/crates/core/src/gateway/controller/membership.rs
+++ b/crates/core/src/gateway/controller/membership.rs
@@ -1,11 +1,11 @@
 //! Membership: discovers the store hosts, starting from the seeds, and exchanges state with them.
 //!
-//! Reads: messages of other hosts, reloaded seeds, `routing`, the clock.
-//! Writes: `hosts`, `leader`, `received_routing`, `pending_announcements`, `upstreams` (time and
-//! number of the last announcement), `actions`.
+//! Reads: messages of other hosts, reloaded seeds, `routing`, `upstreams`, the clock.
+//! Writes: `hosts`, `leader`, `received_routing`, `pending_announcements`, `pending_leaves`,
+//! `upstreams` (time and number of the last announcement), `actions`.
 
 use super::Controller;
-use crate::gateway::board::{AnnouncementSource, Board};
+use crate::gateway::board::{AnnouncementSource, Board, LeaveSource};
 use crate::gateway::event::Event;
 use crate::gateway::message::{GatewayMessage, Hello, UpstreamRecord, View};
 use crate::gateway::settings::Role;
@@ -84,6 +84,9 @@
     host.acknowledged_revision =
         if hello.known_revision.0 == boot_id { hello.known_revision.1 } else { 0 };
     host.sent_revision = host.acknowledged_revision;
+    for (id, started_at) in &hello.leaving_upstreams {
+        board.pending_leaves.push((id.clone(), *started_at, from));
+    }
     let now = board.now.mono;
     for (id, seq) in &hello.seen_upstreams {
         let Some(key) = board.upstream_index.get(id) else { continue };
@@ -110,8 +113,13 @@
         board.received_routing = Some(routing.clone());
     }
     for record in &view.upstreams {
-        let UpstreamRecord { announced, silent, gone } = record;
-        let source = AnnouncementSource::Registry { host: from, silent: *silent, gone: *gone };
+        let UpstreamRecord { announced, silent, gone, said_leaving } = record;
+        let source = AnnouncementSource::Registry {
+            host: from,
+            silent: *silent,
+            gone: *gone,
+            said_leaving: *said_leaving,
+        };
         board.pending_announcements.push((announced.clone(), source));
     }
 }
@@ -164,6 +172,7 @@
     }
     let seen_upstreams =
         if board.cfg.role == Role::Store { take_direct_announcements(board) } else { Vec::new() };
+    let leaving_upstreams = leaving_upstreams(board);
     for id in due {
         let Some(key) = board.host_index.get(&id).copied() else { continue };
         let routing = board.routing.as_ref().map_or(0, |routing| routing.version);
@@ -178,11 +187,26 @@
             routing_version: routing,
             known_revision: host.known_revision,
             seen_upstreams: seen_upstreams.clone(),
+            leaving_upstreams: leaving_upstreams.clone(),
         };
         board.send(id, GatewayMessage::Hello(hello));
     }
 }
 
+/// Returns the upstreams that have said to this host that they leave, of which no other host may
+/// know, with the start times of their instances.
+fn leaving_upstreams(board: &Board) -> Vec<(Box<str>, u64)> {
+    let mut leaving = Vec::new();
+    for upstream in board.upstreams.values() {
+        let said = upstream.said_leaving.map(|said| said.source);
+        if said != Some(LeaveSource::Answer) || upstream.announced.leaving || upstream.gone {
+            continue;
+        }
+        leaving.push((upstream.announced.id.clone(), upstream.announced.started_at));
+    }
+    leaving
+}
+
 /// Removes and returns the upstreams that announced themselves to this host since its last hello,
 /// with the number of their last announcement.
 fn take_direct_announcements(board: &mut Board) -> Vec<(Box<str>, u64)> {
--- a/crates/core/src/gateway/controller/registry.rs
+++ b/crates/core/src/gateway/controller/registry.rs
@@ -1,9 +1,9 @@
 //! Registry: tracks the upstreams that announce themselves, to this host or to another store host.
 //!
-//! Reads: `pending_calls` (announcements and leaves), `pending_announcements`, upstreams that said
-//! in an answer that they leave, the clock.
+//! Reads: `pending_calls` (announcements and leaves), `pending_announcements`, `pending_leaves`,
+//! upstreams that said in an answer that they leave, the clock.
 //! Writes: `pending_calls`, `upstreams`, `upstream_index`, `revision`, `registry_changed`,
-//! `actions`.
+//! `hosts` (the next hello), `actions`.
 //!
 //! Announcements under one name are ordered by the start time of the upstream's process and then by
 //! their number, so that a delayed one changes nothing. An upstream may send one announcement to
@@ -31,6 +31,9 @@
 /// those with higher numbers.
 const LEAVE_SETTLE_TIME: Millis = Millis(3_000);
 
+/// How long after an upstream's statement that it leaves this host tells the store hosts.
+const LEAVE_REPORT_DELAY: Millis = Millis(200);
+
 /// The interval between two checks for silent upstreams.
 const SWEEP_INTERVAL: Millis = Millis(500);
 
@@ -47,8 +50,12 @@
         }
         handle_calls(board);
         for (announced, source) in std::mem::take(&mut board.pending_announcements) {
+            if let AnnouncementSource::Registry { host, said_leaving: true, .. } = source {
+                board.pending_leaves.push((announced.id.clone(), announced.started_at, host));
+            }
             handle_announcement(board, announced, source);
         }
+        handle_reported_leaves(board);
         if board.now.mono >= self.sweep_at {
             self.sweep_at = board.now.mono + SWEEP_INTERVAL;
             sweep(board);
@@ -81,6 +88,18 @@
     board.pending_calls = remaining;
 }
 
+/// Handles the reports of other hosts that upstreams have said that they leave; a report on another
+/// instance than the known one is dropped.
+fn handle_reported_leaves(board: &mut Board) {
+    for (id, started_at, host) in std::mem::take(&mut board.pending_leaves) {
+        let Some(key) = board.upstream_index.get(&id).copied() else { continue };
+        if board.upstreams[key].announced.started_at == started_at {
+            let answer = format!("to host {}", host.0);
+            mark_leaving(board, key, LeaveSource::Host(host), &answer);
+        }
+    }
+}
+
 /// Records that an upstream has said that it leaves. Only another instance ends this state: neither
 /// an announcement of the same instance nor its silence does.
 fn mark_leaving(board: &mut Board, key: UpstreamKey, source: LeaveSource, answer: &str) {
@@ -94,6 +113,20 @@
     let upstream = UpstreamAddress { key, id, address };
     board.actions.push(Action::CloseUpstream { upstream });
     report_change(board, key, &format!("said that it leaves: {answer}"));
+    if source == LeaveSource::Answer {
+        hasten_hellos(board);
+    }
+}
+
+/// Lets the next hellos, which name the leaving upstreams, go out soon; statements that come close
+/// together share one.
+fn hasten_hellos(board: &mut Board) {
+    let latest = board.now.mono + LEAVE_REPORT_DELAY;
+    for host in board.hosts.values_mut() {
+        if host.role == Role::Store {
+            host.next_hello = host.next_hello.min(latest);
+        }
+    }
 }
 
 fn handle_leave(board: &mut Board, id: &str) {
--- a/crates/core/src/gateway/controller/views.rs
+++ b/crates/core/src/gateway/controller/views.rs
@@ -84,9 +84,12 @@
         if upstream.revision <= sent {
             continue;
         }
-        let (announced, silent, gone) =
-            (upstream.announced.clone(), upstream.silent, upstream.gone);
-        upstreams.push(UpstreamRecord { announced, silent, gone });
+        upstreams.push(UpstreamRecord {
+            announced: upstream.announced.clone(),
+            silent: upstream.silent,
+            gone: upstream.gone,
+            said_leaving: upstream.said_leaving.is_some(),
+        });
     }
     let view = View {
         name: board.cfg.name.clone(),
--- a/crates/core/src/gateway/message.rs
+++ b/crates/core/src/gateway/message.rs
@@ -66,6 +66,10 @@
     /// instance id, with the sequence number of the last announcement.
     #[serde(rename = "heard")]
     pub seen_upstreams: Vec<(Box<str>, u64)>,
+    /// Upstreams that have said to the sender in an answer that they leave, by instance id, with the
+    /// wall time of their start in milliseconds. A host of an earlier version ignores them.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub leaving_upstreams: Vec<(Box<str>, u64)>,
 }
 
 /// The state that a store host sends to the hosts that have sent it a hello.
@@ -99,6 +103,9 @@
     pub silent: bool,
     /// Whether it has left for good.
     pub gone: bool,
+    /// Whether it has said in an answer that it leaves. A host of an earlier version ignores this.
+    #[serde(default)]
+    pub said_leaving: bool,
 }
 
 /// A request to a store host.
--- a/crates/core/tests/it/leaving.rs
+++ b/crates/core/tests/it/leaving.rs
@@ -9,10 +9,15 @@
 const STORE: HostId = HostId(1);
 const STORES: u32 = 3;
 const ENTRY: HostId = HostId(101);
+const OTHER_ENTRY: HostId = HostId(102);
 
 /// How long an announcement takes from a store to the other hosts, with a margin, in milliseconds.
 const SPREAD_MS: u64 = 1_500;
 
+/// How long the statement of an upstream takes from one entry to another, in milliseconds: two
+/// delays of 200 ms, and four hops.
+const MAX_REPORT_MS: u64 = 500;
+
 fn announcement(id: &str, started_at: u64, seq: u64) -> Announcement {
     Announcement {
         id: id.into(),
@@ -183,3 +188,19 @@
     assert!(ordered.contains(&"engine-2"), "{ordered:?}");
     assert!(!ordered.contains(&"engine-1"), "{ordered:?}");
 }
+
+/// Guards against callers that meet a leaving upstream again at another host.
+#[test]
+fn other_hosts_learn_soon_that_an_upstream_said_it_leaves() {
+    for seed in 37..47 {
+        let mut deployment = start(seed);
+        say_leaving(&mut deployment, ENTRY, "desk-1");
+        deployment.run(MAX_REPORT_MS);
+        let [leaving, other] = forwards(&mut deployment, OTHER_ENTRY, ["desk-1", "desk-2"]);
+        assert_eq!(leaving, 0, "seed {seed}");
+        assert!(other > 0, "seed {seed}");
+        announce(&mut deployment, announcement("desk-1", 2, 1));
+        let [restarted, _] = forwards(&mut deployment, OTHER_ENTRY, ["desk-1", "desk-2"]);
+        assert!(restarted > 0, "seed {seed}: a new instance serves there too");
+    }
+}
--- a/crates/wire/tests/frame.rs
+++ b/crates/wire/tests/frame.rs
@@ -4,7 +4,8 @@
 
 use bytes::Bytes;
 use chestnutdrift_core::HostId;
-use chestnutdrift_core::gateway::{GatewayMessage, StoreRequest};
+use chestnutdrift_core::gateway::message::Hello;
+use chestnutdrift_core::gateway::{GatewayMessage, Role, StoreRequest};
 use chestnutdrift_core::message::{Envelope, Message};
 use chestnutdrift_core::timeline::Stamp;
 use chestnutdrift_wire::frame::{Encoder, FrameError, MAX_MESSAGE_BYTES, decode};
@@ -75,3 +76,33 @@
     encoder.write_all(&vec![0; 1 << 20]).expect("zeros");
     assert!(decode(&encoder.finish().expect("bytes")).is_err());
 }
+
+/// Guards against hosts of an earlier version that are no longer understood, or don't understand
+/// this one, because a hello names the upstreams that leave.
+#[test]
+fn a_hello_of_an_earlier_version_is_decoded_and_decodes_a_later_one() {
+    let hello = |leaving_upstreams| {
+        let hello = Hello {
+            name: "entry-1".into(),
+            zone: "z".into(),
+            role: Role::Entry,
+            incarnation: 1,
+            routing_version: 2,
+            known_revision: (3, 4),
+            seen_upstreams: Vec::new(),
+            leaving_upstreams,
+        };
+        let message = Message::Gateway(Box::new(GatewayMessage::Hello(hello)));
+        Envelope { from: HostId(1), stamp: Stamp::default(), message }
+    };
+    // Without leaving upstreams the field is left out, as in the earlier version.
+    let earlier = encode(&hello(Vec::new())).expect("bytes");
+    assert!(!earlier.windows(7).any(|bytes| bytes == b"leaving"));
+    assert_eq!(decode(&earlier).expect("a message"), hello(Vec::new()));
+    let later = hello(vec![("i-1".into(), 5)]);
+    let later = encode(&later).expect("bytes");
+    let mut renamed = later.to_vec();
+    let at = renamed.windows(7).position(|bytes| bytes == b"leaving").expect("the field");
+    renamed[at..at + 7].copy_from_slice(b"unknown");
+    assert_eq!(decode(&renamed).expect("a message"), hello(Vec::new()), "it is ignored");
+}
