--- a/crates/core/src/gateway/board.rs
+++ b/crates/core/src/gateway/board.rs
@@ -46,7 +46,7 @@
 };
 pub use suspects::{CRASH_RETENTION, QUARANTINE_CRASHES, Suspects, incarnation};
 pub use text::{TextCache, is_same_item};
-pub use upstream::{Upstream, UpstreamHealth};
+pub use upstream::{LeaveSource, SaidLeaving, Upstream, UpstreamHealth};
 
 /// The purpose of an attempt.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -103,6 +103,9 @@
     pub registry_changed: bool,
     /// Announcements from other hosts that are not handled yet.
     pub pending_announcements: Vec<(Announcement, AnnouncementSource)>,
+    /// Reports of other hosts that an upstream has said in an answer that it leaves, by its id and
+    /// the wall time of its start, with the host; not handled yet.
+    pub pending_leaves: Vec<(Box<str>, u64, HostId)>,
     /// The routing configuration in force on this host.
     pub routing: Option<Arc<RoutingConfig>>,
     /// A received routing configuration, to put in force if it is newer than the current one.
@@ -173,6 +176,8 @@
         silent: bool,
         /// Whether the upstream has left for good.
         gone: bool,
+        /// Whether the upstream has said in an answer that it leaves.
+        said_leaving: bool,
     },
 }
 
@@ -199,6 +204,7 @@
             revision: 0,
             registry_changed: false,
             pending_announcements: Vec::new(),
+            pending_leaves: Vec::new(),
             routing: None,
             received_routing: None,
             pending_calls: VecDeque::new(),
--- a/crates/core/src/gateway/controller/forwarding.rs
+++ b/crates/core/src/gateway/controller/forwarding.rs
@@ -430,9 +430,24 @@
     board.reject(request.tag, &request.trace, problem);
 }
 
-/// Ends a request that has waited too long for a free upstream.
+/// Returns whether the upstreams of a service that this host knows all leave or are gone.
+fn all_leave(board: &Board, service: &str) -> bool {
+    let mut known = board.upstreams.values().filter(|u| *u.announced.service == *service);
+    let Some(first) = known.next() else { return false };
+    !first.accepts_requests() && known.all(|upstream| !upstream.accepts_requests())
+}
+
+/// Ends a request that has waited too long for a free upstream, or waits for none.
 fn fail_after_max_wait(board: &mut Board, key: RequestKey) {
     let request = &board.requests[key];
+    if all_leave(board, &request.service) {
+        let request = &mut board.requests[key];
+        if request.last_failure.is_empty() {
+            request.last_failure = "all upstreams leave".into();
+        }
+        fail(board, key);
+        return;
+    }
     let waited = board.now.mono.since(request.opened);
     if waited.0 * MAX_WAIT_DIVISOR >= request.route.latency_objective.0 {
         let request = &mut board.requests[key];
@@ -449,6 +464,7 @@
     let routing = board.routing.as_deref().map_or(0, |routing: &RoutingConfig| routing.version);
     let upstream = &board.upstreams[upstream_key];
     let address = UpstreamAddress {
+        key: upstream_key,
         id: upstream.announced.id.clone(),
         address: upstream.announced.address.clone(),
     };
--- a/crates/core/tests/it/main.rs
+++ b/crates/core/tests/it/main.rs
@@ -13,6 +13,7 @@
 mod installed_snapshot;
 mod item_queue;
 mod job_memory;
+mod leaving;
 mod lifecycle;
 mod log_size;
 mod partial_texts;
--- a/crates/wire/tests/frame.rs
+++ b/crates/wire/tests/frame.rs
@@ -78,10 +78,8 @@
     assert!(decode(&encoder.finish().expect("bytes")).is_err());
 }
 
-/// Guards against a host that drops the hellos of hosts of an earlier version, which have no digest
-/// of suspects.
-#[test]
-fn a_hello_of_an_earlier_version_is_accepted() {
+/// Returns a hello that names upstreams which leave.
+fn hello(leaving_upstreams: Vec<(Box<str>, u64)>) -> Envelope {
     let hello = Hello {
         name: "entry-1".into(),
         zone: "zone-1".into(),
@@ -91,9 +89,17 @@
         known_revision: (3, 4),
         seen_upstreams: Vec::new(),
         suspects: 0,
+        leaving_upstreams,
     };
     let message = Message::Gateway(Box::new(GatewayMessage::Hello(hello)));
-    let envelope = Envelope { from: HostId(1), stamp: Stamp::default(), message };
+    Envelope { from: HostId(1), stamp: Stamp::default(), message }
+}
+
+/// Guards against a host that drops the hellos of hosts of an earlier version, which have no digest
+/// of suspects.
+#[test]
+fn a_hello_of_an_earlier_version_is_accepted() {
+    let envelope = hello(Vec::new());
     let encoded = encode(&envelope).expect("bytes");
     let mut earlier: Value = ciborium::from_reader(&*encoded).expect("a value");
     let mut hello = &mut earlier;
@@ -110,3 +116,17 @@
     ciborium::into_writer(&earlier, &mut bytes).expect("bytes");
     assert_eq!(decode(&bytes).expect("a message"), envelope);
 }
+
+/// Guards against hosts of an earlier version that don't understand this one because a hello names
+/// the upstreams that leave, or that are no longer understood.
+#[test]
+fn leaving_upstreams_are_left_out_of_a_hello_or_ignored_by_an_earlier_version() {
+    let earlier = encode(&hello(Vec::new())).expect("bytes");
+    assert!(!earlier.windows(7).any(|bytes| bytes == b"leaving"));
+    assert_eq!(decode(&earlier).expect("a message"), hello(Vec::new()));
+    let later = encode(&hello(vec![("i-1".into(), 5)])).expect("bytes");
+    let mut renamed = later.to_vec();
+    let at = renamed.windows(7).position(|bytes| bytes == b"leaving").expect("the field");
+    renamed[at..at + 7].copy_from_slice(b"unknown");
+    assert_eq!(decode(&renamed).expect("a message"), hello(Vec::new()), "it is ignored");
+}
