test(standins): a fleet's start says which daemon has exited, and why

Seen: "the fleet is ready: condition not met within 60s", in different tests of crates/daemon/tests/process beside load; the logs went with the test's folder.

Cause: `Fleet::wait_ready` polls on for the whole time when a daemon has already exited, and `TestFolder` removes the logs of a failed test.

Change: `wait_ready` fails as soon as a daemon has exited, and quotes the end of its log. `TestFolder` keeps the folder of a failed test. No bound changes: a fleet with an exited daemon could never become ready.

--- a/crates/daemon/tests/process/fixture.rs
+++ b/crates/daemon/tests/process/fixture.rs
@@ -19,7 +19,7 @@
 
 static FOLDERS: AtomicU32 = AtomicU32::new(0);
 
-/// A new empty folder, which is removed on drop.
+/// A new empty folder, which is removed on drop unless the test has failed.
 pub(crate) struct TestFolder(pub(crate) PathBuf);
 
 impl TestFolder {
@@ -35,6 +35,10 @@
 
 impl Drop for TestFolder {
     fn drop(&mut self) {
+        if std::thread::panicking() {
+            eprintln!("the logs are in {}", self.0.display());
+            return;
+        }
         let _ = std::fs::remove_dir_all(&self.0);
     }
 }
--- a/crates/daemon/tests/process/lifecycle.rs
+++ b/crates/daemon/tests/process/lifecycle.rs
@@ -1,6 +1,6 @@
 //! Hosts and upstreams that stop, fail and return.
 
-use chestnutdrift_standins::fleet::FleetPlan;
+use chestnutdrift_standins::fleet::{Fleet, FleetPlan};
 use chestnutdrift_standins::process::{Signal, wait_until};
 
 use crate::fixture::{
@@ -119,3 +119,14 @@
         assert_eq!(fleet.settings_version(at).unwrap(), base);
     }
 }
+
+/// Guards against tests that wait for a daemon that has exited.
+#[test]
+fn a_daemon_that_exits_at_its_start_is_reported_with_its_log() {
+    let folder = TestFolder::new();
+    let plan = FleetPlan::new(&["zone-a"]).hosts_per_zone(1).limits("connections = many");
+    let fleet = Fleet::start(&plan, &folder.0).expect("the daemon starts");
+    let error = fleet.wait_ready(WAIT_TIMEOUT).expect_err("the daemon exits").to_string();
+    assert!(error.contains("host-1 has exited"), "{error}");
+    assert!(error.contains("[limits] connections: \"many\""), "{error}");
+}
--- a/crates/standins/src/fleet.rs
+++ b/crates/standins/src/fleet.rs
@@ -6,7 +6,7 @@
 use std::sync::atomic::{AtomicU16, Ordering};
 use std::time::Duration;
 
-use anyhow::Context;
+use anyhow::{Context, bail};
 use chestnutdrift_wire::api::operator::{ChangeAnswer, ChangeBody};
 
 use crate::client::{Answer, Client};
@@ -15,6 +15,9 @@
 /// The time limit of a call to a host.
 const CALL_TIMEOUT: Duration = Duration::from_secs(20);
 
+/// The number of lines of a log that an error quotes.
+const QUOTED_LINES: usize = 5;
+
 /// The layout and the settings of a fleet.
 #[derive(Debug, Clone)]
 pub struct FleetPlan {
@@ -88,6 +91,19 @@
     process: Option<Process>,
 }
 
+impl FleetHost {
+    fn has_exited(&self) -> bool {
+        self.process.as_ref().is_some_and(Process::has_exited)
+    }
+
+    /// Returns the last lines of the daemon's log.
+    fn log_end(&self) -> String {
+        let log = std::fs::read_to_string(&self.log).unwrap_or_default();
+        let lines: Vec<&str> = log.lines().collect();
+        lines[lines.len().saturating_sub(QUOTED_LINES)..].join("\n")
+    }
+}
+
 /// A fleet of daemon processes.
 #[derive(Debug)]
 pub struct Fleet {
@@ -212,13 +228,20 @@
     ///
     /// # Errors
     ///
-    /// Returns an error where the fleet is not ready within `timeout`.
+    /// Returns an error where a daemon has exited or the fleet is not ready within `timeout`.
     pub fn wait_ready(&self, timeout: Duration) -> anyhow::Result<Duration> {
         let count = self.hosts.len();
-        wait_until("every host is ready and every group has a leader", timeout, || {
-            (0..count).all(|index| self.is_ready(index))
-                && (0..count).all(|index| self.reports_leaders(index))
-        })
+        let mut exited = None;
+        let time = wait_until("every host is ready and every group has a leader", timeout, || {
+            exited = self.hosts.iter().find(|host| host.has_exited());
+            exited.is_some()
+                || ((0..count).all(|index| self.is_ready(index))
+                    && (0..count).all(|index| self.reports_leaders(index)))
+        })?;
+        if let Some(host) = exited {
+            bail!("{} has exited:\n{}", host.name, host.log_end());
+        }
+        Ok(time)
     }
 
     /// Returns whether a host reports a leader for the fleet and for each zone.
--- a/crates/standins/src/process.rs
+++ b/crates/standins/src/process.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant};
 
 use anyhow::{Context, bail};
-use rustix::process::{Pid, kill_process};
+use rustix::process::{Pid, WaitId, WaitIdOptions, kill_process, waitid};
 
 pub use rustix::process::Signal;
 
@@ -65,6 +65,15 @@
             .with_context(|| format!("signal {signal:?} to {} ({}) failed", self.name, self.id()))
     }
 
+    /// Returns whether the process has exited.
+    #[must_use]
+    pub fn has_exited(&self) -> bool {
+        let options = WaitIdOptions::EXITED | WaitIdOptions::NOHANG | WaitIdOptions::NOWAIT;
+        let id = WaitId::Pid(Pid::from_child(&self.child));
+        // The call fails for a child that has been reaped.
+        waitid(id, options).map_or(true, |status| status.is_some())
+    }
+
     /// Waits for the process to exit.
     ///
     /// # Errors
