fix(standins): a port of a test's daemon could be taken before its start

Causes, both in `free_addresses`, each shown by a run: - The probe listened. A child that another thread starts holds a copy of the listening socket from fork to exec, close-on-exec or not, and keeps the daemon from its port. Two processes with the same block take each other's ports between probe and bind, and those of hosts that restart. Not the range of outgoing connections: it starts at 32768, the blocks end below.

Change: `ports` reserves a block for the life of a process by listening on its first port; a process hands no address out twice and takes another block when one is used up; a probe binds with SO_REUSEADDR and doesn't listen, so that a copy of it keeps nobody from the port while a listener is still found.

--- a/crates/standins/src/fleet.rs
+++ b/crates/standins/src/fleet.rs
@@ -1,15 +1,15 @@
 //! A fleet of daemons on loopback, with generated settings files.
 
 use std::fmt::Write;
-use std::net::{SocketAddr, TcpListener};
+use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
-use std::sync::atomic::{AtomicU16, Ordering};
 use std::time::Duration;
 
 use anyhow::{Context, bail};
 use chestnutdrift_wire::api::operator::{ChangeAnswer, ChangeBody};
 
 use crate::client::{Answer, Client};
+use crate::ports::free_addresses;
 use crate::process::{Process, Signal, sibling_program, wait_until};
 
 /// The time limit of a call to a host.
@@ -300,39 +300,3 @@
         Ok(())
     }
 }
-
-/// The first port to hand out. All ports handed out are below the range from which the system
-/// takes the ports of outgoing connections.
-const FIRST_PORT: u16 = 12_000;
-
-/// The number of ports of a process; after the last one it starts again from its first.
-const PORTS_PER_PROCESS: u16 = 400;
-
-/// The number of blocks of ports. The process id picks the block, so that tests in several
-/// processes rarely take the same port.
-const PORT_BLOCKS: u32 = 45;
-
-static NEXT_PORT: AtomicU16 = AtomicU16::new(0);
-
-/// Returns free loopback addresses from the port block of this process.
-///
-/// # Errors
-///
-/// Returns an error where the block has fewer than `count` free ports.
-pub fn free_addresses(count: usize) -> anyhow::Result<Vec<SocketAddr>> {
-    let block = u16::try_from(std::process::id() % PORT_BLOCKS)?;
-    let first = FIRST_PORT + block * PORTS_PER_PROCESS;
-    let mut addresses = Vec::new();
-    for _ in 0..PORTS_PER_PROCESS {
-        if addresses.len() == count {
-            break;
-        }
-        let port = first + NEXT_PORT.fetch_add(1, Ordering::AcqRel) % PORTS_PER_PROCESS;
-        let address = SocketAddr::from(([127, 0, 0, 1], port));
-        if TcpListener::bind(address).is_ok() {
-            addresses.push(address);
-        }
-    }
-    anyhow::ensure!(addresses.len() == count, "fewer than {count} free ports from {first} on");
-    Ok(addresses)
-}
--- a/crates/standins/src/quickstart.rs
+++ b/crates/standins/src/quickstart.rs
@@ -9,8 +9,9 @@
 
 use crate::client::Client;
 use crate::engine::expected_answer;
-use crate::fleet::{Fleet, FleetPlan, free_addresses};
+use crate::fleet::{Fleet, FleetPlan};
 use crate::load::{self, LoadPlan, LoadTarget};
+use crate::ports::free_addresses;
 use crate::process::{Process, sibling_program, wait_until};
 use crate::trainer::{Trainer, prompt_groups};
 
