test(daemon): links of tests bind ports that no other process is given

Seen by reading: the tests of link queues probe a port of the range of outgoing connections with a listening socket, close it, and bind the address afterwards.

Cause and evidence: a child that another thread starts holds a copy of the listening socket until its exec, and any outgoing connection may take the port. No failure of these tests themselves was seen.

Change: they take their address from `ports::free_addresses`.

--- a/crates/daemon/tests/process/link_queue.rs
+++ b/crates/daemon/tests/process/link_queue.rs
@@ -13,6 +13,7 @@
 use chestnutdrift_core::timeline::Stamp;
 use chestnutdrift_core::{HostId, Millis};
 use chestnutdrift_daemon::link::{self, Links};
+use chestnutdrift_standins::ports::free_addresses;
 use chestnutdrift_standins::process::wait_until;
 use chestnutdrift_wire::frame::{self, Encoder};
 use tokio_tungstenite::tungstenite::{self, WebSocket};
@@ -103,10 +104,10 @@
 
 fn links_to(peers: &[(HostId, &Peer)]) -> Links {
     let runtime = link::socket_runtime("test-links").expect("a runtime");
-    let own = TcpListener::bind("127.0.0.1:0").and_then(|listener| listener.local_addr());
+    let own = free_addresses(1).expect("a free address")[0];
     let addresses: BTreeMap<HostId, SocketAddr> =
         peers.iter().map(|(host, peer)| (*host, peer.address)).collect();
-    let (own, limit) = (own.expect("an address"), Some(MEMORY_LIMIT as u64));
+    let limit = Some(MEMORY_LIMIT as u64);
     Links::start(runtime, own, Box::new(addresses), Arc::new(|_| true), limit).expect("links")
 }
 
@@ -168,8 +169,8 @@
 #[test]
 fn a_message_that_exceeds_its_share_of_the_memory_is_not_read() {
     let runtime = link::socket_runtime("test-links").expect("a runtime");
-    let own = TcpListener::bind("127.0.0.1:0").and_then(|listener| listener.local_addr());
-    let (address, limit) = (own.expect("an address"), Some(MEMORY_LIMIT as u64));
+    let address = free_addresses(1).expect("a free address")[0];
+    let limit = Some(MEMORY_LIMIT as u64);
     let (tx, received) = mpsc::channel();
     let deliver = Arc::new(move |envelope| tx.send(envelope).is_ok());
     let addresses = Box::new(BTreeMap::<HostId, SocketAddr>::new());
