--- a/crates/standins/src/fleet.rs
+++ b/crates/standins/src/fleet.rs
@@ -1,20 +1,23 @@
 //! A fleet of daemons on loopback, with generated settings files.
 
 use std::fmt::Write;
-use std::net::{SocketAddr, TcpListener};
+use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
-use std::sync::atomic::{AtomicU16, Ordering};
 use std::time::Duration;
 
-use anyhow::Context;
+use anyhow::{Context, bail};
 use chestnutdrift_wire::api::operator::{ChangeAnswer, ChangeBody};
 
 use crate::client::{Answer, Client};
+use crate::ports::free_addresses;
 use crate::process::{Process, Signal, sibling_program, wait_until};
 
 /// The time limit of a call to a host.
 const CALL_TIMEOUT: Duration = Duration::from_secs(20);
 
+/// The number of lines of a log that an error quotes.
+const QUOTED_LINES: usize = 5;
+
 /// The layout and the settings of a fleet.
 #[derive(Debug, Clone)]
 pub struct FleetPlan {
@@ -88,6 +91,19 @@
     process: Option<Process>,
 }
 
+impl FleetHost {
+    fn has_exited(&self) -> bool {
+        self.process.as_ref().is_some_and(Process::has_exited)
+    }
+
+    /// Returns the last lines of the daemon's log.
+    fn log_end(&self) -> String {
+        let log = std::fs::read_to_string(&self.log).unwrap_or_default();
+        let lines: Vec<&str> = log.lines().collect();
+        lines[lines.len().saturating_sub(QUOTED_LINES)..].join("\n")
+    }
+}
+
 /// A fleet of daemon processes.
 #[derive(Debug)]
 pub struct Fleet {
@@ -212,13 +228,20 @@
     ///
     /// # Errors
     ///
-    /// Returns an error where the fleet is not ready within `timeout`.
+    /// Returns an error where a daemon has exited or the fleet is not ready within `timeout`.
     pub fn wait_ready(&self, timeout: Duration) -> anyhow::Result<Duration> {
         let count = self.hosts.len();
-        wait_until("every host is ready and every group has a leader", timeout, || {
-            (0..count).all(|index| self.is_ready(index))
-                && (0..count).all(|index| self.reports_leaders(index))
-        })
+        let mut exited = None;
+        let time = wait_until("every host is ready and every group has a leader", timeout, || {
+            exited = self.hosts.iter().find(|host| host.has_exited());
+            exited.is_some()
+                || ((0..count).all(|index| self.is_ready(index))
+                    && (0..count).all(|index| self.reports_leaders(index)))
+        })?;
+        if let Some(host) = exited {
+            bail!("{} has exited:\n{}", host.name, host.log_end());
+        }
+        Ok(time)
     }
 
     /// Returns whether a host reports a leader for the fleet and for each zone.
@@ -277,39 +300,3 @@
         Ok(())
     }
 }
-
-/// The first port to hand out. All ports handed out are below the range from which the system
-/// takes the ports of outgoing connections.
-const FIRST_PORT: u16 = 12_000;
-
-/// The number of ports of a process; after the last one it starts again from its first.
-const PORTS_PER_PROCESS: u16 = 400;
-
-/// The number of blocks of ports. The process id picks the block, so that tests in several
-/// processes rarely take the same port.
-const PORT_BLOCKS: u32 = 45;
-
-static NEXT_PORT: AtomicU16 = AtomicU16::new(0);
-
-/// Returns free loopback addresses from the port block of this process.
-///
-/// # Errors
-///
-/// Returns an error where the block has fewer than `count` free ports.
-pub fn free_addresses(count: usize) -> anyhow::Result<Vec<SocketAddr>> {
-    let block = u16::try_from(std::process::id() % PORT_BLOCKS)?;
-    let first = FIRST_PORT + block * PORTS_PER_PROCESS;
-    let mut addresses = Vec::new();
-    for _ in 0..PORTS_PER_PROCESS {
-        if addresses.len() == count {
-            break;
-        }
-        let port = first + NEXT_PORT.fetch_add(1, Ordering::AcqRel) % PORTS_PER_PROCESS;
-        let address = SocketAddr::from(([127, 0, 0, 1], port));
-        if TcpListener::bind(address).is_ok() {
-            addresses.push(address);
-        }
-    }
-    anyhow::ensure!(addresses.len() == count, "fewer than {count} free ports from {first} on");
-    Ok(addresses)
-}
