fix(core): jobs were refused although a third of the memory was never used

Cause: the directory may hold half of the memory beyond 16 MiB. The log has another quarter, but shares the texts of results with the directory, so that both together never take what they may.

Excluded: a peak beyond the limit from the larger share. The guard on allocated memory (75 percent) stays, and refuses jobs before the process is in need.

Change: the directory may hold 65 percent of it.

--- a/crates/core/src/gateway/board/memory.rs
+++ b/crates/core/src/gateway/board/memory.rs
@@ -5,9 +5,9 @@
 
 /// The share of the memory beyond [`BASE_BYTES`], in percent, that the directory may hold.
 ///
-/// The rest is for the log, which shares little with the directory, and for messages, runs of items
-/// and what the allocator keeps.
-const DIRECTORY_PERCENT: u64 = 50;
+/// The rest is for the log, which shares the texts of results with the directory, and for messages,
+/// runs of items and what the allocator keeps.
+const DIRECTORY_PERCENT: u64 = 65;
 
 /// The share of the memory beyond [`BASE_BYTES`], in percent, that the log may hold.
 const LOG_PERCENT: u64 = 25;
