fix(core): an answer without events ends a resumed text only once it is confirmed

The first engine had broken off after two events; the next one answered the resumed run with 200, its seal and a body framed as whole that held no event.

Cause: the end of a run without events was taken for the end of the text. A text without any event was refused only by chance, since it has no weight version; a resumed one has those of its first run.

Change: where a run ends without an event and the text has some, the item runs once more, at another engine if there is one; a second run without an event since the last one confirms the end. A text of which only the end of the stream was lost is still completed, with one short run more.

--- a/crates/core/src/gateway/board/item.rs
+++ b/crates/core/src/gateway/board/item.rs
@@ -51,6 +51,8 @@
     pub runs: u32,
     /// The upstream of the last run, where that run did not complete the text.
     pub avoid: Option<UpstreamKey>,
+    /// Whether a run has ended the text without an event since the last event.
+    pub end_reported: bool,
     /// The beginning of the text that has been proposed to the replicated log.
     logged_prefix: LoggedPrefix,
 }
@@ -76,6 +78,7 @@
             failures: 0,
             runs: 0,
             avoid: None,
+            end_reported: false,
             logged_prefix: LoggedPrefix::default(),
         }
     }
--- a/crates/core/src/gateway/controller/items.rs
+++ b/crates/core/src/gateway/controller/items.rs
@@ -105,9 +105,14 @@
         let Some(job) = board.jobs.get(item.job) else { return };
         let spec = job.spec.clone();
         append_text(item, spec.resumable, run);
+        let adds_nothing = run.end == ItemEnd::Whole && run_events == 0 && item.text.events > 0;
+        // An answer that lost all its events looks the same, so another run has to confirm the end.
+        let unconfirmed = adds_nothing && !item.end_reported;
+        item.end_reported = unconfirmed || (item.end_reported && run_events == 0);
         let now = board.now.mono;
         // `Some(None)` is a complete text whose weight versions the job does not accept.
         let outcome = match &run.end {
+            ItemEnd::Whole if unconfirmed => None,
             ItemEnd::Whole => Some(completed_outcome(item, &spec)),
             ItemEnd::Impossible => Some(Some(ItemOutcome::Errored)),
             ItemEnd::Failed { .. } => {
@@ -121,7 +126,7 @@
         } else {
             RETRY_DELAY
         };
-        item.avoid = (run.end != ItemEnd::Whole).then_some(attempt.upstream);
+        item.avoid = (run.end != ItemEnd::Whole || unconfirmed).then_some(attempt.upstream);
         item.state = ItemState::Waiting(now + delay);
         let detail = format!(
             "item={} run={} events={} of_run={} versions={:?} took_ms={} end={:?}",
