fix(daemon): an event stream that ends within an event is cut

The upstream had answered without a length and closed its connection in the middle of an event.

Cause: the end of such a body is a clean one for the HTTP library, and the rest of the answer was passed on without a look at the events. Items were safe: their reader demands the end of an event.

Change: on stream routes, the end of an event stream within an event aborts the caller's answer, whatever its framing says. A stream without a length that closes in order between two events stays whole, since that can't be told.

--- a/crates/daemon/src/gateway/events.rs
+++ b/crates/daemon/src/gateway/events.rs
@@ -27,6 +27,49 @@
     field_count: u32,
 }
 
+/// Follows the bytes of an event stream and tells whether they end between two events.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct EventBoundary {
+    line: LineKind,
+    in_event: bool,
+    after_return: bool,
+}
+
+/// The kind of the line that has not ended yet, by its first byte.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+enum LineKind {
+    #[default]
+    Empty,
+    Comment,
+    Field,
+}
+
+impl EventBoundary {
+    /// Adds the bytes that follow.
+    pub fn push(&mut self, chunk: &[u8]) {
+        for byte in chunk {
+            let after_return = std::mem::replace(&mut self.after_return, *byte == b'\r');
+            match (byte, self.line) {
+                (b'\n', _) if after_return => {}
+                (b'\r' | b'\n', line) => {
+                    self.in_event =
+                        line == LineKind::Field || (self.in_event && line == LineKind::Comment);
+                    self.line = LineKind::Empty;
+                }
+                (b':', LineKind::Empty) => self.line = LineKind::Comment,
+                (_, LineKind::Empty) => self.line = LineKind::Field,
+                _ => {}
+            }
+        }
+    }
+
+    /// Returns whether the bytes so far end between two events.
+    #[must_use]
+    pub fn is_between_events(&self) -> bool {
+        !self.in_event && self.line == LineKind::Empty
+    }
+}
+
 impl EventReader {
     /// Creates a reader that also extracts the named field of each event.
     #[must_use]
--- a/crates/daemon/src/gateway/forward.rs
+++ b/crates/daemon/src/gateway/forward.rs
@@ -6,9 +6,11 @@
 use chestnutdrift_core::gateway::{Forward, ForwardEnd};
 use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
+use hyper::header::CONTENT_TYPE;
 use hyper::http::{request, response};
 use hyper::{HeaderMap, Response, StatusCode};
 
+use super::events::EventBoundary;
 use super::input::InputSender;
 use super::leaving::report_if_leaving;
 use super::pool::{Connection, Pool, SendError};
@@ -61,6 +63,8 @@
     pub body: Incoming,
     /// The connection, which must stay open as long as the body is read.
     pub connection: Connection,
+    /// The position in the events of the body; `None` if it is no event stream.
+    pub events: Option<EventBoundary>,
 }
 
 /// Sends a request to an upstream and reads its response.
@@ -130,8 +134,9 @@
     let headers = protocol.forwarded_headers(&head.headers);
     let success = class == ResponseClass::Success;
     if forward.streamed && success {
+        let events = is_event_stream(&head.headers).then(EventBoundary::default);
         let answer = UpstreamResponse { status: head.status, headers, body: Bytes::new() };
-        return Outcome::Streaming(answer, Box::new(StreamedBody { body, connection }));
+        return Outcome::Streaming(answer, Box::new(StreamedBody { body, connection, events }));
     }
     let buffered = match read_up_to_limit(body).await {
         Ok(buffered) => buffered,
@@ -142,12 +147,19 @@
     };
     let answer = UpstreamResponse { status: head.status, headers, body: buffered.bytes };
     if let Some(body) = buffered.rest {
-        return Outcome::Streaming(answer, Box::new(StreamedBody { body, connection }));
+        let streamed = StreamedBody { body, connection, events: None };
+        return Outcome::Streaming(answer, Box::new(streamed));
     }
     pool.release(&forward.upstream, connection, protocol.keep_alive_secs(&head.headers));
     if success { Outcome::Success(answer) } else { Outcome::Failure(answer) }
 }
 
+fn is_event_stream(headers: &HeaderMap) -> bool {
+    let media_type = headers.get(CONTENT_TYPE).and_then(|value| value.to_str().ok());
+    let media_type = media_type.and_then(|value| value.split(';').next()).unwrap_or_default();
+    media_type.trim().eq_ignore_ascii_case("text/event-stream")
+}
+
 struct BufferedBody {
     bytes: Bytes,
     rest: Option<Incoming>,
--- a/crates/daemon/src/gateway/server.rs
+++ b/crates/daemon/src/gateway/server.rs
@@ -351,19 +351,28 @@
     }
 }
 
-/// Streams `held` and then the rest of a body; an error of the upstream's body aborts the caller's.
+/// Streams `held` and then the rest of a body. An error of the upstream's body aborts the caller's,
+/// and so does the end of an event stream within an event, whatever its framing says.
 fn stream_body(held: Bytes, streamed: StreamedBody) -> ResponseBody {
-    let StreamedBody { body, connection } = streamed;
     let first = (!held.is_empty()).then_some(held);
-    let frames = stream::unfold((first, Some((body, connection))), |(first, rest)| async {
+    let frames = stream::unfold((first, Some(streamed)), |(first, rest)| async {
         if let Some(first) = first {
             return Some((Ok(Frame::data(first)), (None, rest)));
         }
-        let (mut body, connection) = rest?;
-        match body.frame().await? {
-            Ok(frame) => Some((Ok(frame), (None, Some((body, connection))))),
-            Err(error) => Some((Err(std::io::Error::other(error)), (None, None))),
+        let mut rest = rest?;
+        let frame = match rest.body.frame().await {
+            Some(Ok(frame)) => frame,
+            Some(Err(error)) => return Some((Err(std::io::Error::other(error)), (None, None))),
+            None if rest.events.is_none_or(|events| events.is_between_events()) => return None,
+            None => {
+                let error = std::io::Error::other("the last event was cut off");
+                return Some((Err(error), (None, None)));
+            }
+        };
+        if let (Some(events), Some(data)) = (&mut rest.events, frame.data_ref()) {
+            events.push(data);
         }
+        Some((Ok(frame), (None, Some(rest))))
     });
     StreamBody::new(Box::pin(frames)).boxed_unsync()
 }
