fix(daemon): a broken answer to a caller of HTTP/1.0 ends with a reset

What callers saw: by HTTP/1.0, a stream that broke off was complete: its only framing is the end of the connection, and that was an ordinary close (ORDER). docs/PROOFS.md named this as not tested.

Cause: the HTTP library closes the connection after an error of the body; that cuts a chunked answer, but not one without a length.

Evidence: malformed::a_broken_stream_ends_with_a_reset_for_a_caller_of_http_1_0 failed on: the caller read the first event and then the end.

Change: after an error of an answer's body the connection is reset if the request came by HTTP/1.0. By HTTP/1.1 it is closed as before, so that what was sent is read.

Before: end of the answer.

--- a/crates/daemon/src/gateway/server.rs
+++ b/crates/daemon/src/gateway/server.rs
@@ -2,7 +2,7 @@
 
 use std::convert::Infallible;
 use std::net::SocketAddr;
-use std::pin::{Pin, pin};
+use std::pin::Pin;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::time::{Duration, Instant};
@@ -18,8 +18,9 @@
 use hyper::header::{CONNECTION, HeaderValue};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
-use hyper::{Request, Response};
+use hyper::{Request, Response, Version};
 use hyper_util::rt::{TokioIo, TokioTimer};
+use rustix::net::sockopt::set_socket_linger;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::runtime::Runtime;
 use tokio::sync::{Semaphore, mpsc, watch};
@@ -136,24 +137,43 @@
     let idle_timeout = Duration::from_millis(server.state.idle_timeout_ms.load(Ordering::Relaxed));
     let head = server.state.max_head_bytes.load(Ordering::Relaxed);
     let buffer = usize::try_from(head).unwrap_or(usize::MAX).max(MIN_BUFFER_BYTES);
-    let service = service_fn(move |request| {
+    let ends_with_connection = Arc::new(AtomicBool::new(false));
+    let unframed = Arc::clone(&ends_with_connection);
+    let service = service_fn(move |request: Request<Incoming>| {
         let server = Arc::clone(&server);
+        unframed.store(request.version() < Version::HTTP_11, Ordering::Relaxed);
         async move { Ok::<_, Infallible>(server.handle_request(listener, request).await) }
     });
     // The library starts the time for a head at the end of the previous answer, so this time-out
     // bounds idle connections and slow senders alike.
-    let connection = http1::Builder::new()
+    let mut connection = http1::Builder::new()
         .max_buf_size(buffer)
         .timer(TokioTimer::new())
         .header_read_timeout(idle_timeout)
         .serve_connection(TokioIo::new(stream), service);
-    let mut connection = pin!(connection);
-    tokio::select! {
-        _ = connection.as_mut() => return,
-        _ = close_requested.wait_for(|close| *close) => connection.as_mut().graceful_shutdown(),
+    let ended = tokio::select! {
+        served = &mut connection => Some(served),
+        _ = close_requested.wait_for(|close| *close) => None,
+    };
+    let served = match ended {
+        Some(served) => served,
+        None => {
+            Pin::new(&mut connection).graceful_shutdown();
+            (&mut connection).await
+        }
+    };
+    let Err(error) = served else { return };
+    log::debug!(event = "connection"; "{error}");
+    // An answer by HTTP/1.0 may have no other framing than the end of its connection.
+    if error.is_user() && ends_with_connection.load(Ordering::Relaxed) {
+        reset(&connection.into_parts().io.into_inner());
     }
-    if let Err(error) = connection.await {
-        log::debug!(event = "connection"; "{error}");
+}
+
+/// Makes the end of a connection a reset, so that the peer doesn't take it for the end of an answer.
+fn reset(stream: &TcpStream) {
+    if let Err(error) = set_socket_linger(stream, Some(Duration::ZERO)) {
+        log::debug!(event = "linger"; "{error}");
     }
 }
 
