fix(daemon): an answer in an unknown transfer coding is no answer

What callers saw: the coded bytes of a body as a whole answer (MIXED), where an upstream answered with "Transfer-Encoding: gzip", "gzip, chunked", "chunked, gzip". The header goes since it concerns one connection, so nothing told the caller that the body was coded; a list that doesn't end in chunked also let an answer that was cut off look complete.

Cause: the HTTP library decodes chunks only and takes the rest for the body.

Evidence: malformed::a_malformed_answer_is_no_answer failed on in the case "an unknown coding, again": 200 with the bytes. The other new cases (lengths that differ, are negative or too large, sizes of chunks beyond 64 bits, folded headers, missing colons, versions, ids) held.

Change: a response with a transfer coding other than one "chunked" counts as broken for requests, items and orders, and its connection is closed.

--- a/crates/daemon/src/gateway/pool.rs
+++ b/crates/daemon/src/gateway/pool.rs
@@ -13,6 +13,7 @@
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
+use hyper::header::TRANSFER_ENCODING;
 use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
 use rustix::net::sockopt::set_tcp_user_timeout;
@@ -105,14 +106,14 @@
     ) -> Result<(Response<Incoming>, Connection), SendError> {
         while let Some(mut connection) = self.take_idle(&upstream.id) {
             match connection.sender.send_request(with_full_body(request)).await {
-                Ok(response) => return Ok((response, connection)),
+                Ok(response) => return with_known_coding(response, connection),
                 Err(error) if error.is_canceled() => {}
                 Err(error) => return Err(SendError::Broken(error.to_string().into())),
             }
         }
         let mut connection = self.connect(upstream, connect_timeout).await?;
         match connection.sender.send_request(with_full_body(request)).await {
-            Ok(response) => Ok((response, connection)),
+            Ok(response) => with_known_coding(response, connection),
             Err(error) => Err(SendError::Broken(error.to_string().into())),
         }
     }
@@ -221,6 +222,23 @@
     }
 }
 
+/// Returns a response and its connection, or an error if its body has a transfer coding other than
+/// `chunked`, which is the only one that the HTTP library decodes.
+fn with_known_coding(
+    response: Response<Incoming>,
+    connection: Connection,
+) -> Result<(Response<Incoming>, Connection), SendError> {
+    let mut codings = response.headers().get_all(TRANSFER_ENCODING).iter();
+    let known = match codings.next() {
+        Some(coding) => coding.as_bytes().eq_ignore_ascii_case(b"chunked"),
+        None => true,
+    };
+    if known && codings.next().is_none() {
+        return Ok((response, connection));
+    }
+    Err(SendError::Broken("the response has an unknown transfer coding".into()))
+}
+
 fn with_full_body(request: &Request<Bytes>) -> Request<Full<Bytes>> {
     request.clone().map(Full::new)
 }
