test(core): leaving upstreams: late reports, restarts, refusals, items, the metric

- a report on an instance that arrives after the next one has joined, under the same id, stops nothing;
- the statement outlives a restart of each store host and of the other entry;
- a request that the last upstream refuses is answered at once, with when to come back, where all leave;
- items at a leaving engine run on to their end, and no further ones come;
- the metric and the list of upstreams show one that never goes until a new instance joins, through 60 s of announcements.

--- a/crates/core/tests/it/leaving.rs
+++ b/crates/core/tests/it/leaving.rs
@@ -1,10 +1,10 @@
 //! Upstreams that say in an answer that they leave.
 
 use chestnutdrift_core::gateway::board::LeaveSource;
-use chestnutdrift_core::gateway::{Announcement, Answer, Call, Event};
+use chestnutdrift_core::gateway::{Announcement, Answer, Call, Event, Forward, ForwardEnd, Query};
 use chestnutdrift_core::{ErrorKind, Fingerprint, HostId, Ran, UpstreamKey};
 
-use crate::deployment::Deployment;
+use crate::deployment::{Deployment, SimEngine, job};
 
 const STORE: HostId = HostId(1);
 const STORES: u32 = 3;
@@ -78,7 +78,7 @@
     let sent = &deployment.forwards[before..];
     ids.map(|id| {
         let to = |(host, forward): &&(HostId, _)| {
-            let forward: &chestnutdrift_core::gateway::Forward = forward;
+            let forward: &Forward = forward;
             *host == entry && *forward.upstream.id == *id
         };
         sent.iter().filter(to).count()
@@ -166,7 +166,7 @@
     let Some(Answer::Problem(problem)) = answer else { panic!("{answer:?}") };
     assert_eq!((problem.kind, problem.ran), (ErrorKind::Unavailable, Ran::No));
     assert!(problem.retry_after_ms.is_some());
-    let page = deployment.call(ENTRY, Call::Query(chestnutdrift_core::gateway::Query::Counters), 2);
+    let page = deployment.call(ENTRY, Call::Query(Query::Counters), 2);
     let Some(Answer::Counters(counters)) = page else { panic!("{page:?}") };
     assert_eq!(counters.upstreams_leaving, 2);
 }
@@ -177,7 +177,7 @@
     let mut deployment = Deployment::new(36, STORES, 2);
     let leader = deployment.start_serving();
     for number in [1, 2] {
-        deployment.add_engine(crate::deployment::SimEngine::new(number));
+        deployment.add_engine(SimEngine::new(number));
     }
     deployment.run(SPREAD_MS + 3_000);
     say_leaving(&mut deployment, leader, "engine-1");
@@ -205,3 +205,148 @@
         assert!(restarted > 0, "seed {seed}: a new instance serves there too");
     }
 }
+
+/// Guards against callers that meet a leaving upstream where a store host was told by it.
+#[test]
+fn all_entries_learn_soon_what_an_upstream_said_to_a_store_host() {
+    for seed in 47..57 {
+        let mut deployment = start(seed);
+        say_leaving(&mut deployment, HostId(2), "desk-1");
+        deployment.run(MAX_REPORT_MS);
+        for entry in [ENTRY, OTHER_ENTRY] {
+            let [leaving, other] = forwards(&mut deployment, entry, ["desk-1", "desk-2"]);
+            assert_eq!(leaving, 0, "seed {seed}, {entry:?}");
+            assert!(other > 0, "seed {seed}, {entry:?}");
+        }
+    }
+}
+
+/// Guards against a statement that is lost because its host could not pass it on at once.
+#[test]
+fn other_hosts_learn_what_a_host_saw_while_it_was_cut_off_from_the_stores() {
+    let mut deployment = start(57);
+    cut_from_stores(&mut deployment, ENTRY, true);
+    deployment.run(5_000);
+    say_leaving(&mut deployment, ENTRY, "desk-1");
+    deployment.run(5_000);
+    cut_from_stores(&mut deployment, ENTRY, false);
+    deployment.run(SPREAD_MS + 1_000);
+    let [leaving, other] = forwards(&mut deployment, OTHER_ENTRY, ["desk-1", "desk-2"]);
+    assert_eq!(leaving, 0);
+    assert!(other > 0);
+}
+
+/// Guards against a report on an instance that comes after the next instance has joined.
+#[test]
+fn a_late_report_on_an_instance_does_not_stop_the_next_one() {
+    let mut deployment = start(58);
+    cut_from_stores(&mut deployment, ENTRY, true);
+    deployment.run(5_000);
+    say_leaving(&mut deployment, ENTRY, "desk-1");
+    announce(&mut deployment, announcement("desk-1", 2, 1));
+    cut_from_stores(&mut deployment, ENTRY, false);
+    deployment.run(5_000);
+    for entry in [ENTRY, OTHER_ENTRY] {
+        let [restarted, _] = forwards(&mut deployment, entry, ["desk-1", "desk-2"]);
+        assert!(restarted > 0, "{entry:?}");
+    }
+}
+
+/// Guards against a statement that hosts forget once those that passed it on have started again.
+#[test]
+fn a_statement_outlives_restarts_of_the_hosts_that_passed_it_on() {
+    let mut deployment = start(59);
+    say_leaving(&mut deployment, ENTRY, "desk-1");
+    deployment.run(1_000);
+    for host in [HostId(1), HostId(2), HostId(3), OTHER_ENTRY] {
+        deployment.kill(host);
+        deployment.run(200);
+        deployment.start(host);
+        deployment.run(5_000);
+    }
+    for id in ["desk-1", "desk-2"] {
+        announce(&mut deployment, announcement(id, 1, 70));
+    }
+    for entry in [ENTRY, OTHER_ENTRY] {
+        let [leaving, other] = forwards(&mut deployment, entry, ["desk-1", "desk-2"]);
+        assert_eq!(leaving, 0, "{entry:?}");
+        assert!(other > 0, "{entry:?}");
+    }
+}
+
+/// Guards against a request that waits after the last upstream refused it and said that it leaves.
+#[test]
+fn a_refused_request_is_rejected_at_once_where_all_upstreams_leave() {
+    let mut deployment = start(60);
+    let tag = deployment.send_call(ENTRY, request());
+    deployment.run(20);
+    let (_, running) = deployment.forwards.last().cloned().expect("a forward");
+    say_leaving(&mut deployment, ENTRY, "desk-1");
+    say_leaving(&mut deployment, ENTRY, "desk-2");
+    let end = ForwardEnd::NotRun { status: 503, other_instance: false };
+    deployment.deliver(ENTRY, Event::ForwardEnded { attempt: running.attempt, end });
+    deployment.run(2);
+    let Some(Answer::Problem(problem)) = deployment.answers.get(&tag) else {
+        panic!("{:?}", deployment.answers.get(&tag))
+    };
+    assert_eq!((problem.kind, problem.ran), (ErrorKind::Unavailable, Ran::No));
+    assert!(problem.retry_after_ms.is_some());
+}
+
+/// Guards against an upstream that says it leaves and never goes, and that no operator sees.
+#[test]
+fn an_upstream_that_never_goes_is_counted_until_a_new_instance_joins() {
+    let mut deployment = start(61);
+    say_leaving(&mut deployment, ENTRY, "desk-1");
+    for seq in 10..70 {
+        for id in ["desk-1", "desk-2"] {
+            deployment.send_call(STORE, Call::Announce(announcement(id, 1, seq)));
+        }
+        deployment.run(1_000);
+    }
+    assert_eq!(leaving_states(&mut deployment), (1, 1));
+    announce(&mut deployment, announcement("desk-1", 2, 1));
+    assert_eq!(leaving_states(&mut deployment), (0, 0));
+}
+
+/// Returns how many upstreams the metrics of an entry count as leaving, and how many its list does.
+fn leaving_states(deployment: &mut Deployment) -> (u64, usize) {
+    let page = deployment.call(ENTRY, Call::Query(Query::Counters), 2);
+    let Some(Answer::Counters(counters)) = page else { panic!("{page:?}") };
+    let page = deployment.call(ENTRY, Call::Query(Query::Upstreams), 2);
+    let Some(Answer::Upstreams(views)) = page else { panic!("{page:?}") };
+    let leaving = views.iter().filter(|view| &*view.state == "leaving").count();
+    (counters.upstreams_leaving, leaving)
+}
+
+/// Guards against items that are broken off at an engine that leaves, or are given to it.
+#[test]
+fn items_at_a_leaving_engine_run_on_and_no_further_ones_come() {
+    let mut deployment = Deployment::new(62, STORES, 1);
+    deployment.event_interval_ms = 200;
+    for number in [1, 2] {
+        deployment.add_engine(SimEngine::new(number));
+    }
+    let leader = deployment.start_serving();
+    deployment.run(SPREAD_MS);
+    deployment.submit(ENTRY, job("job", 64, 1));
+    deployment.run(300);
+    let started = |deployment: &Deployment| {
+        let engine = deployment.engines.iter().find(|engine| &*engine.id == "engine-1");
+        engine.expect("the engine").started_runs.len()
+    };
+    let upstream = key(&deployment, leader, "engine-1");
+    assert!(
+        deployment.gateway(leader).board().upstreams[upstream].in_flight > 0,
+        "items run there"
+    );
+    let before = started(&deployment);
+    say_leaving(&mut deployment, leader, "engine-1");
+    deployment.run(20_000);
+    assert_eq!(started(&deployment), before);
+    let ended = deployment.timeline.iter().filter(|event| event.detail.contains(" end="));
+    let broken_off = ended.filter(|event| !event.detail.ends_with("end=Whole")).count();
+    assert_eq!(broken_off, 0, "runs that were broken off");
+    let results = deployment.results(ENTRY, "job", 0).expect("a page");
+    assert_eq!(results.results.len(), 64);
+}
