fix(daemon): the control thread and the disk thread could wait for each other

Callers would see a store that never answers again after an outage of its disk (a disk that stalls or is full for minutes).

Cause: the control thread waits while 4,096 batches wait for the disk; nobody takes inputs meanwhile, and their queue fills up with messages of other hosts. The disk thread then waits for room in that queue with its next report, and takes no batch: each waits for the other for good. The same happens with the report of a failed disk, which should end the process.

Change: a report that finds the queue full waits beside the next batch, and the thread takes whichever goes first. Later reports replace it, as each covers the earlier ones. The queue of batches is closed before a failure is reported.

--- a/crates/daemon/src/disk.rs
+++ b/crates/daemon/src/disk.rs
@@ -22,6 +22,7 @@
 use chestnutdrift_core::agreement::Record;
 use chestnutdrift_core::key::SyncToken;
 use crossbeam::channel::Sender;
+use crossbeam::select;
 
 use crate::{clock, memory};
 
@@ -92,9 +93,7 @@
         };
         let (folder, identity, records) = DataFolder::open(path, host)?;
         memory::log_use("journal-read");
-        let inputs = inputs.clone();
-        let send_report = move |report| inputs.send(to_input(report)).is_ok();
-        let (thread, jobs) = DiskThread::start(folder, send_report)?;
+        let (thread, jobs) = DiskThread::start(folder, inputs.clone(), to_input)?;
         let incarnation = identity.incarnation;
         Ok(Self { incarnation, records, thread: Some(thread), jobs: Some(jobs) })
     }
@@ -107,21 +106,22 @@
 }
 
 impl DiskThread {
-    /// Starts the thread and returns its queue.
-    ///
-    /// `send_report` returns `false` if there is no receiver any more, which ends the thread.
+    /// Starts the thread, which sends its reports to `inputs`, and returns its queue. The thread ends
+    /// if `inputs` has no receiver any more.
     ///
     /// # Errors
     ///
     /// Returns an error if the thread can't be started.
-    pub fn start(
+    pub fn start<I: Send + 'static>(
         disk: impl Disk + 'static,
-        send_report: impl Fn(DiskReport) -> bool + Send + 'static,
+        inputs: Sender<I>,
+        to_input: fn(DiskReport) -> I,
     ) -> anyhow::Result<(Self, DiskQueue)> {
         let (queue, jobs) = queue::queue();
         let builder = std::thread::Builder::new().name("disk".into());
+        let reporter = Reporter { inputs, to_input, synced: None };
         let thread = builder
-            .spawn(move || run(disk, &jobs, &send_report))
+            .spawn(move || run(disk, jobs, reporter))
             .context("can't start the disk thread")?;
         Ok((Self { thread }, queue))
     }
@@ -132,8 +132,48 @@
     }
 }
 
-fn run(mut disk: impl Disk, jobs: &QueuedJobs, send_report: &impl Fn(DiskReport) -> bool) {
-    while let Some(first) = jobs.recv() {
+/// Sends the reports of the disk thread.
+#[derive(Debug)]
+struct Reporter<I> {
+    inputs: Sender<I>,
+    to_input: fn(DiskReport) -> I,
+    /// The token of the synced batches that are not reported yet.
+    synced: Option<SyncToken>,
+}
+
+impl<I> Reporter<I> {
+    /// Reports the synced batches if the queue of inputs has room. Returns `false` if it has no
+    /// receiver any more.
+    fn try_report(&mut self) -> bool {
+        let Some(token) = self.synced else { return true };
+        match self.inputs.try_send((self.to_input)(DiskReport::Synced(token))) {
+            Ok(()) => self.synced = None,
+            Err(error) => return error.is_full(),
+        }
+        true
+    }
+
+    /// Waits for a batch, and for room for a report that is not sent yet. Returns `None` once one of
+    /// the queues is closed.
+    ///
+    /// The receiver of the inputs may itself wait for room in the queue of batches, so that these are
+    /// taken although nothing can be reported.
+    fn recv(&mut self, jobs: &QueuedJobs) -> Option<DiskJob> {
+        if let Some(token) = self.synced {
+            select! {
+                send(self.inputs, (self.to_input)(DiskReport::Synced(token))) -> sent => {
+                    sent.ok()?;
+                    self.synced = None;
+                }
+                recv(jobs.receiver()) -> job => return job.ok(),
+            }
+        }
+        jobs.recv()
+    }
+}
+
+fn run<I>(mut disk: impl Disk, jobs: QueuedJobs, mut reporter: Reporter<I>) {
+    while let Some(first) = reporter.recv(&jobs) {
         let mut bytes = first.bytes();
         let mut token = first.token;
         let mut records = first.records;
@@ -146,13 +186,17 @@
             token = job.token;
             records.extend(job.records);
         }
-        let report = match write(&mut disk, &records) {
-            Ok(()) => DiskReport::Synced(token),
-            Err(error) => DiskReport::Failed(format!("{error:#}").into()),
-        };
+        let written = write(&mut disk, &records);
         jobs.release(bytes);
-        let failed = matches!(report, DiskReport::Failed(_));
-        if !send_report(report) || failed {
+        if let Err(error) = written {
+            // Closes the queue first: the receiver of the report may wait for room in it.
+            drop(jobs);
+            let report = DiskReport::Failed(format!("{error:#}").into());
+            let _ = reporter.inputs.send((reporter.to_input)(report));
+            return;
+        }
+        reporter.synced = Some(token);
+        if !reporter.try_report() {
             return;
         }
     }
--- a/crates/daemon/src/disk/queue.rs
+++ b/crates/daemon/src/disk/queue.rs
@@ -50,6 +50,11 @@
         self.rx.recv().ok()
     }
 
+    /// Returns the receiver, for a wait on several channels.
+    pub(super) fn receiver(&self) -> &Receiver<DiskJob> {
+        &self.rx
+    }
+
     /// Returns the next batch if one waits.
     pub(super) fn try_recv(&self) -> Option<DiskJob> {
         self.rx.try_recv().ok()
--- a/crates/daemon/tests/process/disk.rs
+++ b/crates/daemon/tests/process/disk.rs
@@ -200,8 +200,8 @@
 #[test]
 fn a_failed_sync_is_reported_once_and_never_retried() {
     let (reports, events) = channel::unbounded();
-    let send_report = move |report| reports.send(report).is_ok();
-    let (thread, jobs) = DiskThread::start(FailingDisk { left: 1 }, send_report).unwrap();
+    let (thread, jobs) =
+        DiskThread::start(FailingDisk { left: 1 }, reports, |report| report).unwrap();
     jobs.send(DiskJob { token: SyncToken(1), records: records() }).unwrap();
     let first = events.recv_timeout(WAIT_TIMEOUT).unwrap();
     assert_eq!(first, DiskReport::Synced(SyncToken(1)));
@@ -235,9 +235,8 @@
 #[test]
 fn records_wait_while_the_disk_is_full() {
     let (reports, events) = channel::unbounded();
-    let send_report = move |report| reports.send(report).is_ok();
     let disk = FullDisk { refusals: 2, written: Vec::new() };
-    let (thread, jobs) = DiskThread::start(disk, send_report).unwrap();
+    let (thread, jobs) = DiskThread::start(disk, reports, |report| report).unwrap();
     jobs.send(DiskJob { token: SyncToken(1), records: records() }).unwrap();
     let early = events.recv_timeout(Duration::from_millis(100));
     assert!(early.is_err(), "{early:?} while the disk is full");
@@ -246,6 +245,44 @@
     thread.close();
 }
 
+/// A disk that takes all records.
+#[derive(Debug)]
+struct EndlessDisk;
+
+impl Disk for EndlessDisk {
+    fn write(&mut self, _records: &[Record]) -> anyhow::Result<()> {
+        Ok(())
+    }
+}
+
+/// Guards against a control thread that waits for room in the queue of the disk, while the disk thread
+/// waits for the control thread to take a report.
+#[test]
+fn a_full_queue_of_records_is_written_while_no_report_is_taken() {
+    // More than the queue of the disk holds.
+    const BATCHES: u64 = 20_000;
+    let (reports, events) = channel::bounded(1);
+    reports.send(DiskReport::Synced(SyncToken(0))).unwrap();
+    let (thread, jobs) = DiskThread::start(EndlessDisk, reports, |report| report).unwrap();
+    let (sent, all_sent) = channel::bounded(1);
+    let control = std::thread::spawn(move || {
+        for token in 1..=BATCHES {
+            jobs.send(DiskJob { token: SyncToken(token), records: records() }).unwrap();
+        }
+        sent.send(()).unwrap();
+        jobs
+    });
+    all_sent.recv_timeout(WAIT_TIMEOUT).expect("the batches are queued");
+    let mut last = SyncToken(0);
+    while last < SyncToken(BATCHES) {
+        let report = events.recv_timeout(WAIT_TIMEOUT).expect("a report");
+        let DiskReport::Synced(token) = report else { panic!("{report:?}") };
+        last = last.max(token);
+    }
+    drop(control.join().unwrap());
+    thread.close();
+}
+
 #[test]
 fn records_that_a_full_disk_refused_can_be_written_again() {
     let folder = TestFolder::new();
