fix(daemon): answers for slow hosts could keep the log from being replicated

Callers would see jobs and results that are not acknowledged while several hosts are behind slow links.

Cause: all messages to other hosts share one budget. The large ones of one slow link take at most as much as is left, so that each further slow link halves what remains: after a few, an append of 128 KiB to a host on a good link is dropped, and again each second when it is sent anew.

Change: the messages of groups have one half of the budget, all others the other half.

After: all 3 arrive; at most a tenth of the limit waits, as before, and the other tests of the queues pass.

--- a/crates/daemon/src/link.rs
+++ b/crates/daemon/src/link.rs
@@ -2,9 +2,9 @@
 //!
 //! A host opens a link when it has something to send. A link carries messages in one direction; the
 //! other host opens a link of its own for the other direction. Messages are lost when a link breaks
-//! or a queue is full, which the core's protocols tolerate. The messages of all queues share a budget
-//! of bytes; when it is used up, small messages still pass. No messages are kept for a host that can't
-//! be reached.
+//! or a queue is full, which the core's protocols tolerate. The messages of groups in all queues share
+//! a budget of bytes, and so do the others; when one is used up, its small messages still pass. No
+//! messages are kept for a host that can't be reached.
 
 mod inbound;
 mod outbound;
@@ -25,12 +25,8 @@
 use tokio::runtime::Runtime;
 use tokio_tungstenite::tungstenite::protocol::WebSocketConfig;
 
-use self::queue::{LinkQueue, QueueError};
+use self::queue::{LinkBudgets, LinkQueue, QueueError};
 use crate::drop_meter::DropMeter;
-use crate::message_budget::MessageBudget;
-
-/// The share of the memory limit, in percent, that the messages waiting for all links may take.
-const QUEUED_PERCENT: u64 = 10;
 
 /// The share of the memory limit, in percent, that one received message may take, as received and
 /// when inflated. A snapshot is sent in parts, so the largest message is the entry of a job, and a job
@@ -113,7 +109,7 @@
     addresses: Box<dyn AddressResolver>,
     encoder: Arc<Mutex<Encoder>>,
     queues: BTreeMap<HostId, LinkQueue>,
-    budget: MessageBudget,
+    budgets: LinkBudgets,
     dropped: DropMeter,
 }
 
@@ -143,7 +139,7 @@
             addresses,
             encoder: Arc::default(),
             queues: BTreeMap::new(),
-            budget: MessageBudget::new(memory_limit, QUEUED_PERCENT),
+            budgets: LinkBudgets::new(memory_limit),
             dropped: DropMeter::default(),
         })
     }
@@ -151,7 +147,7 @@
     /// Returns the approximate size of the messages that wait for their links, in bytes.
     #[must_use]
     pub fn queued_bytes(&self) -> usize {
-        self.budget.used()
+        self.budgets.used()
     }
 
     /// Sends a message; drops it if the address is unknown, the queue of the link is full, or its
@@ -165,14 +161,14 @@
             queue
         });
         let bytes = envelope.bytes();
-        let Err(error) = queue.try_send(envelope, bytes, &self.budget) else { return };
+        let Err(error) = queue.try_send(envelope, bytes, &self.budgets) else { return };
         LINK_COUNTERS.dropped_messages.fetch_add(1, Ordering::Relaxed);
         let Some(dropped) = self.dropped.record() else { return };
         let reason = match error {
             QueueError::Full => "the queue of the link is full",
             QueueError::NoMemory => "the messages for other hosts take too much memory",
         };
-        let queued_bytes = self.budget.used() as u64;
+        let queued_bytes = self.budgets.used() as u64;
         log::warn!(
             event = "message-dropped",
             host = to.0,
--- a/crates/daemon/src/link/queue.rs
+++ b/crates/daemon/src/link/queue.rs
@@ -1,6 +1,6 @@
 //! The queues of the links that this host opens, bounded in messages and in bytes.
 
-use chestnutdrift_core::message::Envelope;
+use chestnutdrift_core::message::{Envelope, Message};
 use tokio::sync::mpsc::{self, Receiver, Sender};
 
 use crate::byte_budget::{ByteBudget, ByteReservation};
@@ -9,12 +9,29 @@
 /// The most messages that may wait for a link.
 const MAX_QUEUED_MESSAGES: usize = 4_096;
 
+/// The share of the memory limit, in percent, that the messages of groups may take.
+const GROUP_PERCENT: u64 = 5;
+
+/// The share of the memory limit, in percent, that the other messages may take.
+const OTHER_PERCENT: u64 = 5;
+
+/// The budgets of the messages that wait for all links.
+///
+/// Groups have a budget of their own: answers for slow hosts must not hold up the log.
+#[derive(Debug)]
+pub(super) struct LinkBudgets {
+    group: MessageBudget,
+    other: MessageBudget,
+}
+
 /// The sending end of the queue of one link.
 #[derive(Debug)]
 pub(super) struct LinkQueue {
     tx: Sender<QueuedEnvelope>,
-    /// The large messages of this link.
-    large: ByteBudget,
+    /// The large messages of groups that wait for this link.
+    large_group: ByteBudget,
+    /// The other large messages that wait for this link.
+    large_other: ByteBudget,
 }
 
 /// A message that waits for its link, with the bytes that are reserved for it until it is dropped.
@@ -45,7 +62,23 @@
 /// Creates the queue of a link.
 pub(super) fn queue() -> (LinkQueue, Receiver<QueuedEnvelope>) {
     let (tx, rx) = mpsc::channel(MAX_QUEUED_MESSAGES);
-    (LinkQueue { tx, large: ByteBudget::new(usize::MAX) }, rx)
+    let unlimited = || ByteBudget::new(usize::MAX);
+    (LinkQueue { tx, large_group: unlimited(), large_other: unlimited() }, rx)
+}
+
+impl LinkBudgets {
+    /// Creates the budgets of a process with a memory limit in bytes, if it is limited.
+    pub(super) fn new(memory_limit: Option<u64>) -> Self {
+        Self {
+            group: MessageBudget::new(memory_limit, GROUP_PERCENT),
+            other: MessageBudget::new(memory_limit, OTHER_PERCENT),
+        }
+    }
+
+    /// Returns the bytes of the messages that wait.
+    pub(super) fn used(&self) -> usize {
+        self.group.used() + self.other.used()
+    }
 }
 
 impl LinkQueue {
@@ -54,26 +87,30 @@
         &self,
         envelope: Envelope,
         bytes: usize,
-        budget: &MessageBudget,
+        budgets: &LinkBudgets,
     ) -> Result<(), QueueError> {
-        let reserved = self.reserve(bytes, budget).ok_or(QueueError::NoMemory)?;
+        let (budget, large) = match envelope.message {
+            Message::Group(_) => (&budgets.group, &self.large_group),
+            _ => (&budgets.other, &self.large_other),
+        };
+        let reserved = reserve(bytes, budget, large).ok_or(QueueError::NoMemory)?;
         let queued = QueuedEnvelope { envelope, reserved };
         self.tx.try_send(queued).map_err(|_| QueueError::Full)
     }
+}
 
-    /// Reserves the bytes of a message.
-    ///
-    /// The large messages of one link may take as much as is left, so that a link that does not
-    /// advance leaves room for the others.
-    fn reserve(&self, bytes: usize, budget: &MessageBudget) -> Option<QueueReservation> {
-        let is_large = bytes > SMALL_MESSAGE_BYTES;
-        let queued = self.large.used();
-        let must_share = is_large && queued > 0 && !budget.is_huge(bytes);
-        if must_share && queued + bytes > budget.large_left() {
-            return None;
-        }
-        let of_all_links = budget.try_reserve(bytes)?;
-        let of_link = if is_large { self.large.try_reserve(bytes) } else { None };
-        Some(QueueReservation { _of_all_links: of_all_links, _of_link: of_link })
+/// Reserves the bytes of a message.
+///
+/// The large messages of one link may take as much as is left, so that a link that does not advance
+/// leaves room for the others.
+fn reserve(bytes: usize, budget: &MessageBudget, large: &ByteBudget) -> Option<QueueReservation> {
+    let is_large = bytes > SMALL_MESSAGE_BYTES;
+    let queued = large.used();
+    let must_share = is_large && queued > 0 && !budget.is_huge(bytes);
+    if must_share && queued + bytes > budget.large_left() {
+        return None;
     }
+    let of_all_links = budget.try_reserve(bytes)?;
+    let of_link = if is_large { large.try_reserve(bytes) } else { None };
+    Some(QueueReservation { _of_all_links: of_all_links, _of_link: of_link })
 }
--- a/crates/daemon/tests/process/link_queue.rs
+++ b/crates/daemon/tests/process/link_queue.rs
@@ -8,7 +8,7 @@
 use bytes::Bytes;
 use chestnutdrift_core::agreement::{Command, Entry, GroupFrame, GroupId, GroupMessage};
 use chestnutdrift_core::directory::{DirectoryCommand, ItemOutcome, ItemResult, NewResult};
-use chestnutdrift_core::gateway::{GatewayMessage, StoreRequest};
+use chestnutdrift_core::gateway::{GatewayMessage, StoreReply, StoreRequest};
 use chestnutdrift_core::message::{Envelope, Message};
 use chestnutdrift_core::timeline::Stamp;
 use chestnutdrift_core::{HostId, Millis};
@@ -156,6 +156,45 @@
     links.close();
 }
 
+/// Returns the answer to a read of `bytes` bytes.
+fn answer(bytes: usize) -> Envelope {
+    let reply = StoreReply::Body(vec![0; bytes].into());
+    let message = Message::Gateway(Box::new(GatewayMessage::Reply { boot_id: 1, key: 1, reply }));
+    Envelope { from: HostId(1), stamp: Stamp::default(), message }
+}
+
+/// Guards against logs that stand still because answers for many slow hosts leave no room for the
+/// appends to others.
+#[test]
+fn answers_for_many_slow_hosts_leave_room_for_appends() {
+    const SLOW_HOSTS: u32 = 12;
+    const SENT_APPENDS: u64 = 3;
+    let slow: Vec<(HostId, Peer)> =
+        (0..SLOW_HOSTS).map(|number| (HostId(10 + number), Peer::start())).collect();
+    let other = Peer::start();
+    let mut peers: Vec<(HostId, &Peer)> = slow.iter().map(|(host, peer)| (*host, peer)).collect();
+    peers.push((OTHER, &other));
+    let mut links = links_to(&peers);
+    for (host, _) in &slow {
+        for _ in 0..APPENDS {
+            links.send(*host, answer(APPEND_BYTES / 4));
+        }
+    }
+    for index in 1..=SENT_APPENDS {
+        links.send(OTHER, append(index));
+    }
+    links.send(OTHER, vote(7));
+    let queued = links.queued_bytes();
+    assert!(queued <= MEMORY_LIMIT / 10, "{queued} bytes wait");
+    other.begin.send(()).expect("the peer runs");
+    let mut appends = 0;
+    while matches!(other.receive(), GroupMessage::AppendEntries { .. }) {
+        appends += 1;
+    }
+    assert_eq!(appends, SENT_APPENDS);
+    links.close();
+}
+
 /// A message whose contents are `bytes` long, and shrink much when they are deflated.
 fn long_message(bytes: usize) -> Envelope {
     let request = StoreRequest::EndJob { job: "a".repeat(bytes).into() };
