fix(daemon): a caller that was cut off within a body took its memory for good

Callers would see every body above 4 KiB refused (429) by a host, until the process ends: a budget that is reserved and never released.

Cause: a body reserves its stated length before it is read, and the read has no time limit; only the head has one. A caller whose link is cut sends neither the rest nor an end, so that its share stays reserved. A few such callers take the quarter of the memory that all bodies share.

--- a/crates/daemon/src/gateway/server.rs
+++ b/crates/daemon/src/gateway/server.rs
@@ -75,6 +75,12 @@
         self.idle_timeout_ms.store(limits.idle_timeout.0, Ordering::Relaxed);
     }
 
+    /// Returns how long a connection, or a body that is being read, may stay idle.
+    #[must_use]
+    pub fn idle_timeout(&self) -> Duration {
+        Duration::from_millis(self.idle_timeout_ms.load(Ordering::Relaxed))
+    }
+
     /// Makes every later answer close its connection.
     pub fn drain(&self) {
         self.draining.store(true, Ordering::Relaxed);
@@ -133,7 +139,7 @@
         log::debug!(event = "nodelay"; "{error}");
     }
     let mut close_requested = server.state.close_idle.subscribe();
-    let idle_timeout = Duration::from_millis(server.state.idle_timeout_ms.load(Ordering::Relaxed));
+    let idle_timeout = server.state.idle_timeout();
     let head = server.state.max_head_bytes.load(Ordering::Relaxed);
     let buffer = usize::try_from(head).unwrap_or(usize::MAX).max(MIN_BUFFER_BYTES);
     let service = service_fn(move |request| {
@@ -183,7 +189,8 @@
         let (head, body) = request.into_parts();
         let mut reserved = self.bodies.reservation();
         let max_bytes = self.state.max_body_bytes.load(Ordering::Relaxed);
-        let body = read_body(body, max_bytes, |bytes| reserved.extend_to(bytes)).await?;
+        let admit = |bytes| reserved.extend_to(bytes);
+        let body = read_body(body, max_bytes, self.state.idle_timeout(), admit).await?;
         let parsed = self.protocol.parse_request(listener, &head, &body)?;
         let tag = RequestTag(self.next_tag.fetch_add(1, Ordering::Relaxed));
         let call = IncomingCall {
--- a/crates/daemon/src/http/request.rs
+++ b/crates/daemon/src/http/request.rs
@@ -45,11 +45,10 @@
         limits: BodyLimits,
     ) -> Result<Self, Problem> {
         let (parts, body) = request.into_parts();
-        let read =
-            tokio::time::timeout(limits.timeout, read_body(body, limits.max_bytes, |_| Ok(())))
-                .await;
-        let Ok(body) = read else {
-            let detail = format!("the body took longer than {:?} to arrive", limits.timeout);
+        let BodyLimits { max_bytes, timeout } = limits;
+        let read = read_body(body, max_bytes, timeout, |_| Ok(()));
+        let Ok(body) = tokio::time::timeout(timeout, read).await else {
+            let detail = format!("the body took longer than {timeout:?} to arrive");
             return Err(Problem::not_run(ErrorKind::SlowSender, detail));
         };
         let path_and_query = parts.uri.path_and_query().map_or("/", |path| path.as_str());
@@ -124,13 +123,14 @@
     }
 }
 
-/// Reads a body of at most `max_bytes` bytes.
+/// Reads a body of at most `max_bytes` bytes, of which some arrive at least every `idle_timeout`.
 ///
 /// `admit` is called with the length that the head states, before anything is read, and with the
 /// length so far before more is kept.
 pub(crate) async fn read_body(
     mut body: Incoming,
     max_bytes: u64,
+    idle_timeout: Duration,
     mut admit: impl FnMut(u64) -> Result<(), Problem>,
 ) -> Result<Bytes, Problem> {
     let too_large = || {
@@ -142,7 +142,12 @@
     }
     admit(body.size_hint().lower())?;
     let mut buf = BytesMut::new();
-    while let Some(frame) = body.frame().await {
+    loop {
+        let Ok(frame) = tokio::time::timeout(idle_timeout, body.frame()).await else {
+            let detail = format!("no part of the body arrived for {idle_timeout:?}");
+            return Err(Problem::not_run(ErrorKind::SlowSender, detail));
+        };
+        let Some(frame) = frame else { break };
         let failed = |error: hyper::Error| {
             Problem::not_run(ErrorKind::BadRequest, format!("reading the body failed: {error}"))
         };
