fix(daemon): a stopping host cut off the streams that it had begun to pass on

Callers saw: a stream, or a long answer, that broke off when the entry host that passes it on got SIGTERM (LOST around planned work: the request was passed on, and its connection ended without a complete answer).

Cause: the control thread counts a request as ended when its answer begins. With no other work, the host ended 3 s after SIGTERM, and open connections had another 500 ms, although it has 8 s to stop.

Change: the order to exit says how long streamed answers may still take, which is what is left of 85 percent of the time to stop, as for requests that wait. Each streamed answer holds a permit until its end, so that idle connections and slow senders delay no exit.

--- a/crates/core/src/gateway/action.rs
+++ b/crates/core/src/gateway/action.rs
@@ -71,8 +71,11 @@
     Drain,
     /// Closes the connections that have no request in progress.
     CloseIdle,
-    /// Ends the process; nothing is in progress any more.
-    Exit,
+    /// Ends the process; nothing waits for a decision any more.
+    Exit {
+        /// How long the answers that are being streamed may still take.
+        stream_timeout: Millis,
+    },
 }
 
 /// The address of an upstream, and the instance that is expected there.
--- a/crates/core/src/gateway/controller/lifecycle.rs
+++ b/crates/core/src/gateway/controller/lifecycle.rs
@@ -95,8 +95,8 @@
     let has_work = !board.requests.is_empty()
         || !board.store_requests.is_empty()
         || board.group.as_ref().is_some_and(|group| !group.pending_syncs.is_empty());
-    let is_late = elapsed.0 * 100 >= board.cfg.times.stop_timeout.0 * GRACE_PERCENT;
-    if !has_work || is_late {
-        board.actions.push(Action::Exit);
+    let stop_time = Millis(board.cfg.times.stop_timeout.0 * GRACE_PERCENT / 100);
+    if !has_work || elapsed >= stop_time {
+        board.actions.push(Action::Exit { stream_timeout: stop_time.since(elapsed) });
     }
 }
--- a/crates/core/tests/it/deployment.rs
+++ b/crates/core/tests/it/deployment.rs
@@ -454,7 +454,7 @@
                 self.schedule(self.now + 3, Scheduled::Order(id, boot_id, order));
             }
             Action::Note(event) => self.timeline.push(event),
-            Action::Exit => self.kill(id),
+            Action::Exit { .. } => self.kill(id),
             Action::Cancel { .. }
             | Action::CloseUpstream { .. }
             | Action::Deliver { .. }
--- a/crates/daemon/src/gateway/control.rs
+++ b/crates/daemon/src/gateway/control.rs
@@ -79,7 +79,8 @@
     routing_version: u64,
     next_sweep: Millis,
     load: LoadMeter,
-    ended: bool,
+    /// Once the gateway has no work left: how long the answers that are being streamed may take.
+    stream_timeout: Option<Millis>,
 }
 
 impl GatewayControl {
@@ -101,17 +102,18 @@
             routing_version: 0,
             next_sweep: Millis(0),
             load,
-            ended: false,
+            stream_timeout: None,
         }
     }
 
-    /// Runs until the gateway reports that it has no work left.
+    /// Runs until the gateway reports that it has no work left, and returns how long the answers
+    /// that are being streamed may still take.
     ///
     /// # Errors
     ///
     /// Returns an error if the disk fails.
-    pub fn run(mut self) -> anyhow::Result<()> {
-        while !self.ended {
+    pub fn run(mut self) -> anyhow::Result<Millis> {
+        while self.stream_timeout.is_none() {
             let received = self.inputs.recv_timeout(self.wait());
             let started = Instant::now();
             match received {
@@ -134,7 +136,7 @@
             }
         }
         self.outputs.links.close();
-        Ok(())
+        Ok(self.stream_timeout.unwrap_or_default())
     }
 
     fn handle_input(&mut self, input: Input) -> anyhow::Result<()> {
@@ -204,7 +206,7 @@
             Action::Note(event) => write_event(log::Level::Info, &event),
             Action::Drain => self.outputs.server.drain(),
             Action::CloseIdle => self.outputs.server.close_idle(),
-            Action::Exit => self.ended = true,
+            Action::Exit { stream_timeout } => self.stream_timeout = Some(stream_timeout),
         }
     }
 
--- a/crates/daemon/src/gateway/server.rs
+++ b/crates/daemon/src/gateway/server.rs
@@ -22,7 +22,7 @@
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::runtime::Runtime;
-use tokio::sync::{Semaphore, mpsc, watch};
+use tokio::sync::{OwnedSemaphorePermit, Semaphore, mpsc, watch};
 
 use super::bodies::BodyMemory;
 use super::control::{Directive, MAX_QUEUED_DIRECTIVES};
@@ -107,6 +107,8 @@
     pub bodies: BodyMemory,
     /// The permits for open connections, one for each.
     pub connections: Arc<Semaphore>,
+    /// The permits for answers that are being streamed, one for each connection.
+    pub streams: Arc<Semaphore>,
     /// The tag of the next exchange.
     pub next_tag: AtomicU64,
 }
@@ -323,8 +325,10 @@
             }
             Outcome::Streaming(response, streamed) => {
                 let status = response.status.as_u16();
+                // The report may be the last work that the host waits for.
+                let permit = Arc::clone(&self.server.streams).try_acquire_owned().ok();
                 self.server.report(key, ForwardEnd::Delivered { status });
-                Some(response.into_response(|held| stream_body(held, *streamed)))
+                Some(response.into_response(|held| stream_body(held, *streamed, permit)))
             }
             Outcome::Failure(response) => {
                 let status = response.status.as_u16();
@@ -359,16 +363,23 @@
 }
 
 /// Streams `held` and then the rest of a body; an error of the upstream's body aborts the caller's.
-fn stream_body(held: Bytes, streamed: StreamedBody) -> ResponseBody {
+///
+/// The permit is kept until the end of the body.
+fn stream_body(
+    held: Bytes,
+    streamed: StreamedBody,
+    permit: Option<OwnedSemaphorePermit>,
+) -> ResponseBody {
     let StreamedBody { body, connection } = streamed;
     let first = (!held.is_empty()).then_some(held);
-    let frames = stream::unfold((first, Some((body, connection))), |(first, rest)| async {
+    let rest = Some((body, connection, permit));
+    let frames = stream::unfold((first, rest), |(first, rest)| async {
         if let Some(first) = first {
             return Some((Ok(Frame::data(first)), (None, rest)));
         }
-        let (mut body, connection) = rest?;
+        let (mut body, connection, permit) = rest?;
         match body.frame().await? {
-            Ok(frame) => Some((Ok(frame), (None, Some((body, connection))))),
+            Ok(frame) => Some((Ok(frame), (None, Some((body, connection, permit))))),
             Err(error) => Some((Err(std::io::Error::other(error)), (None, None))),
         }
     });
--- a/crates/daemon/src/gateway/start.rs
+++ b/crates/daemon/src/gateway/start.rs
@@ -29,7 +29,8 @@
 /// The interval between checks whether the settings file has changed.
 const FILE_POLL_INTERVAL: Duration = Duration::from_secs(2);
 
-/// How long open connections may take to close once the gateway has no work left.
+/// How long open connections may take to close once the gateway has no work left and no answer is
+/// being streamed.
 const CLOSE_TIMEOUT: Duration = Duration::from_millis(500);
 
 /// Runs a host until it has been told to stop and has no work left.
@@ -62,6 +63,7 @@
     let links =
         Links::start(Arc::clone(&runtime), file.link_address, addresses, deliver, memory_limit)?;
     let connections = Arc::new(Semaphore::new(file.max_connections));
+    let streams = Arc::new(Semaphore::new(file.max_connections));
     let server = Arc::new(Server {
         protocol: Arc::clone(&protocol),
         pool: pool.clone(),
@@ -69,6 +71,7 @@
         state: Arc::clone(&state),
         bodies: BodyMemory::new(memory_limit),
         connections: Arc::clone(&connections),
+        streams: Arc::clone(&streams),
         next_tag: AtomicU64::new(1),
     });
     for (listener, address) in &file.listeners {
@@ -87,15 +90,18 @@
     control.execute_all(restore_actions);
     let ran = control.run();
     state.close_idle();
+    let stream_timeout = Duration::from_millis(ran.as_ref().map_or(0, |timeout| timeout.0));
     let permits = u32::try_from(file.max_connections).unwrap_or(u32::MAX);
-    let closed = runtime.block_on(async {
-        tokio::time::timeout(CLOSE_TIMEOUT, connections.acquire_many(permits)).await.is_ok()
+    let (streamed, closed) = runtime.block_on(async {
+        let streamed = tokio::time::timeout(stream_timeout, streams.acquire_many(permits)).await;
+        let closed = tokio::time::timeout(CLOSE_TIMEOUT, connections.acquire_many(permits)).await;
+        (streamed.is_ok(), closed.is_ok())
     });
-    log::info!(event = "stopped", connections_closed = closed; "the host has stopped");
+    log::info!(event = "stopped", streams_ended = streamed, connections_closed = closed; "the host has stopped");
     if let Some(disk) = restored.thread.filter(|_| ran.is_ok()) {
         disk.close();
     }
-    ran
+    ran.map(drop)
 }
 
 fn disk_input(report: DiskReport) -> QueuedInput {
