test(core): a state that begins anew at each compaction never arrives

A transfer that takes longer than the log needs from one compaction to the next thus never ends, however long the link stays as it is.

Not tried: a transfer that goes on with the commands of the entries that are compacted meanwhile, up to a bound in bytes.

--- a/crates/core/tests/it/log_size.rs
+++ b/crates/core/tests/it/log_size.rs
@@ -210,6 +210,38 @@
     assert!(Arc::ptr_eq(&before, &text(&deployment)), "the text was replaced by a copy");
 }
 
+/// Guards against a transfer that begins anew whenever the leader compacts its log, and never ends
+/// under load.
+#[test]
+fn a_state_arrives_although_the_log_is_compacted_meanwhile() {
+    let mut deployment = started(37);
+    run_large_jobs(&mut deployment, 5, |_| {});
+    let leader = deployment.leader().expect("a leader");
+    let lost = *STORES.iter().find(|id| **id != leader).expect("a follower");
+    deployment.kill(lost);
+    deployment.lose_disk(lost);
+    deployment.run(500);
+    // 60 MB of state take 24 s, in which 24 MB are appended to the log.
+    deployment.bytes_per_ms = 2_500;
+    deployment.start(lost);
+    let starts = Rc::new(Cell::new(0));
+    let counted = Rc::clone(&starts);
+    deployment.on_send = Some(Box::new(move |_, envelope| {
+        let Message::Group(frame) = &envelope.message else { return };
+        let GroupMessage::SnapshotPart { part, .. } = &frame.message else { return };
+        counted.set(counted.get() + u32::from(part.number == 0));
+    }));
+    deployment.event_padding_bytes = 10_000;
+    for number in 0..80 {
+        deployment.submit(ENTRY, job(&format!("later-{number}"), 10, 1));
+        deployment.run(1_000);
+    }
+    let (found, expected) = (group(&deployment, lost), group(&deployment, leader));
+    let lag = expected.replica.applied_index() - found.replica.applied_index();
+    let starts = starts.get();
+    assert!(lag < 100, "{lag} entries are missing after {starts} starts of the transfer");
+}
+
 #[test_case(1; "one command a chunk")]
 #[test_case(2_000; "a few commands a chunk")]
 #[test_case(usize::MAX; "one chunk")]
