--- a/crates/daemon/src/gateway/server.rs
+++ b/crates/daemon/src/gateway/server.rs
@@ -23,7 +23,7 @@
 use rustix::net::sockopt::set_socket_linger;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::runtime::Runtime;
-use tokio::sync::{Semaphore, mpsc, watch};
+use tokio::sync::{OwnedSemaphorePermit, Semaphore, mpsc, watch};
 
 use super::bodies::BodyMemory;
 use super::control::{Directive, MAX_QUEUED_DIRECTIVES};
@@ -76,6 +76,12 @@
         self.idle_timeout_ms.store(limits.idle_timeout.0, Ordering::Relaxed);
     }
 
+    /// Returns how long a connection, or a body that is being read, may stay idle.
+    #[must_use]
+    pub fn idle_timeout(&self) -> Duration {
+        Duration::from_millis(self.idle_timeout_ms.load(Ordering::Relaxed))
+    }
+
     /// Makes every later answer close its connection.
     pub fn drain(&self) {
         self.draining.store(true, Ordering::Relaxed);
@@ -102,6 +108,8 @@
     pub bodies: BodyMemory,
     /// The permits for open connections, one for each.
     pub connections: Arc<Semaphore>,
+    /// The permits for answers that are being streamed, one for each connection.
+    pub streams: Arc<Semaphore>,
     /// The tag of the next exchange.
     pub next_tag: AtomicU64,
 }
@@ -134,7 +142,7 @@
         log::debug!(event = "nodelay"; "{error}");
     }
     let mut close_requested = server.state.close_idle.subscribe();
-    let idle_timeout = Duration::from_millis(server.state.idle_timeout_ms.load(Ordering::Relaxed));
+    let idle_timeout = server.state.idle_timeout();
     let head = server.state.max_head_bytes.load(Ordering::Relaxed);
     let buffer = usize::try_from(head).unwrap_or(usize::MAX).max(MIN_BUFFER_BYTES);
     let ends_with_connection = Arc::new(AtomicBool::new(false));
@@ -203,7 +211,8 @@
         let (head, body) = request.into_parts();
         let mut reserved = self.bodies.reservation();
         let max_bytes = self.state.max_body_bytes.load(Ordering::Relaxed);
-        let body = read_body(body, max_bytes, |bytes| reserved.extend_to(bytes)).await?;
+        let admit = |bytes| reserved.extend_to(bytes);
+        let body = read_body(body, max_bytes, self.state.idle_timeout(), admit).await?;
         let parsed = self.protocol.parse_request(listener, &head, &body)?;
         let tag = RequestTag(self.next_tag.fetch_add(1, Ordering::Relaxed));
         let call = IncomingCall {
@@ -336,8 +345,10 @@
             }
             Outcome::Streaming(response, streamed) => {
                 let status = response.status.as_u16();
+                // The report may be the last work that the host waits for.
+                let permit = Arc::clone(&self.server.streams).try_acquire_owned().ok();
                 self.server.report(key, ForwardEnd::Delivered { status });
-                Some(response.into_response(|held| stream_body(held, *streamed)))
+                Some(response.into_response(|held| stream_body(held, *streamed, permit)))
             }
             Outcome::Failure(response) => {
                 let status = response.status.as_u16();
@@ -373,13 +384,19 @@
 
 /// Streams `held` and then the rest of a body. An error of the upstream's body aborts the caller's,
 /// and so does the end of an event stream within an event, whatever its framing says.
-fn stream_body(held: Bytes, streamed: StreamedBody) -> ResponseBody {
+///
+/// The permit is kept until the end of the body.
+fn stream_body(
+    held: Bytes,
+    streamed: StreamedBody,
+    permit: Option<OwnedSemaphorePermit>,
+) -> ResponseBody {
     let first = (!held.is_empty()).then_some(held);
-    let frames = stream::unfold((first, Some(streamed)), |(first, rest)| async {
+    let frames = stream::unfold((first, Some((streamed, permit))), |(first, rest)| async {
         if let Some(first) = first {
             return Some((Ok(Frame::data(first)), (None, rest)));
         }
-        let mut rest = rest?;
+        let (mut rest, permit) = rest?;
         let frame = match rest.body.frame().await {
             Some(Ok(frame)) => frame,
             Some(Err(error)) => return Some((Err(std::io::Error::other(error)), (None, None))),
@@ -392,7 +409,7 @@
         if let (Some(events), Some(data)) = (&mut rest.events, frame.data_ref()) {
             events.push(data);
         }
-        Some((Ok(frame), (None, Some(rest))))
+        Some((Ok(frame), (None, Some((rest, permit)))))
     });
     StreamBody::new(Box::pin(frames)).boxed_unsync()
 }
