--- a/crates/core/tests/it/bookings.rs
+++ b/crates/core/tests/it/bookings.rs
@@ -13,10 +13,11 @@
 /// The default number of seeds of a randomized test; `CHESTNUTDRIFT_SEEDS` overrides it.
 pub(crate) const SEEDS: u64 = 60;
 
-/// Returns the seeds of a randomized test.
+/// Returns the seeds of a randomized test, from `CHESTNUTDRIFT_FIRST_SEED` or zero on.
 pub(crate) fn seeds(default: u64) -> std::ops::Range<u64> {
-    let count = std::env::var("CHESTNUTDRIFT_SEEDS").ok().and_then(|text| text.parse().ok());
-    0..count.unwrap_or(default)
+    let number = |name: &str| std::env::var(name).ok().and_then(|text| text.parse().ok());
+    let first = number("CHESTNUTDRIFT_FIRST_SEED").unwrap_or(0);
+    first..first + number("CHESTNUTDRIFT_SEEDS").unwrap_or(default)
 }
 
 fn booking(key: usize, caller: &str) -> Call {
