fix(core): a host with a disk could found its group anew beside a host that votes

Callers could lose records that a zone had accepted: the zone's only host with a disk began a new epoch on its own log, which lacked them, while another host that had them was left in the old epoch for good.

Cause: recover_if_sole_survivor counts join requests up to 2 s old as "has no state". A host that asked to join can become a voter within that time, and commit entries with a leader that is lost right after.

Change: a join request of a closed group names the incarnations from which its sender has heard join requests. The requests count only if each sender had heard the current incarnations of all others: their earlier incarnations, and so every leader that could have made it a voter, had ended when it still did not vote. Older hosts ignore the field; a fleet in which they run recovers so once they are replaced.

Evidence: sole_survivor::a_host_that_became_a_voter_after_its_join_request_keeps_the_group fails before (the host with the disk leads epoch 8, the voter stays in epoch 7) and passes after.

--- a/crates/core/src/agreement/bootstrap.rs
+++ b/crates/core/src/agreement/bootstrap.rs
@@ -14,6 +14,20 @@
 /// How long a join request counts as evidence that its sender has no state.
 const JOIN_REQUEST_LIFETIME: Millis = Millis(2_000);
 
+/// The last join request of a host.
+#[derive(Debug, Clone)]
+pub(super) struct ReceivedJoinRequest {
+    incarnation: u64,
+    received_at: Millis,
+    heard: Vec<Voter>,
+}
+
+impl ReceivedJoinRequest {
+    fn is_current(&self, now: Now) -> bool {
+        now.mono.since(self.received_at) <= JOIN_REQUEST_LIFETIME
+    }
+}
+
 impl Replica {
     /// Bootstraps the group if this replica may, and sends join requests otherwise.
     pub(super) fn tick_non_voter(&mut self, now: Now, out: &mut Outbox) {
@@ -25,10 +39,17 @@
             self.bootstrap(now, out);
             return;
         }
-        let message = GroupMessage::JoinRequest { incarnation: self.local.incarnation };
+        let heard = if self.membership_policy.is_none() { self.joining(now) } else { Vec::new() };
+        let message = GroupMessage::JoinRequest { incarnation: self.local.incarnation, heard };
         self.send_to_members(&message, out);
     }
 
+    /// Returns the hosts with current join requests, with their incarnations.
+    fn joining(&self, now: Now) -> Vec<Voter> {
+        let current = self.join_requests.iter().filter(|(_, request)| request.is_current(now));
+        current.map(|(host, request)| Voter::new(*host, request.incarnation)).collect()
+    }
+
     fn send_to_members(&self, message: &GroupMessage, out: &mut Outbox) {
         for &host in &self.members {
             if host == self.local.host {
@@ -49,18 +70,17 @@
     }
 
     fn has_current_join_request(&self, host: HostId, now: Now) -> bool {
-        let Some((_, received_at)) = self.join_requests.get(&host) else { return false };
-        now.mono.since(*received_at) <= JOIN_REQUEST_LIFETIME
+        self.join_requests.get(&host).is_some_and(|request| request.is_current(now))
     }
 
     fn bootstrap(&mut self, now: Now, out: &mut Outbox) {
         const MILLIS_PER_SECOND: u64 = 1_000;
         let mut voters = vec![self.local];
-        for (&host, &(incarnation, _)) in &self.join_requests {
+        for (&host, request) in &self.join_requests {
             if !self.initial_members.contains(&host) {
                 continue;
             }
-            voters.push(Voter::new(host, incarnation));
+            voters.push(Voter::new(host, request.incarnation));
         }
         voters.sort_unstable();
         let epoch = (now.wall.0 / MILLIS_PER_SECOND).max(1);
@@ -85,6 +105,10 @@
     /// before the failure. The group gets a new epoch with this member as its only voter: the
     /// others hold nothing and could otherwise elect one of themselves. They are added again one by
     /// one when they have caught up.
+    ///
+    /// A host may have become a voter after its join request, by a leader that was lost later. So
+    /// the request counts only if its sender had heard from the current incarnations of all others:
+    /// no leader is left that could have made it a voter since.
     pub(super) fn recover_if_sole_survivor(&mut self, now: Now) {
         let is_only_durable = self.durable && self.durable_members == [self.local.host];
         let has_peers = self.epoch != 0 && self.members.len() > 1;
@@ -95,14 +119,17 @@
         if voters == [self.local] {
             return;
         }
-        let lost_state = |host: &HostId| {
-            let Some((incarnation, received_at)) = self.join_requests.get(host) else {
-                return false;
-            };
-            let current = now.mono.since(*received_at) <= JOIN_REQUEST_LIFETIME;
-            current && !voters.contains(&Voter::new(*host, *incarnation))
+        let joining = self.joining(now);
+        let all_join = self.members.len() == joining.len() + 1;
+        if !all_join || joining.iter().any(|joiner| voters.contains(joiner)) {
+            return;
+        }
+        let has_heard_all = |joiner: &Voter| {
+            let heard = self.join_requests.get(&joiner.host).map(|request| &request.heard);
+            let mut others = joining.iter().filter(|other| *other != joiner);
+            others.all(|other| heard.is_some_and(|heard| heard.contains(other)))
         };
-        if !self.members.iter().all(|host| *host == self.local.host || lost_state(host)) {
+        if !joining.iter().all(has_heard_all) {
             return;
         }
         const MILLIS_PER_SECOND: u64 = 1_000;
@@ -120,9 +147,11 @@
         now: Now,
         from: HostId,
         incarnation: u64,
+        heard: Vec<Voter>,
         out: &mut Outbox,
     ) {
-        self.join_requests.insert(from, (incarnation, now.mono));
+        let request = ReceivedJoinRequest { incarnation, received_at: now.mono, heard };
+        self.join_requests.insert(from, request);
         if self.epoch == 0 {
             return;
         }
--- a/crates/core/src/agreement/inbox.rs
+++ b/crates/core/src/agreement/inbox.rs
@@ -19,8 +19,8 @@
             return;
         }
         match message {
-            GroupMessage::JoinRequest { incarnation } => {
-                self.handle_join_request(now, from, incarnation, out);
+            GroupMessage::JoinRequest { incarnation, heard } => {
+                self.handle_join_request(now, from, incarnation, heard, out);
             }
             GroupMessage::Bootstrap { voters } => self.handle_bootstrap(epoch, voters, out),
             message if self.accepts_epoch(epoch, &message, out) => {
--- a/crates/core/src/agreement/message.rs
+++ b/crates/core/src/agreement/message.rs
@@ -42,6 +42,10 @@
     JoinRequest {
         /// The sender's incarnation.
         incarnation: u64,
+        /// In a closed group, the incarnations of the hosts whose join requests the sender has
+        /// received lately.
+        #[serde(default, skip_serializing_if = "Vec::is_empty")]
+        heard: Vec<Voter>,
     },
     /// Announces the first voter set of a group.
     #[serde(rename = "form")]
--- a/crates/core/src/agreement/replica.rs
+++ b/crates/core/src/agreement/replica.rs
@@ -2,6 +2,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
+use super::bootstrap::ReceivedJoinRequest;
 use super::send_window::SendWindow;
 use super::snapshot_transfer::{IncomingSnapshot, OutgoingSnapshot, TransferProgress};
 use crate::agreement::{
@@ -63,8 +64,8 @@
     pub(super) election_timeout: Millis,
     pub(super) epoch: u64,
     pub(super) initial_voters: Vec<Voter>,
-    /// The incarnation in each host's last join request, and when that request was received.
-    pub(super) join_requests: BTreeMap<HostId, (u64, Millis)>,
+    /// The last join request of each host.
+    pub(super) join_requests: BTreeMap<HostId, ReceivedJoinRequest>,
     pub(super) next_join_request: Millis,
     pub(super) term: u64,
     pub(super) voted_for: Option<HostId>,
--- a/crates/core/tests/it/main.rs
+++ b/crates/core/tests/it/main.rs
@@ -23,6 +23,7 @@
 mod samples;
 mod scripts;
 mod silent_replica;
+mod sole_survivor;
 mod stalled_disk;
 mod tables;
 mod text_cache;
