fix(core): a host that was catching up when its group was founded anew never voted again

A host without a disk stayed out of its zone's group until it was restarted, so the group bore one loss less ("every running host votes again" of the histories does not come about).

Cause: a replica adopts a later epoch only with an empty log. A host that had begun to catch up with a leader that was lost has entries of the earlier epoch, and dropped all messages of the new one.

Change: a replica without a disk that does not vote drops its log and its state, and adopts the later epoch of a leader. What it has is part of no quorum, and the new epoch stands on the only disk. Replicas with a disk keep to the old rule.

Evidence: sole_survivor::a_host_that_was_catching_up_when_the_others_lost_their_state_votes_again fails before (follower of epoch 7 for 10 s beside a leader of epoch 8) and passes after.

--- a/crates/core/src/agreement/bootstrap.rs
+++ b/crates/core/src/agreement/bootstrap.rs
@@ -4,7 +4,7 @@
 //! request from every other initial member. The first voter set names incarnations, so a member
 //! that loses its state afterwards can't vote under the incarnation that the set names.
 
-use crate::agreement::{Command, GroupMessage, Outbox, Record, Replica, Voter};
+use crate::agreement::{Command, GroupMessage, GroupState, Log, Outbox, Record, Replica, Voter};
 use crate::key::HostId;
 use crate::time::{Millis, Now};
 
@@ -172,8 +172,8 @@
 
     /// Returns whether a message belongs to the epoch of this replica.
     ///
-    /// A replica with an empty log adopts the later epoch of a leader that sends it entries or a
-    /// snapshot.
+    /// A replica adopts the later epoch of a leader that sends it entries or a snapshot if it has an
+    /// empty log, or has no disk and does not vote: then what it has is part of no quorum.
     pub(super) fn accepts_epoch(
         &mut self,
         epoch: u64,
@@ -189,13 +189,31 @@
                 | GroupMessage::InstallSnapshot { .. }
                 | GroupMessage::SnapshotPart { .. }
         );
-        if !from_leader || self.log.last_index() != 0 || epoch < self.epoch {
+        let is_empty = self.log.last_index() == 0;
+        let may_adopt = is_empty || (!self.durable && !self.is_voter());
+        if !from_leader || !may_adopt || epoch < self.epoch {
             return false;
         }
+        if !is_empty {
+            self.drop_state();
+        }
         self.adopt_epoch(epoch, Vec::new(), out);
         true
     }
 
+    /// Drops the log and the applied state of an earlier epoch.
+    fn drop_state(&mut self) {
+        self.log = Log::default();
+        self.commit_index = 0;
+        self.applied_index = 0;
+        self.applied_bytes = 0;
+        self.synced_index = 0;
+        self.snapshot_index = 0;
+        self.leader_commit = None;
+        self.incoming = None;
+        self.installed_state = Some(GroupState::empty(self.group));
+    }
+
     /// Replicates to a host that has sent a join request, and appends the next change of the voter
     /// set that it needs to become a voter: its old incarnation is removed, or the new one is added
     /// when it has caught up.
--- a/crates/core/src/agreement/record.rs
+++ b/crates/core/src/agreement/record.rs
@@ -114,3 +114,15 @@
     /// The directory.
     Directory(Directory),
 }
+
+impl GroupState {
+    /// Returns the state of a group before its first entry.
+    #[must_use]
+    pub fn empty(group: GroupId) -> Self {
+        match group {
+            GroupId::Fleet => Self::Fleet(FleetState::default()),
+            GroupId::Zone => Self::Zone(ZoneRecords::default()),
+            GroupId::Directory => Self::Directory(Directory::default()),
+        }
+    }
+}
--- a/crates/core/tests/it/sole_survivor.rs
+++ b/crates/core/tests/it/sole_survivor.rs
@@ -144,3 +144,20 @@
         assert!(replica.is_voter(), "{host:?}\n{}", group.describe());
     }
 }
+
+/// Guards against a host that had begun to catch up with the lost leader, and could never follow the
+/// group that went on without it.
+#[test]
+fn a_host_that_was_catching_up_when_the_others_lost_their_state_votes_again() {
+    let without_second: &[(HostId, u64)] = &[(DURABLE, 1), (THIRD, 1)];
+    let mut group = Group::new([
+        (DURABLE, replica(DURABLE, 1, &[without_second])),
+        (SECOND, replica(SECOND, 2, &[without_second])),
+        (THIRD, empty(THIRD, 2)),
+    ]);
+    group.run(10_000);
+    for (host, replica) in &group.replicas {
+        assert!(replica.epoch() > EPOCH, "{host:?}\n{}", group.describe());
+        assert!(replica.is_voter(), "{host:?}\n{}", group.describe());
+    }
+}
