fix(core): the last voter gave up the lead and could not be elected again

A deployment had no leader for 60 s and more, though the leader ran all the while and had all state: its second store had lost its disk, and before it voted again the third lost its disk and was down for 3 s.

Cause: with two voters left a leader that hears no majority follows again after an election timeout. It can't be elected without the vote of the lost incarnation, and only a leader removes that.

Change: a leader without whose vote no other can be elected, with a committed voter set and an entry of its term committed, keeps its role without a lease. Every majority of its voters includes it, so it has all that was ever committed and no other leader can come up; it takes no work while it has no lease. It replaces the missing voter when that is back without its state, or adds the store that has caught up. Requests that wait for a synced record are still refused when no majority answers.

Where the leader is among the two lost stores, the survivor can't prove this: the lost leader could have added a store and committed with it alone.

--- a/crates/core/src/agreement/election.rs
+++ b/crates/core/src/agreement/election.rs
@@ -37,8 +37,7 @@
     }
 
     fn tick_leader(&mut self, now: Now, jitter: u64, out: &mut Outbox) {
-        let acked_at = self.majority_acked_at(now.mono).unwrap_or(self.leader_since);
-        if now.mono.since(acked_at.max(self.leader_since)) > self.election_timeout {
+        if !self.hears_majority(now) && !self.is_indispensable() {
             self.become_follower(None);
             self.reset_election_timer(now, jitter);
             return;
@@ -51,6 +50,24 @@
         }
     }
 
+    /// Returns whether a majority of the voters has answered this leader within the election timeout.
+    #[must_use]
+    pub fn hears_majority(&self, now: Now) -> bool {
+        let acked_at = self.majority_acked_at(now.mono).unwrap_or(self.leader_since);
+        now.mono.since(acked_at.max(self.leader_since)) <= self.election_timeout
+    }
+
+    /// Returns whether no other leader can be elected without the vote of this one.
+    ///
+    /// Such a leader keeps its role without a lease. It has all that was ever committed, so it can
+    /// still replace the voters that it misses; once it gave up its role, nobody could.
+    fn is_indispensable(&self) -> bool {
+        let voters = self.voters();
+        let others = voters.iter().filter(|voter| **voter != self.local).count();
+        let others_elect = others * 2 > voters.len();
+        !others_elect && self.may_change_voters()
+    }
+
     /// Sets the next election to between one and two election timeouts from now.
     ///
     /// A leader that has just restarted calls an election sooner: its followers have promised their
--- a/crates/core/src/controller/intents.rs
+++ b/crates/core/src/controller/intents.rs
@@ -173,11 +173,12 @@
 
 /// Queues recorded requests once their records are synced to a disk.
 ///
-/// A host that no longer leads cannot know whether a record is synced; it does not run the request.
+/// A host that no longer leads, or hears no majority, cannot know whether a record is synced; it does
+/// not run the request.
 fn enqueue_durable(board: &mut Board) {
     for (index, key, intent) in std::mem::take(&mut board.work.awaiting_sync) {
         let replica = &board.groups.zone.replica;
-        if replica.role() != Role::Leader {
+        if replica.role() != Role::Leader || !replica.hears_majority(board.now) {
             board.work.conclusions.insert(intent, Outcome::NotRun);
             let detail = "the leader changed before the record was synced to a disk";
             board.fail_request(key, Problem::not_run(ErrorKind::HomeUnreachable, detail));
--- a/crates/core/tests/it/main.rs
+++ b/crates/core/tests/it/main.rs
@@ -16,6 +16,7 @@
 mod leaving;
 mod lifecycle;
 mod log_size;
+mod lost_stores;
 mod partial_texts;
 mod recovery;
 mod registry;
