--- a/crates/core/src/agreement/send_window.rs
+++ b/crates/core/src/agreement/send_window.rs
@@ -48,6 +48,11 @@
         self.sent().first().is_some_and(|(_, sent_at)| now.since(*sent_at) >= timeout)
     }
 
+    /// Returns whether the oldest message was sent before a message that was sent at `sent_at`.
+    pub(super) fn is_overtaken(&self, sent_at: Millis) -> bool {
+        self.sent().first().is_some_and(|(_, first_sent_at)| *first_sent_at < sent_at)
+    }
+
     /// Adds a message; there must be room for it.
     pub(super) fn push(&mut self, position: u64, now: Millis) {
         if let Some(slot) = self.unanswered.get_mut(self.length) {
@@ -67,7 +72,12 @@
         self.length -= answered;
     }
 
-    /// Forgets all messages, because they have to be sent again.
+    /// Forgets all messages, because they have to be sent again, but keeps the size of the window.
+    pub(super) fn forget_messages(&mut self) {
+        self.length = 0;
+    }
+
+    /// Forgets all messages, because they have to be sent again, and all prompt answers.
     pub(super) fn reset(&mut self) {
         *self = Self::default();
     }
--- a/crates/core/src/agreement/snapshot_transfer.rs
+++ b/crates/core/src/agreement/snapshot_transfer.rs
@@ -208,9 +208,14 @@
         let Some(transfer) = progress.transfer.as_mut().filter(|known| known.index == index) else {
             return;
         };
-        // A replica that has restarted needs all parts again.
+        // Messages of a link arrive in order, so a part is lost if one that was sent after it is
+        // answered first.
+        let is_part_lost = next_part == transfer.received && transfer.window.is_overtaken(sent_at);
         if next_part < transfer.received {
+            // A replica that has restarted needs all parts again.
             transfer.window.reset();
+        } else if is_part_lost {
+            transfer.window.forget_messages();
         }
         transfer.received = next_part;
         transfer.window.confirm(u64::from(next_part), now.mono);
