--- a/crates/core/src/gateway/controller/forwarding.rs
+++ b/crates/core/src/gateway/controller/forwarding.rs
@@ -5,15 +5,18 @@
 //! Writes: `requests`, `request_index`, `attempts`, `upstreams` (health), `suspects`,
 //! `suspects_changed`, `store_requests`, `counters`, `actions`.
 
+mod endings;
+
 use std::sync::Arc;
 
 use rand::Rng;
 
+use self::endings::{deliver_held, fail, fail_after_max_wait, is_quarantined, refuse};
 use super::Controller;
 use super::calls::not_ready;
 use super::{registry, suspects};
 use crate::directory::{JobSpec, Route, RouteKind, RoutingConfig};
-use crate::error::{ErrorKind, Problem, Ran};
+use crate::error::{ErrorKind, Problem};
 use crate::gateway::action::{Action, Forward, UpstreamAddress};
 use crate::gateway::board::{Attempt, Board, Purpose, Request, RequestState};
 use crate::gateway::event::{Call, Event, ForwardEnd, IncomingCall, JobBody};
@@ -26,10 +29,6 @@
 /// The time limit of a new connection to an upstream: a round trip between regions, and a margin.
 const CONNECT_TIMEOUT: Millis = Millis(300);
 
-/// A request may wait for a free upstream for its latency objective divided by this number. A caller
-/// that is rejected within that time can still be served in time elsewhere.
-const MAX_WAIT_DIVISOR: u64 = 4;
-
 /// The interval between two checks for a free upstream.
 const UPSTREAM_POLL_INTERVAL: Millis = Millis(20);
 
@@ -37,9 +36,6 @@
 /// of its latency objective.
 const MAX_OBJECTIVES_PER_ATTEMPT: u64 = 2;
 
-/// The delay after which a rejected caller may retry.
-const CALLER_RETRY_DELAY: Millis = Millis(150);
-
 /// The time limit for accepting a job; callers of jobs wait for many seconds.
 const SUBMIT_TIMEOUT: Millis = Millis(5_000);
 
@@ -299,40 +295,6 @@
     }
 }
 
-fn deliver_held(board: &mut Board, key: RequestKey) {
-    let Some(request) = remove_request(board, key) else { return };
-    board.counters.delivered += 1;
-    let detail = format!("attempts={} held: {}", request.attempts, request.last_failure);
-    board.note(EventKind::Answered, request.trace, detail);
-    board.actions.push(Action::Deliver { tag: request.tag });
-}
-
-/// Ends a request without a successful answer: delivers the failure response held from an upstream
-/// if there is one, and rejects the request otherwise.
-fn fail(board: &mut Board, key: RequestKey) {
-    if board.requests.get(key).is_some_and(|request| request.held) {
-        deliver_held(board, key);
-        return;
-    }
-    let Some(request) = remove_request(board, key) else { return };
-    let now = board.now.mono;
-    let detail = format!(
-        "service={} attempts={} held_ms={} {}",
-        request.service,
-        request.attempts,
-        now.since(request.opened).0,
-        request.last_failure
-    );
-    let problem = if !request.maybe_ran {
-        Problem::not_run(ErrorKind::Unavailable, detail).retry_after(CALLER_RETRY_DELAY)
-    } else if now >= request.until {
-        Problem::not_run(ErrorKind::DeadlineExceeded, detail).ran(Ran::Unknown)
-    } else {
-        Problem::unknown(detail)
-    };
-    board.reject(request.tag, &request.trace, problem);
-}
-
 impl Forwarding {
     /// Starts, moves or ends the attempt of a request if that is due.
     fn advance(&self, board: &mut Board, key: RequestKey) {
@@ -405,59 +367,6 @@
     }
 }
 
-fn is_quarantined(board: &Board, request: &Request) -> bool {
-    board.suspects.quarantined_until(request.fingerprint, board.now.mono).is_some()
-}
-
-/// Ends a request under which too many upstreams ended.
-fn refuse(board: &mut Board, key: RequestKey) {
-    let (now, request) = (board.now.mono, &board.requests[key]);
-    let (fingerprint, ran) = (request.fingerprint, request.maybe_ran);
-    board.counters.quarantined += 1;
-    if request.held {
-        deliver_held(board, key);
-        return;
-    }
-    let Some(request) = remove_request(board, key) else { return };
-    let until = board.suspects.quarantined_until(fingerprint, now).unwrap_or(now);
-    let crashes = board.suspects.crashes(fingerprint, now);
-    let detail = format!("quarantined fingerprint={fingerprint} crashes={crashes}");
-    let problem = if ran {
-        Problem::unknown(detail)
-    } else {
-        Problem::not_run(ErrorKind::Unavailable, detail).retry_after(until.since(now))
-    };
-    board.reject(request.tag, &request.trace, problem);
-}
-
-/// Returns whether the upstreams of a service that this host knows all leave or are gone.
-fn all_leave(board: &Board, service: &str) -> bool {
-    let mut known = board.upstreams.values().filter(|u| *u.announced.service == *service);
-    let Some(first) = known.next() else { return false };
-    !first.accepts_requests() && known.all(|upstream| !upstream.accepts_requests())
-}
-
-/// Ends a request that has waited too long for a free upstream, or waits for none.
-fn fail_after_max_wait(board: &mut Board, key: RequestKey) {
-    let request = &board.requests[key];
-    if all_leave(board, &request.service) {
-        let request = &mut board.requests[key];
-        if request.last_failure.is_empty() {
-            request.last_failure = "all upstreams leave".into();
-        }
-        fail(board, key);
-        return;
-    }
-    let waited = board.now.mono.since(request.opened);
-    if waited.0 * MAX_WAIT_DIVISOR >= request.route.latency_objective.0 {
-        let request = &mut board.requests[key];
-        if request.last_failure.is_empty() {
-            request.last_failure = "no free upstream".into();
-        }
-        fail(board, key);
-    }
-}
-
 fn start_attempt(board: &mut Board, key: RequestKey, upstream_key: UpstreamKey) {
     let attempt = board.begin_attempt(Purpose::Request(key), upstream_key, 0);
     let now = board.now.mono;
