fix(core): a slow request moved to another upstream although it was quarantined

Callers' view: one more upstream ends.

Cause: the quarantine was checked only where a request waits for its next attempt, not where a running one moves.

Change: a quarantined request stays where it runs until its attempt ends or its time is up.

--- a/crates/core/src/gateway/controller/forwarding.rs
+++ b/crates/core/src/gateway/controller/forwarding.rs
@@ -308,7 +308,7 @@
             }
             RequestState::Running(attempt) => {
                 let Some(running) = board.attempts.get(attempt).copied() else { return };
-                if now < move_at(request, &running) {
+                if now < move_at(request, &running) || is_quarantined(board, request) {
                     return;
                 }
                 let Some(next) = self.choose(board, key) else { return };
--- a/crates/core/tests/it/deadly_requests.rs
+++ b/crates/core/tests/it/deadly_requests.rs
@@ -170,6 +170,20 @@
     assert_eq!(quarantined(&deployment), 1);
 }
 
+/// Guards against a request that is slow before it crashes its upstream, and moves to another one
+/// although it has been quarantined since.
+#[test]
+fn a_slow_request_that_was_quarantined_meanwhile_does_not_move() {
+    let mut deployment = deployment();
+    arrive(&mut deployment, ENTRIES[0], "deadly", ended);
+    let tag = deployment.send_call(ENTRIES[1], request("deadly"));
+    deployment.run(5);
+    assert!(take_forward(&mut deployment, tag).is_some(), "it runs");
+    arrive(&mut deployment, ENTRIES[0], "deadly", ended);
+    deployment.run(1_000);
+    assert!(take_forward(&mut deployment, tag).is_none(), "sent once more");
+}
+
 /// Guards against refusing requests whose upstreams reset connections, or whose answers are lost,
 /// but go on running.
 #[test]
