fix(core): upstreams that ended were still chosen until they were back

Callers' view: 503 although other upstreams are free.

Cause: a refused connection only avoids the upstream for 250 ms on the host that met it, uses up one of the request's attempts, and no other host is told. Each host gets few requests of a service, so most of them meet the end themselves.

Change: a refused connection is an outcome of its own (ConnectRefused); after it, and after a crash under a request, the host chooses this instance for no request for 5 s. Another instance is free of it, announcements of the same instance don't shorten it, and a reset, a time-out or an answer sets nothing. Crashes that other hosts tell of (the records of suspects name the instance) mark it too, by the age of the record. A refused connection uses up no attempt for the first 8 upstreams. Where all upstreams of a service leave or have ended, the caller is answered at once: not run, with Retry-After of 150 ms to 1 s.

--- a/crates/core/src/gateway/board.rs
+++ b/crates/core/src/gateway/board.rs
@@ -46,7 +46,7 @@
 };
 pub use suspects::{CRASH_RETENTION, QUARANTINE_CRASHES, Suspects, incarnation};
 pub use text::{TextCache, is_same_item};
-pub use upstream::{LeaveSource, SaidLeaving, Upstream, UpstreamHealth};
+pub use upstream::{ENDED_RETENTION, LeaveSource, SaidLeaving, Upstream, UpstreamHealth};
 
 /// The purpose of an attempt.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
--- a/crates/core/src/gateway/board/upstream.rs
+++ b/crates/core/src/gateway/board/upstream.rs
@@ -10,6 +10,9 @@
 /// How long an upstream is avoided after the first failure in a row, in milliseconds.
 const INITIAL_AVOID_MS: u64 = 250;
 
+/// How long an instance counts as ended; its announcements do not shorten it, as they may be delayed.
+pub const ENDED_RETENTION: Millis = Millis(5_000);
+
 /// Maximum number of times that further failures in a row double the avoidance time.
 const MAX_AVOID_DOUBLINGS: u32 = 4;
 
@@ -64,6 +67,8 @@
     pub left: Option<(Millis, u64)>,
     /// Its statement in an answer that it leaves; `None` before the first one.
     pub said_leaving: Option<SaidLeaving>,
+    /// When this instance was last known to have ended without a word; `None` if it was not.
+    pub ended_at: Option<Millis>,
     /// When its last announcement arrived, directly or through another host.
     pub last_seen: Millis,
     /// Whether the upstream itself sent this host an announcement since this host's last hello to
@@ -94,6 +99,7 @@
             gone: false,
             left: None,
             said_leaving: None,
+            ended_at: None,
             last_seen: now,
             seen_directly: false,
             silent: false,
@@ -112,6 +118,18 @@
         !self.gone && !self.announced.leaving && self.said_leaving.is_none()
     }
 
+    /// Records that this instance had ended at the given time.
+    pub fn record_end(&mut self, at: Millis) {
+        self.ended_at = self.ended_at.max(Some(at));
+    }
+
+    /// Returns until when the upstream counts as ended, or `None` if it does not.
+    #[must_use]
+    pub fn ended_until(&self, now: Millis) -> Option<Millis> {
+        let until = self.ended_at? + ENDED_RETENTION;
+        (until > now).then_some(until)
+    }
+
     /// Returns whether the upstream is avoided at the given time.
     #[must_use]
     pub fn is_avoided(&self, now: Millis) -> bool {
--- a/crates/core/src/gateway/controller/calls.rs
+++ b/crates/core/src/gateway/controller/calls.rs
@@ -137,6 +137,8 @@
         let announced = &upstream.announced;
         let state = if !upstream.accepts_requests() {
             "leaving"
+        } else if upstream.ended_until(board.now.mono).is_some() {
+            "ended"
         } else if upstream.is_avoided(board.now.mono) {
             "avoided"
         } else if upstream.silent {
--- a/crates/core/src/gateway/controller/forwarding.rs
+++ b/crates/core/src/gateway/controller/forwarding.rs
@@ -36,6 +36,10 @@
 /// of its latency objective.
 const MAX_OBJECTIVES_PER_ATTEMPT: u64 = 2;
 
+/// The most upstreams to which connections may be refused before each further refusal counts as one
+/// of the request's attempts.
+const MAX_UNCOUNTED_REFUSALS: usize = 8;
+
 /// The time limit for accepting a job; callers of jobs wait for many seconds.
 const SUBMIT_TIMEOUT: Millis = Millis(5_000);
 
@@ -247,6 +251,12 @@
         ForwardEnd::NotSent { detail } => {
             request.last_failure = format!("request not sent: {detail}").into();
         }
+        ForwardEnd::ConnectRefused { detail } => {
+            request.last_failure = format!("upstream ended: {detail}").into();
+            if request.tried.len() <= MAX_UNCOUNTED_REFUSALS {
+                request.attempts = request.attempts.saturating_sub(1);
+            }
+        }
         ForwardEnd::Broken { detail } => {
             request.maybe_ran = true;
             request.last_failure = detail.clone();
@@ -279,6 +289,9 @@
 fn update_health(board: &mut Board, attempt: &Attempt, took: Millis, end: &ForwardEnd) {
     let now = board.now.mono;
     let Some(upstream) = board.upstreams.get_mut(attempt.upstream) else { return };
+    if let ForwardEnd::ConnectRefused { .. } | ForwardEnd::UpstreamEnded { .. } = end {
+        upstream.record_end(now);
+    }
     match end {
         ForwardEnd::Delivered { .. } => upstream.health.record_success(took),
         ForwardEnd::NotRun { other_instance: true, .. } => {
@@ -290,6 +303,7 @@
         ForwardEnd::Held { .. }
         | ForwardEnd::NotRun { .. }
         | ForwardEnd::NotSent { .. }
+        | ForwardEnd::ConnectRefused { .. }
         | ForwardEnd::Broken { .. }
         | ForwardEnd::UpstreamEnded { .. } => upstream.health.record_failure(now),
     }
@@ -345,7 +359,8 @@
         let mut candidates = Vec::new();
         for (upstream_key, upstream) in &board.upstreams {
             let fits = upstream.announced.service == request.service && upstream.accepts_requests();
-            if !fits || Some(upstream_key) == running {
+            let has_ended = upstream.ended_until(now).is_some();
+            if !fits || has_ended || Some(upstream_key) == running {
                 continue;
             }
             candidates.push(UpstreamCandidate {
--- a/crates/core/src/gateway/controller/forwarding/endings.rs
+++ b/crates/core/src/gateway/controller/forwarding/endings.rs
@@ -15,6 +15,10 @@
 /// The delay after which a rejected caller may retry.
 const CALLER_RETRY_DELAY: Millis = Millis(150);
 
+/// The longest delay after which a caller may retry whose upstreams have all ended; their successors
+/// may announce themselves at any time.
+const MAX_CALLER_RETRY_DELAY: Millis = Millis(1_000);
+
 pub(super) fn deliver_held(board: &mut Board, key: RequestKey) {
     let Some(request) = remove_request(board, key) else { return };
     board.counters.delivered += 1;
@@ -31,7 +35,7 @@
         return;
     }
     let Some(request) = remove_request(board, key) else { return };
-    let now = board.now.mono;
+    let (now, delay) = (board.now.mono, retry_delay(board, &request.service));
     let detail = format!(
         "service={} attempts={} held_ms={} {}",
         request.service,
@@ -40,7 +44,7 @@
         request.last_failure
     );
     let problem = if !request.maybe_ran {
-        Problem::not_run(ErrorKind::Unavailable, detail).retry_after(CALLER_RETRY_DELAY)
+        Problem::not_run(ErrorKind::Unavailable, detail).retry_after(delay)
     } else if now >= request.until {
         Problem::not_run(ErrorKind::DeadlineExceeded, detail).ran(Ran::Unknown)
     } else {
@@ -74,20 +78,43 @@
     board.reject(request.tag, &request.trace, problem);
 }
 
-/// Returns whether the upstreams of a service that this host knows all leave or are gone.
-fn all_leave(board: &Board, service: &str) -> bool {
-    let mut known = board.upstreams.values().filter(|u| *u.announced.service == *service);
-    let Some(first) = known.next() else { return false };
-    !first.accepts_requests() && known.all(|upstream| !upstream.accepts_requests())
+/// Returns until when no upstream of a service that this host knows is usable, as all of them leave,
+/// are gone or have ended; `None` if one is usable or none is known.
+///
+/// The time is that of the first end to be forgotten; without any, it is the longest time.
+fn unusable_until(board: &Board, service: &str) -> Option<Millis> {
+    let now = board.now.mono;
+    let mut first = None;
+    for upstream in board.upstreams.values() {
+        if *upstream.announced.service != *service {
+            continue;
+        }
+        let until =
+            if upstream.accepts_requests() { upstream.ended_until(now)? } else { Millis::MAX };
+        first = Some(first.map_or(until, |first: Millis| first.min(until)));
+    }
+    first
+}
+
+/// Returns the delay after which a rejected caller may retry.
+fn retry_delay(board: &Board, service: &str) -> Millis {
+    match unusable_until(board, service) {
+        Some(until) if until < Millis::MAX => {
+            until.since(board.now.mono).clamp(CALLER_RETRY_DELAY, MAX_CALLER_RETRY_DELAY)
+        }
+        _ => CALLER_RETRY_DELAY,
+    }
 }
 
 /// Ends a request that has waited too long for a free upstream, or waits for none.
 pub(super) fn fail_after_max_wait(board: &mut Board, key: RequestKey) {
     let request = &board.requests[key];
-    if all_leave(board, &request.service) {
+    if let Some(until) = unusable_until(board, &request.service) {
         let request = &mut board.requests[key];
         if request.last_failure.is_empty() {
-            request.last_failure = "all upstreams leave".into();
+            let all_leave = until == Millis::MAX;
+            let failure = if all_leave { "all upstreams leave" } else { "all upstreams ended" };
+            request.last_failure = failure.into();
         }
         fail(board, key);
         return;
--- a/crates/core/src/gateway/controller/suspects.rs
+++ b/crates/core/src/gateway/controller/suspects.rs
@@ -1,7 +1,7 @@
 //! Suspects: tells other hosts under which requests upstreams ended, and learns it from them.
 //!
 //! Reads: messages of other hosts, `hosts`, the clock.
-//! Writes: `suspects`, `suspects_changed`, `recent_successes`, `actions`.
+//! Writes: `suspects`, `suspects_changed`, `recent_successes`, `upstreams` (ends), `actions`.
 //!
 //! An entry host tells the store hosts what it saw itself. A store host passes on what is new to it:
 //! to the entry hosts of its zone and of zones without a store, and to a host whose hello shows that
@@ -12,9 +12,9 @@
 
 use super::Controller;
 use crate::directory::RouteKind;
-use crate::gateway::board::{Attempt, Board, CRASH_RETENTION, incarnation};
+use crate::gateway::board::{Attempt, Board, CRASH_RETENTION, ENDED_RETENTION, incarnation};
 use crate::gateway::event::{Event, ForwardEnd};
-use crate::gateway::message::{GatewayMessage, Hello, SuspectRecord};
+use crate::gateway::message::{CrashRecord, GatewayMessage, Hello, SuspectRecord};
 use crate::gateway::settings::Role;
 use crate::key::{Fingerprint, HostId, RequestKey, UpstreamKey};
 use crate::message::Message;
@@ -161,6 +161,7 @@
 
 fn handle_records(board: &mut Board, records: &[SuspectRecord]) {
     let now = board.now.mono;
+    let mut ends = BTreeMap::new();
     for record in records {
         let was_quarantined = board.suspects.quarantined_until(record.fingerprint, now).is_some();
         if !board.suspects.merge(record, now) {
@@ -169,11 +170,39 @@
         if board.cfg.role == Role::Store {
             board.suspects_changed = true;
         }
+        ends.extend(recent_ends(record, now));
         clear_if_succeeded(board, record.fingerprint);
         if !was_quarantined {
             report_quarantine(board, record.fingerprint);
         }
     }
+    record_ends(board, &ends);
+}
+
+/// Returns the incarnations of a record that ended a short time ago, and when.
+fn recent_ends(record: &SuspectRecord, now: Millis) -> impl Iterator<Item = (u64, Millis)> {
+    let age = |crash: &CrashRecord| CRASH_RETENTION.since(crash.expires_in);
+    let recent = record.crashes.iter().filter(move |crash| age(crash) < ENDED_RETENTION);
+    recent.map(move |crash| (crash.incarnation, Millis(now.0.saturating_sub(age(crash).0))))
+}
+
+/// Records the ends of upstreams that other hosts saw, by incarnation.
+fn record_ends(board: &mut Board, ends: &BTreeMap<u64, Millis>) {
+    if ends.is_empty() {
+        return;
+    }
+    let now = board.now.mono;
+    let mut known = Vec::new();
+    for upstream in board.upstreams.values_mut() {
+        let number = incarnation(&upstream.announced.id, upstream.announced.started_at);
+        let Some(at) = ends.get(&number) else { continue };
+        upstream.record_end(*at);
+        known.push((upstream.announced.id.clone(), now.since(*at)));
+    }
+    for (id, age) in known {
+        let detail = format!("ended as seen by another host; age_ms={}", age.0);
+        board.note(EventKind::UpstreamLeft, id, detail);
+    }
 }
 
 /// Records what the end of an attempt says about a request that may crash upstreams.
--- a/crates/core/src/gateway/event.rs
+++ b/crates/core/src/gateway/event.rs
@@ -254,6 +254,11 @@
         /// The cause.
         detail: Box<str>,
     },
+    /// Nothing was sent, as the upstream's address refused the connection: its process has ended.
+    ConnectRefused {
+        /// The cause.
+        detail: Box<str>,
+    },
     /// The upstream may have run the request, but the answer is missing or incomplete.
     Broken {
         /// The cause.
--- a/crates/core/tests/it/main.rs
+++ b/crates/core/tests/it/main.rs
@@ -9,6 +9,7 @@
 mod deadly_requests;
 mod determinism;
 mod directory;
+mod ended_upstreams;
 mod fleet_settings;
 mod installed_snapshot;
 mod item_queue;
--- a/crates/daemon/src/gateway/forward.rs
+++ b/crates/daemon/src/gateway/forward.rs
@@ -82,6 +82,9 @@
         Err(SendError::NotSent(detail)) => {
             return Outcome::NoResponse(ForwardEnd::NotSent { detail });
         }
+        Err(SendError::Refused(detail)) => {
+            return Outcome::NoResponse(ForwardEnd::ConnectRefused { detail });
+        }
         Err(SendError::Broken(detail)) => return broken(pool, forward, detail).await,
     };
     let (head, body) = response.into_parts();
--- a/crates/daemon/src/gateway/items.rs
+++ b/crates/daemon/src/gateway/items.rs
@@ -145,7 +145,7 @@
         let sent = self.pool.send(&run.upstream, &request, CONNECT_TIMEOUT);
         let (response, connection) = match tokio::time::timeout(silence, sent).await {
             Ok(Ok(sent)) => sent,
-            Ok(Err(SendError::NotSent(detail))) => {
+            Ok(Err(SendError::NotSent(detail) | SendError::Refused(detail))) => {
                 log::debug!(event = "item-not-sent"; "{detail}");
                 return ItemEnd::NotRun { status: 0, other_instance: false };
             }
--- a/crates/daemon/src/gateway/orders.rs
+++ b/crates/daemon/src/gateway/orders.rs
@@ -124,7 +124,9 @@
             return Err(format!("no response within {RESPONSE_TIMEOUT:?}").into());
         };
         let (response, connection) = sent.map_err(|error| match error {
-            SendError::NotSent(detail) | SendError::Broken(detail) => detail,
+            SendError::NotSent(detail) | SendError::Refused(detail) | SendError::Broken(detail) => {
+                detail
+            }
         })?;
         let (head, body) = response.into_parts();
         let status = head.status.as_u16();
--- a/crates/daemon/src/gateway/pool.rs
+++ b/crates/daemon/src/gateway/pool.rs
@@ -44,6 +44,8 @@
 pub enum SendError {
     /// Nothing of the request was sent; the detail says why.
     NotSent(Box<str>),
+    /// Nothing of the request was sent, as the upstream's address refused the connection.
+    Refused(Box<str>),
     /// The connection failed, and the upstream may have read the request; the detail says how.
     Broken(Box<str>),
 }
@@ -201,6 +203,9 @@
         let stream = match tokio::time::timeout(connect_timeout, TcpStream::connect(address)).await
         {
             Ok(Ok(stream)) => stream,
+            Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused => {
+                return Err(SendError::Refused(error.to_string().into()));
+            }
             Ok(Err(error)) => return Err(not_sent(error.to_string())),
             Err(_) => return Err(not_sent(format!("no connection within {connect_timeout:?}"))),
         };
