fix(core): a request that crashes upstreams amid their answers counted as served

Cause: such an answer counted as delivered when its head arrived. Nobody reported how it ended; and for a large answer on a route without streams the head even cleared the crashes that other hosts had seen.

Change: Begun is an outcome of its own and clears nothing. The task that streams the body reports its end: complete, which clears the request as a small answer does, or the end of the upstream, if its address refuses connections after the break, which counts as a crash.

--- a/crates/core/src/gateway.rs
+++ b/crates/core/src/gateway.rs
@@ -37,7 +37,7 @@
 pub use controller::Controller;
 pub use event::{
     Announcement, Call, Event, ForwardEnd, IncomingCall, ItemEnd, ItemRunReport, JobBody, OrderEnd,
-    Query,
+    Query, StreamEnd,
 };
 pub use message::{GatewayMessage, StoreReply, StoreRequest};
 pub use policy::Policies;
--- a/crates/core/src/gateway/action.rs
+++ b/crates/core/src/gateway/action.rs
@@ -9,7 +9,7 @@
 use crate::directory::{ItemOutcome, JobSpec};
 use crate::error::Problem;
 use crate::gateway::settings::Role;
-use crate::key::{AttemptKey, HostId, OrderKey, RequestTag, SyncToken, UpstreamKey};
+use crate::key::{AttemptKey, Fingerprint, HostId, OrderKey, RequestTag, SyncToken, UpstreamKey};
 use crate::message::Envelope;
 use crate::time::Millis;
 use crate::timeline::TimelineEvent;
@@ -95,6 +95,8 @@
     pub tag: RequestTag,
     /// The attempt.
     pub attempt: AttemptKey,
+    /// Identifies the request when it comes again.
+    pub fingerprint: Fingerprint,
     /// The upstream.
     pub upstream: UpstreamAddress,
     /// How long the upstream may take to answer.
--- a/crates/core/src/gateway/controller/forwarding.rs
+++ b/crates/core/src/gateway/controller/forwarding.rs
@@ -225,7 +225,7 @@
     let Some(request) = board.requests.get_mut(request_key) else { return };
     request.state = RequestState::Waiting;
     match end {
-        ForwardEnd::Delivered { status } => {
+        ForwardEnd::Delivered { status } | ForwardEnd::Begun { status } => {
             board.counters.delivered += 1;
             let total = board.now.mono.since(request.opened).0;
             let attempts = request.attempts;
@@ -293,7 +293,9 @@
         upstream.record_end(now);
     }
     match end {
-        ForwardEnd::Delivered { .. } => upstream.health.record_success(took),
+        ForwardEnd::Delivered { .. } | ForwardEnd::Begun { .. } => {
+            upstream.health.record_success(took);
+        }
         ForwardEnd::NotRun { other_instance: true, .. } => {
             upstream.gone = true;
             let (id, address) = (upstream.announced.id.clone(), upstream.announced.address.clone());
@@ -400,6 +402,7 @@
     let forward = Forward {
         tag: request.tag,
         attempt,
+        fingerprint: request.fingerprint,
         upstream: address,
         deadline: remaining,
         connect: CONNECT_TIMEOUT.min(remaining),
--- a/crates/core/src/gateway/controller/suspects.rs
+++ b/crates/core/src/gateway/controller/suspects.rs
@@ -1,7 +1,8 @@
 //! Suspects: tells other hosts under which requests upstreams ended, and learns it from them.
 //!
-//! Reads: messages of other hosts, `hosts`, the clock.
-//! Writes: `suspects`, `suspects_changed`, `recent_successes`, `upstreams` (ends), `actions`.
+//! Reads: messages of other hosts, ended streams, `hosts`, the clock.
+//! Writes: `suspects`, `suspects_changed`, `recent_successes`, `upstreams` (ends),
+//! `counters`, `actions`.
 //!
 //! An entry host tells the store hosts what it saw itself. A store host passes on what is new to it:
 //! to the entry hosts of its zone and of zones without a store, and to a host whose hello shows that
@@ -11,9 +12,8 @@
 use std::collections::BTreeMap;
 
 use super::Controller;
-use crate::directory::RouteKind;
 use crate::gateway::board::{Attempt, Board, CRASH_RETENTION, ENDED_RETENTION, incarnation};
-use crate::gateway::event::{Event, ForwardEnd};
+use crate::gateway::event::{Event, ForwardEnd, StreamEnd};
 use crate::gateway::message::{CrashRecord, GatewayMessage, Hello, SuspectRecord};
 use crate::gateway::settings::Role;
 use crate::key::{Fingerprint, HostId, RequestKey, UpstreamKey};
@@ -63,6 +63,9 @@
                 _ => {}
             }
         }
+        if let Some(Event::StreamEnded { upstream, fingerprint, end }) = event {
+            record_stream_end(board, *upstream, *fingerprint, *end);
+        }
         let now = board.now.mono;
         if now >= self.next_sweep {
             self.next_sweep = now + SWEEP_INTERVAL;
@@ -213,14 +216,24 @@
         ForwardEnd::UpstreamEnded { .. } => {
             record_crash(board, fingerprint, attempt.upstream);
         }
-        // A stream counts as delivered when it begins, and its upstream may still end.
-        ForwardEnd::Delivered { .. } if request.route.kind != RouteKind::Stream => {
-            record_success(board, fingerprint);
-        }
+        ForwardEnd::Delivered { .. } => record_success(board, fingerprint),
         _ => {}
     }
 }
 
+fn record_stream_end(board: &mut Board, key: UpstreamKey, request: Fingerprint, end: StreamEnd) {
+    match end {
+        StreamEnd::Complete => record_success(board, request),
+        StreamEnd::UpstreamEnded => {
+            board.counters.upstreams_ended += 1;
+            if let Some(upstream) = board.upstreams.get_mut(key) {
+                upstream.record_end(board.now.mono);
+            }
+            record_crash(board, request, key);
+        }
+    }
+}
+
 fn record_crash(board: &mut Board, fingerprint: Fingerprint, upstream: UpstreamKey) {
     let Some(upstream) = board.upstreams.get(upstream) else { return };
     let id = upstream.announced.id.clone();
--- a/crates/core/src/gateway/event.rs
+++ b/crates/core/src/gateway/event.rs
@@ -40,6 +40,15 @@
         /// How it ended.
         end: ForwardEnd,
     },
+    /// An answer that was delivered while it still arrived has ended.
+    StreamEnded {
+        /// The upstream.
+        upstream: UpstreamKey,
+        /// The request.
+        fingerprint: Fingerprint,
+        /// How it ended.
+        end: StreamEnd,
+    },
     /// Runs of items have received events since their last report.
     ItemProgress(Vec<(AttemptKey, ItemText)>),
     /// A run of an item has ended.
@@ -237,6 +246,11 @@
         /// The HTTP status.
         status: u16,
     },
+    /// The upstream's answer is being delivered to the caller; [`Event::StreamEnded`] tells how it ends.
+    Begun {
+        /// The HTTP status.
+        status: u16,
+    },
     /// The upstream answered with a failure, which the shell holds for possible delivery.
     Held {
         /// The HTTP status.
@@ -272,6 +286,17 @@
     },
 }
 
+/// How an answer ended whose delivery had begun.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum StreamEnd {
+    /// It is complete.
+    Complete,
+    /// It broke off, and afterwards the upstream's address refused a new connection: its process has
+    /// ended.
+    UpstreamEnded,
+}
+
 /// The last report of a run of an item.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
--- a/crates/core/tests/it/deadly_requests.rs
+++ b/crates/core/tests/it/deadly_requests.rs
@@ -2,7 +2,7 @@
 
 use chestnutdrift_core::gateway::board::{QUARANTINE_CRASHES, Suspects};
 use chestnutdrift_core::gateway::{
-    Announcement, Answer, Call, Event, Forward, ForwardEnd, Gateway,
+    Announcement, Answer, Call, Event, Forward, ForwardEnd, Gateway, StreamEnd,
 };
 use chestnutdrift_core::{ErrorKind, Fingerprint, HostId, Millis, Ran, RequestTag};
 
@@ -315,6 +315,47 @@
     assert_eq!(sends, 0);
 }
 
+/// Sends a request whose answer is delivered while it still arrives, and returns whether it was sent.
+fn stream(deployment: &mut Deployment, entry: HostId, path: &str, end: StreamEnd) -> bool {
+    let tag = deployment.send_call(entry, request(path));
+    deployment.run(5);
+    let Some(forward) = take_forward(deployment, tag) else { return false };
+    let (attempt, upstream) = (forward.attempt, forward.upstream.key);
+    let begun = ForwardEnd::Begun { status: 200 };
+    deployment.deliver(entry, Event::ForwardEnded { attempt, end: begun });
+    deployment.run(100);
+    let fingerprint = forward.fingerprint;
+    deployment.deliver(entry, Event::StreamEnded { upstream, fingerprint, end });
+    deployment.run(CONTACT_MS);
+    true
+}
+
+/// Guards against a request that crashes upstreams after the head of their answer, which was taken
+/// for a success.
+#[test]
+fn a_request_that_crashes_upstreams_amid_their_answers_is_quarantined() {
+    let mut deployment = deployment();
+    let mut sends = 0;
+    for round in 0..9 {
+        let entry = ENTRIES[round % 3];
+        sends += usize::from(stream(&mut deployment, entry, "deadly", StreamEnd::UpstreamEnded));
+    }
+    assert_eq!(sends, QUARANTINE_CRASHES);
+}
+
+/// Guards against refusing a request that ran beside one that crashes upstreams, and whose answers
+/// are large or streams.
+#[test]
+fn an_answer_that_arrived_in_full_clears_a_request() {
+    let mut deployment = deployment();
+    for _ in 0..4 {
+        arrive(&mut deployment, ENTRIES[0], "innocent", ended);
+        deployment.run(CONTACT_MS);
+        assert!(stream(&mut deployment, ENTRIES[1], "innocent", StreamEnd::Complete));
+    }
+    assert_eq!(quarantined(&deployment), 0);
+}
+
 /// Guards against a request that is refused for good: its crashes expire at every host.
 #[test]
 fn a_quarantine_expires() {
--- a/crates/daemon/src/gateway.rs
+++ b/crates/daemon/src/gateway.rs
@@ -22,6 +22,7 @@
 pub mod server;
 pub mod settings;
 mod start;
+pub mod stream;
 
 pub use protocol::{Listener, OrderReport, ParsedRequest, Protocol, ResponseClass};
 pub use settings::GatewaySettingsFile;
--- a/crates/daemon/src/gateway/forward.rs
+++ b/crates/daemon/src/gateway/forward.rs
@@ -13,6 +13,7 @@
 use super::leaving::report_if_leaving;
 use super::pool::{Connection, Pool, SendError};
 use super::protocol::{Protocol, ResponseClass};
+use super::stream::StreamedBody;
 
 /// The largest response body, in bytes, that is read in full before the caller gets any of it;
 /// longer ones are streamed.
@@ -54,15 +55,6 @@
     pub body: Bytes,
 }
 
-/// The rest of a response body, which is streamed to the caller.
-#[derive(Debug)]
-pub struct StreamedBody {
-    /// The rest of the body.
-    pub body: Incoming,
-    /// The connection, which must stay open as long as the body is read.
-    pub connection: Connection,
-}
-
 /// Sends a request to an upstream and reads its response.
 ///
 /// A connection whose response was read in full goes back to the pool. If the response says that the
@@ -105,7 +97,10 @@
             }
             Outcome::NoResponse(ForwardEnd::NotRun { status, other_instance })
         }
-        class => read_response(protocol, pool, forward, class, (head, body), connection).await,
+        class => {
+            let response = (head, body);
+            read_response(protocol, pool, inputs, forward, class, response, connection).await
+        }
     }
 }
 
@@ -124,6 +119,7 @@
 async fn read_response(
     protocol: &dyn Protocol,
     pool: &Pool,
+    inputs: &InputSender,
     forward: &Forward,
     class: ResponseClass,
     response: (response::Parts, Incoming),
@@ -134,7 +130,8 @@
     let success = class == ResponseClass::Success;
     if forward.streamed && success {
         let answer = UpstreamResponse { status: head.status, headers, body: Bytes::new() };
-        return Outcome::Streaming(answer, Box::new(StreamedBody { body, connection }));
+        let streamed = StreamedBody::new(body, connection, pool, inputs, forward);
+        return Outcome::Streaming(answer, Box::new(streamed));
     }
     let buffered = match read_up_to_limit(body).await {
         Ok(buffered) => buffered,
@@ -145,7 +142,8 @@
     };
     let answer = UpstreamResponse { status: head.status, headers, body: buffered.bytes };
     if let Some(body) = buffered.rest {
-        return Outcome::Streaming(answer, Box::new(StreamedBody { body, connection }));
+        let streamed = StreamedBody::new(body, connection, pool, inputs, forward);
+        return Outcome::Streaming(answer, Box::new(streamed));
     }
     pool.release(&forward.upstream, connection, protocol.keep_alive_secs(&head.headers));
     if success { Outcome::Success(answer) } else { Outcome::Failure(answer) }
--- a/crates/daemon/src/gateway/server.rs
+++ b/crates/daemon/src/gateway/server.rs
@@ -12,9 +12,7 @@
 use chestnutdrift_core::directory::RequestLimits;
 use chestnutdrift_core::gateway::{Answer, Event, ForwardEnd, IncomingCall};
 use chestnutdrift_core::{AttemptKey, ErrorKind, Problem, RequestTag};
-use futures_util::stream;
-use http_body_util::{BodyExt, StreamBody};
-use hyper::body::{Frame, Incoming};
+use hyper::body::Incoming;
 use hyper::header::{CONNECTION, HeaderValue};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -26,7 +24,7 @@
 
 use super::bodies::BodyMemory;
 use super::control::{Directive, MAX_QUEUED_DIRECTIVES};
-use super::forward::{self, Outcome, ReceivedRequest, StreamedBody, UpstreamResponse};
+use super::forward::{self, Outcome, ReceivedRequest, UpstreamResponse};
 use super::input::{Input, InputSender, NotQueued};
 use super::metrics;
 use super::pool::Pool;
@@ -316,8 +314,8 @@
             }
             Outcome::Streaming(response, streamed) => {
                 let status = response.status.as_u16();
-                self.server.report(key, ForwardEnd::Delivered { status });
-                Some(response.into_response(|held| stream_body(held, *streamed)))
+                self.server.report(key, ForwardEnd::Begun { status });
+                Some(response.into_response(|held| streamed.into_body(held)))
             }
             Outcome::Failure(response) => {
                 let status = response.status.as_u16();
@@ -350,20 +348,3 @@
         None => std::future::pending().await,
     }
 }
-
-/// Streams `held` and then the rest of a body; an error of the upstream's body aborts the caller's.
-fn stream_body(held: Bytes, streamed: StreamedBody) -> ResponseBody {
-    let StreamedBody { body, connection } = streamed;
-    let first = (!held.is_empty()).then_some(held);
-    let frames = stream::unfold((first, Some((body, connection))), |(first, rest)| async {
-        if let Some(first) = first {
-            return Some((Ok(Frame::data(first)), (None, rest)));
-        }
-        let (mut body, connection) = rest?;
-        match body.frame().await? {
-            Ok(frame) => Some((Ok(frame), (None, Some((body, connection))))),
-            Err(error) => Some((Err(std::io::Error::other(error)), (None, None))),
-        }
-    });
-    StreamBody::new(Box::pin(frames)).boxed_unsync()
-}
