--- a/crates/core/src/gateway/controller/suspects.rs
+++ b/crates/core/src/gateway/controller/suspects.rs
@@ -1,7 +1,8 @@
 //! Suspects: tells other hosts under which requests upstreams ended, and learns it from them.
 //!
-//! Reads: messages of other hosts, `hosts`, the clock.
-//! Writes: `suspects`, `suspects_changed`, `recent_successes`, `actions`.
+//! Reads: messages of other hosts, ended streams, `hosts`, the clock.
+//! Writes: `suspects`, `suspects_changed`, `recent_successes`, `upstreams` (ends),
+//! `counters`, `actions`.
 //!
 //! An entry host tells the store hosts what it saw itself. A store host passes on what is new to it:
 //! to the entry hosts of its zone and of zones without a store, and to a host whose hello shows that
@@ -11,10 +12,9 @@
 use std::collections::BTreeMap;
 
 use super::Controller;
-use crate::directory::RouteKind;
-use crate::gateway::board::{Attempt, Board, CRASH_RETENTION, incarnation};
-use crate::gateway::event::{Event, ForwardEnd};
-use crate::gateway::message::{GatewayMessage, Hello, SuspectRecord};
+use crate::gateway::board::{Attempt, Board, CRASH_RETENTION, ENDED_RETENTION, incarnation};
+use crate::gateway::event::{Event, ForwardEnd, StreamEnd};
+use crate::gateway::message::{CrashRecord, GatewayMessage, Hello, SuspectRecord};
 use crate::gateway::settings::Role;
 use crate::key::{Fingerprint, HostId, RequestKey, UpstreamKey};
 use crate::message::Message;
@@ -63,6 +63,9 @@
                 _ => {}
             }
         }
+        if let Some(Event::StreamEnded { upstream, fingerprint, end }) = event {
+            record_stream_end(board, *upstream, *fingerprint, *end);
+        }
         let now = board.now.mono;
         if now >= self.next_sweep {
             self.next_sweep = now + SWEEP_INTERVAL;
@@ -161,6 +164,7 @@
 
 fn handle_records(board: &mut Board, records: &[SuspectRecord]) {
     let now = board.now.mono;
+    let mut ends = BTreeMap::new();
     for record in records {
         let was_quarantined = board.suspects.quarantined_until(record.fingerprint, now).is_some();
         if !board.suspects.merge(record, now) {
@@ -169,11 +173,39 @@
         if board.cfg.role == Role::Store {
             board.suspects_changed = true;
         }
+        ends.extend(recent_ends(record, now));
         clear_if_succeeded(board, record.fingerprint);
         if !was_quarantined {
             report_quarantine(board, record.fingerprint);
         }
     }
+    record_ends(board, &ends);
+}
+
+/// Returns the incarnations of a record that ended a short time ago, and when.
+fn recent_ends(record: &SuspectRecord, now: Millis) -> impl Iterator<Item = (u64, Millis)> {
+    let age = |crash: &CrashRecord| CRASH_RETENTION.since(crash.expires_in);
+    let recent = record.crashes.iter().filter(move |crash| age(crash) < ENDED_RETENTION);
+    recent.map(move |crash| (crash.incarnation, Millis(now.0.saturating_sub(age(crash).0))))
+}
+
+/// Records the ends of upstreams that other hosts saw, by incarnation.
+fn record_ends(board: &mut Board, ends: &BTreeMap<u64, Millis>) {
+    if ends.is_empty() {
+        return;
+    }
+    let now = board.now.mono;
+    let mut known = Vec::new();
+    for upstream in board.upstreams.values_mut() {
+        let number = incarnation(&upstream.announced.id, upstream.announced.started_at);
+        let Some(at) = ends.get(&number) else { continue };
+        upstream.record_end(*at);
+        known.push((upstream.announced.id.clone(), now.since(*at)));
+    }
+    for (id, age) in known {
+        let detail = format!("ended as seen by another host; age_ms={}", age.0);
+        board.note(EventKind::UpstreamLeft, id, detail);
+    }
 }
 
 /// Records what the end of an attempt says about a request that may crash upstreams.
@@ -184,14 +216,24 @@
         ForwardEnd::UpstreamEnded { .. } => {
             record_crash(board, fingerprint, attempt.upstream);
         }
-        // A stream counts as delivered when it begins, and its upstream may still end.
-        ForwardEnd::Delivered { .. } if request.route.kind != RouteKind::Stream => {
-            record_success(board, fingerprint);
-        }
+        ForwardEnd::Delivered { .. } => record_success(board, fingerprint),
         _ => {}
     }
 }
 
+fn record_stream_end(board: &mut Board, key: UpstreamKey, request: Fingerprint, end: StreamEnd) {
+    match end {
+        StreamEnd::Complete => record_success(board, request),
+        StreamEnd::UpstreamEnded => {
+            board.counters.upstreams_ended += 1;
+            if let Some(upstream) = board.upstreams.get_mut(key) {
+                upstream.record_end(board.now.mono);
+            }
+            record_crash(board, request, key);
+        }
+    }
+}
+
 fn record_crash(board: &mut Board, fingerprint: Fingerprint, upstream: UpstreamKey) {
     let Some(upstream) = board.upstreams.get(upstream) else { return };
     let id = upstream.announced.id.clone();
--- a/crates/daemon/src/gateway/forward.rs
+++ b/crates/daemon/src/gateway/forward.rs
@@ -15,6 +15,7 @@
 use super::leaving::report_if_leaving;
 use super::pool::{Connection, Pool, SendError};
 use super::protocol::{Protocol, ResponseClass};
+use super::stream::{EndReport, StreamedBody};
 
 /// The largest response body, in bytes, that is read in full before the caller gets any of it;
 /// longer ones are streamed.
@@ -56,17 +57,6 @@
     pub body: Bytes,
 }
 
-/// The rest of a response body, which is streamed to the caller.
-#[derive(Debug)]
-pub struct StreamedBody {
-    /// The rest of the body.
-    pub body: Incoming,
-    /// The connection, which must stay open as long as the body is read.
-    pub connection: Connection,
-    /// The position in the events of the body; `None` if it is no event stream.
-    pub events: Option<EventBoundary>,
-}
-
 /// Sends a request to an upstream and reads its response.
 ///
 /// A connection whose response was read in full goes back to the pool. If the response says that the
@@ -86,6 +76,9 @@
         Err(SendError::NotSent(detail)) => {
             return Outcome::NoResponse(ForwardEnd::NotSent { detail });
         }
+        Err(SendError::Refused(detail)) => {
+            return Outcome::NoResponse(ForwardEnd::ConnectRefused { detail });
+        }
         Err(SendError::Broken(detail)) => return broken(pool, forward, detail).await,
     };
     let (head, body) = response.into_parts();
@@ -106,7 +99,10 @@
             }
             Outcome::NoResponse(ForwardEnd::NotRun { status, other_instance })
         }
-        class => read_response(protocol, pool, forward, class, (head, body), connection).await,
+        class => {
+            let response = (head, body);
+            read_response(protocol, pool, inputs, forward, class, response, connection).await
+        }
     }
 }
 
@@ -125,6 +121,7 @@
 async fn read_response(
     protocol: &dyn Protocol,
     pool: &Pool,
+    inputs: &InputSender,
     forward: &Forward,
     class: ResponseClass,
     response: (response::Parts, Incoming),
@@ -136,7 +133,9 @@
     if forward.streamed && success {
         let events = is_event_stream(&head.headers).then(EventBoundary::default);
         let answer = UpstreamResponse { status: head.status, headers, body: Bytes::new() };
-        return Outcome::Streaming(answer, Box::new(StreamedBody { body, connection, events }));
+        let report = EndReport::new(pool, inputs, forward);
+        let streamed = StreamedBody::new(body, connection, report).events(events);
+        return Outcome::Streaming(answer, Box::new(streamed));
     }
     let buffered = match read_up_to_limit(body).await {
         Ok(buffered) => buffered,
@@ -147,7 +146,8 @@
     };
     let answer = UpstreamResponse { status: head.status, headers, body: buffered.bytes };
     if let Some(body) = buffered.rest {
-        let streamed = StreamedBody { body, connection, events: None };
+        let report = EndReport::new(pool, inputs, forward);
+        let streamed = StreamedBody::new(body, connection, report);
         return Outcome::Streaming(answer, Box::new(streamed));
     }
     pool.release(&forward.upstream, connection, protocol.keep_alive_secs(&head.headers));
--- a/crates/daemon/src/gateway/server.rs
+++ b/crates/daemon/src/gateway/server.rs
@@ -12,9 +12,7 @@
 use chestnutdrift_core::directory::RequestLimits;
 use chestnutdrift_core::gateway::{Answer, Event, ForwardEnd, IncomingCall};
 use chestnutdrift_core::{AttemptKey, ErrorKind, Problem, RequestTag};
-use futures_util::stream;
-use http_body_util::{BodyExt, StreamBody};
-use hyper::body::{Frame, Incoming};
+use hyper::body::Incoming;
 use hyper::header::{CONNECTION, HeaderValue};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -23,11 +21,11 @@
 use rustix::net::sockopt::set_socket_linger;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::runtime::Runtime;
-use tokio::sync::{OwnedSemaphorePermit, Semaphore, mpsc, watch};
+use tokio::sync::{Semaphore, mpsc, watch};
 
 use super::bodies::BodyMemory;
 use super::control::{Directive, MAX_QUEUED_DIRECTIVES};
-use super::forward::{self, Outcome, ReceivedRequest, StreamedBody, UpstreamResponse};
+use super::forward::{self, Outcome, ReceivedRequest, UpstreamResponse};
 use super::input::{Input, InputSender, NotQueued};
 use super::metrics;
 use super::pool::Pool;
@@ -347,8 +345,8 @@
                 let status = response.status.as_u16();
                 // The report may be the last work that the host waits for.
                 let permit = Arc::clone(&self.server.streams).try_acquire_owned().ok();
-                self.server.report(key, ForwardEnd::Delivered { status });
-                Some(response.into_response(|held| stream_body(held, *streamed, permit)))
+                self.server.report(key, ForwardEnd::Begun { status });
+                Some(response.into_response(|held| streamed.permit(permit).into_body(held)))
             }
             Outcome::Failure(response) => {
                 let status = response.status.as_u16();
@@ -381,35 +379,3 @@
         None => std::future::pending().await,
     }
 }
-
-/// Streams `held` and then the rest of a body. An error of the upstream's body aborts the caller's,
-/// and so does the end of an event stream within an event, whatever its framing says.
-///
-/// The permit is kept until the end of the body.
-fn stream_body(
-    held: Bytes,
-    streamed: StreamedBody,
-    permit: Option<OwnedSemaphorePermit>,
-) -> ResponseBody {
-    let first = (!held.is_empty()).then_some(held);
-    let frames = stream::unfold((first, Some((streamed, permit))), |(first, rest)| async {
-        if let Some(first) = first {
-            return Some((Ok(Frame::data(first)), (None, rest)));
-        }
-        let (mut rest, permit) = rest?;
-        let frame = match rest.body.frame().await {
-            Some(Ok(frame)) => frame,
-            Some(Err(error)) => return Some((Err(std::io::Error::other(error)), (None, None))),
-            None if rest.events.is_none_or(|events| events.is_between_events()) => return None,
-            None => {
-                let error = std::io::Error::other("the last event was cut off");
-                return Some((Err(error), (None, None)));
-            }
-        };
-        if let (Some(events), Some(data)) = (&mut rest.events, frame.data_ref()) {
-            events.push(data);
-        }
-        Some((Ok(frame), (None, Some((rest, permit)))))
-    });
-    StreamBody::new(Box::pin(frames)).boxed_unsync()
-}
--- a/crates/daemon/src/gateway/start.rs
+++ b/crates/daemon/src/gateway/start.rs
@@ -97,7 +97,12 @@
         let closed = tokio::time::timeout(CLOSE_TIMEOUT, connections.acquire_many(permits)).await;
         (streamed.is_ok(), closed.is_ok())
     });
-    log::info!(event = "stopped", streams_ended = streamed, connections_closed = closed; "the host has stopped");
+    log::info!(
+        event = "stopped",
+        streams_ended = streamed,
+        connections_closed = closed;
+        "the host has stopped"
+    );
     if let Some(disk) = restored.thread.filter(|_| ran.is_ok()) {
         disk.close();
     }
