--- a/crates/daemon/tests/broken_answers.rs
+++ b/crates/daemon/tests/broken_answers.rs
@@ -122,6 +122,16 @@
 #[test_case("HTTP/1.1 200 OK\r\n\r\nhal", End::Reset; "body without a length, reset")]
 #[test_case("HTTP/1.1 200 OK\r\n\r\n", End::Reset; "empty body without a length, reset")]
 #[test_case("HTTP/1.1 101 Switching Protocols\r\n\r\nhal", End::Close; "change of protocols")]
+#[test_case("HTTP/1.1 200 OK\r\ncontent-length: 5\r\ncontent-length: 6\r\n\r\nwhole", End::Close; "two lengths that differ")]
+#[test_case("HTTP/1.1 200 OK\r\ncontent-length: -5\r\n\r\nwhole", End::Close; "negative length")]
+#[test_case("HTTP/1.1 200 OK\r\ncontent-length: 99999999999999999999999\r\n\r\nwhole", End::Close; "length beyond 64 bits")]
+#[test_case("HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\nfffffffffffffffff\r\nwhole\r\n0\r\n\r\n", End::Close; "chunk beyond 64 bits")]
+#[test_case("HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n3\r\nwhole\r\n0\r\n\r\n", End::Close; "chunk longer than its size")]
+#[test_case("HTTP/1.1 200 OK\r\ntransfer-encoding: gzip\r\n\r\nwhole", End::Close; "unknown coding")]
+#[test_case("HTTP/1.1 200 OK\r\ntransfer-encoding: gzip, chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n", End::Close; "unknown coding in chunks")]
+#[test_case("HTTP/1.1 200 OK\r\nx-a: b\r\n c\r\ncontent-length: 5\r\n\r\nwhole", End::Close; "folded header")]
+#[test_case("HTTP/1.1 200 OK\r\nx-a\r\ncontent-length: 5\r\n\r\nwhole", End::Close; "header without a colon")]
+#[test_case("HTTP/2.0 200 OK\r\ncontent-length: 5\r\n\r\nwhole", End::Close; "version 2")]
 fn a_broken_answer_of_a_service_is_not_complete(reply: &str, end: End) {
     let end = call_plain_service(reply.to_string(), end);
     assert!(matches!(end, AttemptEnd::Broken { .. }), "{end:?}");
@@ -166,6 +176,11 @@
 #[test_case("HTTP/1.1 404 A\r\n\r\nerror"; "404")]
 #[test_case("HTTP/1.1 200 OK\r\n\r\nerror"; "a success that is no stream")]
 #[test_case("HTTP/1.1 200 OK\r\n\r\n"; "a success without a body")]
+#[test_case("HTTP/1.1 204 A\r\n\r\n"; "a status without a body")]
+#[test_case("HTTP/1.1 200 OK\r\n\r\n{\"at\":0,\"tokens\":[\"a \"],\"version\":1}\n"; "tokens from the start")]
+#[test_case("HTTP/1.1 200 OK\r\n\r\n{\"at\":3,\"tokens\":[\"d \"],\"version\":1}\n"; "tokens after a gap")]
+#[test_case("HTTP/1.1 200 OK\r\n\r\n{\"end\":\"length\",\"count\":9}\n"; "an end of another text")]
+#[test_case("HTTP/1.1 200 OK\r\n\r\n{\"at\":2,\"tokens\":[\"c"; "half a line")]
 #[test_case("HTTP/1.1 200 OK\r\ncontent-ty"; "half a head")]
 #[test_case(""; "nothing")]
 fn a_stream_that_breaks_off_gets_nothing_of_the_next_error(second: &str) {
