fix(core): records of cleared requests could crowd out quarantined ones

Cause: a message has 128 requests at most, those with the most crashes first, and cleared crashes counted as well. Requests that ran beside others and succeeded since could fill each message.

Change: only crashes that count give precedence.

--- a/crates/core/src/gateway/board/suspects.rs
+++ b/crates/core/src/gateway/board/suspects.rs
@@ -26,7 +26,8 @@
 /// The maximum number of crashes kept of one request.
 const MAX_CRASHES: usize = 8;
 
-/// The maximum number of records in one message; those with the most crashes go first.
+/// The maximum number of records in one message; those with the most crashes that
+/// count go first.
 const MAX_RECORDS: usize = 128;
 
 /// The end of one incarnation of an upstream while a request ran there.
@@ -282,7 +283,9 @@
             let crashes = suspect.crashes.iter().map(record).collect();
             records.push(SuspectRecord { fingerprint: suspect.fingerprint, crashes });
         }
-        records.sort_by_key(|record: &SuspectRecord| Reverse(record.crashes.len()));
+        records.sort_by_key(|record: &SuspectRecord| {
+            Reverse(record.crashes.iter().filter(|crash| !crash.cleared).count())
+        });
         records.truncate(MAX_RECORDS);
         records
     }
--- a/crates/core/tests/it/deadly_requests.rs
+++ b/crates/core/tests/it/deadly_requests.rs
@@ -429,3 +429,22 @@
         assert_eq!(suspects.digest(), 0);
     }
 }
+
+/// Guards against messages that leave out the quarantined requests, in favour of cleared ones.
+#[test]
+fn records_of_quarantined_requests_are_sent_before_cleared_ones() {
+    let mut suspects = Suspects::default();
+    for number in 0..300_u32 {
+        let innocent = Fingerprint::new(&[&number.to_le_bytes()]);
+        for upstream in 0..4 {
+            suspects.record_crash(innocent, upstream, Millis(1));
+        }
+        suspects.clear(innocent, Millis(1));
+    }
+    let deadly = Fingerprint::new(&[b"deadly"]);
+    for upstream in 0..3 {
+        suspects.record_crash(deadly, upstream, Millis(1));
+    }
+    let records = suspects.changed_since(Millis(0), Millis(5));
+    assert!(records.iter().any(|record| record.fingerprint == deadly));
+}
