fix(core): a crash did not count once the upstream had started again

Cause: the end of an attempt looked its upstream up for the incarnation. A next instance under the same id takes the place of the one that ended, so where it was announced before the end of the attempt was handled, the crash was dropped.

Change: an attempt keeps the incarnation to which it was sent. The end of a stream whose upstream has started again is still not counted.

--- a/crates/core/src/gateway/board.rs
+++ b/crates/core/src/gateway/board.rs
@@ -64,6 +64,8 @@
     pub purpose: Purpose,
     /// The upstream.
     pub upstream: UpstreamKey,
+    /// The number of the upstream's incarnation; the upstream may be removed before the attempt ends.
+    pub incarnation: u64,
     /// When it started.
     pub started: Millis,
     /// Number of tokens that it reserves in the upstream's memory.
@@ -368,10 +370,13 @@
         upstream: UpstreamKey,
         tokens: u64,
     ) -> AttemptKey {
+        let mut number = 0;
         if let Some(upstream) = self.upstreams.get_mut(upstream) {
             upstream.in_flight += 1;
             upstream.tokens += tokens;
+            number = incarnation(&upstream.announced.id, upstream.announced.started_at);
         }
-        self.attempts.insert(Attempt { purpose, upstream, started: self.now.mono, tokens })
+        let started = self.now.mono;
+        self.attempts.insert(Attempt { purpose, upstream, incarnation: number, started, tokens })
     }
 }
--- a/crates/core/src/gateway/controller/suspects.rs
+++ b/crates/core/src/gateway/controller/suspects.rs
@@ -214,7 +214,7 @@
     let fingerprint = request.fingerprint;
     match end {
         ForwardEnd::UpstreamEnded { .. } => {
-            record_crash(board, fingerprint, attempt.upstream);
+            record_crash(board, fingerprint, attempt.upstream, attempt.incarnation);
         }
         ForwardEnd::Delivered { .. } => record_success(board, fingerprint),
         _ => {}
@@ -226,18 +226,16 @@
         StreamEnd::Complete => record_success(board, request),
         StreamEnd::UpstreamEnded => {
             board.counters.upstreams_ended += 1;
-            if let Some(upstream) = board.upstreams.get_mut(key) {
-                upstream.record_end(board.now.mono);
-            }
-            record_crash(board, request, key);
+            let Some(upstream) = board.upstreams.get_mut(key) else { return };
+            upstream.record_end(board.now.mono);
+            let announced = &upstream.announced;
+            let number = incarnation(&announced.id, announced.started_at);
+            record_crash(board, request, key, number);
         }
     }
 }
 
-fn record_crash(board: &mut Board, fingerprint: Fingerprint, upstream: UpstreamKey) {
-    let Some(upstream) = board.upstreams.get(upstream) else { return };
-    let id = upstream.announced.id.clone();
-    let number = incarnation(&id, upstream.announced.started_at);
+fn record_crash(board: &mut Board, fingerprint: Fingerprint, upstream: UpstreamKey, number: u64) {
     let now = board.now.mono;
     let was_quarantined = board.suspects.quarantined_until(fingerprint, now).is_some();
     if !board.suspects.record_crash(fingerprint, number, now) {
@@ -245,6 +243,8 @@
     }
     board.suspects_changed = true;
     let crashes = board.suspects.crashes(fingerprint, now);
+    let upstream = board.upstreams.get(upstream);
+    let id = upstream.map_or("restarted", |upstream| &*upstream.announced.id);
     let detail = format!("upstream={id} ended under the request; crashes={crashes}");
     board.note(EventKind::Dependency, fingerprint.to_string(), detail);
     clear_if_succeeded(board, fingerprint);
--- a/crates/core/tests/it/deadly_requests.rs
+++ b/crates/core/tests/it/deadly_requests.rs
@@ -448,3 +448,23 @@
     let records = suspects.changed_since(Millis(0), Millis(5));
     assert!(records.iter().any(|record| record.fingerprint == deadly));
 }
+
+/// Guards against crashes that are not counted, as the upstream started again, under the same id,
+/// before the end of the attempt was seen.
+#[test]
+fn a_crash_counts_although_the_upstream_has_started_again() {
+    let mut deployment = deployment();
+    for round in 0..3 {
+        let tag = deployment.send_call(ENTRIES[0], request("deadly"));
+        deployment.run(5);
+        let forward = take_forward(&mut deployment, tag).expect("an upstream");
+        let number = forward.upstream.id.trim_start_matches("desk-").parse().expect("a number");
+        announce(&mut deployment, number, 2 + round);
+        deployment.run(350);
+        let attempt = forward.attempt;
+        deployment.deliver(ENTRIES[0], Event::ForwardEnded { attempt, end: ended() });
+        finish(&mut deployment, ENTRIES[0], tag, reset);
+    }
+    let (_, sends) = arrive(&mut deployment, ENTRIES[0], "deadly", ended);
+    assert_eq!(sends, 0);
+}
