--- a/crates/core/tests/it/deadly_requests.rs
+++ b/crates/core/tests/it/deadly_requests.rs
@@ -429,3 +429,42 @@
         assert_eq!(suspects.digest(), 0);
     }
 }
+
+/// Guards against messages that leave out the quarantined requests, in favour of cleared ones.
+#[test]
+fn records_of_quarantined_requests_are_sent_before_cleared_ones() {
+    let mut suspects = Suspects::default();
+    for number in 0..300_u32 {
+        let innocent = Fingerprint::new(&[&number.to_le_bytes()]);
+        for upstream in 0..4 {
+            suspects.record_crash(innocent, upstream, Millis(1));
+        }
+        suspects.clear(innocent, Millis(1));
+    }
+    let deadly = Fingerprint::new(&[b"deadly"]);
+    for upstream in 0..3 {
+        suspects.record_crash(deadly, upstream, Millis(1));
+    }
+    let records = suspects.changed_since(Millis(0), Millis(5));
+    assert!(records.iter().any(|record| record.fingerprint == deadly));
+}
+
+/// Guards against crashes that are not counted, as the upstream started again, under the same id,
+/// before the end of the attempt was seen.
+#[test]
+fn a_crash_counts_although_the_upstream_has_started_again() {
+    let mut deployment = deployment();
+    for round in 0..3 {
+        let tag = deployment.send_call(ENTRIES[0], request("deadly"));
+        deployment.run(5);
+        let forward = take_forward(&mut deployment, tag).expect("an upstream");
+        let number = forward.upstream.id.trim_start_matches("desk-").parse().expect("a number");
+        announce(&mut deployment, number, 2 + round);
+        deployment.run(350);
+        let attempt = forward.attempt;
+        deployment.deliver(ENTRIES[0], Event::ForwardEnded { attempt, end: ended() });
+        finish(&mut deployment, ENTRIES[0], tag, reset);
+    }
+    let (_, sends) = arrive(&mut deployment, ENTRIES[0], "deadly", ended);
+    assert_eq!(sends, 0);
+}
