--- a/crates/core/src/gateway/action.rs
+++ b/crates/core/src/gateway/action.rs
@@ -9,7 +9,7 @@
 use crate::directory::{ItemOutcome, JobSpec};
 use crate::error::Problem;
 use crate::gateway::settings::Role;
-use crate::key::{AttemptKey, HostId, OrderKey, RequestTag, SyncToken, UpstreamKey};
+use crate::key::{AttemptKey, Fingerprint, HostId, OrderKey, RequestTag, SyncToken, UpstreamKey};
 use crate::message::Envelope;
 use crate::time::Millis;
 use crate::timeline::TimelineEvent;
@@ -71,8 +71,11 @@
     Drain,
     /// Closes the connections that have no request in progress.
     CloseIdle,
-    /// Ends the process; nothing is in progress any more.
-    Exit,
+    /// Ends the process; nothing waits for a decision any more.
+    Exit {
+        /// How long the answers that are being streamed may still take.
+        stream_timeout: Millis,
+    },
 }
 
 /// The address of an upstream, and the instance that is expected there.
@@ -95,6 +98,8 @@
     pub tag: RequestTag,
     /// The attempt.
     pub attempt: AttemptKey,
+    /// Identifies the request when it comes again.
+    pub fingerprint: Fingerprint,
     /// The upstream.
     pub upstream: UpstreamAddress,
     /// How long the upstream may take to answer.
--- a/crates/core/src/gateway/controller/forwarding.rs
+++ b/crates/core/src/gateway/controller/forwarding.rs
@@ -5,15 +5,18 @@
 //! Writes: `requests`, `request_index`, `attempts`, `upstreams` (health), `suspects`,
 //! `suspects_changed`, `store_requests`, `counters`, `actions`.
 
+mod endings;
+
 use std::sync::Arc;
 
 use rand::Rng;
 
+use self::endings::{deliver_held, fail, fail_after_max_wait, is_quarantined, refuse};
 use super::Controller;
 use super::calls::not_ready;
 use super::{registry, suspects};
 use crate::directory::{JobSpec, Route, RouteKind, RoutingConfig};
-use crate::error::{ErrorKind, Problem, Ran};
+use crate::error::{ErrorKind, Problem};
 use crate::gateway::action::{Action, Forward, UpstreamAddress};
 use crate::gateway::board::{Attempt, Board, Purpose, Request, RequestState};
 use crate::gateway::event::{Call, Event, ForwardEnd, IncomingCall, JobBody};
@@ -26,10 +29,6 @@
 /// The time limit of a new connection to an upstream: a round trip between regions, and a margin.
 const CONNECT_TIMEOUT: Millis = Millis(300);
 
-/// A request may wait for a free upstream for its latency objective divided by this number. A caller
-/// that is rejected within that time can still be served in time elsewhere.
-const MAX_WAIT_DIVISOR: u64 = 4;
-
 /// The interval between two checks for a free upstream.
 const UPSTREAM_POLL_INTERVAL: Millis = Millis(20);
 
@@ -37,8 +36,9 @@
 /// of its latency objective.
 const MAX_OBJECTIVES_PER_ATTEMPT: u64 = 2;
 
-/// The delay after which a rejected caller may retry.
-const CALLER_RETRY_DELAY: Millis = Millis(150);
+/// The most upstreams to which connections may be refused before each further refusal counts as one
+/// of the request's attempts.
+const MAX_UNCOUNTED_REFUSALS: usize = 8;
 
 /// The time limit for accepting a job; callers of jobs wait for many seconds.
 const SUBMIT_TIMEOUT: Millis = Millis(5_000);
@@ -225,7 +225,7 @@
     let Some(request) = board.requests.get_mut(request_key) else { return };
     request.state = RequestState::Waiting;
     match end {
-        ForwardEnd::Delivered { status } => {
+        ForwardEnd::Delivered { status } | ForwardEnd::Begun { status } => {
             board.counters.delivered += 1;
             let total = board.now.mono.since(request.opened).0;
             let attempts = request.attempts;
@@ -251,6 +251,12 @@
         ForwardEnd::NotSent { detail } => {
             request.last_failure = format!("request not sent: {detail}").into();
         }
+        ForwardEnd::ConnectRefused { detail } => {
+            request.last_failure = format!("upstream ended: {detail}").into();
+            if request.tried.len() <= MAX_UNCOUNTED_REFUSALS {
+                request.attempts = request.attempts.saturating_sub(1);
+            }
+        }
         ForwardEnd::Broken { detail } => {
             request.maybe_ran = true;
             request.last_failure = detail.clone();
@@ -283,8 +289,13 @@
 fn update_health(board: &mut Board, attempt: &Attempt, took: Millis, end: &ForwardEnd) {
     let now = board.now.mono;
     let Some(upstream) = board.upstreams.get_mut(attempt.upstream) else { return };
+    if let ForwardEnd::ConnectRefused { .. } | ForwardEnd::UpstreamEnded { .. } = end {
+        upstream.record_end(now);
+    }
     match end {
-        ForwardEnd::Delivered { .. } => upstream.health.record_success(took),
+        ForwardEnd::Delivered { .. } | ForwardEnd::Begun { .. } => {
+            upstream.health.record_success(took);
+        }
         ForwardEnd::NotRun { other_instance: true, .. } => {
             upstream.gone = true;
             let (id, address) = (upstream.announced.id.clone(), upstream.announced.address.clone());
@@ -294,45 +305,12 @@
         ForwardEnd::Held { .. }
         | ForwardEnd::NotRun { .. }
         | ForwardEnd::NotSent { .. }
+        | ForwardEnd::ConnectRefused { .. }
         | ForwardEnd::Broken { .. }
         | ForwardEnd::UpstreamEnded { .. } => upstream.health.record_failure(now),
     }
 }
 
-fn deliver_held(board: &mut Board, key: RequestKey) {
-    let Some(request) = remove_request(board, key) else { return };
-    board.counters.delivered += 1;
-    let detail = format!("attempts={} held: {}", request.attempts, request.last_failure);
-    board.note(EventKind::Answered, request.trace, detail);
-    board.actions.push(Action::Deliver { tag: request.tag });
-}
-
-/// Ends a request without a successful answer: delivers the failure response held from an upstream
-/// if there is one, and rejects the request otherwise.
-fn fail(board: &mut Board, key: RequestKey) {
-    if board.requests.get(key).is_some_and(|request| request.held) {
-        deliver_held(board, key);
-        return;
-    }
-    let Some(request) = remove_request(board, key) else { return };
-    let now = board.now.mono;
-    let detail = format!(
-        "service={} attempts={} held_ms={} {}",
-        request.service,
-        request.attempts,
-        now.since(request.opened).0,
-        request.last_failure
-    );
-    let problem = if !request.maybe_ran {
-        Problem::not_run(ErrorKind::Unavailable, detail).retry_after(CALLER_RETRY_DELAY)
-    } else if now >= request.until {
-        Problem::not_run(ErrorKind::DeadlineExceeded, detail).ran(Ran::Unknown)
-    } else {
-        Problem::unknown(detail)
-    };
-    board.reject(request.tag, &request.trace, problem);
-}
-
 impl Forwarding {
     /// Starts, moves or ends the attempt of a request if that is due.
     fn advance(&self, board: &mut Board, key: RequestKey) {
@@ -346,7 +324,7 @@
             }
             RequestState::Running(attempt) => {
                 let Some(running) = board.attempts.get(attempt).copied() else { return };
-                if now < move_at(request, &running) {
+                if now < move_at(request, &running) || is_quarantined(board, request) {
                     return;
                 }
                 let Some(next) = self.choose(board, key) else { return };
@@ -383,7 +361,8 @@
         let mut candidates = Vec::new();
         for (upstream_key, upstream) in &board.upstreams {
             let fits = upstream.announced.service == request.service && upstream.accepts_requests();
-            if !fits || Some(upstream_key) == running {
+            let has_ended = upstream.ended_until(now).is_some();
+            if !fits || has_ended || Some(upstream_key) == running {
                 continue;
             }
             candidates.push(UpstreamCandidate {
@@ -405,59 +384,6 @@
     }
 }
 
-fn is_quarantined(board: &Board, request: &Request) -> bool {
-    board.suspects.quarantined_until(request.fingerprint, board.now.mono).is_some()
-}
-
-/// Ends a request under which too many upstreams ended.
-fn refuse(board: &mut Board, key: RequestKey) {
-    let (now, request) = (board.now.mono, &board.requests[key]);
-    let (fingerprint, ran) = (request.fingerprint, request.maybe_ran);
-    board.counters.quarantined += 1;
-    if request.held {
-        deliver_held(board, key);
-        return;
-    }
-    let Some(request) = remove_request(board, key) else { return };
-    let until = board.suspects.quarantined_until(fingerprint, now).unwrap_or(now);
-    let crashes = board.suspects.crashes(fingerprint, now);
-    let detail = format!("quarantined fingerprint={fingerprint} crashes={crashes}");
-    let problem = if ran {
-        Problem::unknown(detail)
-    } else {
-        Problem::not_run(ErrorKind::Unavailable, detail).retry_after(until.since(now))
-    };
-    board.reject(request.tag, &request.trace, problem);
-}
-
-/// Returns whether the upstreams of a service that this host knows all leave or are gone.
-fn all_leave(board: &Board, service: &str) -> bool {
-    let mut known = board.upstreams.values().filter(|u| *u.announced.service == *service);
-    let Some(first) = known.next() else { return false };
-    !first.accepts_requests() && known.all(|upstream| !upstream.accepts_requests())
-}
-
-/// Ends a request that has waited too long for a free upstream, or waits for none.
-fn fail_after_max_wait(board: &mut Board, key: RequestKey) {
-    let request = &board.requests[key];
-    if all_leave(board, &request.service) {
-        let request = &mut board.requests[key];
-        if request.last_failure.is_empty() {
-            request.last_failure = "all upstreams leave".into();
-        }
-        fail(board, key);
-        return;
-    }
-    let waited = board.now.mono.since(request.opened);
-    if waited.0 * MAX_WAIT_DIVISOR >= request.route.latency_objective.0 {
-        let request = &mut board.requests[key];
-        if request.last_failure.is_empty() {
-            request.last_failure = "no free upstream".into();
-        }
-        fail(board, key);
-    }
-}
-
 fn start_attempt(board: &mut Board, key: RequestKey, upstream_key: UpstreamKey) {
     let attempt = board.begin_attempt(Purpose::Request(key), upstream_key, 0);
     let now = board.now.mono;
@@ -476,6 +402,7 @@
     let forward = Forward {
         tag: request.tag,
         attempt,
+        fingerprint: request.fingerprint,
         upstream: address,
         deadline: remaining,
         connect: CONNECT_TIMEOUT.min(remaining),
--- a/crates/core/tests/it/deadly_requests.rs
+++ b/crates/core/tests/it/deadly_requests.rs
@@ -2,7 +2,7 @@
 
 use chestnutdrift_core::gateway::board::{QUARANTINE_CRASHES, Suspects};
 use chestnutdrift_core::gateway::{
-    Announcement, Answer, Call, Event, Forward, ForwardEnd, Gateway,
+    Announcement, Answer, Call, Event, Forward, ForwardEnd, Gateway, StreamEnd,
 };
 use chestnutdrift_core::{ErrorKind, Fingerprint, HostId, Millis, Ran, RequestTag};
 
@@ -170,6 +170,20 @@
     assert_eq!(quarantined(&deployment), 1);
 }
 
+/// Guards against a request that is slow before it crashes its upstream, and moves to another one
+/// although it has been quarantined since.
+#[test]
+fn a_slow_request_that_was_quarantined_meanwhile_does_not_move() {
+    let mut deployment = deployment();
+    arrive(&mut deployment, ENTRIES[0], "deadly", ended);
+    let tag = deployment.send_call(ENTRIES[1], request("deadly"));
+    deployment.run(5);
+    assert!(take_forward(&mut deployment, tag).is_some(), "it runs");
+    arrive(&mut deployment, ENTRIES[0], "deadly", ended);
+    deployment.run(1_000);
+    assert!(take_forward(&mut deployment, tag).is_none(), "sent once more");
+}
+
 /// Guards against refusing requests whose upstreams reset connections, or whose answers are lost,
 /// but go on running.
 #[test]
@@ -301,6 +315,47 @@
     assert_eq!(sends, 0);
 }
 
+/// Sends a request whose answer is delivered while it still arrives, and returns whether it was sent.
+fn stream(deployment: &mut Deployment, entry: HostId, path: &str, end: StreamEnd) -> bool {
+    let tag = deployment.send_call(entry, request(path));
+    deployment.run(5);
+    let Some(forward) = take_forward(deployment, tag) else { return false };
+    let (attempt, upstream) = (forward.attempt, forward.upstream.key);
+    let begun = ForwardEnd::Begun { status: 200 };
+    deployment.deliver(entry, Event::ForwardEnded { attempt, end: begun });
+    deployment.run(100);
+    let fingerprint = forward.fingerprint;
+    deployment.deliver(entry, Event::StreamEnded { upstream, fingerprint, end });
+    deployment.run(CONTACT_MS);
+    true
+}
+
+/// Guards against a request that crashes upstreams after the head of their answer, which was taken
+/// for a success.
+#[test]
+fn a_request_that_crashes_upstreams_amid_their_answers_is_quarantined() {
+    let mut deployment = deployment();
+    let mut sends = 0;
+    for round in 0..9 {
+        let entry = ENTRIES[round % 3];
+        sends += usize::from(stream(&mut deployment, entry, "deadly", StreamEnd::UpstreamEnded));
+    }
+    assert_eq!(sends, QUARANTINE_CRASHES);
+}
+
+/// Guards against refusing a request that ran beside one that crashes upstreams, and whose answers
+/// are large or streams.
+#[test]
+fn an_answer_that_arrived_in_full_clears_a_request() {
+    let mut deployment = deployment();
+    for _ in 0..4 {
+        arrive(&mut deployment, ENTRIES[0], "innocent", ended);
+        deployment.run(CONTACT_MS);
+        assert!(stream(&mut deployment, ENTRIES[1], "innocent", StreamEnd::Complete));
+    }
+    assert_eq!(quarantined(&deployment), 0);
+}
+
 /// Guards against a request that is refused for good: its crashes expire at every host.
 #[test]
 fn a_quarantine_expires() {
@@ -374,3 +429,42 @@
         assert_eq!(suspects.digest(), 0);
     }
 }
+
+/// Guards against messages that leave out the quarantined requests, in favour of cleared ones.
+#[test]
+fn records_of_quarantined_requests_are_sent_before_cleared_ones() {
+    let mut suspects = Suspects::default();
+    for number in 0..300_u32 {
+        let innocent = Fingerprint::new(&[&number.to_le_bytes()]);
+        for upstream in 0..4 {
+            suspects.record_crash(innocent, upstream, Millis(1));
+        }
+        suspects.clear(innocent, Millis(1));
+    }
+    let deadly = Fingerprint::new(&[b"deadly"]);
+    for upstream in 0..3 {
+        suspects.record_crash(deadly, upstream, Millis(1));
+    }
+    let records = suspects.changed_since(Millis(0), Millis(5));
+    assert!(records.iter().any(|record| record.fingerprint == deadly));
+}
+
+/// Guards against crashes that are not counted, as the upstream started again, under the same id,
+/// before the end of the attempt was seen.
+#[test]
+fn a_crash_counts_although_the_upstream_has_started_again() {
+    let mut deployment = deployment();
+    for round in 0..3 {
+        let tag = deployment.send_call(ENTRIES[0], request("deadly"));
+        deployment.run(5);
+        let forward = take_forward(&mut deployment, tag).expect("an upstream");
+        let number = forward.upstream.id.trim_start_matches("desk-").parse().expect("a number");
+        announce(&mut deployment, number, 2 + round);
+        deployment.run(350);
+        let attempt = forward.attempt;
+        deployment.deliver(ENTRIES[0], Event::ForwardEnded { attempt, end: ended() });
+        finish(&mut deployment, ENTRIES[0], tag, reset);
+    }
+    let (_, sends) = arrive(&mut deployment, ENTRIES[0], "deadly", ended);
+    assert_eq!(sends, 0);
+}
--- a/crates/daemon/src/gateway/forward.rs
+++ b/crates/daemon/src/gateway/forward.rs
@@ -6,13 +6,16 @@
 use chestnutdrift_core::gateway::{Forward, ForwardEnd};
 use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
+use hyper::header::CONTENT_TYPE;
 use hyper::http::{request, response};
 use hyper::{HeaderMap, Response, StatusCode};
 
+use super::events::EventBoundary;
 use super::input::InputSender;
 use super::leaving::report_if_leaving;
 use super::pool::{Connection, Pool, SendError};
 use super::protocol::{Protocol, ResponseClass};
+use super::stream::{EndReport, StreamedBody};
 
 /// The largest response body, in bytes, that is read in full before the caller gets any of it;
 /// longer ones are streamed.
@@ -54,15 +57,6 @@
     pub body: Bytes,
 }
 
-/// The rest of a response body, which is streamed to the caller.
-#[derive(Debug)]
-pub struct StreamedBody {
-    /// The rest of the body.
-    pub body: Incoming,
-    /// The connection, which must stay open as long as the body is read.
-    pub connection: Connection,
-}
-
 /// Sends a request to an upstream and reads its response.
 ///
 /// A connection whose response was read in full goes back to the pool. If the response says that the
@@ -82,6 +76,9 @@
         Err(SendError::NotSent(detail)) => {
             return Outcome::NoResponse(ForwardEnd::NotSent { detail });
         }
+        Err(SendError::Refused(detail)) => {
+            return Outcome::NoResponse(ForwardEnd::ConnectRefused { detail });
+        }
         Err(SendError::Broken(detail)) => return broken(pool, forward, detail).await,
     };
     let (head, body) = response.into_parts();
@@ -102,7 +99,10 @@
             }
             Outcome::NoResponse(ForwardEnd::NotRun { status, other_instance })
         }
-        class => read_response(protocol, pool, forward, class, (head, body), connection).await,
+        class => {
+            let response = (head, body);
+            read_response(protocol, pool, inputs, forward, class, response, connection).await
+        }
     }
 }
 
@@ -121,6 +121,7 @@
 async fn read_response(
     protocol: &dyn Protocol,
     pool: &Pool,
+    inputs: &InputSender,
     forward: &Forward,
     class: ResponseClass,
     response: (response::Parts, Incoming),
@@ -130,8 +131,11 @@
     let headers = protocol.forwarded_headers(&head.headers);
     let success = class == ResponseClass::Success;
     if forward.streamed && success {
+        let events = is_event_stream(&head.headers).then(EventBoundary::default);
         let answer = UpstreamResponse { status: head.status, headers, body: Bytes::new() };
-        return Outcome::Streaming(answer, Box::new(StreamedBody { body, connection }));
+        let report = EndReport::new(pool, inputs, forward);
+        let streamed = StreamedBody::new(body, connection, report).events(events);
+        return Outcome::Streaming(answer, Box::new(streamed));
     }
     let buffered = match read_up_to_limit(body).await {
         Ok(buffered) => buffered,
@@ -142,12 +146,20 @@
     };
     let answer = UpstreamResponse { status: head.status, headers, body: buffered.bytes };
     if let Some(body) = buffered.rest {
-        return Outcome::Streaming(answer, Box::new(StreamedBody { body, connection }));
+        let report = EndReport::new(pool, inputs, forward);
+        let streamed = StreamedBody::new(body, connection, report);
+        return Outcome::Streaming(answer, Box::new(streamed));
     }
     pool.release(&forward.upstream, connection, protocol.keep_alive_secs(&head.headers));
     if success { Outcome::Success(answer) } else { Outcome::Failure(answer) }
 }
 
+fn is_event_stream(headers: &HeaderMap) -> bool {
+    let media_type = headers.get(CONTENT_TYPE).and_then(|value| value.to_str().ok());
+    let media_type = media_type.and_then(|value| value.split(';').next()).unwrap_or_default();
+    media_type.trim().eq_ignore_ascii_case("text/event-stream")
+}
+
 struct BufferedBody {
     bytes: Bytes,
     rest: Option<Incoming>,
--- a/crates/daemon/src/gateway/server.rs
+++ b/crates/daemon/src/gateway/server.rs
@@ -2,7 +2,7 @@
 
 use std::convert::Infallible;
 use std::net::SocketAddr;
-use std::pin::{Pin, pin};
+use std::pin::Pin;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::time::{Duration, Instant};
@@ -12,21 +12,20 @@
 use chestnutdrift_core::directory::RequestLimits;
 use chestnutdrift_core::gateway::{Answer, Event, ForwardEnd, IncomingCall};
 use chestnutdrift_core::{AttemptKey, ErrorKind, Problem, RequestTag};
-use futures_util::stream;
-use http_body_util::{BodyExt, StreamBody};
-use hyper::body::{Frame, Incoming};
+use hyper::body::Incoming;
 use hyper::header::{CONNECTION, HeaderValue};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
-use hyper::{Request, Response};
+use hyper::{Request, Response, Version};
 use hyper_util::rt::{TokioIo, TokioTimer};
+use rustix::net::sockopt::set_socket_linger;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::runtime::Runtime;
 use tokio::sync::{Semaphore, mpsc, watch};
 
 use super::bodies::BodyMemory;
 use super::control::{Directive, MAX_QUEUED_DIRECTIVES};
-use super::forward::{self, Outcome, ReceivedRequest, StreamedBody, UpstreamResponse};
+use super::forward::{self, Outcome, ReceivedRequest, UpstreamResponse};
 use super::input::{Input, InputSender, NotQueued};
 use super::metrics;
 use super::pool::Pool;
@@ -75,6 +74,12 @@
         self.idle_timeout_ms.store(limits.idle_timeout.0, Ordering::Relaxed);
     }
 
+    /// Returns how long a connection, or a body that is being read, may stay idle.
+    #[must_use]
+    pub fn idle_timeout(&self) -> Duration {
+        Duration::from_millis(self.idle_timeout_ms.load(Ordering::Relaxed))
+    }
+
     /// Makes every later answer close its connection.
     pub fn drain(&self) {
         self.draining.store(true, Ordering::Relaxed);
@@ -101,6 +106,8 @@
     pub bodies: BodyMemory,
     /// The permits for open connections, one for each.
     pub connections: Arc<Semaphore>,
+    /// The permits for answers that are being streamed, one for each connection.
+    pub streams: Arc<Semaphore>,
     /// The tag of the next exchange.
     pub next_tag: AtomicU64,
 }
@@ -133,27 +140,46 @@
         log::debug!(event = "nodelay"; "{error}");
     }
     let mut close_requested = server.state.close_idle.subscribe();
-    let idle_timeout = Duration::from_millis(server.state.idle_timeout_ms.load(Ordering::Relaxed));
+    let idle_timeout = server.state.idle_timeout();
     let head = server.state.max_head_bytes.load(Ordering::Relaxed);
     let buffer = usize::try_from(head).unwrap_or(usize::MAX).max(MIN_BUFFER_BYTES);
-    let service = service_fn(move |request| {
+    let ends_with_connection = Arc::new(AtomicBool::new(false));
+    let unframed = Arc::clone(&ends_with_connection);
+    let service = service_fn(move |request: Request<Incoming>| {
         let server = Arc::clone(&server);
+        unframed.store(request.version() < Version::HTTP_11, Ordering::Relaxed);
         async move { Ok::<_, Infallible>(server.handle_request(listener, request).await) }
     });
     // The library starts the time for a head at the end of the previous answer, so this time-out
     // bounds idle connections and slow senders alike.
-    let connection = http1::Builder::new()
+    let mut connection = http1::Builder::new()
         .max_buf_size(buffer)
         .timer(TokioTimer::new())
         .header_read_timeout(idle_timeout)
         .serve_connection(TokioIo::new(stream), service);
-    let mut connection = pin!(connection);
-    tokio::select! {
-        _ = connection.as_mut() => return,
-        _ = close_requested.wait_for(|close| *close) => connection.as_mut().graceful_shutdown(),
+    let ended = tokio::select! {
+        served = &mut connection => Some(served),
+        _ = close_requested.wait_for(|close| *close) => None,
+    };
+    let served = match ended {
+        Some(served) => served,
+        None => {
+            Pin::new(&mut connection).graceful_shutdown();
+            (&mut connection).await
+        }
+    };
+    let Err(error) = served else { return };
+    log::debug!(event = "connection"; "{error}");
+    // An answer by HTTP/1.0 may have no other framing than the end of its connection.
+    if error.is_user() && ends_with_connection.load(Ordering::Relaxed) {
+        reset(&connection.into_parts().io.into_inner());
     }
-    if let Err(error) = connection.await {
-        log::debug!(event = "connection"; "{error}");
+}
+
+/// Makes the end of a connection a reset, so that the peer doesn't take it for the end of an answer.
+fn reset(stream: &TcpStream) {
+    if let Err(error) = set_socket_linger(stream, Some(Duration::ZERO)) {
+        log::debug!(event = "linger"; "{error}");
     }
 }
 
@@ -183,7 +209,8 @@
         let (head, body) = request.into_parts();
         let mut reserved = self.bodies.reservation();
         let max_bytes = self.state.max_body_bytes.load(Ordering::Relaxed);
-        let body = read_body(body, max_bytes, |bytes| reserved.extend_to(bytes)).await?;
+        let admit = |bytes| reserved.extend_to(bytes);
+        let body = read_body(body, max_bytes, self.state.idle_timeout(), admit).await?;
         let parsed = self.protocol.parse_request(listener, &head, &body)?;
         let tag = RequestTag(self.next_tag.fetch_add(1, Ordering::Relaxed));
         let call = IncomingCall {
@@ -316,8 +343,10 @@
             }
             Outcome::Streaming(response, streamed) => {
                 let status = response.status.as_u16();
-                self.server.report(key, ForwardEnd::Delivered { status });
-                Some(response.into_response(|held| stream_body(held, *streamed)))
+                // The report may be the last work that the host waits for.
+                let permit = Arc::clone(&self.server.streams).try_acquire_owned().ok();
+                self.server.report(key, ForwardEnd::Begun { status });
+                Some(response.into_response(|held| streamed.permit(permit).into_body(held)))
             }
             Outcome::Failure(response) => {
                 let status = response.status.as_u16();
@@ -350,20 +379,3 @@
         None => std::future::pending().await,
     }
 }
-
-/// Streams `held` and then the rest of a body; an error of the upstream's body aborts the caller's.
-fn stream_body(held: Bytes, streamed: StreamedBody) -> ResponseBody {
-    let StreamedBody { body, connection } = streamed;
-    let first = (!held.is_empty()).then_some(held);
-    let frames = stream::unfold((first, Some((body, connection))), |(first, rest)| async {
-        if let Some(first) = first {
-            return Some((Ok(Frame::data(first)), (None, rest)));
-        }
-        let (mut body, connection) = rest?;
-        match body.frame().await? {
-            Ok(frame) => Some((Ok(frame), (None, Some((body, connection))))),
-            Err(error) => Some((Err(std::io::Error::other(error)), (None, None))),
-        }
-    });
-    StreamBody::new(Box::pin(frames)).boxed_unsync()
-}
--- /dev/null
+++ b/crates/daemon/src/gateway/stream.rs
@@ -0,0 +1,140 @@
+//! Answers that are delivered to the caller while they still arrive.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use chestnutdrift_core::Fingerprint;
+use chestnutdrift_core::gateway::{Event, Forward, StreamEnd, UpstreamAddress};
+use futures_util::stream;
+use http_body_util::{BodyExt, StreamBody};
+use hyper::body::{Body, Frame, Incoming};
+use tokio::sync::OwnedSemaphorePermit;
+
+use super::events::EventBoundary;
+use super::input::{Input, InputSender};
+use super::pool::{Connection, Pool};
+use crate::http::ResponseBody;
+
+/// The rest of a response body, which is streamed to the caller.
+#[derive(Debug)]
+pub struct StreamedBody {
+    body: Incoming,
+    /// The connection, which must stay open as long as the body is read.
+    connection: Connection,
+    events: Option<EventBoundary>,
+    /// The report; `None` once it is sent.
+    report: Option<EndReport>,
+    permit: Option<OwnedSemaphorePermit>,
+}
+
+/// What is needed to report the end of a stream.
+#[derive(Debug)]
+pub(super) struct EndReport {
+    pool: Pool,
+    inputs: InputSender,
+    upstream: UpstreamAddress,
+    fingerprint: Fingerprint,
+    connect_timeout: Duration,
+}
+
+impl StreamedBody {
+    /// Creates the rest of the answer to a forwarded request.
+    pub(super) fn new(body: Incoming, connection: Connection, report: EndReport) -> Self {
+        Self { body, connection, events: None, report: Some(report), permit: None }
+    }
+
+    /// Sets the position in the events of the body; the default is that it is no event stream.
+    #[must_use]
+    pub(super) fn events(mut self, events: Option<EventBoundary>) -> Self {
+        self.events = events;
+        self
+    }
+
+    /// Sets a permit that is kept until the end of the body; the default is none.
+    #[must_use]
+    pub fn permit(mut self, permit: Option<OwnedSemaphorePermit>) -> Self {
+        self.permit = permit;
+        self
+    }
+
+    /// Streams `held` and then the rest of the body. An error of the upstream's body aborts the
+    /// caller's, and so does the end of an event stream within an event, whatever its framing says.
+    #[must_use]
+    pub fn into_body(self, held: Bytes) -> ResponseBody {
+        let first = (!held.is_empty()).then_some(held);
+        let frames = stream::unfold((first, Some(self)), |(first, rest)| async {
+            if let Some(first) = first {
+                return Some((Ok(Frame::data(first)), (None, rest)));
+            }
+            let (frame, rest) = rest?.read().await?;
+            Some((frame, (None, rest)))
+        });
+        StreamBody::new(Box::pin(frames)).boxed_unsync()
+    }
+
+    /// Reads the next frame, and reports the end of the body.
+    async fn read(mut self) -> Option<(std::io::Result<Frame<Bytes>>, Option<Self>)> {
+        let error = match self.body.frame().await {
+            Some(Ok(frame)) => {
+                if let (Some(events), Some(data)) = (&mut self.events, frame.data_ref()) {
+                    events.push(data);
+                }
+                // A body of a known length is not read again after its last frame.
+                if self.body.is_end_stream() && !self.is_within_event() {
+                    self.report_complete();
+                }
+                return Some((Ok(frame), Some(self)));
+            }
+            None if !self.is_within_event() => {
+                self.report_complete();
+                return None;
+            }
+            None => std::io::Error::other("the last event was cut off"),
+            Some(Err(error)) => std::io::Error::other(error),
+        };
+        drop(self.connection);
+        if let Some(report) = self.report {
+            // The caller's answer is not held up by the check.
+            tokio::spawn(report.check_upstream());
+        }
+        Some((Err(error), None))
+    }
+
+    fn is_within_event(&self) -> bool {
+        self.events.as_ref().is_some_and(|events| !events.is_between_events())
+    }
+
+    fn report_complete(&mut self) {
+        if let Some(report) = self.report.take() {
+            report.send(StreamEnd::Complete);
+        }
+    }
+}
+
+impl EndReport {
+    /// Creates the report on the answer to a forwarded request.
+    pub(super) fn new(pool: &Pool, inputs: &InputSender, forward: &Forward) -> Self {
+        Self {
+            pool: pool.clone(),
+            inputs: inputs.clone(),
+            upstream: forward.upstream.clone(),
+            fingerprint: forward.fingerprint,
+            connect_timeout: Duration::from_millis(forward.connect.0),
+        }
+    }
+
+    /// Reports that the upstream has ended if its address refuses connections.
+    async fn check_upstream(self) {
+        if self.pool.is_refused(&self.upstream, self.connect_timeout).await {
+            self.send(StreamEnd::UpstreamEnded);
+        }
+    }
+
+    fn send(&self, end: StreamEnd) {
+        let (upstream, fingerprint) = (self.upstream.key, self.fingerprint);
+        let event = Event::StreamEnded { upstream, fingerprint, end };
+        if self.inputs.send(Input::Event(event)).is_err() {
+            log::debug!(event = "report-lost"; "the control thread has ended");
+        }
+    }
+}
