fix(daemon): a crash did not count once the caller had left

Cause: an attempt that is dropped, as its caller has left, another one has taken its place or its time is up, has no outcome, and nobody looks at its upstream again.

Change: each attempt holds the report on its end. The event of a streamed answer's end serves both and is named for it. A dropped attempt costs one connection.

--- a/crates/core/src/gateway.rs
+++ b/crates/core/src/gateway.rs
@@ -36,8 +36,8 @@
 pub use board::Board;
 pub use controller::Controller;
 pub use event::{
-    Announcement, Call, Event, ForwardEnd, IncomingCall, ItemEnd, ItemRunReport, JobBody, OrderEnd,
-    Query, StreamEnd,
+    Announcement, Call, Event, ForwardEnd, IncomingCall, ItemEnd, ItemRunReport, JobBody, LateEnd,
+    OrderEnd, Query,
 };
 pub use message::{GatewayMessage, StoreReply, StoreRequest};
 pub use policy::Policies;
--- a/crates/core/src/gateway/controller/suspects.rs
+++ b/crates/core/src/gateway/controller/suspects.rs
@@ -13,7 +13,7 @@
 
 use super::Controller;
 use crate::gateway::board::{Attempt, Board, CRASH_RETENTION, ENDED_RETENTION, incarnation};
-use crate::gateway::event::{Event, ForwardEnd, StreamEnd};
+use crate::gateway::event::{Event, ForwardEnd, LateEnd};
 use crate::gateway::message::{CrashRecord, GatewayMessage, Hello, SuspectRecord};
 use crate::gateway::settings::Role;
 use crate::key::{Fingerprint, HostId, RequestKey, UpstreamKey};
@@ -63,8 +63,8 @@
                 _ => {}
             }
         }
-        if let Some(Event::StreamEnded { upstream, fingerprint, end }) = event {
-            record_stream_end(board, *upstream, *fingerprint, *end);
+        if let Some(Event::LateEnd { upstream, fingerprint, end }) = event {
+            record_late_end(board, *upstream, *fingerprint, *end);
         }
         let now = board.now.mono;
         if now >= self.next_sweep {
@@ -221,10 +221,10 @@
     }
 }
 
-fn record_stream_end(board: &mut Board, key: UpstreamKey, request: Fingerprint, end: StreamEnd) {
+fn record_late_end(board: &mut Board, key: UpstreamKey, request: Fingerprint, end: LateEnd) {
     match end {
-        StreamEnd::Complete => record_success(board, request),
-        StreamEnd::UpstreamEnded => {
+        LateEnd::Complete => record_success(board, request),
+        LateEnd::UpstreamEnded => {
             board.counters.upstreams_ended += 1;
             let Some(upstream) = board.upstreams.get_mut(key) else { return };
             upstream.record_end(board.now.mono);
--- a/crates/core/src/gateway/event.rs
+++ b/crates/core/src/gateway/event.rs
@@ -40,14 +40,15 @@
         /// How it ended.
         end: ForwardEnd,
     },
-    /// An answer that was delivered while it still arrived has ended.
-    StreamEnded {
+    /// The end of an attempt is known after its request has ended: an answer was delivered while it
+    /// still arrived, or the attempt was dropped without an outcome.
+    LateEnd {
         /// The upstream.
         upstream: UpstreamKey,
         /// The request.
         fingerprint: Fingerprint,
         /// How it ended.
-        end: StreamEnd,
+        end: LateEnd,
     },
     /// Runs of items have received events since their last report.
     ItemProgress(Vec<(AttemptKey, ItemText)>),
@@ -246,7 +247,7 @@
         /// The HTTP status.
         status: u16,
     },
-    /// The upstream's answer is being delivered to the caller; [`Event::StreamEnded`] tells how it ends.
+    /// The upstream's answer is being delivered to the caller; [`Event::LateEnd`] tells how it ends.
     Begun {
         /// The HTTP status.
         status: u16,
@@ -286,10 +287,10 @@
     },
 }
 
-/// How an answer ended whose delivery had begun.
+/// How an attempt ended whose request had ended before.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
-pub enum StreamEnd {
+pub enum LateEnd {
     /// It is complete.
     Complete,
     /// It broke off, and afterwards the upstream's address refused a new connection: its process has
--- a/crates/core/tests/it/deadly_requests.rs
+++ b/crates/core/tests/it/deadly_requests.rs
@@ -2,7 +2,7 @@
 
 use chestnutdrift_core::gateway::board::{QUARANTINE_CRASHES, Suspects};
 use chestnutdrift_core::gateway::{
-    Announcement, Answer, Call, Event, Forward, ForwardEnd, Gateway, StreamEnd,
+    Announcement, Answer, Call, Event, Forward, ForwardEnd, Gateway, LateEnd,
 };
 use chestnutdrift_core::{ErrorKind, Fingerprint, HostId, Millis, Ran, RequestTag};
 
@@ -316,7 +316,7 @@
 }
 
 /// Sends a request whose answer is delivered while it still arrives, and returns whether it was sent.
-fn stream(deployment: &mut Deployment, entry: HostId, path: &str, end: StreamEnd) -> bool {
+fn stream(deployment: &mut Deployment, entry: HostId, path: &str, end: LateEnd) -> bool {
     let tag = deployment.send_call(entry, request(path));
     deployment.run(5);
     let Some(forward) = take_forward(deployment, tag) else { return false };
@@ -325,7 +325,7 @@
     deployment.deliver(entry, Event::ForwardEnded { attempt, end: begun });
     deployment.run(100);
     let fingerprint = forward.fingerprint;
-    deployment.deliver(entry, Event::StreamEnded { upstream, fingerprint, end });
+    deployment.deliver(entry, Event::LateEnd { upstream, fingerprint, end });
     deployment.run(CONTACT_MS);
     true
 }
@@ -338,7 +338,7 @@
     let mut sends = 0;
     for round in 0..9 {
         let entry = ENTRIES[round % 3];
-        sends += usize::from(stream(&mut deployment, entry, "deadly", StreamEnd::UpstreamEnded));
+        sends += usize::from(stream(&mut deployment, entry, "deadly", LateEnd::UpstreamEnded));
     }
     assert_eq!(sends, QUARANTINE_CRASHES);
 }
@@ -351,7 +351,7 @@
     for _ in 0..4 {
         arrive(&mut deployment, ENTRIES[0], "innocent", ended);
         deployment.run(CONTACT_MS);
-        assert!(stream(&mut deployment, ENTRIES[1], "innocent", StreamEnd::Complete));
+        assert!(stream(&mut deployment, ENTRIES[1], "innocent", LateEnd::Complete));
     }
     assert_eq!(quarantined(&deployment), 0);
 }
--- a/crates/daemon/src/gateway.rs
+++ b/crates/daemon/src/gateway.rs
@@ -13,6 +13,7 @@
 pub mod forward;
 pub mod input;
 pub mod items;
+mod late_end;
 mod leaving;
 pub mod load;
 pub mod metrics;
--- a/crates/daemon/src/gateway/forward.rs
+++ b/crates/daemon/src/gateway/forward.rs
@@ -12,10 +12,11 @@
 
 use super::events::EventBoundary;
 use super::input::InputSender;
+use super::late_end::LateEndReport;
 use super::leaving::report_if_leaving;
 use super::pool::{Connection, Pool, SendError};
 use super::protocol::{Protocol, ResponseClass};
-use super::stream::{EndReport, StreamedBody};
+use super::stream::StreamedBody;
 
 /// The largest response body, in bytes, that is read in full before the caller gets any of it;
 /// longer ones are streamed.
@@ -60,13 +61,31 @@
 /// Sends a request to an upstream and reads its response.
 ///
 /// A connection whose response was read in full goes back to the pool. If the response says that the
-/// upstream leaves, `inputs` is told as soon as its head has come.
+/// upstream leaves, `inputs` is told as soon as its head has come. If the attempt is dropped, `inputs`
+/// is told later if the upstream has ended.
 pub async fn run(
     protocol: &dyn Protocol,
     pool: &Pool,
     inputs: &InputSender,
     received: &ReceivedRequest,
     forward: &Forward,
+) -> Outcome {
+    let mut report = Some(LateEndReport::new(pool, inputs, forward));
+    let outcome = run_to_outcome(protocol, pool, inputs, received, forward, &mut report).await;
+    if let Some(report) = report {
+        report.close();
+    }
+    outcome
+}
+
+/// Does the work of [`run`]; a streamed body takes the report.
+async fn run_to_outcome(
+    protocol: &dyn Protocol,
+    pool: &Pool,
+    inputs: &InputSender,
+    received: &ReceivedRequest,
+    forward: &Forward,
+    report: &mut Option<LateEndReport>,
 ) -> Outcome {
     let request = protocol.forward_request(&received.head, &received.body, forward);
     let connect_timeout = Duration::from_millis(forward.connect.0);
@@ -101,7 +120,7 @@
         }
         class => {
             let response = (head, body);
-            read_response(protocol, pool, inputs, forward, class, response, connection).await
+            read_response(protocol, pool, report, forward, class, response, connection).await
         }
     }
 }
@@ -121,7 +140,7 @@
 async fn read_response(
     protocol: &dyn Protocol,
     pool: &Pool,
-    inputs: &InputSender,
+    report: &mut Option<LateEndReport>,
     forward: &Forward,
     class: ResponseClass,
     response: (response::Parts, Incoming),
@@ -133,8 +152,7 @@
     if forward.streamed && success {
         let events = is_event_stream(&head.headers).then(EventBoundary::default);
         let answer = UpstreamResponse { status: head.status, headers, body: Bytes::new() };
-        let report = EndReport::new(pool, inputs, forward);
-        let streamed = StreamedBody::new(body, connection, report).events(events);
+        let streamed = StreamedBody::new(body, connection, report.take()).events(events);
         return Outcome::Streaming(answer, Box::new(streamed));
     }
     let buffered = match read_up_to_limit(body).await {
@@ -146,8 +164,7 @@
     };
     let answer = UpstreamResponse { status: head.status, headers, body: buffered.bytes };
     if let Some(body) = buffered.rest {
-        let report = EndReport::new(pool, inputs, forward);
-        let streamed = StreamedBody::new(body, connection, report);
+        let streamed = StreamedBody::new(body, connection, report.take());
         return Outcome::Streaming(answer, Box::new(streamed));
     }
     pool.release(&forward.upstream, connection, protocol.keep_alive_secs(&head.headers));
--- a/crates/daemon/src/gateway/stream.rs
+++ b/crates/daemon/src/gateway/stream.rs
@@ -1,18 +1,14 @@
 //! Answers that are delivered to the caller while they still arrive.
 
-use std::time::Duration;
-
 use bytes::Bytes;
-use chestnutdrift_core::Fingerprint;
-use chestnutdrift_core::gateway::{Event, Forward, StreamEnd, UpstreamAddress};
 use futures_util::stream;
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::{Body, Frame, Incoming};
 use tokio::sync::OwnedSemaphorePermit;
 
 use super::events::EventBoundary;
-use super::input::{Input, InputSender};
-use super::pool::{Connection, Pool};
+use super::late_end::LateEndReport;
+use super::pool::Connection;
 use crate::http::ResponseBody;
 
 /// The rest of a response body, which is streamed to the caller.
@@ -23,24 +19,18 @@
     connection: Connection,
     events: Option<EventBoundary>,
     /// The report; `None` once it is sent.
-    report: Option<EndReport>,
+    report: Option<LateEndReport>,
     permit: Option<OwnedSemaphorePermit>,
 }
 
-/// What is needed to report the end of a stream.
-#[derive(Debug)]
-pub(super) struct EndReport {
-    pool: Pool,
-    inputs: InputSender,
-    upstream: UpstreamAddress,
-    fingerprint: Fingerprint,
-    connect_timeout: Duration,
-}
-
 impl StreamedBody {
     /// Creates the rest of the answer to a forwarded request.
-    pub(super) fn new(body: Incoming, connection: Connection, report: EndReport) -> Self {
-        Self { body, connection, events: None, report: Some(report), permit: None }
+    pub(super) fn new(
+        body: Incoming,
+        connection: Connection,
+        report: Option<LateEndReport>,
+    ) -> Self {
+        Self { body, connection, events: None, report, permit: None }
     }
 
     /// Sets the position in the events of the body; the default is that it is no event stream.
@@ -94,8 +84,7 @@
         };
         drop(self.connection);
         if let Some(report) = self.report {
-            // The caller's answer is not held up by the check.
-            tokio::spawn(report.check_upstream());
+            report.check_upstream();
         }
         Some((Err(error), None))
     }
@@ -106,35 +95,7 @@
 
     fn report_complete(&mut self) {
         if let Some(report) = self.report.take() {
-            report.send(StreamEnd::Complete);
-        }
-    }
-}
-
-impl EndReport {
-    /// Creates the report on the answer to a forwarded request.
-    pub(super) fn new(pool: &Pool, inputs: &InputSender, forward: &Forward) -> Self {
-        Self {
-            pool: pool.clone(),
-            inputs: inputs.clone(),
-            upstream: forward.upstream.clone(),
-            fingerprint: forward.fingerprint,
-            connect_timeout: Duration::from_millis(forward.connect.0),
-        }
-    }
-
-    /// Reports that the upstream has ended if its address refuses connections.
-    async fn check_upstream(self) {
-        if self.pool.is_refused(&self.upstream, self.connect_timeout).await {
-            self.send(StreamEnd::UpstreamEnded);
-        }
-    }
-
-    fn send(&self, end: StreamEnd) {
-        let (upstream, fingerprint) = (self.upstream.key, self.fingerprint);
-        let event = Event::StreamEnded { upstream, fingerprint, end };
-        if self.inputs.send(Input::Event(event)).is_err() {
-            log::debug!(event = "report-lost"; "the control thread has ended");
+            report.complete();
         }
     }
 }
