--- a/crates/core/src/agreement/replication.rs
+++ b/crates/core/src/agreement/replication.rs
@@ -1,5 +1,6 @@
 //! Log replication: appends and their replies, commits, and snapshots.
 
+use super::replica::Progress;
 use crate::agreement::{
     Entry, GroupId, GroupMessage, Log, Outbox, Record, Replica, Role, Snapshot, Voter,
 };
@@ -241,15 +242,7 @@
     ) {
         let (accepted, match_index) = reply;
         let last = self.log.last_index();
-        if self.role != Role::Leader {
-            return;
-        }
-        let Some(progress) = self.progress.get_mut(&from) else { return };
-        if progress.incarnation != incarnation {
-            return;
-        }
-        progress.has_replied = true;
-        progress.acked_sent_at = progress.acked_sent_at.max(sent_at);
+        let Some(progress) = self.record_reply(from, incarnation, sent_at) else { return };
         if accepted {
             progress.transfer = None;
             progress.match_index = progress.match_index.max(match_index.min(last));
@@ -266,6 +259,26 @@
         self.send_append(now, from, false, out);
     }
 
+    /// Records that a replica has answered a message that was sent at `sent_at`, and returns its
+    /// progress; `None` if this host does not lead, or does not replicate to that incarnation.
+    pub(super) fn record_reply(
+        &mut self,
+        from: HostId,
+        incarnation: u64,
+        sent_at: Millis,
+    ) -> Option<&mut Progress> {
+        if self.role != Role::Leader {
+            return None;
+        }
+        let progress = self.progress.get_mut(&from)?;
+        if progress.incarnation != incarnation {
+            return None;
+        }
+        progress.has_replied = true;
+        progress.acked_sent_at = progress.acked_sent_at.max(sent_at);
+        Some(progress)
+    }
+
     /// Commits the newest entry of this term that a majority of the voters has stored.
     pub(super) fn advance_commit(&mut self) {
         if self.role != Role::Leader {
--- a/crates/core/src/agreement/snapshot_transfer.rs
+++ b/crates/core/src/agreement/snapshot_transfer.rs
@@ -8,7 +8,7 @@
 
 use super::replication::{APPEND_RETRY_DELAY, MAX_APPEND_BYTES};
 use super::send_window::SendWindow;
-use crate::agreement::{GroupId, GroupMessage, GroupState, Outbox, Replica, Role, Snapshot, Voter};
+use crate::agreement::{GroupId, GroupMessage, GroupState, Outbox, Replica, Snapshot, Voter};
 use crate::directory::{Directory, DirectoryCommand};
 use crate::key::HostId;
 use crate::time::{Millis, Now};
@@ -196,15 +196,7 @@
         out: &mut Outbox,
     ) {
         let (index, next_part) = reply;
-        if self.role != Role::Leader {
-            return;
-        }
-        let Some(progress) = self.progress.get_mut(&from) else { return };
-        if progress.incarnation != incarnation {
-            return;
-        }
-        progress.has_replied = true;
-        progress.acked_sent_at = progress.acked_sent_at.max(sent_at);
+        let Some(progress) = self.record_reply(from, incarnation, sent_at) else { return };
         let Some(transfer) = progress.transfer.as_mut().filter(|known| known.index == index) else {
             return;
         };
