--- a/crates/daemon/src/call/plain.rs
+++ b/crates/daemon/src/call/plain.rs
@@ -7,6 +7,7 @@
 use super::clients::end_from_error;
 use super::{Adaptor, CallContext, HttpClients};
 use crate::exchange::{AnswerFormat, FullReply, ReplyPart};
+use crate::http::has_known_coding;
 
 /// The longest answer that is accepted.
 pub(super) const MAX_ANSWER_BYTES: u64 = 64 * 1024 * 1024;
@@ -88,7 +89,7 @@
         let detail = format!("the answer has status {}", answer.status()).into();
         return Err(AttemptEnd::Broken { detail });
     }
-    if !has_known_coding(&answer) {
+    if !has_known_coding(answer.headers()) {
         return Err(AttemptEnd::Broken { detail: "unknown transfer coding".into() });
     }
     let status = answer.status().as_u16();
@@ -100,14 +101,6 @@
     }
 }
 
-/// Returns whether the HTTP library has decoded a body: it knows only the transfer coding `chunked`.
-fn has_known_coding(answer: &ureq::http::Response<ureq::Body>) -> bool {
-    let mut codings = answer.headers().get_all("transfer-encoding").iter();
-    let known =
-        codings.next().is_none_or(|coding| coding.as_bytes().eq_ignore_ascii_case(b"chunked"));
-    known && codings.next().is_none()
-}
-
 /// Returns the content type of an answer, or that of plain bytes if it has none.
 pub(super) fn content_type(answer: &ureq::http::Response<ureq::Body>) -> Box<str> {
     let value = answer.headers().get("content-type").and_then(|value| value.to_str().ok());
--- a/crates/daemon/src/gateway/pool.rs
+++ b/crates/daemon/src/gateway/pool.rs
@@ -13,13 +13,14 @@
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
-use hyper::header::TRANSFER_ENCODING;
 use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
 use rustix::net::sockopt::set_tcp_user_timeout;
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
 
+use crate::http::has_known_coding;
+
 /// The keep-alive time assumed for an upstream that announces none.
 const DEFAULT_KEEP_ALIVE: Duration = Duration::from_secs(4);
 
@@ -227,18 +228,12 @@
     }
 }
 
-/// Returns a response and its connection, or an error if its body has a transfer coding other than
-/// `chunked`, which is the only one that the HTTP library decodes.
+/// Returns a response and its connection, or an error if its body has an unknown transfer coding.
 fn with_known_coding(
     response: Response<Incoming>,
     connection: Connection,
 ) -> Result<(Response<Incoming>, Connection), SendError> {
-    let mut codings = response.headers().get_all(TRANSFER_ENCODING).iter();
-    let known = match codings.next() {
-        Some(coding) => coding.as_bytes().eq_ignore_ascii_case(b"chunked"),
-        None => true,
-    };
-    if known && codings.next().is_none() {
+    if has_known_coding(response.headers()) {
         return Ok((response, connection));
     }
     Err(SendError::Broken("the response has an unknown transfer coding".into()))
