--- a/crates/daemon/src/byte_budget.rs
+++ b/crates/daemon/src/byte_budget.rs
@@ -62,6 +62,18 @@
 }
 
 impl ByteReservation {
+    /// Returns the budget.
+    #[must_use]
+    pub fn budget(&self) -> &ByteBudget {
+        &self.budget
+    }
+
+    /// Returns the reserved bytes.
+    #[must_use]
+    pub fn bytes(&self) -> usize {
+        self.bytes
+    }
+
     /// Reserves more bytes; returns `false` and keeps what it has if they are not left.
     #[must_use]
     pub fn try_grow(&mut self, bytes: usize) -> bool {
--- a/crates/daemon/src/gateway/bodies.rs
+++ b/crates/daemon/src/gateway/bodies.rs
@@ -35,17 +35,14 @@
     /// Creates the reservation of a request, for a body of unknown length.
     #[must_use]
     pub fn reservation(&self) -> BodyReservation {
-        let (budget, reserved) = (self.budget.clone(), self.budget.reservation());
-        BodyReservation { budget, reserved, bytes: 0 }
+        BodyReservation { reserved: self.budget.reservation() }
     }
 }
 
 /// The memory that is reserved for one body.
 #[derive(Debug)]
 pub struct BodyReservation {
-    budget: ByteBudget,
     reserved: ByteReservation,
-    bytes: u64,
 }
 
 impl BodyReservation {
@@ -55,16 +52,14 @@
     ///
     /// Returns the problem to answer with if the memory is not left; the request did not run.
     pub fn extend_to(&mut self, bytes: u64) -> Result<(), Problem> {
-        if bytes <= SMALL_BODY_BYTES || bytes <= self.bytes {
-            return Ok(());
-        }
-        let more = usize::try_from(bytes - self.bytes).unwrap_or(usize::MAX);
-        if self.reserved.try_grow(more) {
-            self.bytes = bytes;
+        let wanted = usize::try_from(bytes).unwrap_or(usize::MAX);
+        let more = wanted.saturating_sub(self.reserved.bytes());
+        if bytes <= SMALL_BODY_BYTES || more == 0 || self.reserved.try_grow(more) {
             return Ok(());
         }
         metrics::count_refused_body();
-        let (used, max) = (self.budget.used() as u64, self.budget.max() as u64);
+        let budget = self.reserved.budget();
+        let (used, max) = (budget.used() as u64, budget.max() as u64);
         log::info!(event = "body-refused", bytes = bytes, used = used, budget = max; "no memory");
         let detail = "the host has no memory for the body";
         Err(Problem::not_run(ErrorKind::Overloaded, detail).retry_after(RETRY_AFTER))
