--- a/crates/daemon/src/disk.rs
+++ b/crates/daemon/src/disk.rs
@@ -192,7 +192,9 @@
             // Closes the queue first: the receiver of the report may wait for room in it.
             drop(jobs);
             let report = DiskReport::Failed(format!("{error:#}").into());
-            let _ = reporter.inputs.send((reporter.to_input)(report));
+            if reporter.inputs.send((reporter.to_input)(report)).is_err() {
+                log::error!(event = "report-lost"; "{error:#}");
+            }
             return;
         }
         reporter.synced = Some(token);
