--- a/crates/core/tests/it/deadly_requests.rs
+++ b/crates/core/tests/it/deadly_requests.rs
@@ -1,9 +1,7 @@
 //! Requests that crash the upstreams that begin to run them, in a simulated deployment.
 
 use chestnutdrift_core::gateway::board::{QUARANTINE_CRASHES, Suspects};
-use chestnutdrift_core::gateway::{
-    Announcement, Answer, Call, Event, Forward, ForwardEnd, Gateway, LateEnd,
-};
+use chestnutdrift_core::gateway::{Answer, Call, Event, Forward, ForwardEnd, Gateway, LateEnd};
 use chestnutdrift_core::{ErrorKind, Fingerprint, HostId, Millis, Ran, RequestTag};
 
 use crate::deployment::{Deployment, SimEngine, job};
@@ -40,18 +38,7 @@
 }
 
 fn announce(deployment: &mut Deployment, number: u32, started_at: u64) {
-    let announcement = Announcement {
-        id: format!("desk-{number}").into(),
-        service: "desk".into(),
-        address: format!("10.0.1.{number}:8000").into(),
-        zone: "zone-1".into(),
-        slots: 8,
-        leaving: false,
-        started_at,
-        seq: 1,
-        versions: Vec::new(),
-    };
-    deployment.send_call(STORE, Call::Announce(announcement));
+    deployment.announce_desk(STORE, number, started_at, 1);
 }
 
 fn request(path: &str) -> Call {
--- a/crates/core/tests/it/deployment/upstreams.rs
+++ b/crates/core/tests/it/deployment/upstreams.rs
@@ -70,6 +70,22 @@
 }
 
 impl Deployment {
+    /// Announces an upstream of the service `desk` to a store.
+    pub(crate) fn announce_desk(&mut self, store: HostId, number: u32, started_at: u64, seq: u64) {
+        let announcement = Announcement {
+            id: format!("desk-{number}").into(),
+            service: "desk".into(),
+            address: format!("10.0.1.{number}:8000").into(),
+            zone: "zone-1".into(),
+            slots: 8,
+            leaving: false,
+            started_at,
+            seq,
+            versions: Vec::new(),
+        };
+        self.send_call(store, Call::Announce(announcement));
+    }
+
     pub(super) fn announce(&mut self, index: usize) {
         self.schedule(self.now + ANNOUNCE_INTERVAL_MS, Scheduled::Announce(index));
         if !self.engines[index].up {
--- a/crates/core/tests/it/ended_upstreams.rs
+++ b/crates/core/tests/it/ended_upstreams.rs
@@ -1,6 +1,6 @@
 //! Upstreams whose process has ended without a word, and that are announced as before.
 
-use chestnutdrift_core::gateway::{Announcement, Answer, Call, Event, Forward, ForwardEnd};
+use chestnutdrift_core::gateway::{Answer, Call, Event, Forward, ForwardEnd};
 use chestnutdrift_core::{ErrorKind, Fingerprint, HostId, Ran, RequestTag};
 
 use crate::deployment::Deployment;
@@ -19,18 +19,7 @@
 const REQUESTS_AT_A_TIME: usize = 9;
 
 fn announce(deployment: &mut Deployment, number: u32, started_at: u64, seq: u64) {
-    let announcement = Announcement {
-        id: format!("desk-{number}").into(),
-        service: "desk".into(),
-        address: format!("10.0.1.{number}:8000").into(),
-        zone: "zone-1".into(),
-        slots: 8,
-        leaving: false,
-        started_at,
-        seq,
-        versions: Vec::new(),
-    };
-    deployment.send_call(STORE, Call::Announce(announcement));
+    deployment.announce_desk(STORE, number, started_at, seq);
 }
 
 fn start(seed: u64, upstreams: u32) -> Deployment {
