--- a/crates/core/src/gateway.rs
+++ b/crates/core/src/gateway.rs
@@ -27,6 +27,7 @@
 pub mod event;
 pub mod message;
 pub mod policy;
+pub mod rate;
 pub mod settings;
 
 pub use action::{
@@ -41,6 +42,7 @@
 };
 pub use message::{GatewayMessage, StoreReply, StoreRequest};
 pub use policy::Policies;
+pub use rate::RequestRate;
 pub use settings::{DeploymentTimes, GatewaySettings, Role};
 
 use crate::time::{Millis, Now};
--- a/crates/core/src/gateway/action.rs
+++ b/crates/core/src/gateway/action.rs
@@ -90,6 +90,8 @@
     pub id: Box<str>,
     /// The IP address and port.
     pub address: Box<str>,
+    /// Whether it has named a limit, so that an answer without one is reported too.
+    pub limited: bool,
 }
 
 /// A request to send to an upstream.
@@ -331,6 +333,14 @@
     pub upstreams: u64,
     /// Upstreams that have said in an answer that they leave, and are not gone.
     pub upstreams_leaving: u64,
+    /// Upstreams that have named a limit, and are not gone.
+    pub upstreams_limited: u64,
+    /// Requests for permits to send requests to upstreams with a limit.
+    pub quota_requests: u64,
+    /// Permits granted by this host, those for its own sends included.
+    pub permits_granted: u64,
+    /// Requests refused because they exceeded the limits of upstreams.
+    pub over_limit: u64,
     /// The version of the routing configuration in force.
     pub routing_version: u64,
     /// Whether the host takes requests.
--- a/crates/core/src/gateway/board.rs
+++ b/crates/core/src/gateway/board.rs
@@ -3,8 +3,10 @@
 mod group;
 mod host;
 mod item;
+mod limit;
 mod memory;
 mod order;
+mod quota;
 mod recent_successes;
 mod request;
 mod reward_queue;
@@ -25,7 +27,9 @@
 use crate::error::{Problem, Ran};
 use crate::gateway::action::{Action, Answer, Counters};
 use crate::gateway::event::{Announcement, IncomingCall};
-use crate::gateway::message::{GatewayMessage, StoreReply, StoreRequest, Subscription};
+use crate::gateway::message::{
+    GatewayMessage, LimitRecord, StoreReply, StoreRequest, Subscription,
+};
 use crate::gateway::settings::{GatewaySettings, Role};
 use crate::key::{
     AttemptKey, HostId, HostKey, ItemKey, JobKey, OrderKey, RequestKey, RequestTag,
@@ -38,8 +42,12 @@
 pub use group::{DirectoryGroup, PendingCommit, PendingSync};
 pub use host::{HOST_SILENCE_TIMEOUT, Host};
 pub use item::{Item, ItemState, JobRun};
+pub use limit::{StatedLimit, UpstreamLimit};
 pub use memory::ProcessMemory;
 pub use order::{LoadState, PendingOrder};
+pub use quota::{
+    Admission, Ledger, MAX_RETURN_TIME, PERMIT_VALIDITY, Permits, QuotaClaim, QuotaWait,
+};
 pub use recent_successes::RecentSuccesses;
 pub use request::{Request, RequestState};
 pub use reward_queue::RewardQueue;
@@ -114,6 +122,15 @@
     /// Reports of other hosts that an upstream has said in an answer that it leaves, by its id and
     /// the wall time of its start, with the host; not handled yet.
     pub pending_leaves: Vec<(Box<str>, u64, HostId)>,
+    /// Reports of other hosts on the limit of an upstream, by its id and the wall time of its start;
+    /// not handled yet.
+    pub pending_limits: Vec<LimitRecord>,
+    /// Whether an upstream that is known may have a limit.
+    pub has_limits: bool,
+    /// The requests that this host may send only with permits, by service.
+    pub quota_waits: BTreeMap<Box<str>, QuotaWait>,
+    /// The permits that hosts wait for, on the host that grants them.
+    pub quota_claims: Vec<QuotaClaim>,
     /// The routing configuration in force on this host.
     pub routing: Option<Arc<RoutingConfig>>,
     /// A received routing configuration, to put in force if it is newer than the current one.
@@ -230,6 +247,10 @@
             registry_changed: false,
             pending_announcements: Vec::new(),
             pending_leaves: Vec::new(),
+            pending_limits: Vec::new(),
+            has_limits: false,
+            quota_waits: BTreeMap::new(),
+            quota_claims: Vec::new(),
             routing: None,
             received_routing: None,
             pending_calls: VecDeque::new(),
@@ -421,13 +442,81 @@
         Some(attempt)
     }
 
-    /// Adds an attempt at an upstream, which reserves `tokens` tokens of its memory.
+    /// Returns whether a request may be sent to an upstream within its limit.
+    #[must_use]
+    pub fn may_send(&self, key: UpstreamKey) -> bool {
+        let Some(upstream) = self.upstreams.get(key) else { return false };
+        let Some(rate) = upstream.rate_limit() else { return true };
+        let now = self.now.mono;
+        if self.cfg.role == Role::Entry {
+            return upstream.permits.available(now) > 0;
+        }
+        let is_claimed = self.quota_claims.iter().any(|claim| claim.upstreams.contains(&key));
+        self.grants_permits()
+            && !is_claimed
+            && !upstream.ledger.is_reserved(now)
+            && upstream.ledger.available(rate, now) > 0
+    }
+
+    /// Admits one request to an upstream and counts it against its limit; `None` if the limit is
+    /// reached.
+    ///
+    /// Each send to an upstream needs an admission: requests of callers and their retries, runs of
+    /// items, reward calls, and with [`Board::admit_order`] orders.
+    pub fn admit(&mut self, key: UpstreamKey) -> Option<Admission> {
+        if !self.may_send(key) {
+            return None;
+        }
+        let now = self.now.mono;
+        let upstream = &mut self.upstreams[key];
+        match upstream.rate_limit() {
+            Some(_) if self.cfg.role == Role::Entry => {
+                upstream.permits.take(now);
+            }
+            Some(rate) => {
+                upstream.ledger.take(1, rate, now);
+                self.counters.permits_granted += 1;
+            }
+            None => {}
+        }
+        Some(Admission::new(key))
+    }
+
+    /// Admits an order to an upstream, with the request for the report before it.
+    ///
+    /// Items leave the upstream to the order until it is admitted.
+    pub fn admit_order(&mut self, key: UpstreamKey) -> Option<Admission> {
+        const SENDS: u32 = 2;
+        let (now, grants) = (self.now.mono, self.grants_permits());
+        let upstream = self.upstreams.get_mut(key)?;
+        let Some(rate) = upstream.rate_limit() else { return Some(Admission::new(key)) };
+        if !grants || upstream.ledger.available(rate, now) == 0 {
+            upstream.ledger.reserve_next(rate, now);
+            return None;
+        }
+        upstream.ledger.take(SENDS, rate, now);
+        upstream.ledger.end_reservation(now);
+        self.counters.permits_granted += u64::from(SENDS);
+        Some(Admission::new(key))
+    }
+
+    /// Returns whether this host grants the permits for upstreams with a limit: it leads, and the
+    /// permits of the leader before it have expired.
+    #[must_use]
+    pub fn grants_permits(&self) -> bool {
+        let since = self.group.as_ref().and_then(|group| group.replica.leader_since());
+        self.leads() && since.is_some_and(|since| self.now.mono.since(since) >= PERMIT_VALIDITY)
+    }
+
+    /// Adds an attempt at the upstream that has admitted it, which reserves `tokens` tokens of its
+    /// memory.
     pub fn begin_attempt(
         &mut self,
         purpose: Purpose,
-        upstream: UpstreamKey,
+        admission: Admission,
         tokens: u64,
     ) -> AttemptKey {
+        let upstream = admission.redeem();
         let mut number = 0;
         if let Some(upstream) = self.upstreams.get_mut(upstream) {
             upstream.in_flight += 1;
@@ -437,4 +526,16 @@
         let started = self.now.mono;
         self.attempts.insert(Attempt { purpose, upstream, incarnation: number, started, tokens })
     }
+
+    /// Adds an order to the upstream that has admitted it.
+    pub fn begin_order(&mut self, admission: Admission, model: &str, version: u64) -> OrderKey {
+        let upstream = admission.redeem();
+        let sent = self.now.mono;
+        let order =
+            self.orders.insert(PendingOrder { upstream, model: model.into(), version, sent });
+        if let Some(upstream) = self.upstreams.get_mut(upstream) {
+            upstream.load.pending = Some((order, model.into()));
+        }
+        order
+    }
 }
--- a/crates/core/src/gateway/board/upstream.rs
+++ b/crates/core/src/gateway/board/upstream.rs
@@ -3,8 +3,9 @@
 use std::collections::BTreeSet;
 
 use crate::gateway::action::UpstreamAddress;
-use crate::gateway::board::LoadState;
+use crate::gateway::board::{Ledger, LoadState, Permits, StatedLimit, UpstreamLimit};
 use crate::gateway::event::Announcement;
+use crate::gateway::rate::RequestRate;
 use crate::key::{HostId, UpstreamKey};
 use crate::time::Millis;
 
@@ -68,6 +69,12 @@
     pub left: Option<(Millis, u64)>,
     /// Its statement in an answer that it leaves; `None` before the first one.
     pub said_leaving: Option<SaidLeaving>,
+    /// The limit that it has named in an answer; `None` before the first one.
+    pub limit: Option<UpstreamLimit>,
+    /// The permits of this host to send it requests while it has a limit.
+    pub permits: Permits,
+    /// The requests that it may still get from all hosts, if this one grants the permits.
+    pub ledger: Ledger,
     /// When this instance was last known to have ended without a word; `None` if it was not.
     pub ended_at: Option<Millis>,
     /// When its last announcement arrived, directly or through another host.
@@ -102,6 +109,9 @@
             gone: false,
             left: None,
             said_leaving: None,
+            limit: None,
+            permits: Permits::default(),
+            ledger: Ledger::default(),
             ended_at: None,
             last_seen: now,
             newly_seen: false,
@@ -120,7 +130,22 @@
     #[must_use]
     pub fn address(&self, key: UpstreamKey) -> UpstreamAddress {
         let (id, address) = (self.announced.id.clone(), self.announced.address.clone());
-        UpstreamAddress { key, id, address }
+        UpstreamAddress { key, id, address, limited: self.rate_limit().is_some() }
+    }
+
+    /// Returns how many requests the upstream takes from all hosts together; `None` without a limit.
+    #[must_use]
+    pub fn rate_limit(&self) -> Option<RequestRate> {
+        self.limit.as_ref().and_then(UpstreamLimit::rate)
+    }
+
+    /// Applies a statement of the upstream about its limit, and returns whether it changes the limit.
+    pub fn apply_limit(&mut self, stated: StatedLimit, is_own: bool) -> bool {
+        if let Some(limit) = &mut self.limit {
+            return limit.apply(stated, is_own);
+        }
+        self.limit = UpstreamLimit::new(stated, is_own);
+        self.limit.is_some()
     }
 
     /// Returns whether the upstream may be sent new requests.
--- a/crates/core/src/gateway/controller.rs
+++ b/crates/core/src/gateway/controller.rs
@@ -13,10 +13,12 @@
 mod items;
 mod jobs;
 mod lifecycle;
+mod limits;
 mod loads;
 mod membership;
 mod memory;
 mod outbox;
+mod quotas;
 mod registry;
 mod rewards;
 mod routing;
@@ -59,11 +61,18 @@
     }
     controllers.push(Box::new(calls::Calls));
     controllers.push(Box::new(registry::Registry::default()));
+    controllers.push(Box::new(limits::Limits));
     controllers.push(Box::new(routing::RoutingInForce));
+    if role == Role::Store {
+        controllers.push(Box::new(quotas::Quotas::default()));
+    }
     match role {
         Role::Entry => controllers.push(Box::new(forwarding::Forwarding::new(choice))),
         Role::Store => controllers.push(Box::new(rewards::Rewards::new(choice))),
     }
+    if role == Role::Entry {
+        controllers.push(Box::new(quotas::Quotas::default()));
+    }
     controllers.push(Box::new(suspects::Suspects::default()));
     controllers.push(Box::new(store_requests::StoreRequests));
     if role == Role::Store {
--- a/crates/core/src/gateway/controller/calls.rs
+++ b/crates/core/src/gateway/controller/calls.rs
@@ -93,6 +93,8 @@
             counters.suspects = board.suspects.len() as u64;
             let leaving = |upstream: &&Upstream| upstream.said_leaving.is_some() && !upstream.gone;
             counters.upstreams_leaving = board.upstreams.values().filter(leaving).count() as u64;
+            let limited = |upstream: &&Upstream| upstream.rate_limit().is_some() && !upstream.gone;
+            counters.upstreams_limited = board.upstreams.values().filter(limited).count() as u64;
             counters.routing_version = board.routing.as_ref().map_or(0, |r| r.version);
             Answer::Counters(counters)
         }
--- a/crates/core/src/gateway/controller/candidates.rs
+++ b/crates/core/src/gateway/controller/candidates.rs
@@ -29,7 +29,8 @@
     Box::default()
 }
 
-/// Returns the upstreams of a service that accept requests and have not ended.
+/// Returns the upstreams of a service that accept requests, have not ended, and may be sent one more
+/// within their limits.
 pub(super) fn candidates(
     board: &Board,
     service: &str,
@@ -40,7 +41,7 @@
     let mut candidates = Vec::new();
     for (key, upstream) in &board.upstreams {
         let fits = *upstream.announced.service == *service && upstream.accepts_requests();
-        if !fits || upstream.ended_until(now).is_some() {
+        if !fits || upstream.ended_until(now).is_some() || !board.may_send(key) {
             continue;
         }
         candidates.push(UpstreamCandidate {
@@ -57,6 +58,19 @@
     candidates
 }
 
+/// Returns the upstreams of a service that accept requests and have not ended, but have a limit.
+pub(super) fn limited(board: &Board, service: &str) -> Vec<UpstreamKey> {
+    let now = board.now.mono;
+    let mut limited = Vec::new();
+    for (key, upstream) in board.upstreams.iter().filter(|_| board.has_limits) {
+        let fits = *upstream.announced.service == *service && upstream.accepts_requests();
+        if fits && upstream.rate_limit().is_some() && upstream.ended_until(now).is_none() {
+            limited.push(key);
+        }
+    }
+    limited
+}
+
 /// Records what the end of an attempt says about its upstream.
 pub(super) fn record_end(board: &mut Board, attempt: &Attempt, end: &ForwardEnd) {
     let now = board.now.mono;
--- a/crates/core/src/gateway/controller/forwarding.rs
+++ b/crates/core/src/gateway/controller/forwarding.rs
@@ -3,12 +3,14 @@
 //! Reads: opened requests, ended attempts, decoded jobs, callers that are gone, `routing`,
 //! `upstreams`, `draining`, the clock.
 //! Writes: `requests`, `request_index`, `attempts`, `upstreams` (health), `suspects`,
-//! `suspects_changed`, `store_requests`, `counters`, `actions`.
+//! `suspects_changed`, `quota_waits`, `store_requests`, `counters`, `actions`.
 
 mod endings;
+mod over_limit;
 mod submissions;
 
 use self::endings::{deliver_held, fail, fail_after_max_wait, is_quarantined, refuse};
+use self::over_limit::{is_over_limit, refuse_over_limit};
 use self::submissions::handle_job_read;
 use super::Controller;
 use super::calls::not_ready;
@@ -288,6 +290,7 @@
             RequestState::Waiting if is_quarantined(board, request) => refuse(board, key),
             RequestState::Waiting => match self.choose(board, key) {
                 Some(upstream) => start_attempt(board, key, upstream),
+                None if is_over_limit(board, key) => refuse_over_limit(board, key),
                 None => fail_after_max_wait(board, key),
             },
             RequestState::Reading if now >= request.until => fail(board, key),
@@ -313,7 +316,8 @@
 }
 
 fn start_attempt(board: &mut Board, key: RequestKey, upstream_key: UpstreamKey) {
-    let attempt = board.begin_attempt(Purpose::Request(key), upstream_key, 0);
+    let Some(admission) = board.admit(upstream_key) else { return };
+    let attempt = board.begin_attempt(Purpose::Request(key), admission, 0);
     let now = board.now.mono;
     let routing = board.routing.as_deref().map_or(0, |routing: &RoutingConfig| routing.version);
     let upstream = &board.upstreams[upstream_key];
@@ -323,6 +327,9 @@
     request.tried.push(upstream_key);
     request.state = RequestState::Running(attempt);
     let remaining = request.until.since(now);
+    if board.has_limits {
+        board.quota_waits.entry(request.service.clone()).or_default().placed += 1;
+    }
     let forward = Forward {
         tag: request.tag,
         attempt,
--- a/crates/core/src/gateway/controller/forwarding/endings.rs
+++ b/crates/core/src/gateway/controller/forwarding/endings.rs
@@ -10,7 +10,7 @@
 
 /// A request may wait for a free upstream for its latency objective divided by this number. A caller
 /// that is rejected within that time can still be served in time elsewhere.
-const MAX_WAIT_DIVISOR: u64 = 4;
+pub(super) const MAX_WAIT_DIVISOR: u64 = 4;
 
 /// The delay after which a rejected caller may retry.
 const CALLER_RETRY_DELAY: Millis = Millis(150);
@@ -34,8 +34,15 @@
         deliver_held(board, key);
         return;
     }
+    let Some(request) = board.requests.get(key) else { return };
+    let delay = retry_delay(board, &request.service);
+    fail_after(board, key, delay);
+}
+
+/// Rejects a request whose caller may come back after a delay if the request has not run.
+pub(super) fn fail_after(board: &mut Board, key: RequestKey, delay: Millis) {
     let Some(request) = remove_request(board, key) else { return };
-    let (now, delay) = (board.now.mono, retry_delay(board, &request.service));
+    let now = board.now.mono;
     let detail = format!(
         "service={} attempts={} held_ms={} {}",
         request.service,
--- /dev/null
+++ b/crates/core/src/gateway/controller/forwarding/over_limit.rs
@@ -0,0 +1,63 @@
+//! Requests that exceed the limits of the upstreams that could run them.
+
+use super::endings::{MAX_WAIT_DIVISOR, deliver_held, fail_after};
+use crate::gateway::board::{Board, MAX_RETURN_TIME};
+use crate::gateway::controller::candidates::limited;
+use crate::gateway::rate::{MICROS_PER_REQUEST, RequestRate};
+use crate::key::RequestKey;
+use crate::time::Millis;
+
+/// Asks for a permit for a request that no upstream can take now, if upstreams with a limit could, and
+/// returns whether there is none in its time.
+pub(super) fn is_over_limit(board: &mut Board, key: RequestKey) -> bool {
+    if !board.has_limits {
+        return false;
+    }
+    let now = board.now.mono;
+    let request = &board.requests[key];
+    let upstreams = limited(board, &request.service);
+    if upstreams.is_empty() {
+        return false;
+    }
+    // Others without a limit are busy now and may be free soon.
+    let has_others = board.upstreams.values().any(|upstream| {
+        let serves = *upstream.announced.service == *request.service;
+        let is_usable = upstream.accepts_requests() && upstream.ended_until(now).is_none();
+        serves && is_usable && upstream.rate_limit().is_none()
+    });
+    let max_wait = Millis(request.route.latency_objective.0 / MAX_WAIT_DIVISOR);
+    let (service, priority) = (request.service.clone(), request.route.priority);
+    let until = request.until.min(request.opened + max_wait);
+    let wait = board.quota_waits.entry(service).or_default();
+    if now < wait.refused_until {
+        return !has_others;
+    }
+    let is_first = wait.waiting == 0;
+    wait.priority = if is_first { priority } else { wait.priority.min(priority) };
+    wait.until = if is_first { until } else { wait.until.max(until) };
+    wait.waiting += 1;
+    false
+}
+
+/// Refuses a request for which there is no permit in its time, and tells its caller when there may be.
+pub(super) fn refuse_over_limit(board: &mut Board, key: RequestKey) {
+    let request = &board.requests[key];
+    if request.held {
+        deliver_held(board, key);
+        return;
+    }
+    let (now, service) = (board.now.mono, request.service.clone());
+    let rates = limited(board, &service).into_iter();
+    let rates = rates.filter_map(|key| board.upstreams[key].rate_limit());
+    let rate = RequestRate(rates.map(|rate| rate.0).sum());
+    let wait = board.quota_waits.entry(service).or_default();
+    let each = rate.time_for(MICROS_PER_REQUEST);
+    let at = wait.refused_until.max(wait.next_return + each).min(now + MAX_RETURN_TIME);
+    wait.next_return = at;
+    board.counters.over_limit += 1;
+    let request = &mut board.requests[key];
+    if request.last_failure.is_empty() {
+        request.last_failure = format!("over the limits of the upstreams: {rate} in all").into();
+    }
+    fail_after(board, key, at.since(now));
+}
--- a/crates/core/src/gateway/controller/items.rs
+++ b/crates/core/src/gateway/controller/items.rs
@@ -335,7 +335,8 @@
     let spec = job.spec.clone();
     let tokens = reserved_tokens(&spec, item.index);
     let expected = job.item(item.index).map_or(0, |spec| spec.expected_tokens);
-    let attempt = board.begin_attempt(Purpose::Item(key), upstream_key, tokens);
+    let Some(admission) = board.admit(upstream_key) else { return };
+    let attempt = board.begin_attempt(Purpose::Item(key), admission, tokens);
     let now = board.now.mono;
     let upstream = &board.upstreams[upstream_key];
     let version = spec.model.as_ref().map(|model| upstream.version_of(model));
--- a/crates/core/src/gateway/controller/items/engines.rs
+++ b/crates/core/src/gateway/controller/items/engines.rs
@@ -44,14 +44,14 @@
 }
 
 impl FreeEngines {
-    /// Selects the engines that have a free slot and may be given items.
+    /// Selects the engines that have a free slot and may be given items within their limits.
     pub(super) fn new(board: &Board) -> Self {
         let mut all = Vec::new();
         for (key, upstream) in &board.upstreams {
             if !has_free_slot(upstream) || !upstream.accepts_requests() {
                 continue;
             }
-            if upstream.is_avoided(board.now.mono) {
+            if upstream.is_avoided(board.now.mono) || !board.may_send(key) {
                 continue;
             }
             let Some(routing) = &board.routing else { continue };
@@ -68,9 +68,10 @@
         self.all.is_empty()
     }
 
-    /// Removes an engine that has just been given an item, if that took its last free slot.
+    /// Removes an engine that has just been given an item, if that took its last free slot or it may
+    /// be sent no more within its limit.
     pub(super) fn remove_if_full(&mut self, board: &Board, key: UpstreamKey) {
-        if board.upstreams.get(key).is_some_and(has_free_slot) {
+        if board.upstreams.get(key).is_some_and(has_free_slot) && board.may_send(key) {
             return;
         }
         for engines in self.by_job.values_mut().chain([&mut self.all]) {
--- a/crates/core/src/gateway/controller/loads.rs
+++ b/crates/core/src/gateway/controller/loads.rs
@@ -16,8 +16,8 @@
 use self::due::{DueLoad, due_loads};
 use super::Controller;
 use crate::directory::{DirectoryCommand, Route, ServiceSpec};
-use crate::gateway::action::{Action, Order, UpstreamAddress};
-use crate::gateway::board::{Board, PendingOrder};
+use crate::gateway::action::{Action, Order};
+use crate::gateway::board::Board;
 use crate::gateway::event::{Event, OrderEnd};
 use crate::key::OrderKey;
 use crate::time::Millis;
@@ -32,6 +32,9 @@
 /// The delay before an engine is sent another order after a failed one.
 const ORDER_RETRY_DELAY: Millis = Millis(700);
 
+/// The delay before the next try to order an engine whose limit is reached.
+const ADMISSION_INTERVAL: Millis = Millis(100);
+
 /// How much longer than the order lease a new leader waits before its first order, because earlier
 /// orders may still be in transit.
 const ORDER_LEASE_MARGIN: Millis = Millis(300);
@@ -196,17 +199,15 @@
     let Some(group) = &board.group else { return };
     let Some(valid_until) = group.replica.lease_end(now) else { return };
     let fence = group.replica.fencing_token();
-    let pending = PendingOrder { upstream: key, model: model.into(), version, sent: now.mono };
-    let order_key = board.orders.insert(pending);
-    let upstream = &mut board.upstreams[key];
-    upstream.load.pending = Some((order_key, model.into()));
+    let Some(admission) = board.admit_order(key) else {
+        board.upstreams[key].load.retry_at = now.mono + ADMISSION_INTERVAL;
+        return;
+    };
+    let order_key = board.begin_order(admission, model, version);
+    let upstream = &board.upstreams[key];
     let order = Order {
         order: order_key,
-        upstream: UpstreamAddress {
-            key,
-            id: upstream.announced.id.clone(),
-            address: upstream.announced.address.clone(),
-        },
+        upstream: upstream.address(key),
         model: model.into(),
         version,
         runs_end_first,
--- a/crates/core/src/gateway/controller/membership.rs
+++ b/crates/core/src/gateway/controller/membership.rs
@@ -3,12 +3,12 @@
 //! Reads: messages of other hosts, reloaded seeds, `hosts` (contacts), `routing`, `suspects`,
 //! `upstreams`, the clock.
 //! Writes: `hosts`, `leader`, `voters`, `received_routing`, `pending_announcements`,
-//! `pending_leaves`, `upstreams` (time and number of the last announcement), `actions`.
+//! `pending_leaves`, `pending_limits`, `upstreams` (time and number of the last announcement), `actions`.
 
 use super::Controller;
 use crate::gateway::board::{AnnouncementSource, Board, Host, LeaveSource};
 use crate::gateway::event::Event;
-use crate::gateway::message::{GatewayMessage, Hello, Roster, UpstreamRecord, View};
+use crate::gateway::message::{GatewayMessage, Hello, LimitRecord, Roster, UpstreamRecord, View};
 use crate::gateway::settings::Role;
 use crate::key::{HostId, HostKey};
 use crate::message::{Envelope, Message};
@@ -29,6 +29,9 @@
 /// since the ones before.
 const HELLO_BATCH_WINDOW: Millis = Millis(400);
 
+/// How long hellos tell that a limit was lifted.
+const LIFT_REPORT_TIME: Millis = Millis(10_000);
+
 /// How long a host that no longer sends anything is kept, unless it is a seed.
 const HOST_RETENTION: Millis = Millis(120_000);
 
@@ -75,7 +78,11 @@
             GatewayMessage::View(view) => handle_view(board, from, view),
             GatewayMessage::Request { .. }
             | GatewayMessage::Reply { .. }
-            | GatewayMessage::Suspects(_) => {}
+            | GatewayMessage::Suspects(_)
+            | GatewayMessage::QuotaGrant(_) => {}
+            GatewayMessage::QuotaRequest(request) => {
+                board.pending_limits.extend(request.upstreams.iter().cloned());
+            }
         },
         Message::Group(_) => {
             board.ensure_host(from, Role::Store);
@@ -107,6 +114,7 @@
     for (id, started_at) in &hello.leaving_upstreams {
         board.pending_leaves.push((id.clone(), *started_at, from));
     }
+    board.pending_limits.extend(hello.limits.iter().cloned());
     for (id, seq) in &hello.seen_upstreams {
         let Some(key) = board.upstream_index.get(id) else { continue };
         let upstream = &mut board.upstreams[*key];
@@ -142,7 +150,11 @@
         board.received_routing = Some(routing.clone());
     }
     for record in &view.upstreams {
-        let UpstreamRecord { announced, silent, gone, said_leaving } = record;
+        let UpstreamRecord { announced, silent, gone, said_leaving, limit } = record;
+        if let Some(stated) = *limit {
+            let (id, started_at) = (announced.id.clone(), announced.started_at);
+            board.pending_limits.push(LimitRecord { id, started_at, stated });
+        }
         let source = AnnouncementSource::Registry {
             host: from,
             silent: *silent,
@@ -234,6 +246,7 @@
         if board.cfg.role == Role::Store { take_newly_seen(board, &batch) } else { Vec::new() };
     let suspects = board.suspects.digest();
     let leaving_upstreams = leaving_upstreams(board);
+    let limits = own_limits(board);
     for key in batch {
         let routing = board.routing.as_ref().map_or(0, |routing| routing.version);
         let host = &mut board.hosts[key];
@@ -261,6 +274,7 @@
             seen_upstreams: if is_contact { seen_upstreams.clone() } else { Vec::new() },
             suspects,
             leaving_upstreams: leaving_upstreams.clone(),
+            limits: limits.clone(),
             subscription: host.subscribes_as,
             known_roster: host.reported_stores.0,
         };
@@ -283,6 +297,24 @@
     leaving
 }
 
+/// Returns the limits that upstreams have named, or lifted a short time ago, in answers to this host.
+fn own_limits(board: &Board) -> Vec<LimitRecord> {
+    let mut limits = Vec::new();
+    for upstream in board.upstreams.values() {
+        let Some(limit) = upstream.limit.filter(|limit| limit.is_own && !upstream.gone) else {
+            continue;
+        };
+        let stated = limit.statement();
+        if stated.rate.is_none() && board.now.wall.since(stated.at.wall) > LIFT_REPORT_TIME {
+            continue;
+        }
+        let announced = &upstream.announced;
+        let (id, started_at) = (announced.id.clone(), announced.started_at);
+        limits.push(LimitRecord { id, started_at, stated });
+    }
+    limits
+}
+
 /// Returns the upstreams of which an announcement became known since the last hellos, with its
 /// number, and forgets them if the hellos go to a contact.
 fn take_newly_seen(board: &mut Board, batch: &[HostKey]) -> Vec<(Box<str>, u64)> {
--- a/crates/core/src/gateway/controller/registry.rs
+++ b/crates/core/src/gateway/controller/registry.rs
@@ -12,7 +12,7 @@
 //! cut off from the store hosts only, so requests merely prefer other upstreams.
 
 use super::Controller;
-use crate::gateway::action::{Action, Answer, UpstreamAddress};
+use crate::gateway::action::{Action, Answer};
 use crate::gateway::board::{AnnouncementSource, Board, LeaveSource, SaidLeaving, Upstream};
 use crate::gateway::event::{Announcement, Call, Event, IncomingCall};
 use crate::gateway::settings::Role;
@@ -109,8 +109,7 @@
         return;
     }
     upstream.said_leaving = Some(SaidLeaving { at, source });
-    let (id, address) = (upstream.announced.id.clone(), upstream.announced.address.clone());
-    let upstream = UpstreamAddress { key, id, address };
+    let upstream = upstream.address(key);
     board.actions.push(Action::CloseUpstream { upstream });
     let from = if let LeaveSource::Host(host) = source { Some(host) } else { None };
     report_change(board, key, &format!("said that it leaves: {answer}"), from);
@@ -119,9 +118,9 @@
     }
 }
 
-/// Lets the next hellos, which name the leaving upstreams, go out soon; statements that come close
+/// Lets the next hellos, which name what upstreams have said in answers, go out soon; statements that come close
 /// together share one.
-fn hasten_hellos(board: &mut Board) {
+pub(super) fn hasten_hellos(board: &mut Board) {
     let latest = board.now.mono + LEAVE_REPORT_DELAY;
     for host in board.hosts.values_mut() {
         if host.contact_since.is_some() {
@@ -225,7 +224,12 @@
     }
 }
 
-fn report_change(board: &mut Board, key: UpstreamKey, change: &str, learned_from: Option<HostId>) {
+pub(super) fn report_change(
+    board: &mut Board,
+    key: UpstreamKey,
+    change: &str,
+    learned_from: Option<HostId>,
+) {
     board.revision += 1;
     board.registry_changed = true;
     board.another_round = true;
--- a/crates/core/src/gateway/controller/rewards.rs
+++ b/crates/core/src/gateway/controller/rewards.rs
@@ -141,8 +141,13 @@
     call: RewardCall,
     upstream_key: UpstreamKey,
 ) {
-    let attempt = board.begin_attempt(Purpose::Reward(key), upstream_key, 0);
     let now = board.now.mono;
+    let Some(admission) = board.admit(upstream_key) else {
+        let due = board.jobs[board.items[key].job].due;
+        board.reward_queue.push(key, due, now + PLACE_INTERVAL);
+        return;
+    };
+    let attempt = board.begin_attempt(Purpose::Reward(key), admission, 0);
     let upstream = &board.upstreams[upstream_key];
     let item = &mut board.items[key];
     item.state = ItemState::Scoring(attempt);
--- a/crates/core/src/gateway/controller/views.rs
+++ b/crates/core/src/gateway/controller/views.rs
@@ -170,6 +170,7 @@
             silent: upstream.silent,
             gone: upstream.gone,
             said_leaving: upstream.said_leaving.is_some(),
+            limit: upstream.limit.map(|limit| limit.statement()),
         });
     }
     records
--- a/crates/core/src/gateway/event.rs
+++ b/crates/core/src/gateway/event.rs
@@ -7,6 +7,7 @@
 use crate::agreement::Record;
 use crate::directory::{ItemSpec, ItemText, RoutingConfig};
 use crate::error::Problem;
+use crate::gateway::rate::RequestRate;
 use crate::key::{AttemptKey, Fingerprint, HostId, OrderKey, RequestTag, SyncToken, UpstreamKey};
 use crate::message::Envelope;
 use crate::time::Millis;
@@ -82,6 +83,15 @@
         /// The answer, for the log.
         answer: Box<str>,
     },
+    /// An upstream has named its limit in the head of an answer, or one that had a limit has not.
+    UpstreamLimit {
+        /// The upstream.
+        upstream: UpstreamKey,
+        /// How many requests it takes from all hosts together; `None` if it names no limit.
+        rate: Option<RequestRate>,
+        /// The answer, for the log.
+        answer: Box<str>,
+    },
     /// A message from another host has arrived.
     Received(Envelope),
     /// A batch of records is synced to the disk.
--- a/crates/core/src/gateway/message.rs
+++ b/crates/core/src/gateway/message.rs
@@ -9,6 +9,7 @@
 use crate::checksum::checksum;
 use crate::directory::{JobSpec, RoutingConfig};
 use crate::gateway::action::ResultsPage;
+use crate::gateway::board::StatedLimit;
 use crate::gateway::event::Announcement;
 use crate::gateway::settings::Role;
 use crate::key::{Fingerprint, HostId};
@@ -48,6 +49,62 @@
     ///
     /// A host of an earlier version drops this message.
     Suspects(Vec<SuspectRecord>),
+    /// Asks the leader of the directory group for permits to send requests to upstreams with a limit.
+    ///
+    /// A host of an earlier version drops this message.
+    QuotaRequest(QuotaRequest),
+    /// Permits for the receiver.
+    ///
+    /// A host of an earlier version drops this message.
+    QuotaGrant(QuotaGrant),
+}
+
+/// A host's request for permits.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub struct QuotaRequest {
+    /// The number of the request, which grows with each one of the sender.
+    pub number: u64,
+    /// The service whose requests need the permits.
+    pub service: Box<str>,
+    /// The upstreams that can run them, with their limits as the sender knows them.
+    pub upstreams: Vec<LimitRecord>,
+    /// The number of requests that wait for a permit.
+    pub waiting: u32,
+    /// The number of requests that are expected within the time for which a permit is valid.
+    pub ahead: u32,
+    /// The highest priority of the waiting requests; zero is the highest.
+    pub priority: u32,
+    /// How long the last of them waits.
+    pub patience: Millis,
+}
+
+/// The limit of an upstream as a host knows it.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub struct LimitRecord {
+    /// The instance id of the upstream.
+    pub id: Box<str>,
+    /// Wall time of its start in milliseconds.
+    #[serde(rename = "born")]
+    pub started_at: u64,
+    /// What it has said.
+    pub stated: StatedLimit,
+}
+
+/// Permits that a host is granted, or the reason why there are none.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub struct QuotaGrant {
+    /// The number of the request for permits.
+    pub number: u64,
+    /// The service whose requests need them.
+    pub service: Box<str>,
+    /// The instance id of each upstream, and the number of permits.
+    pub permits: Vec<(Box<str>, u32)>,
+    /// After which time the next request can be sent for which there is no permit now; `None` if there
+    /// are permits for all waiting ones.
+    pub refused_for: Option<Millis>,
 }
 
 /// A request under which upstreams ended.
@@ -104,6 +161,10 @@
     /// wall time of their start in milliseconds. A host of an earlier version ignores them.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub leaving_upstreams: Vec<(Box<str>, u64)>,
+    /// The limits that upstreams have named, or lifted a short time ago, in answers to the sender. A
+    /// host of an earlier version ignores them.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub limits: Vec<LimitRecord>,
     /// What the receiver sends the sender beside replies; all from a host of an earlier version.
     #[serde(default, rename = "wants")]
     pub subscription: Subscription,
@@ -194,6 +255,10 @@
     /// Whether it has said in an answer that it leaves. A host of an earlier version ignores this.
     #[serde(default)]
     pub said_leaving: bool,
+    /// What it has said about its limit; `None` if it never named one. A host of an earlier version
+    /// ignores this.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub limit: Option<StatedLimit>,
 }
 
 /// A request to a store host.
@@ -293,6 +358,7 @@
         const BYTES_PER_SEEN_UPSTREAM: usize = 64;
         const BYTES_PER_UPSTREAM: usize = 256;
         const BYTES_PER_SUSPECT: usize = 256;
+        const BYTES_PER_LIMIT: usize = 64;
         match self {
             Self::Hello(hello) => hello.seen_upstreams.len() * BYTES_PER_SEEN_UPSTREAM,
             Self::View(view) => {
@@ -302,6 +368,8 @@
             Self::Request { request, .. } => request.bytes(),
             Self::Reply { reply, .. } => reply.bytes(),
             Self::Suspects(suspects) => suspects.len() * BYTES_PER_SUSPECT,
+            Self::QuotaRequest(request) => request.upstreams.len() * BYTES_PER_LIMIT,
+            Self::QuotaGrant(grant) => grant.permits.len() * BYTES_PER_LIMIT,
         }
     }
 }
--- a/crates/core/tests/it/deployment/upstreams.rs
+++ b/crates/core/tests/it/deployment/upstreams.rs
@@ -6,7 +6,8 @@
 use chestnutdrift_core::directory::ItemText;
 use chestnutdrift_core::gateway::Call;
 use chestnutdrift_core::gateway::{
-    Announcement, Event, ItemEnd, ItemRunReport, Order, OrderEnd, RunItem,
+    Announcement, Event, ItemEnd, ItemRunReport, Order, OrderEnd, RequestRate, RunItem,
+    UpstreamAddress,
 };
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
@@ -37,6 +38,12 @@
     pub(crate) started_runs: Vec<(u32, u64)>,
     /// The share of runs whose connection breaks after two events, in percent.
     pub(crate) break_percent: u32,
+    /// The limit that it names in its answers.
+    pub(crate) limit: Option<RequestRate>,
+    /// Number of requests of callers that it got.
+    pub(crate) forwards: usize,
+    /// When each run, order and request for its report came.
+    pub(crate) arrivals: Vec<u64>,
 }
 
 impl SimEngine {
@@ -51,6 +58,9 @@
             completed_runs: Vec::new(),
             started_runs: Vec::new(),
             break_percent: 0,
+            limit: None,
+            forwards: 0,
+            arrivals: Vec::new(),
         }
     }
 
@@ -102,11 +112,31 @@
         self.engines.iter().position(|engine| &*engine.id == id).expect("a known engine")
     }
 
+    /// Counts requests to an engine, whose answers name its limit.
+    fn name_limit(
+        &mut self,
+        host: HostId,
+        boot_id: u64,
+        index: usize,
+        upstream: &UpstreamAddress,
+        requests: usize,
+    ) {
+        let (now, engine) = (self.now, &mut self.engines[index]);
+        engine.arrivals.extend(std::iter::repeat_n(now, requests));
+        let rate = engine.limit;
+        if rate.is_some() || upstream.limited {
+            let answer = "status=200".into();
+            let event = Event::UpstreamLimit { upstream: upstream.key, rate, answer };
+            self.schedule(now + 1, Scheduled::Event(host, boot_id, event));
+        }
+    }
+
     pub(super) fn run_item(&mut self, host: HostId, boot_id: u64, run: &RunItem) {
         if self.boot_id(host) != boot_id {
             return;
         }
         let index = self.engine_index(&run.upstream.id);
+        self.name_limit(host, boot_id, index, &run.upstream, 1);
         let (padding, interval) = (self.event_padding_bytes, self.event_interval_ms);
         let (now, break_roll) = (self.now, self.rng.random_range(0..100));
         let engine = &mut self.engines[index];
@@ -145,6 +175,8 @@
 
     pub(super) fn handle_order(&mut self, host: HostId, boot_id: u64, order: &Order) {
         let index = self.engine_index(&order.upstream.id);
+        let reports = usize::from(order.orders_before.is_none());
+        self.name_limit(host, boot_id, index, &order.upstream, 1 + reports);
         let now = self.now;
         let engine = &mut self.engines[index];
         let expected_orders = order.orders_before.unwrap_or(engine.orders);
--- a/crates/core/tests/it/main.rs
+++ b/crates/core/tests/it/main.rs
@@ -16,6 +16,7 @@
 mod job_memory;
 mod leaving;
 mod lifecycle;
+mod limits;
 mod log_size;
 mod lost_stores;
 mod many_hosts;
--- a/crates/daemon/src/gateway.rs
+++ b/crates/daemon/src/gateway.rs
@@ -14,7 +14,6 @@
 pub mod input;
 pub mod items;
 mod late_end;
-mod leaving;
 pub mod load;
 pub mod metrics;
 pub mod orders;
@@ -24,8 +23,11 @@
 pub mod server;
 pub mod settings;
 mod start;
+mod statements;
 pub mod stream;
 
-pub use protocol::{Listener, OrderReport, ParsedRequest, Protocol, ResponseClass};
+pub use protocol::{
+    LimitStatement, Listener, OrderReport, ParsedRequest, Protocol, ResponseClass, Statements,
+};
 pub use settings::GatewaySettingsFile;
 pub use start::run;
--- a/crates/daemon/src/gateway/forward.rs
+++ b/crates/daemon/src/gateway/forward.rs
@@ -13,9 +13,9 @@
 use super::events::EventBoundary;
 use super::input::InputSender;
 use super::late_end::LateEndReport;
-use super::leaving::report_if_leaving;
 use super::pool::{Connection, Pool, SendError};
 use super::protocol::{Protocol, ResponseClass};
+use super::statements::report_statements;
 use super::stream::StreamedBody;
 
 /// The largest response body, in bytes, that is read in full before the caller gets any of it;
@@ -101,8 +101,8 @@
 impl UpstreamCall<'_> {
     /// Sends the request to its upstream and reads the response; a streamed body takes the report.
     ///
-    /// A connection whose response was read in full goes back to the pool. If the response says that
-    /// the upstream leaves, `inputs` is told as soon as its head has come.
+    /// A connection whose response was read in full goes back to the pool. What the response says
+    /// about its upstream is reported to `inputs` as soon as its head has come.
     pub(super) async fn send(
         &self,
         protocol: &dyn Protocol,
@@ -123,7 +123,7 @@
         };
         let (head, body) = response.into_parts();
         let call = format!("request={}", self.request_id.unwrap_or_default());
-        report_if_leaving(protocol, inputs, self.upstream, &head, self.request_id, call);
+        report_statements(protocol, inputs, self.upstream, &head, self.request_id, call);
         match protocol.classify_response(self.request_id, self.upstream, &head) {
             ResponseClass::Mismatched => {
                 let detail = "the response does not match the request".into();
--- a/crates/daemon/src/gateway/items.rs
+++ b/crates/daemon/src/gateway/items.rs
@@ -14,9 +14,9 @@
 
 use super::events::{EventReader, StreamEvent};
 use super::input::{Input, InputSender, NotQueued};
-use super::leaving::report_if_leaving;
 use super::pool::{Connection, Pool, SendError};
 use super::protocol::{Protocol, ResponseClass};
+use super::statements::report_statements;
 
 /// The time-out of a new connection to an engine.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
@@ -157,7 +157,7 @@
         let request_id = self.protocol.request_id(request.headers());
         let call = format!("item={}", request_id.unwrap_or_default());
         let protocol = &*self.protocol;
-        report_if_leaving(protocol, &self.inputs, &run.upstream, &head, request_id, call);
+        report_statements(protocol, &self.inputs, &run.upstream, &head, request_id, call);
         match self.protocol.classify_response(request_id, &run.upstream, &head) {
             ResponseClass::Mismatched => {
                 return ItemEnd::Broken {
--- a/crates/daemon/src/gateway/orders.rs
+++ b/crates/daemon/src/gateway/orders.rs
@@ -9,9 +9,9 @@
 use hyper::Request;
 
 use super::input::{Input, InputSender};
-use super::leaving::report_if_leaving;
 use super::pool::{Pool, SendError};
 use super::protocol::{OrderReport, Protocol};
+use super::statements::report_statements;
 use crate::clock::Clock;
 
 /// The time-out of a new connection to an engine.
@@ -131,7 +131,7 @@
         let (head, body) = response.into_parts();
         let status = head.status.as_u16();
         let protocol = &*self.protocol;
-        let leaving = report_if_leaving(protocol, &self.inputs, upstream, &head, None, call);
+        let leaving = report_statements(protocol, &self.inputs, upstream, &head, None, call);
         let body = Limited::new(body, MAX_BODY_BYTES).collect();
         match tokio::time::timeout(BODY_TIMEOUT, body).await {
             Ok(Ok(body)) => {
--- a/crates/daemon/src/gateway/protocol.rs
+++ b/crates/daemon/src/gateway/protocol.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use chestnutdrift_core::gateway::{
-    Answer, Call, Forward, JobBody, Order, RewardRequest, RunItem, UpstreamAddress,
+    Answer, Call, Forward, JobBody, Order, RequestRate, RewardRequest, RunItem, UpstreamAddress,
 };
 use chestnutdrift_core::{Millis, Problem};
 use hyper::http::{request, response};
@@ -65,6 +65,26 @@
     Mismatched,
 }
 
+/// What an upstream says about itself in the head of a response.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Statements {
+    /// Whether it leaves.
+    pub leaving: bool,
+    /// Its limit.
+    pub limit: LimitStatement,
+}
+
+/// What an upstream says about the requests that it takes from all hosts together.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum LimitStatement {
+    /// It names no limit.
+    None,
+    /// It takes no more than this.
+    Named(RequestRate),
+    /// What it says is no rate; this neither sets nor lifts a limit.
+    Unreadable,
+}
+
 /// An upstream's report of the orders that it has accepted.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct OrderReport {
@@ -117,14 +137,14 @@
         head: &response::Parts,
     ) -> ResponseClass;
 
-    /// Returns whether the head of a response to the request with an id, where it has one, says that
-    /// the instance at `upstream` leaves.
-    fn is_leaving(
+    /// Returns what the head of a response to the request with an id, where it has one, says about the
+    /// instance at `upstream`; `None` if another instance sent it, or may have.
+    fn statements(
         &self,
         request_id: Option<&str>,
         upstream: &UpstreamAddress,
         headers: &HeaderMap,
-    ) -> bool;
+    ) -> Option<Statements>;
 
     /// Returns the headers of an upstream's response that are passed on to the caller.
     fn forwarded_headers(&self, headers: &HeaderMap) -> HeaderMap;
--- a/crates/wire/tests/frame.rs
+++ b/crates/wire/tests/frame.rs
@@ -90,6 +90,7 @@
         seen_upstreams: Vec::new(),
         suspects: 0,
         leaving_upstreams,
+        limits: Vec::new(),
         subscription: Subscription::default(),
         known_roster: 0,
     };
