fix(core): the text of an item was joined from two software versions

It begins anew if all such engines have left, or once it has waited for as long as writing it again takes.

--- a/crates/core/src/directory/text.rs
+++ b/crates/core/src/directory/text.rs
@@ -16,6 +16,10 @@
     pub last_event: Option<u64>,
     /// The weight versions that generated the events, ascending.
     pub versions: Vec<u64>,
+    /// The version of the software that wrote the events; empty if unknown, as in a log of an earlier
+    /// version. The text goes on only at an upstream of the same version.
+    #[serde(default, skip_serializing_if = "str::is_empty")]
+    pub software: Box<str>,
 }
 
 impl ItemText {
@@ -37,6 +41,8 @@
         }
         if self.events > 0 {
             self.text.push('\n');
+        } else {
+            self.software.clone_from(&next.software);
         }
         self.text.push_str(&next.text);
         self.events += next.events;
--- a/crates/core/src/gateway/action.rs
+++ b/crates/core/src/gateway/action.rs
@@ -323,6 +323,8 @@
     pub items_errored: u64,
     /// Runs that ended without an outcome for their item, which then runs again.
     pub items_moved: u64,
+    /// Texts of items that were dropped because no engine could continue them in time.
+    pub texts_dropped: u64,
     /// Reward calls sent to upstreams.
     pub reward_calls: u64,
     /// Items whose texts wait for their reward calls.
--- a/crates/core/src/gateway/board.rs
+++ b/crates/core/src/gateway/board.rs
@@ -113,6 +113,9 @@
     pub upstreams: SlotMap<UpstreamKey, Upstream>,
     /// The upstreams by instance id.
     pub upstream_index: BTreeMap<Box<str>, UpstreamKey>,
+    /// Upstreams that have started again, under the same id, with another software version; not
+    /// handled yet.
+    pub upgraded_upstreams: Vec<UpstreamKey>,
     /// The revision of the registry; grows with each change of an upstream that other hosts need.
     pub revision: u64,
     /// Whether the registry changed since the last views were sent.
@@ -243,6 +246,7 @@
             voters: (0, Vec::new()),
             upstreams: SlotMap::with_key(),
             upstream_index: BTreeMap::new(),
+            upgraded_upstreams: Vec::new(),
             revision: 0,
             registry_changed: false,
             pending_announcements: Vec::new(),
--- a/crates/core/src/gateway/board/item.rs
+++ b/crates/core/src/gateway/board/item.rs
@@ -53,6 +53,10 @@
     pub failures: u32,
     /// Number of runs that were started.
     pub runs: u32,
+    /// The software version of the upstream of the last run.
+    pub run_software: Box<str>,
+    /// Whether the events of the current run are dropped, since another version may have written them.
+    pub is_run_void: bool,
     /// The upstream of the last run, where that run did not complete the text.
     pub avoid: Option<UpstreamKey>,
     /// Whether a run has ended the text without an event since the last event.
@@ -87,6 +91,8 @@
             progress: (0, now),
             failures: 0,
             runs: 0,
+            run_software: Box::default(),
+            is_run_void: false,
             avoid: None,
             end_reported: false,
             whole_at: None,
@@ -96,6 +102,19 @@
         }
     }
 
+    /// Appends events of the last run.
+    pub fn append_events(&mut self, events: &ItemText) {
+        if self.is_run_void {
+            return;
+        }
+        if self.text.events == 0 {
+            self.text.software.clone_from(&self.run_software);
+        }
+        let software = std::mem::take(&mut self.text.software);
+        self.text.append(events);
+        self.text.software = software;
+    }
+
     /// Makes the text complete, so that only its score is missing.
     pub fn complete_text(&mut self, now: Millis) {
         self.whole_at = Some(now);
@@ -131,6 +150,7 @@
             events: self.text.events - after,
             last_event: self.text.last_event,
             versions: self.text.versions.clone(),
+            software: self.text.software.clone(),
         };
         self.logged_prefix = LoggedPrefix { events: self.text.events, bytes: self.text.text.len() };
         TextPart { item: self.index, event_offset: after, text: Arc::new(text) }
--- a/crates/core/src/gateway/controller/items.rs
+++ b/crates/core/src/gateway/controller/items.rs
@@ -4,17 +4,20 @@
 //! Writes: `items`, `reward_queue`, `orphans`, `text_cache`, `attempts`, `upstreams` (health and load
 //! state), `counters`, `proposals`, `actions`.
 //!
-//! An item whose run breaks off resumes at another engine after the last event received. An item on
+//! An item whose run breaks off resumes at another engine of the same software version after the last
+//! event received. An item on
 //! an engine that is much slower than the median is first stopped there and then resumes elsewhere.
 //! A complete text that needs a score waits for its reward call. The texts of long items are written to the log in parts, so that another leader can resume them.
 
 mod engines;
 mod progress;
+mod resumption;
 
 use std::collections::BTreeMap;
 
 use self::engines::{FreeEngines, reserved_tokens};
 use self::progress::{handle_progress, move_slow_items, propose_parts};
+use self::resumption::{drop_text, is_text_hopeless, void_runs};
 use super::Controller;
 use crate::directory::{DirectoryCommand, ItemOutcome, ItemResult, ItemText, JobSpec, NewResult};
 use crate::gateway::action::{Action, RunItem};
@@ -84,6 +87,9 @@
             }
             _ => {}
         }
+        for key in std::mem::take(&mut board.upgraded_upstreams) {
+            void_runs(board, key);
+        }
         for (key, score) in std::mem::take(&mut board.scored_items) {
             self.finish_scored(board, key, score);
         }
@@ -129,6 +135,7 @@
         let now = board.now.mono;
         // `Some(None)` is a complete text whose weight versions the job does not accept.
         let outcome = match &run.end {
+            _ if item.is_run_void => None,
             ItemEnd::Whole if unconfirmed => None,
             ItemEnd::Whole => Some(completed_outcome(item, &spec, None)),
             ItemEnd::Impossible => Some(Some(ItemOutcome::Errored)),
@@ -261,7 +268,11 @@
             if free.is_empty() {
                 break;
             }
-            let engines = free.candidates_for(board, item.key);
+            let mut engines = free.candidates_for(board, item.key);
+            if engines.is_empty() && is_text_hopeless(board, item.key) {
+                drop_text(board, item.key);
+                engines = free.candidates_for(board, item.key);
+            }
             let Some(upstream) = self.placement.place(&item, &engines) else {
                 self.next_pass = now + PLACE_INTERVAL;
                 continue;
@@ -309,13 +320,13 @@
         item.discard_text();
         return;
     }
-    item.text.append(&run.text);
+    item.append_events(&run.text);
 }
 
 /// Keeps the text of an item whose job was dropped, for a later job that contains the item again.
 fn keep_orphan_text(board: &mut Board, attempt: AttemptKey, text: &ItemText) {
     let Some((spec, mut item)) = board.orphans.remove(&attempt) else { return };
-    item.text.append(text);
+    item.append_events(text);
     board.text_cache.insert(&spec, &item);
 }
 
@@ -345,10 +356,12 @@
         if let ItemState::Waiting(since) = item.state { now.since(since) } else { Millis(0) };
     item.state = ItemState::Running(attempt);
     item.runs += 1;
+    item.is_run_void = false;
+    item.run_software.clone_from(&upstream.announced.software);
     item.progress = (0, now);
     let detail = format!(
         "item={} run={} expected_tokens={expected} upstream={} version={version:?} \
-         in_flight={}/{} event_us={} resume_after={:?} waited_ms={}",
+         in_flight={}/{} event_us={} resume_after={:?} waited_ms={} software={}",
         item.index,
         item.runs,
         upstream.announced.id,
@@ -356,7 +369,8 @@
         upstream.announced.slots,
         upstream.health.event_interval_us,
         item.text.last_event,
-        waited.0
+        waited.0,
+        item.run_software
     );
     let run = RunItem {
         attempt,
--- a/crates/core/src/gateway/controller/items/engines.rs
+++ b/crates/core/src/gateway/controller/items/engines.rs
@@ -2,8 +2,9 @@
 
 use std::collections::BTreeMap;
 
+use super::resumption::can_resume;
 use crate::directory::JobSpec;
-use crate::gateway::board::{Board, Item, Upstream};
+use crate::gateway::board::{Board, Upstream};
 use crate::gateway::policy::EngineCandidate;
 use crate::key::{ItemKey, JobKey, UpstreamKey};
 
@@ -125,9 +126,3 @@
     let Some(model) = &spec.model else { return true };
     !upstream.load.blocks(model) && upstream.version_of(model) >= spec.min_version
 }
-
-/// Returns whether an engine can continue the text of an item.
-fn can_resume(item: &Item, spec: &JobSpec, upstream: &Upstream) -> bool {
-    let Some(model) = spec.model.as_ref().filter(|_| spec.single_version) else { return true };
-    item.text.events == 0 || item.text.versions == [upstream.version_of(model)]
-}
--- a/crates/core/src/gateway/controller/items/progress.rs
+++ b/crates/core/src/gateway/controller/items/progress.rs
@@ -34,13 +34,13 @@
         let Purpose::Item(item_key) = attempt.purpose else { continue };
         let Some(item) = board.items.get_mut(item_key) else {
             if let Some((_, item)) = board.orphans.get_mut(attempt_key) {
-                item.text.append(text);
+                item.append_events(text);
             }
             continue;
         };
         let (before, since) = item.progress;
         item.progress = (before + text.events, now);
-        item.text.append(text);
+        item.append_events(text);
         let Some(upstream) = board.upstreams.get_mut(attempt.upstream) else { continue };
         if before > 0 && !upstream.load.is_busy() {
             upstream.health.record_events(text.events, now.since(since));
--- a/crates/core/src/gateway/controller/jobs.rs
+++ b/crates/core/src/gateway/controller/jobs.rs
@@ -230,6 +230,7 @@
             events: u32::try_from(text.lines().count()).unwrap_or(u32::MAX),
             last_event: None,
             versions: versions.clone(),
+            software: Box::default(),
         }))
     }
 }
--- a/crates/core/src/gateway/controller/registry.rs
+++ b/crates/core/src/gateway/controller/registry.rs
@@ -2,7 +2,7 @@
 //!
 //! Reads: `pending_calls` (announcements and leaves), `pending_announcements`, `pending_leaves`,
 //! upstreams that said in an answer that they leave, the clock.
-//! Writes: `pending_calls`, `upstreams`, `upstream_index`, `revision`, `registry_changed`,
+//! Writes: `pending_calls`, `upstreams`, `upstream_index`, `upgraded_upstreams`, `revision`, `registry_changed`,
 //! `hosts` (the next hello), `actions`.
 //!
 //! Announcements under one name are ordered by the start time of the upstream's process and then by
@@ -172,6 +172,9 @@
     }
     let restarted = new.0 > old.0;
     if restarted {
+        if announced.software != upstream.announced.software {
+            board.upgraded_upstreams.push(key);
+        }
         board.upstreams.remove(key);
         board.upstream_index.remove(&announced.id);
         handle_announcement(board, announced, source);
@@ -182,6 +185,13 @@
     } else {
         announced.clone()
     };
+    // A store host of an earlier version passes announcements on without the software version.
+    let software = if kept.software.is_empty() {
+        upstream.announced.software.clone()
+    } else {
+        kept.software.clone()
+    };
+    let kept = Announcement { software, ..kept };
     // A registry's record of a leave carries the number of the last announcement before it.
     let leaving = announced.leaving || (new == old && upstream.announced.leaving);
     let differs =
@@ -238,13 +248,14 @@
     upstream.learned_from = learned_from;
     let announced = &upstream.announced;
     let detail = format!(
-        "{change} service={} address={} zone={} born={} seq={} versions={:?}",
+        "{change} service={} address={} zone={} born={} seq={} versions={:?} software={}",
         announced.service,
         announced.address,
         announced.zone,
         announced.started_at,
         announced.seq,
-        announced.versions
+        announced.versions,
+        announced.software
     );
     let (id, has_left) = (announced.id.clone(), !upstream.accepts_requests());
     let kind = if has_left { EventKind::UpstreamLeft } else { EventKind::UpstreamJoined };
--- a/crates/core/src/gateway/event.rs
+++ b/crates/core/src/gateway/event.rs
@@ -243,6 +243,11 @@
     pub seq: u64,
     /// The weight version of each model that it runs.
     pub versions: Vec<(Box<str>, u64)>,
+    /// The version of its software; empty if unknown, as from a host of an earlier version.
+    ///
+    /// What two versions write does not fit together.
+    #[serde(default, skip_serializing_if = "str::is_empty")]
+    pub software: Box<str>,
 }
 
 impl Announcement {
@@ -253,7 +258,7 @@
     /// grow.
     #[must_use]
     pub fn content(&self) -> impl Ord {
-        (&self.versions, self.slots, &self.address, &self.service, &self.zone)
+        (&self.versions, self.slots, &self.address, &self.service, &self.zone, &self.software)
     }
 }
 
--- a/crates/core/tests/it/deployment/upstreams.rs
+++ b/crates/core/tests/it/deployment/upstreams.rs
@@ -28,9 +28,13 @@
 pub(crate) struct SimEngine {
     pub(crate) id: Box<str>,
     pub(crate) versions: BTreeMap<Box<str>, u64>,
+    pub(crate) software: Box<str>,
+    pub(crate) started_at: u64,
     pub(crate) loading_until: u64,
     pub(crate) orders: u64,
     pub(crate) up: bool,
+    /// Whether it announces that it leaves.
+    pub(crate) leaving: bool,
     pub(crate) seq: u64,
     /// The items that this engine completed: job, item, version.
     pub(crate) completed_runs: Vec<(Box<str>, u32, u64)>,
@@ -51,9 +55,12 @@
         Self {
             id: format!("engine-{number}").into(),
             versions: [("model".into(), 1), ("other".into(), 1)].into(),
+            software: "v1".into(),
+            started_at: 1,
             loading_until: 0,
             orders: 0,
             up: true,
+            leaving: false,
             seq: 0,
             completed_runs: Vec::new(),
             started_runs: Vec::new(),
@@ -71,10 +78,11 @@
             address: format!("10.0.0.9:{}", 8_000 + self.id.len()).into(),
             zone: "zone-1".into(),
             slots,
-            leaving: false,
-            started_at: 1,
+            leaving: self.leaving,
+            started_at: self.started_at,
             seq: self.seq,
             versions: self.versions.clone().into_iter().collect(),
+            software: self.software.clone(),
         }
     }
 }
@@ -92,6 +100,7 @@
             started_at,
             seq,
             versions: Vec::new(),
+            software: "v1".into(),
         };
         self.send_call(store, Call::Announce(announcement));
     }
@@ -153,6 +162,8 @@
             (ItemEnd::Whole, length)
         };
         let version = engine.versions["model"];
+        // Events of another software version than the usual one show it.
+        let mark = if *engine.software == *"v1" { "" } else { &*format!("@{}", engine.software) };
         let events: Vec<u64> = (first..=last).collect();
         let mut time = now + 1;
         let mut unreported = ItemText::default();
@@ -162,7 +173,7 @@
                 self.schedule(time, Scheduled::Event(host, boot_id, Event::ItemProgress(progress)));
             }
             let padding = random_letters(u64::from(run.item) << 32 | *id, padding);
-            unreported.push_event(*id, &format!("{}.{id}{padding}", run.item), Some(version));
+            unreported.push_event(*id, &format!("{}.{id}{mark}{padding}", run.item), Some(version));
             time += interval;
         }
         if end == ItemEnd::Whole {
--- a/crates/core/tests/it/directory.rs
+++ b/crates/core/tests/it/directory.rs
@@ -402,6 +402,7 @@
         started_at: 1,
         seq: 34,
         versions: vec![("model".into(), version)],
+        software: "v1".into(),
     };
     let first_event = deployment.timeline.len();
     for (store, version) in STORES.into_iter().zip([3, 5, 3]) {
@@ -459,6 +460,7 @@
         started_at: 1,
         seq: 1,
         versions: Vec::new(),
+        software: "v1".into(),
     };
     deployment.send_call(STORES[0], Call::Announce(announcement));
     deployment.run(200);
--- a/crates/core/tests/it/leaving.rs
+++ b/crates/core/tests/it/leaving.rs
@@ -29,6 +29,7 @@
         started_at,
         seq,
         versions: Vec::new(),
+        software: "v1".into(),
     }
 }
 
--- a/crates/core/tests/it/main.rs
+++ b/crates/core/tests/it/main.rs
@@ -14,6 +14,7 @@
 mod installed_snapshot;
 mod item_queue;
 mod job_memory;
+mod joined_texts;
 mod leaving;
 mod lifecycle;
 mod limits;
--- a/crates/core/tests/it/many_hosts.rs
+++ b/crates/core/tests/it/many_hosts.rs
@@ -95,6 +95,7 @@
         started_at: 1,
         seq: 2,
         versions: Vec::new(),
+        software: "v1".into(),
     }
 }
 
--- a/crates/daemon/src/gateway/metrics.rs
+++ b/crates/daemon/src/gateway/metrics.rs
@@ -276,6 +276,7 @@
         ("items_completed", counters.items_completed),
         ("items_errored", counters.items_errored),
         ("items_moved", counters.items_moved),
+        ("texts_dropped", counters.texts_dropped),
         ("reward_calls", counters.reward_calls),
         ("unscored_items", counters.unscored_items),
         ("orders", counters.orders),
