--- a/crates/core/src/gateway/action.rs
+++ b/crates/core/src/gateway/action.rs
@@ -341,6 +341,8 @@
     pub quota_requests: u64,
     /// Permits granted by this host, those for its own sends included.
     pub permits_granted: u64,
+    /// Streams taken up by callers that no upstream could continue.
+    pub streams_refused: u64,
     /// Requests refused because they exceeded the limits of upstreams.
     pub over_limit: u64,
     /// The version of the routing configuration in force.
--- a/crates/core/src/gateway/board.rs
+++ b/crates/core/src/gateway/board.rs
@@ -11,6 +11,7 @@
 mod request;
 mod reward_queue;
 mod store_request;
+mod stream_origin;
 mod suspects;
 mod text;
 mod upstream;
@@ -54,6 +55,7 @@
 pub use store_request::{
     Origin, PendingDecision, PendingStoreRequest, ResultsReader, StoreRequestState,
 };
+pub use stream_origin::{StreamOrigin, StreamOrigins, StreamRecord, StreamSearch};
 pub use suspects::{CRASH_RETENTION, QUARANTINE_CRASHES, Suspects, incarnation};
 pub use text::{ReusableText, TextCache, is_same_item};
 pub use upstream::{ENDED_RETENTION, LeaveSource, SaidLeaving, Upstream, UpstreamHealth};
@@ -150,6 +152,12 @@
     pub recent_successes: RecentSuccesses,
     /// Whether `suspects` changed since other hosts were last told.
     pub suspects_changed: bool,
+    /// The streams that this host has sent to upstreams, and of which the stores are not told yet.
+    pub new_streams: Vec<StreamRecord>,
+    /// The streams of callers that this store host remembers.
+    pub stream_origins: StreamOrigins,
+    /// The searches for the origins of streams that callers take up.
+    pub stream_searches: BTreeMap<RequestKey, StreamSearch>,
     /// The running attempts.
     pub attempts: SlotMap<AttemptKey, Attempt>,
     /// Store requests that this host has sent or will send.
@@ -263,6 +271,9 @@
             suspects: Suspects::default(),
             recent_successes: RecentSuccesses::default(),
             suspects_changed: false,
+            new_streams: Vec::new(),
+            stream_origins: StreamOrigins::default(),
+            stream_searches: BTreeMap::new(),
             attempts: SlotMap::with_key(),
             store_requests: SlotMap::with_key(),
             replies: Vec::new(),
--- a/crates/core/src/gateway/board/request.rs
+++ b/crates/core/src/gateway/board/request.rs
@@ -1,6 +1,7 @@
 //! Callers' requests, on an entry host.
 
 use crate::directory::Route;
+use crate::gateway::board::StreamOrigin;
 use crate::key::{AttemptKey, Fingerprint, RequestTag, UpstreamKey};
 use crate::time::Millis;
 
@@ -13,6 +14,8 @@
     Running(AttemptKey),
     /// Waits for its body to be decoded as a batch job.
     Reading,
+    /// Waits for the origin of the stream that it takes up.
+    Searching,
 }
 
 /// A request of a caller.
@@ -28,6 +31,11 @@
     pub route: Route,
     /// The service chosen from the route's targets.
     pub service: Box<str>,
+    /// The stream that it takes up, by the id of the attempt that began it; empty if the caller names none,
+    /// and `None` if it takes none up.
+    pub resumes: Option<Box<str>>,
+    /// Where that stream began; `None` if it is not known.
+    pub origin: Option<StreamOrigin>,
     /// When it arrived.
     pub opened: Millis,
     /// When it must be answered at the latest: after the route's time-out or the caller's wait
--- /dev/null
+++ b/crates/core/src/gateway/board/stream_origin.rs
@@ -0,0 +1,98 @@
+//! The software versions that began the streams of callers.
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+
+use serde::{Deserialize, Serialize};
+
+use crate::key::HostId;
+use crate::time::Millis;
+
+/// The most streams that a store host remembers; beyond it, the oldest are forgotten.
+const MAX_STREAMS: usize = 16_384;
+
+/// The longest name of a stream, a service or a version that is remembered, in bytes.
+const MAX_NAME_BYTES: usize = 256;
+
+/// How long a store host remembers a stream.
+const RETENTION: Millis = Millis(600_000);
+
+/// Where a stream began, which is where it may go on.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub struct StreamOrigin {
+    /// The service.
+    pub service: Box<str>,
+    /// The version of the upstream's software.
+    pub software: Box<str>,
+}
+
+/// The origin of a stream, by the id of the caller's attempt that began it.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub struct StreamRecord {
+    /// The id of the attempt.
+    pub id: Box<str>,
+    /// How many upstreams the attempt was sent to, this one included; the last one counts.
+    pub number: u32,
+    /// The origin.
+    pub origin: StreamOrigin,
+}
+
+/// The origins that a store host remembers; a host that starts anew has none.
+#[derive(Debug, Clone, Default)]
+pub struct StreamOrigins {
+    streams: BTreeMap<Box<str>, StreamRecord>,
+    order: VecDeque<(Millis, Box<str>)>,
+}
+
+impl StreamOrigins {
+    /// Remembers a stream.
+    pub fn insert(&mut self, record: StreamRecord, now: Millis) {
+        let StreamOrigin { service, software } = &record.origin;
+        if [&record.id, service, software].iter().any(|name| name.len() > MAX_NAME_BYTES) {
+            return;
+        }
+        match self.streams.get_mut(&record.id) {
+            Some(known) if known.number >= record.number => {}
+            Some(known) => *known = record,
+            None => {
+                self.order.push_back((now, record.id.clone()));
+                self.streams.insert(record.id.clone(), record);
+            }
+        }
+        let is_old = |at: Millis| now.since(at) > RETENTION;
+        while self.order.len() > MAX_STREAMS
+            || self.order.front().is_some_and(|(at, _)| is_old(*at))
+        {
+            let Some((_, id)) = self.order.pop_front() else { break };
+            self.streams.remove(&id);
+        }
+    }
+
+    /// Returns the origin of a stream; `None` if it is not known here.
+    #[must_use]
+    pub fn get(&self, id: &str) -> Option<&StreamOrigin> {
+        self.streams.get(id).map(|record| &record.origin)
+    }
+
+    /// Returns the number of streams.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.streams.len()
+    }
+
+    /// Returns whether there are none.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.streams.is_empty()
+    }
+}
+
+/// The search for the origin of a stream.
+#[derive(Debug, Clone, Default)]
+pub struct StreamSearch {
+    /// The hosts that have been asked and have not replied.
+    pub asked: BTreeSet<HostId>,
+    /// Until when their replies are awaited; `None` before they have been asked.
+    pub until: Option<Millis>,
+}
--- a/crates/core/src/gateway/controller.rs
+++ b/crates/core/src/gateway/controller.rs
@@ -23,6 +23,7 @@
 mod rewards;
 mod routing;
 mod store_requests;
+mod streams;
 mod suspects;
 mod views;
 
@@ -73,6 +74,7 @@
     if role == Role::Entry {
         controllers.push(Box::new(quotas::Quotas::default()));
     }
+    controllers.push(Box::new(streams::Streams::default()));
     controllers.push(Box::new(suspects::Suspects::default()));
     controllers.push(Box::new(store_requests::StoreRequests));
     if role == Role::Store {
--- a/crates/core/src/gateway/controller/forwarding.rs
+++ b/crates/core/src/gateway/controller/forwarding.rs
@@ -3,15 +3,17 @@
 //! Reads: opened requests, ended attempts, decoded jobs, callers that are gone, `routing`,
 //! `upstreams`, `draining`, the clock.
 //! Writes: `requests`, `request_index`, `attempts`, `upstreams` (health), `suspects`,
-//! `suspects_changed`, `quota_waits`, `store_requests`, `counters`, `actions`.
+//! `suspects_changed`, `quota_waits`, `new_streams`, `stream_searches`, `store_requests`, `counters`, `actions`.
 
 mod endings;
 mod over_limit;
 mod submissions;
+mod taken_up;
 
 use self::endings::{deliver_held, fail, fail_after_max_wait, is_quarantined, refuse};
 use self::over_limit::{is_over_limit, refuse_over_limit};
 use self::submissions::handle_job_read;
+use self::taken_up::{is_continuable, may_continue, record_stream, refuse_uncontinuable};
 use super::Controller;
 use super::calls::not_ready;
 use super::candidates::{self, CONNECT_TIMEOUT, candidates, draw_service};
@@ -20,7 +22,7 @@
 use crate::directory::{Route, RouteKind, RoutingConfig};
 use crate::error::{ErrorKind, Problem};
 use crate::gateway::action::{Action, Forward};
-use crate::gateway::board::{Attempt, Board, Purpose, Request, RequestState};
+use crate::gateway::board::{Attempt, Board, Purpose, Request, RequestState, StreamSearch};
 use crate::gateway::event::{Call, Event, ForwardEnd, IncomingCall};
 use crate::gateway::policy::UpstreamChoice;
 use crate::key::{AttemptKey, RequestKey, RequestTag, UpstreamKey};
@@ -83,7 +85,7 @@
                 // Once the request may move, upstreams are checked for it at this interval.
                 request.until.min(if next > now { next } else { now + UPSTREAM_POLL_INTERVAL })
             }
-            RequestState::Reading => request.until,
+            RequestState::Reading | RequestState::Searching => request.until,
         };
         board.requests.values().map(due).min().unwrap_or(Millis::MAX)
     }
@@ -103,7 +105,7 @@
 
 fn handle_opened(board: &mut Board, opened: IncomingCall) {
     let IncomingCall { tag, trace, wait_limit, call } = opened;
-    let Call::Request { host, path, fingerprint } = call else { return };
+    let Call::Request { host, path, fingerprint, resumes } = call else { return };
     board.counters.requests += 1;
     let Some(routing) = board.routing.clone() else {
         board.reject(tag, &trace, not_ready("no routing configuration received yet"));
@@ -126,13 +128,20 @@
         }
         until = until.min(lifecycle::answer_by(exit));
     }
-    let state = if is_job { RequestState::Reading } else { RequestState::Waiting };
+    let is_named = resumes.as_ref().is_some_and(|stream| !stream.is_empty());
+    let state = match (is_job, is_named) {
+        (true, _) => RequestState::Reading,
+        (false, true) => RequestState::Searching,
+        (false, false) => RequestState::Waiting,
+    };
     let request = Request {
         tag,
         trace,
         fingerprint,
         route: route.clone(),
         service: draw_service(board, route),
+        resumes,
+        origin: None,
         opened: now,
         until,
         state,
@@ -144,6 +153,9 @@
     };
     let key = board.requests.insert(request);
     board.request_index.insert(tag, key);
+    if state == RequestState::Searching {
+        board.stream_searches.insert(key, StreamSearch::default());
+    }
     if is_job {
         board.actions.push(Action::ReadJob { tag });
     }
@@ -287,14 +299,19 @@
                 start_attempt(board, key, next);
             }
             RequestState::Waiting if now >= request.until => fail(board, key),
+            RequestState::Waiting if !is_continuable(board, key) => {
+                refuse_uncontinuable(board, key);
+            }
             RequestState::Waiting if is_quarantined(board, request) => refuse(board, key),
             RequestState::Waiting => match self.choose(board, key) {
                 Some(upstream) => start_attempt(board, key, upstream),
                 None if is_over_limit(board, key) => refuse_over_limit(board, key),
                 None => fail_after_max_wait(board, key),
             },
-            RequestState::Reading if now >= request.until => fail(board, key),
-            RequestState::Reading => {}
+            RequestState::Reading | RequestState::Searching if now >= request.until => {
+                fail(board, key);
+            }
+            RequestState::Reading | RequestState::Searching => {}
         }
     }
 
@@ -306,7 +323,9 @@
         };
         let is_tried = |key| request.tried.contains(&key);
         let mut candidates = candidates(board, &request.service, is_tried);
-        candidates.retain(|candidate| Some(candidate.key) != running);
+        candidates.retain(|candidate| {
+            Some(candidate.key) != running && may_continue(board, key, candidate.key)
+        });
         // A request moves from a slow upstream only to one that it has not tried.
         if running.is_some() {
             candidates.retain(|candidate| !candidate.tried && !candidate.avoided);
@@ -353,6 +372,7 @@
         request.fingerprint
     );
     let trace = request.trace.clone();
+    record_stream(board, key, upstream_key);
     board.counters.forwards += 1;
     board.note(EventKind::Dispatched, trace, detail);
     board.actions.push(Action::Forward(forward));
--- a/crates/core/src/gateway/controller/membership.rs
+++ b/crates/core/src/gateway/controller/membership.rs
@@ -79,7 +79,10 @@
             GatewayMessage::Request { .. }
             | GatewayMessage::Reply { .. }
             | GatewayMessage::Suspects(_)
-            | GatewayMessage::QuotaGrant(_) => {}
+            | GatewayMessage::QuotaGrant(_)
+            | GatewayMessage::Streams(_)
+            | GatewayMessage::FindStream { .. }
+            | GatewayMessage::StreamFound { .. } => {}
             GatewayMessage::QuotaRequest(request) => {
                 board.pending_limits.extend(request.upstreams.iter().cloned());
             }
--- a/crates/core/src/gateway/event.rs
+++ b/crates/core/src/gateway/event.rs
@@ -137,6 +137,10 @@
         path: Box<str>,
         /// Identifies the request when it comes again, here or at another host.
         fingerprint: Fingerprint,
+        /// The stream that it takes up after an event, by the id of the attempt that began it; empty if
+        /// the caller names none, and `None` if it takes none up.
+        #[serde(default)]
+        resumes: Option<Box<str>>,
     },
     /// Reads results of a job.
     Results {
--- a/crates/core/src/gateway/message.rs
+++ b/crates/core/src/gateway/message.rs
@@ -9,7 +9,7 @@
 use crate::checksum::checksum;
 use crate::directory::{JobSpec, RoutingConfig};
 use crate::gateway::action::ResultsPage;
-use crate::gateway::board::StatedLimit;
+use crate::gateway::board::{StatedLimit, StreamOrigin, StreamRecord};
 use crate::gateway::event::Announcement;
 use crate::gateway::settings::Role;
 use crate::key::{Fingerprint, HostId};
@@ -57,6 +57,22 @@
     ///
     /// A host of an earlier version drops this message.
     QuotaGrant(QuotaGrant),
+    /// Streams of callers that the sender has sent to upstreams, for the receiver to remember.
+    ///
+    /// A host of an earlier version drops this message.
+    Streams(Vec<StreamRecord>),
+    /// Asks where a stream began. A host of an earlier version drops this message.
+    FindStream {
+        /// The id of the attempt that began it.
+        id: Box<str>,
+    },
+    /// Where a stream began. A host of an earlier version drops this message.
+    StreamFound {
+        /// The id of the attempt that began it.
+        id: Box<str>,
+        /// The origin; `None` if the sender does not know it.
+        origin: Option<StreamOrigin>,
+    },
 }
 
 /// A host's request for permits.
@@ -359,6 +375,7 @@
         const BYTES_PER_UPSTREAM: usize = 256;
         const BYTES_PER_SUSPECT: usize = 256;
         const BYTES_PER_LIMIT: usize = 64;
+        const BYTES_PER_STREAM: usize = 128;
         match self {
             Self::Hello(hello) => hello.seen_upstreams.len() * BYTES_PER_SEEN_UPSTREAM,
             Self::View(view) => {
@@ -369,6 +386,8 @@
             Self::Reply { reply, .. } => reply.bytes(),
             Self::Suspects(suspects) => suspects.len() * BYTES_PER_SUSPECT,
             Self::QuotaRequest(request) => request.upstreams.len() * BYTES_PER_LIMIT,
+            Self::Streams(records) => records.len() * BYTES_PER_STREAM,
+            Self::FindStream { .. } | Self::StreamFound { .. } => BYTES_PER_STREAM,
             Self::QuotaGrant(grant) => grant.permits.len() * BYTES_PER_LIMIT,
         }
     }
--- a/crates/core/tests/it/deadly_requests.rs
+++ b/crates/core/tests/it/deadly_requests.rs
@@ -46,7 +46,12 @@
 }
 
 fn request_with(fingerprint: Fingerprint) -> Call {
-    Call::Request { host: "desk.example".into(), path: "/desk/1".into(), fingerprint }
+    Call::Request {
+        host: "desk.example".into(),
+        path: "/desk/1".into(),
+        fingerprint,
+        resumes: None,
+    }
 }
 
 fn ended() -> ForwardEnd {
--- a/crates/core/tests/it/deployment.rs
+++ b/crates/core/tests/it/deployment.rs
@@ -287,6 +287,7 @@
             host: "jobs.example".into(),
             path: "/jobs/1".into(),
             fingerprint: Fingerprint::default(),
+            resumes: None,
         };
         let tag = self.send_call(entry, call);
         self.jobs.insert(tag, body);
--- a/crates/core/tests/it/directory.rs
+++ b/crates/core/tests/it/directory.rs
@@ -468,6 +468,7 @@
         host: "desk.example".into(),
         path: "/desk/1".into(),
         fingerprint: Fingerprint::default(),
+        resumes: None,
     };
     deployment.send_call(ENTRY, request);
     deployment.run(700);
--- a/crates/core/tests/it/leaving.rs
+++ b/crates/core/tests/it/leaving.rs
@@ -67,7 +67,12 @@
 
 fn request() -> Call {
     let fingerprint = Fingerprint::new(&[b"/desk/1"]);
-    Call::Request { host: "desk.example".into(), path: "/desk/1".into(), fingerprint }
+    Call::Request {
+        host: "desk.example".into(),
+        path: "/desk/1".into(),
+        fingerprint,
+        resumes: None,
+    }
 }
 
 /// Sends requests to an entry and returns how many of them went to each of the upstreams.
--- a/crates/core/tests/it/limits.rs
+++ b/crates/core/tests/it/limits.rs
@@ -86,8 +86,12 @@
             if running.contains(&entry) {
                 let path = format!("/desk/{}-{number}", self.deployment.now);
                 let fingerprint = Fingerprint::new(&[path.as_bytes()]);
-                let call =
-                    Call::Request { host: "desk.example".into(), path: path.into(), fingerprint };
+                let call = Call::Request {
+                    host: "desk.example".into(),
+                    path: path.into(),
+                    fingerprint,
+                    resumes: None,
+                };
                 tags.push(self.deployment.send_call(entry, call));
             }
             let next = self.deployment.now + interval_ms;
@@ -341,7 +345,10 @@
     for number in 0_u32..500 {
         let fingerprint = Fingerprint::new(&[&number.to_be_bytes()]);
         let (host, path) = ("desk.example".into(), "/desk/1".into());
-        deployment.send_call(HostId(101 + number % 2), Call::Request { host, path, fingerprint });
+        deployment.send_call(
+            HostId(101 + number % 2),
+            Call::Request { host, path, fingerprint, resumes: None },
+        );
         deployment.run(20);
         for (entry, forward) in std::mem::take(&mut deployment.forwards) {
             let index = deployment.engines.iter().position(|e| e.id == forward.upstream.id);
--- a/crates/core/tests/it/main.rs
+++ b/crates/core/tests/it/main.rs
@@ -33,5 +33,6 @@
 mod sole_survivor;
 mod stalled_disk;
 mod tables;
+mod taken_up_streams;
 mod text_cache;
 mod voter_sets;
--- a/crates/core/tests/it/planned_stop.rs
+++ b/crates/core/tests/it/planned_stop.rs
@@ -28,7 +28,7 @@
 
 fn request(deployment: &mut Deployment) -> RequestTag {
     let (host, path) = ("desk.example".into(), "/desk/1".into());
-    let call = Call::Request { host, path, fingerprint: Fingerprint::default() };
+    let call = Call::Request { host, path, fingerprint: Fingerprint::default(), resumes: None };
     deployment.send_call(ENTRY, call)
 }
 
--- /dev/null
+++ b/crates/core/tests/it/taken_up_streams.rs
@@ -0,0 +1,199 @@
+//! Streams that callers take up, while upstreams of two software versions serve.
+
+use std::cell::Cell;
+use std::rc::Rc;
+use std::sync::Arc;
+
+use chestnutdrift_core::directory::RouteKind;
+use chestnutdrift_core::gateway::message::GatewayMessage;
+use chestnutdrift_core::gateway::{Announcement, Answer, Call, Event, ForwardEnd};
+use chestnutdrift_core::message::Message;
+use chestnutdrift_core::{Fingerprint, HostId, Ran};
+use test_case::test_case;
+
+use crate::deployment::{Deployment, routing};
+
+const STORES: [HostId; 3] = [HostId(1), HostId(2), HostId(3)];
+const ENTRIES: [HostId; 3] = [HostId(101), HostId(102), HostId(103)];
+const STREAMS: usize = 24;
+
+fn announce(deployment: &mut Deployment, number: u32, software: &str, leaving: bool, seq: u64) {
+    let announcement = Announcement {
+        id: format!("desk-{number}").into(),
+        service: "desk".into(),
+        address: format!("10.0.1.{number}:8000").into(),
+        zone: "zone-1".into(),
+        slots: 64,
+        leaving,
+        started_at: 1,
+        seq,
+        versions: Vec::new(),
+        software: software.into(),
+    };
+    deployment.send_call(STORES[0], Call::Announce(announcement));
+}
+
+/// Returns a deployment with a route for streams and two upstreams of each of two versions.
+fn mixed(seed: u64) -> Deployment {
+    let mut deployment = Deployment::new(seed, 3, 3);
+    deployment.start_serving();
+    let mut routing = (*routing(2)).clone();
+    routing.routes[0].kind = RouteKind::Stream;
+    deployment.call(HostId(2), Call::PutRouting(Arc::new(routing)), 1_500);
+    for (number, software) in [(1, "v1"), (2, "v1"), (3, "v2"), (4, "v2")] {
+        announce(&mut deployment, number, software, false, 1);
+    }
+    deployment.run(2_000);
+    deployment
+}
+
+/// Sends a request for a stream; returns the upstream that it reaches, or its refusal.
+fn stream(
+    deployment: &mut Deployment,
+    entry: HostId,
+    resumes: Option<String>,
+) -> Result<(String, String), Answer> {
+    let before = deployment.forwards.len();
+    let fingerprint = Fingerprint::new(&[&before.to_be_bytes()]);
+    let (host, path) = ("desk.example".into(), "/desk/1".into());
+    let resumes = resumes.map(Into::into);
+    let tag = deployment.send_call(entry, Call::Request { host, path, fingerprint, resumes });
+    deployment.run(300);
+    if let Some(answer) = deployment.answers.get(&tag) {
+        return Err(answer.clone());
+    }
+    let (host, forward) = deployment.forwards.get(before).expect("a forward").clone();
+    let end = ForwardEnd::Begun { status: 200 };
+    deployment.deliver(host, Event::ForwardEnded { attempt: forward.attempt, end });
+    Ok((format!("call-{}", tag.0), forward.upstream.id.to_string()))
+}
+
+/// Returns the version of an upstream.
+fn version(upstream: &str) -> &'static str {
+    if matches!(upstream, "desk-1" | "desk-2") { "v1" } else { "v2" }
+}
+
+/// Begins streams at the entries in turn.
+fn begin(deployment: &mut Deployment) -> Vec<(String, String)> {
+    let begun: Vec<(String, String)> = (0..STREAMS)
+        .map(|number| stream(deployment, ENTRIES[number % 3], None).expect("a stream"))
+        .collect();
+    let old = begun.iter().filter(|(_, upstream)| version(upstream) == "v1").count();
+    assert!((1..STREAMS).contains(&old), "both versions begin streams");
+    begun
+}
+
+/// Takes up all streams at other entries; returns how many go on, and checks where they do, and that
+/// the others are refused as not run.
+fn take_up(deployment: &mut Deployment, begun: &[(String, String)]) -> usize {
+    let mut gone_on = 0;
+    for (number, (id, upstream)) in begun.iter().enumerate() {
+        match stream(deployment, ENTRIES[(number + 1) % 3], Some(id.clone())) {
+            Ok((_, next)) => {
+                assert_eq!(version(&next), version(upstream), "{id} went on at {next}");
+                gone_on += 1;
+            }
+            Err(Answer::Problem(problem)) => {
+                assert_eq!(problem.ran, Ran::No, "{problem:?}");
+                assert!(problem.retry_after_ms.is_some(), "{problem:?}");
+            }
+            Err(answer) => panic!("{answer:?}"),
+        }
+    }
+    gone_on
+}
+
+/// Guards against streams that go on at another version, and against refusing them all.
+#[test_case("nothing"; "calm")]
+#[test_case("entries"; "all entries killed at once")]
+#[test_case("store"; "and a store")]
+#[test_case("leader"; "and the leading store")]
+#[test_case("restart"; "each store restarted in turn while streams begin")]
+fn a_stream_was_taken_up_at_another_version(how: &str) {
+    for seed in 0..3 {
+        let mut deployment = mixed(900 + seed);
+        let begun = begin(&mut deployment);
+        if how != "nothing" && how != "restart" {
+            ENTRIES.into_iter().for_each(|entry| deployment.kill(entry));
+        }
+        match how {
+            "store" => deployment.kill(STORES[usize::try_from(seed).expect("a number")]),
+            "leader" => {
+                let leader = deployment.leader().expect("a leader");
+                deployment.kill(leader);
+            }
+            "restart" => {
+                deployment.kill(STORES[0]);
+                deployment.start(STORES[0]);
+            }
+            _ => {}
+        }
+        if how != "nothing" && how != "restart" {
+            ENTRIES.into_iter().for_each(|entry| deployment.start(entry));
+        }
+        deployment.run(6_000);
+        let gone_on = take_up(&mut deployment, &begun);
+        assert_eq!(gone_on, STREAMS, "seed {seed}");
+    }
+}
+
+/// Guards against a stream that goes on at a new version since the upstreams of its own have just left.
+#[test]
+fn a_stream_whose_version_has_left_was_taken_up() {
+    let mut deployment = mixed(910);
+    let begun = begin(&mut deployment);
+    ENTRIES.into_iter().for_each(|entry| deployment.kill(entry));
+    for number in [1, 2] {
+        announce(&mut deployment, number, "v1", true, 2);
+        deployment.send_call(STORES[0], Call::Leave { id: format!("desk-{number}").into() });
+    }
+    ENTRIES.into_iter().for_each(|entry| deployment.start(entry));
+    deployment.run(6_000);
+    let of_new = begun.iter().filter(|(_, upstream)| version(upstream) == "v2").count();
+    assert_eq!(take_up(&mut deployment, &begun), of_new);
+}
+
+/// Guards against a guess where nobody knows the version: stores keep it in memory only.
+#[test_case("stores"; "all stores lost power")]
+#[test_case("unnamed"; "the caller names no attempt")]
+#[test_case("cut"; "the entry is cut off from all stores")]
+fn a_stream_of_an_unknown_version_was_taken_up(how: &str) {
+    let mut deployment = mixed(920);
+    let begun = begin(&mut deployment);
+    match how {
+        "stores" => {
+            STORES.into_iter().for_each(|store| deployment.kill(store));
+            STORES.into_iter().for_each(|store| deployment.start(store));
+            deployment.run(6_000);
+        }
+        "unnamed" => {
+            let refused = stream(&mut deployment, ENTRIES[0], Some(String::new()));
+            assert!(matches!(refused, Err(Answer::Problem(problem)) if problem.ran == Ran::No));
+        }
+        _ => {
+            for entry in ENTRIES {
+                STORES.into_iter().for_each(|store| deployment.cut(entry, store, true));
+            }
+            deployment.run(6_000);
+        }
+    }
+    let expected = if how == "unnamed" { STREAMS } else { 0 };
+    assert_eq!(take_up(&mut deployment, &begun), expected);
+    assert!(stream(&mut deployment, ENTRIES[0], None).is_ok(), "new streams begin");
+}
+
+/// Guards against a record for requests that are no streams, or more than three small messages for one.
+#[test]
+fn a_stream_costs_a_message_to_each_of_three_stores() {
+    let mut deployment = mixed(930);
+    let sent = Rc::new(Cell::new(0));
+    let count = Rc::clone(&sent);
+    deployment.on_send = Some(Box::new(move |_, envelope| {
+        let Message::Gateway(message) = &envelope.message else { return };
+        if let GatewayMessage::Streams(_) = &**message {
+            count.set(count.get() + 1);
+        }
+    }));
+    begin(&mut deployment);
+    assert!(sent.get() <= 3 * STREAMS, "{} messages", sent.get());
+}
--- a/crates/daemon/src/gateway/metrics.rs
+++ b/crates/daemon/src/gateway/metrics.rs
@@ -286,6 +286,7 @@
         ("quota_requests", counters.quota_requests),
         ("permits_granted", counters.permits_granted),
         ("over_limit", counters.over_limit),
+        ("streams_refused", counters.streams_refused),
         ("routing_version", counters.routing_version),
         ("ready", u64::from(counters.ready)),
         ("leads", u64::from(counters.leads)),
