--- a/crates/core/tests/it/taken_up_streams.rs
+++ b/crates/core/tests/it/taken_up_streams.rs
@@ -52,7 +52,7 @@
     deployment: &mut Deployment,
     entry: HostId,
     resumes: Option<String>,
-) -> Result<(String, String), Answer> {
+) -> Result<(String, String), Box<Answer>> {
     let before = deployment.forwards.len();
     let fingerprint = Fingerprint::new(&[&before.to_be_bytes()]);
     let (host, path) = ("desk.example".into(), "/desk/1".into());
@@ -60,7 +60,7 @@
     let tag = deployment.send_call(entry, Call::Request { host, path, fingerprint, resumes });
     deployment.run(300);
     if let Some(answer) = deployment.answers.get(&tag) {
-        return Err(answer.clone());
+        return Err(Box::new(answer.clone()));
     }
     let (host, forward) = deployment.forwards.get(before).expect("a forward").clone();
     let end = ForwardEnd::Begun { status: 200 };
@@ -68,6 +68,13 @@
     Ok((format!("call-{}", tag.0), forward.upstream.id.to_string()))
 }
 
+/// Checks that a request was refused as not run, with a time to come back.
+fn assert_refused(answer: &Answer) {
+    let Answer::Problem(problem) = answer else { panic!("{answer:?}") };
+    assert_eq!(problem.ran, Ran::No, "{problem:?}");
+    assert!(problem.retry_after_ms.is_some(), "{problem:?}");
+}
+
 /// Returns the version of an upstream.
 fn version(upstream: &str) -> &'static str {
     if matches!(upstream, "desk-1" | "desk-2") { "v1" } else { "v2" }
@@ -93,11 +100,7 @@
                 assert_eq!(version(&next), version(upstream), "{id} went on at {next}");
                 gone_on += 1;
             }
-            Err(Answer::Problem(problem)) => {
-                assert_eq!(problem.ran, Ran::No, "{problem:?}");
-                assert!(problem.retry_after_ms.is_some(), "{problem:?}");
-            }
-            Err(answer) => panic!("{answer:?}"),
+            Err(answer) => assert_refused(&answer),
         }
     }
     gone_on
@@ -168,7 +171,7 @@
         }
         "unnamed" => {
             let refused = stream(&mut deployment, ENTRIES[0], Some(String::new()));
-            assert!(matches!(refused, Err(Answer::Problem(problem)) if problem.ran == Ran::No));
+            assert_refused(&refused.expect_err("a refusal"));
         }
         _ => {
             for entry in ENTRIES {
