--- a/crates/core/src/gateway/board/host.rs
+++ b/crates/core/src/gateway/board/host.rs
@@ -45,6 +45,8 @@
     pub introduced_to: u64,
     /// The digest of this host's roster that it has; zero if it has none.
     pub known_roster: u64,
+    /// Whether contacts of that host leave its hellos unanswered.
+    pub misses_contacts: bool,
     /// Whether its replica of the directory keeps up with the leader.
     pub holds_directory: bool,
     /// When the last hello to it was sent.
@@ -84,6 +86,7 @@
             reported_stores: (0, Vec::new()),
             introduced_to: 0,
             known_roster: 0,
+            misses_contacts: false,
             holds_directory: false,
             last_hello_sent: Millis(0),
             next_hello: Millis(0),
--- a/crates/core/src/gateway/controller/membership.rs
+++ b/crates/core/src/gateway/controller/membership.rs
@@ -56,9 +56,20 @@
     }
 }
 
-/// Returns whether this host says hello to another one: an entry host only to its contacts.
+/// Returns whether this host says hello to another one: an entry host only to its contacts, and to the
+/// voters while a contact may be cut off from them.
 fn gets_hellos(board: &Board, host: &Host) -> bool {
-    host.role == Role::Store && (host.contact_since.is_some() || board.cfg.role == Role::Store)
+    if host.role != Role::Store {
+        return false;
+    }
+    host.contact_since.is_some()
+        || board.cfg.role == Role::Store
+        || (board.voters.1.contains(&host.id) && may_contacts_be_cut_off(board))
+}
+
+/// Returns whether a contact of this host may be cut off from a majority of the voters.
+fn may_contacts_be_cut_off(board: &Board) -> bool {
+    board.hosts.values().any(|host| host.contact_since.is_some() && host.misses_contacts)
 }
 
 fn handle_reloaded(board: &mut Board, seeds: &[HostId]) {
@@ -139,6 +150,7 @@
     host.role = Role::Store;
     host.known_revision = view.revision;
     host.holds_directory = view.holds_directory;
+    host.misses_contacts = view.misses_contacts;
     if let Some(roster) = &view.roster {
         let stores = roster.zones.values().flatten().copied().collect();
         host.reported_stores = (roster.digest(), stores);
@@ -255,6 +267,7 @@
         let host = &mut board.hosts[key];
         let is_contact = host.contact_since.is_some();
         let interval = match (is_contact, host.is_live(now)) {
+            (false, _) if board.cfg.role == Role::Entry => HELLO_INTERVAL,
             (true, true) => HELLO_INTERVAL,
             (true, false) => SILENT_HELLO_INTERVAL,
             (false, _) => DISTANT_HELLO_INTERVAL,
--- a/crates/core/src/gateway/controller/views.rs
+++ b/crates/core/src/gateway/controller/views.rs
@@ -25,6 +25,10 @@
 /// subscriber, so changes that come close together share one.
 const CHANGE_INTERVAL: Millis = Millis(200);
 
+/// How long after the last message of a contact one of its answers is missed: an interval between hellos,
+/// and some round trips between regions.
+const MISSED_ANSWER_TIME: Millis = Millis(1_300);
+
 /// Sends views to other hosts.
 #[derive(Debug, Default)]
 pub(super) struct Views {
@@ -141,6 +145,7 @@
         stores,
         roster,
         holds_directory: holds_directory(board),
+        misses_contacts: misses_contacts(board),
         routing,
         revision: (board.cfg.boot_id, board.revision),
         upstreams,
@@ -197,6 +202,19 @@
     (stores, Some(roster))
 }
 
+/// Returns whether a third of the contacts of this host, or more, leave its hellos unanswered.
+fn misses_contacts(board: &Board) -> bool {
+    let now = board.now.mono;
+    let (mut contacts, mut missed) = (0, 0);
+    for host in board.hosts.values() {
+        let Some(since) = host.contact_since else { continue };
+        let heard = host.last_seen.map_or(since, |seen| seen.max(since));
+        contacts += 1;
+        missed += usize::from(now.since(heard) >= MISSED_ANSWER_TIME);
+    }
+    missed > 0 && missed * 3 >= contacts
+}
+
 fn holds_directory(board: &Board) -> bool {
     let Some(group) = &board.group else { return false };
     board.leads() || group.replica.is_caught_up(board.now)
--- a/crates/core/src/gateway/message.rs
+++ b/crates/core/src/gateway/message.rs
@@ -247,6 +247,10 @@
     /// Whether the sender's replica of the directory keeps up with the leader.
     #[serde(skip_serializing_if = "std::ops::Not::not")]
     pub holds_directory: bool,
+    /// Whether contacts of the sender leave its hellos unanswered, so that it may be cut off from a
+    /// majority of the voters.
+    #[serde(skip_serializing_if = "std::ops::Not::not")]
+    pub misses_contacts: bool,
     /// A newer routing configuration; `None` where the receiver needs none.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub routing: Option<Arc<RoutingConfig>>,
--- a/crates/core/tests/it/many_hosts.rs
+++ b/crates/core/tests/it/many_hosts.rs
@@ -318,3 +318,39 @@
         assert_eq!(without_routing(&deployment, version), [], "{left:?} follow the log no more");
     }
 }
+
+/// Guards against entries whose contacts are all on the smaller side of a cut between stores: they answer
+/// proper requests by an old configuration, though they reach the larger side.
+#[test_case(0; "a change just after the cut")]
+#[test_case(1_900; "a change during the cut")]
+fn entries_with_contacts_behind_a_cut_missed_configurations(delay_ms: u64) {
+    const GROWN: Size =
+        Size { stores: 12, entries: 60, zones: 6, zones_per_region: 2, tolerated_losses: 1 };
+    for seed in 0..3 {
+        let mut deployment = started(GROWN);
+        deployment.run(seed * 333);
+        // Half of the stores, with one voter at most: those of one zone and one of each of three others.
+        let leader = deployment.leader().expect("a leader");
+        let voters = deployment.gateway(HostId(101)).board().voters.1.clone();
+        let order =
+            (0..6).map(|number| HostId(1 + (number + u32::try_from(seed).unwrap_or(0)) % 6));
+        let pairs = order.flat_map(|id| [id, HostId(id.0 + 6)]).filter(|id| *id != leader);
+        let mut behind: Vec<HostId> = Vec::new();
+        for id in pairs {
+            let has_voter = behind.iter().any(|other| voters.contains(other));
+            if behind.len() < 6 && !(has_voter && voters.contains(&id)) {
+                behind.push(id);
+            }
+        }
+        for store in (1..=12).map(HostId).filter(|id| !behind.contains(id)) {
+            behind.iter().for_each(|other| deployment.cut(*other, store, true));
+        }
+        deployment.run(delay_ms);
+        let put = deployment.call(leader, Call::PutRouting(routing(2)), 900);
+        assert_eq!(put, Some(Answer::Done), "seed {seed}");
+        deployment.run(3_000 - 900);
+        let late = without_routing(&deployment, 2).into_iter().filter(|id| id.0 > 100);
+        let late: Vec<HostId> = late.collect();
+        assert!(late.is_empty(), "seed {seed}: {late:?} behind {behind:?}, voters {voters:?}");
+    }
+}
