--- a/crates/core/tests/it/main.rs
+++ b/crates/core/tests/it/main.rs
@@ -11,6 +11,7 @@
 mod directory;
 mod ended_upstreams;
 mod fleet_settings;
+mod full_disks;
 mod installed_snapshot;
 mod item_queue;
 mod job_memory;
