fix(daemon): a late second answer to another request ended an order

What callers saw: an engine counted as having loaded a version that it had not been ordered to load; items sent to it were refused with 421 until the next order Cause: an order's answer was judged by its status alone; the copy of an item's 200 that came on the connection after it was in use again read as 'holds already' Excluded: reward calls, whose answers are matched by their id; reports, whose body can't be read then Change: an answer with a request id does not belong to an order or a report; the connection is dropped Before: late_copies::a_late_copy_was_taken_for_the_answer_to_an_order: Holds After: Unknown; the other two cases pass as before Conclusion: kept; a copy of a report has no id and can't be told from the answer to an order

--- a/crates/daemon/src/gateway/orders.rs
+++ b/crates/daemon/src/gateway/orders.rs
@@ -129,6 +129,10 @@
             }
         })?;
         let (head, body) = response.into_parts();
+        // These calls carry no id, so an answer with one is a late copy of another request's answer.
+        if let Some(id) = self.protocol.request_id(&head.headers) {
+            return Err(format!("the response belongs to request {id}").into());
+        }
         let status = head.status.as_u16();
         let protocol = &*self.protocol;
         let leaving = report_statements(protocol, &self.inputs, upstream, &head, None, call);
