--- a/crates/core/src/gateway/board/item.rs
+++ b/crates/core/src/gateway/board/item.rs
@@ -53,6 +53,8 @@
     pub failures: u32,
     /// Number of runs that were started.
     pub runs: u32,
+    /// Number of runs in a row that broke off after a few events or none.
+    pub short_runs: u32,
     /// The software version of the upstream of the last run.
     pub run_software: Box<str>,
     /// Whether the events of the current run are dropped, since another version may have written them.
@@ -91,6 +93,7 @@
             progress: (0, now),
             failures: 0,
             runs: 0,
+            short_runs: 0,
             run_software: Box::default(),
             is_run_void: false,
             avoid: None,
--- a/crates/core/src/gateway/controller/items.rs
+++ b/crates/core/src/gateway/controller/items.rs
@@ -46,9 +46,15 @@
 const PLACE_INTERVAL: Millis = Millis(10);
 
 /// How long an engine may send nothing during a run. The limit exceeds the duration of a weight
-/// load.
+/// load, and doubles with each short run of an item: where all engines are slow, it would else never end.
 const SILENCE_TIMEOUT: Millis = Millis(2_500);
 
+/// The most times that the limit is doubled.
+const MAX_SILENCE_DOUBLINGS: u32 = 3;
+
+/// A run that broke off after fewer events is short.
+const SHORT_RUN_EVENTS: u32 = 4;
+
 /// The time limit of a run; a longer one is broken off and the item resumes elsewhere.
 const RUN_TIMEOUT: Millis = Millis(30_000);
 
@@ -132,6 +138,8 @@
         // An answer that lost all its events looks the same, so another run has to confirm the end.
         let unconfirmed = adds_nothing && !item.end_reported;
         item.end_reported = unconfirmed || (item.end_reported && run_events == 0);
+        let is_short = matches!(run.end, ItemEnd::Broken { .. }) && run_events < SHORT_RUN_EVENTS;
+        item.short_runs = if is_short { item.short_runs + 1 } else { 0 };
         let now = board.now.mono;
         // `Some(None)` is a complete text whose weight versions the job does not accept.
         let outcome = match &run.end {
@@ -379,7 +387,7 @@
         item: item.index,
         resume_after: item.text.last_event,
         version,
-        silence: SILENCE_TIMEOUT,
+        silence: Millis(SILENCE_TIMEOUT.0 << item.short_runs.min(MAX_SILENCE_DOUBLINGS)),
         deadline: RUN_TIMEOUT,
     };
     board.counters.item_runs += 1;
--- a/crates/core/tests/it/deployment/upstreams.rs
+++ b/crates/core/tests/it/deployment/upstreams.rs
@@ -42,6 +42,8 @@
     pub(crate) started_runs: Vec<(u32, u64)>,
     /// The share of runs whose connection breaks after two events, in percent.
     pub(crate) break_percent: u32,
+    /// The time to the first event of each run, in milliseconds.
+    pub(crate) first_event_ms: u64,
     /// The limit that it names in its answers.
     pub(crate) limit: Option<RequestRate>,
     /// Number of requests of callers that it got.
@@ -65,6 +67,7 @@
             completed_runs: Vec::new(),
             started_runs: Vec::new(),
             break_percent: 0,
+            first_event_ms: 0,
             limit: None,
             forwards: 0,
             arrivals: Vec::new(),
@@ -153,8 +156,11 @@
         let first = run.resume_after.unwrap_or(0) + 1;
         let length = self.events_per_item.unwrap_or(u64::from(run.item % 5) + 3);
         engine.started_runs.push((run.item, first));
+        let is_silent = engine.first_event_ms > run.silence.0;
         let (end, last) = if rejected {
             (ItemEnd::NotRun { status: 421, other_instance: false }, first - 1)
+        } else if is_silent {
+            (ItemEnd::Broken { detail: "silent".into() }, first - 1)
         } else if break_roll < engine.break_percent && first + 1 < length {
             (ItemEnd::Broken { detail: "broken".into() }, first + 1)
         } else {
@@ -165,7 +171,7 @@
         // Events of another software version than the usual one show it.
         let mark = if *engine.software == *"v1" { "" } else { &*format!("@{}", engine.software) };
         let events: Vec<u64> = (first..=last).collect();
-        let mut time = now + 1;
+        let mut time = now + 1 + engine.first_event_ms.min(run.silence.0);
         let mut unreported = ItemText::default();
         for (number, id) in events.iter().enumerate() {
             if number > 0 && number % EVENTS_PER_REPORT == 0 {
--- a/crates/core/tests/it/item_queue.rs
+++ b/crates/core/tests/it/item_queue.rs
@@ -122,3 +122,20 @@
     times.sort_unstable();
     times[times.len() / 2]
 }
+
+/// Guards against items that make no progress since each of their runs is cut before a slow engine sends
+/// its first event.
+#[test]
+fn items_were_never_run_to_their_end_where_all_engines_are_slow() {
+    let mut deployment = Deployment::new(77, 3, 2);
+    for number in 0..2 {
+        deployment.add_engine(SimEngine { first_event_ms: 5_000, ..SimEngine::new(number) });
+    }
+    deployment.start_serving();
+    deployment.submit(HostId(101), job("job", 8, 1));
+    deployment.run(30_000);
+    let page = deployment.results(HostId(101), "job", 0).expect("a page");
+    assert_eq!(page.results.len(), 8);
+    let whole: usize = deployment.engines.iter().map(|engine| engine.completed_runs.len()).sum();
+    assert_eq!(whole, 8, "each item is completed");
+}
