--- a/crates/core/src/gateway/controller/forwarding.rs
+++ b/crates/core/src/gateway/controller/forwarding.rs
@@ -11,7 +11,7 @@
 mod taken_up;
 
 use self::endings::{deliver_held, fail, fail_after_max_wait, is_quarantined, refuse};
-use self::over_limit::{is_over_limit, refuse_over_limit};
+use self::over_limit::{ask_for_permit, refuse_over_limit};
 use self::submissions::handle_job_read;
 use self::taken_up::{is_continuable, may_continue, record_stream, refuse_uncontinuable};
 use super::Controller;
@@ -305,7 +305,7 @@
             RequestState::Waiting if is_quarantined(board, request) => refuse(board, key),
             RequestState::Waiting => match self.choose(board, key) {
                 Some(upstream) => start_attempt(board, key, upstream),
-                None if is_over_limit(board, key) => refuse_over_limit(board, key),
+                None if !ask_for_permit(board, key) => refuse_over_limit(board, key),
                 None => fail_after_max_wait(board, key),
             },
             RequestState::Reading | RequestState::Searching if now >= request.until => {
--- a/crates/core/src/gateway/controller/forwarding/over_limit.rs
+++ b/crates/core/src/gateway/controller/forwarding/over_limit.rs
@@ -7,17 +7,18 @@
 use crate::key::RequestKey;
 use crate::time::Millis;
 
-/// Asks for a permit for a request that no upstream can take now, if upstreams with a limit could, and
-/// returns whether there is none in its time.
-pub(super) fn is_over_limit(board: &mut Board, key: RequestKey) -> bool {
+/// Asks for a permit for a request that no upstream can take now, if upstreams with a limit could.
+///
+/// Returns `false` if only these could, and none of them has a permit in the time of the request.
+pub(super) fn ask_for_permit(board: &mut Board, key: RequestKey) -> bool {
     if !board.has_limits {
-        return false;
+        return true;
     }
     let now = board.now.mono;
     let request = &board.requests[key];
     let upstreams = limited(board, &request.service);
     if upstreams.is_empty() {
-        return false;
+        return true;
     }
     // Others without a limit are busy now and may be free soon.
     let has_others = board.upstreams.values().any(|upstream| {
@@ -30,13 +31,13 @@
     let until = request.until.min(request.opened + max_wait);
     let wait = board.quota_waits.entry(service).or_default();
     if now < wait.refused_until {
-        return !has_others;
+        return has_others;
     }
     let is_first = wait.waiting == 0;
     wait.priority = if is_first { priority } else { wait.priority.min(priority) };
     wait.until = if is_first { until } else { wait.until.max(until) };
     wait.waiting += 1;
-    false
+    true
 }
 
 /// Refuses a request for which there is no permit in its time, and tells its caller when there may be.
