fix(core): texts of items were dropped where no engine had memory

What callers saw: nothing yet; items would have lost their progress under load (found in the read of the change) Cause: an item was held to wait for its software version although engines of any version lacked memory Excluded: engines without a free slot, which are not looked at Change: a text is dropped only if an engine could take the item without it.

--- a/crates/core/src/gateway/board/quota.rs
+++ b/crates/core/src/gateway/board/quota.rs
@@ -106,7 +106,7 @@
     }
 
     /// Returns the number of permits that can be granted before there are requests for them: half of what
-    /// a full ledger holds beyond [`MIN_BURST`] is kept for requests that wait.
+    /// a full ledger holds beyond its least size is kept for requests that wait.
     #[must_use]
     pub fn spare(&self, rate: RequestRate, now: Millis) -> u32 {
         let kept = (Self::burst(rate) - MIN_BURST * MICROS_PER_REQUEST) / 2;
--- a/crates/core/src/gateway/controller/items.rs
+++ b/crates/core/src/gateway/controller/items.rs
@@ -277,7 +277,10 @@
                 break;
             }
             let mut engines = free.candidates_for(board, item.key);
-            if engines.is_empty() && is_text_hopeless(board, item.key) {
+            let may_begin_anew = engines.is_empty()
+                && is_text_hopeless(board, item.key)
+                && free.has_candidate_without_text(board, item.key);
+            if may_begin_anew {
                 drop_text(board, item.key);
                 engines = free.candidates_for(board, item.key);
             }
--- a/crates/core/src/gateway/controller/items/engines.rs
+++ b/crates/core/src/gateway/controller/items/engines.rs
@@ -4,7 +4,7 @@
 
 use super::resumption::can_resume;
 use crate::directory::JobSpec;
-use crate::gateway::board::{Board, Upstream};
+use crate::gateway::board::{Board, Item, Upstream};
 use crate::gateway::policy::EngineCandidate;
 use crate::key::{ItemKey, JobKey, UpstreamKey};
 
@@ -80,8 +80,23 @@
         }
     }
 
-    /// Returns the engines that have memory for an item and run weights that its job accepts.
+    /// Returns the engines that have memory for an item, run weights that its job accepts, and can continue
+    /// its text.
     pub(super) fn candidates_for(&mut self, board: &Board, key: ItemKey) -> Vec<EngineCandidate> {
+        self.select(board, key, can_resume)
+    }
+
+    /// Returns whether an engine could take an item if its text began anew.
+    pub(super) fn has_candidate_without_text(&mut self, board: &Board, key: ItemKey) -> bool {
+        !self.select(board, key, |_, _, _| true).is_empty()
+    }
+
+    fn select(
+        &mut self,
+        board: &Board,
+        key: ItemKey,
+        can_continue: impl Fn(&Item, &JobSpec, &Upstream) -> bool,
+    ) -> Vec<EngineCandidate> {
         let item = &board.items[key];
         let Some(job) = board.jobs.get(item.job) else { return Vec::new() };
         let spec = &job.spec;
@@ -95,7 +110,7 @@
             let Some(upstream) = board.upstreams.get(engine.key) else { continue };
             let limit = engine.memory_tokens.saturating_mul(MAX_RESERVED_PERCENT);
             let has_memory = upstream.tokens == 0 || (upstream.tokens + tokens) * 100 <= limit;
-            if !has_memory || !can_resume(item, spec, upstream) {
+            if !has_memory || !can_continue(item, spec, upstream) {
                 continue;
             }
             engines.push(EngineCandidate {
--- a/crates/core/tests/it/joined_texts.rs
+++ b/crates/core/tests/it/joined_texts.rs
@@ -1,10 +1,13 @@
 //! Texts of items while engines of two software versions serve.
 
+use std::sync::Arc;
+
 use chestnutdrift_core::HostId;
 use chestnutdrift_core::directory::{ItemOutcome, ItemText};
+use chestnutdrift_core::gateway::Call;
 use test_case::test_case;
 
-use crate::deployment::{Deployment, SimEngine, job};
+use crate::deployment::{Deployment, SimEngine, job, routing};
 use crate::directory::ENTRY;
 
 const ITEMS: u32 = 16;
@@ -126,3 +129,26 @@
     let read: ItemText = ciborium::from_reader(&encoded[..]).expect("a text");
     assert_eq!(*read.software, *"v1");
 }
+
+/// Guards against texts that are dropped while no engine has memory for their items, whatever its version.
+#[test]
+fn texts_were_dropped_where_no_engine_had_memory() {
+    for seed in 0..4 {
+        let mut deployment = Deployment::new(800 + seed, 3, 2);
+        for number in 0..2 {
+            deployment.add_engine(SimEngine { break_percent: 50, ..SimEngine::new(number) });
+        }
+        deployment.start_serving();
+        let mut small = (*routing(2)).clone();
+        let engine = small.services[1].engine.as_mut().expect("an engine");
+        // Two of its four slots have memory: an item reserves 700 tokens.
+        engine.memory_tokens = 1_500;
+        deployment.call(HostId(2), Call::PutRouting(Arc::new(small)), 1_000);
+        deployment.events_per_item = Some(30);
+        deployment.submit(ENTRY, job("job", ITEMS, 1));
+        deployment.run(20_000);
+        check_results(&mut deployment, 30);
+        let dropped = deployment.timeline.iter().filter(|e| e.detail.contains("text_dropped"));
+        assert_eq!(dropped.count(), 0, "seed {seed}");
+    }
+}
