--- a/crates/daemon/src/gateway/orders.rs
+++ b/crates/daemon/src/gateway/orders.rs
@@ -130,7 +130,8 @@
         })?;
         let (head, body) = response.into_parts();
         // These calls carry no id, so an answer with one is a late copy of another request's answer.
-        if let Some(id) = self.protocol.request_id(&head.headers) {
+        let id = self.protocol.request_id(&head.headers).unwrap_or_default();
+        if !id.is_empty() {
             return Err(format!("the response belongs to request {id}").into());
         }
         let status = head.status.as_u16();
