--- a/crates/core/src/gateway/board/item.rs
+++ b/crates/core/src/gateway/board/item.rs
@@ -110,12 +110,11 @@
         if self.is_run_void {
             return;
         }
-        if self.text.events == 0 {
+        let begins = self.text.events == 0;
+        self.text.append(events);
+        if begins {
             self.text.software.clone_from(&self.run_software);
         }
-        let software = std::mem::take(&mut self.text.software);
-        self.text.append(events);
-        self.text.software = software;
     }
 
     /// Makes the text complete, so that only its score is missing.
--- a/crates/core/src/gateway/board/quota.rs
+++ b/crates/core/src/gateway/board/quota.rs
@@ -27,25 +27,6 @@
 /// The latest time at which callers are told to come back; they do not wait for longer.
 pub const MAX_RETURN_TIME: Millis = Millis(5_000);
 
-/// Permission to send one request to an upstream, from [`Board::admit`](super::Board::admit).
-#[derive(Debug)]
-pub struct Admission {
-    /// The upstream.
-    upstream: UpstreamKey,
-}
-
-impl Admission {
-    /// Creates an admission to an upstream.
-    pub(super) fn new(upstream: UpstreamKey) -> Self {
-        Self { upstream }
-    }
-
-    /// Uses the admission for one request to its upstream.
-    pub(super) fn redeem(self) -> UpstreamKey {
-        self.upstream
-    }
-}
-
 /// The permits of this host for one upstream.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct Permits {
--- a/crates/core/src/gateway/board/stream_origin.rs
+++ b/crates/core/src/gateway/board/stream_origin.rs
@@ -74,18 +74,6 @@
     pub fn get(&self, id: &str) -> Option<&StreamOrigin> {
         self.streams.get(id).map(|record| &record.origin)
     }
-
-    /// Returns the number of streams.
-    #[must_use]
-    pub fn len(&self) -> usize {
-        self.streams.len()
-    }
-
-    /// Returns whether there are none.
-    #[must_use]
-    pub fn is_empty(&self) -> bool {
-        self.streams.is_empty()
-    }
 }
 
 /// The search for the origin of a stream.
--- a/crates/core/src/gateway/controller/candidates.rs
+++ b/crates/core/src/gateway/controller/candidates.rs
@@ -5,7 +5,7 @@
 
 use super::registry;
 use crate::directory::Route;
-use crate::gateway::board::{Attempt, Board};
+use crate::gateway::board::{Attempt, Board, Upstream};
 use crate::gateway::event::ForwardEnd;
 use crate::gateway::policy::UpstreamCandidate;
 use crate::key::UpstreamKey;
@@ -39,9 +39,8 @@
     let now = board.now.mono;
     let contacts = board.live_contacts();
     let mut candidates = Vec::new();
-    for (key, upstream) in &board.upstreams {
-        let fits = *upstream.announced.service == *service && upstream.accepts_requests();
-        if !fits || upstream.ended_until(now).is_some() || !board.may_send(key) {
+    for (key, upstream) in usable(board, service) {
+        if !board.may_send(key) {
             continue;
         }
         candidates.push(UpstreamCandidate {
@@ -58,17 +57,18 @@
     candidates
 }
 
-/// Returns the upstreams of a service that accept requests and have not ended, but have a limit.
-pub(super) fn limited(board: &Board, service: &str) -> Vec<UpstreamKey> {
+/// Returns the upstreams of a service that accept requests and have not ended, whether or not their
+/// limits are reached.
+pub(super) fn usable<'a>(
+    board: &'a Board,
+    service: &'a str,
+) -> impl Iterator<Item = (UpstreamKey, &'a Upstream)> {
     let now = board.now.mono;
-    let mut limited = Vec::new();
-    for (key, upstream) in board.upstreams.iter().filter(|_| board.has_limits) {
-        let fits = *upstream.announced.service == *service && upstream.accepts_requests();
-        if fits && upstream.rate_limit().is_some() && upstream.ended_until(now).is_none() {
-            limited.push(key);
-        }
-    }
-    limited
+    board.upstreams.iter().filter(move |(_, upstream)| {
+        *upstream.announced.service == *service
+            && upstream.accepts_requests()
+            && upstream.ended_until(now).is_none()
+    })
 }
 
 /// Records what the end of an attempt says about its upstream.
--- a/crates/core/src/gateway/controller/forwarding.rs
+++ b/crates/core/src/gateway/controller/forwarding.rs
@@ -3,7 +3,8 @@
 //! Reads: opened requests, ended attempts, decoded jobs, callers that are gone, `routing`,
 //! `upstreams`, `draining`, the clock.
 //! Writes: `requests`, `request_index`, `attempts`, `upstreams` (health), `suspects`,
-//! `suspects_changed`, `quota_waits`, `new_streams`, `stream_searches`, `store_requests`, `counters`, `actions`.
+//! `suspects_changed`, `quota_waits`, `new_streams`, `stream_searches`, `store_requests`, `counters`,
+//! `actions`.
 
 mod endings;
 mod over_limit;
@@ -324,7 +325,7 @@
         let is_tried = |key| request.tried.contains(&key);
         let mut candidates = candidates(board, &request.service, is_tried);
         candidates.retain(|candidate| {
-            Some(candidate.key) != running && may_continue(board, key, candidate.key)
+            Some(candidate.key) != running && may_continue(board, request, candidate.key)
         });
         // A request moves from a slow upstream only to one that it has not tried.
         if running.is_some() {
--- a/crates/core/src/gateway/controller/forwarding/over_limit.rs
+++ b/crates/core/src/gateway/controller/forwarding/over_limit.rs
@@ -1,8 +1,8 @@
 //! Requests that exceed the limits of the upstreams that could run them.
 
 use super::endings::{MAX_WAIT_DIVISOR, deliver_held, fail_after};
-use crate::gateway::board::{Board, MAX_RETURN_TIME};
-use crate::gateway::controller::candidates::limited;
+use crate::gateway::board::{Board, MAX_RETURN_TIME, Upstream};
+use crate::gateway::controller::candidates::usable;
 use crate::gateway::rate::{MICROS_PER_REQUEST, RequestRate};
 use crate::key::RequestKey;
 use crate::time::Millis;
@@ -16,16 +16,12 @@
     }
     let now = board.now.mono;
     let request = &board.requests[key];
-    let upstreams = limited(board, &request.service);
-    if upstreams.is_empty() {
+    let is_limited = |(_, upstream): (_, &Upstream)| upstream.rate_limit().is_some();
+    if !usable(board, &request.service).any(is_limited) {
         return true;
     }
     // Others without a limit are busy now and may be free soon.
-    let has_others = board.upstreams.values().any(|upstream| {
-        let serves = *upstream.announced.service == *request.service;
-        let is_usable = upstream.accepts_requests() && upstream.ended_until(now).is_none();
-        serves && is_usable && upstream.rate_limit().is_none()
-    });
+    let has_others = !usable(board, &request.service).all(is_limited);
     let max_wait = Millis(request.route.latency_objective.0 / MAX_WAIT_DIVISOR);
     let (service, priority) = (request.service.clone(), request.route.priority);
     let until = request.until.min(request.opened + max_wait);
@@ -48,8 +44,7 @@
         return;
     }
     let (now, service) = (board.now.mono, request.service.clone());
-    let rates = limited(board, &service).into_iter();
-    let rates = rates.filter_map(|key| board.upstreams[key].rate_limit());
+    let rates = usable(board, &service).filter_map(|(_, upstream)| upstream.rate_limit());
     let rate = RequestRate(rates.map(|rate| rate.0).sum());
     let wait = board.quota_waits.entry(service).or_default();
     let each = rate.time_for(MICROS_PER_REQUEST);
--- a/crates/core/src/gateway/controller/forwarding/taken_up.rs
+++ b/crates/core/src/gateway/controller/forwarding/taken_up.rs
@@ -2,7 +2,8 @@
 
 use super::endings::fail_after;
 use crate::directory::RouteKind;
-use crate::gateway::board::{Board, StreamOrigin, StreamRecord};
+use crate::gateway::board::{Board, Request, StreamOrigin, StreamRecord};
+use crate::gateway::controller::candidates::usable;
 use crate::key::{RequestKey, UpstreamKey};
 use crate::time::Millis;
 
@@ -11,8 +12,7 @@
 
 /// Returns whether an upstream may run a request: a stream that is taken up goes on only at the software
 /// version that began it.
-pub(super) fn may_continue(board: &Board, key: RequestKey, upstream: UpstreamKey) -> bool {
-    let request = &board.requests[key];
+pub(super) fn may_continue(board: &Board, request: &Request, upstream: UpstreamKey) -> bool {
     let Some(origin) = &request.origin else { return request.resumes.is_none() };
     board.upstreams.get(upstream).is_some_and(|u| u.announced.software == origin.software)
 }
@@ -25,15 +25,10 @@
     let Some(origin) = &request.origin else {
         return Some(format!("no host knows which version began stream {stream:?}"));
     };
-    let now = board.now.mono;
     let targets = &request.route.targets;
     let is_allowed = targets.iter().any(|t| t.weight > 0 && t.service == origin.service);
-    let is_served = board.upstreams.iter().any(|(upstream, known)| {
-        known.announced.service == origin.service
-            && known.accepts_requests()
-            && known.ended_until(now).is_none()
-            && may_continue(board, key, upstream)
-    });
+    let is_served =
+        usable(board, &origin.service).any(|(key, _)| may_continue(board, request, key));
     let version = &origin.software;
     let why = || format!("no upstream of version {version} can continue stream {stream}");
     (!is_allowed || !is_served).then(why)
--- a/crates/core/src/gateway/controller/quotas/asking.rs
+++ b/crates/core/src/gateway/controller/quotas/asking.rs
@@ -1,7 +1,7 @@
 //! Requests for permits, on an entry host.
 
 use crate::gateway::board::{Board, PERMIT_VALIDITY, QuotaWait};
-use crate::gateway::controller::candidates::limited;
+use crate::gateway::controller::candidates::usable;
 use crate::gateway::message::{GatewayMessage, LimitRecord, QuotaGrant, QuotaRequest};
 use crate::time::Millis;
 
@@ -50,9 +50,8 @@
 fn send_request(board: &mut Board, service: &str, waiting: u32, last_number: &mut u64) {
     let now = board.now.mono;
     let (mut upstreams, mut available) = (Vec::new(), 0);
-    for key in limited(board, service) {
-        let upstream = &board.upstreams[key];
-        let Some(limit) = &upstream.limit else { continue };
+    for (_, upstream) in usable(board, service) {
+        let Some(limit) = upstream.limit.filter(|limit| limit.rate().is_some()) else { continue };
         available += upstream.permits.available(now);
         let announced = &upstream.announced;
         let (id, started_at) = (announced.id.clone(), announced.started_at);
