--- a/crates/daemon/src/gateway/events.rs
+++ b/crates/daemon/src/gateway/events.rs
@@ -24,6 +24,7 @@
     field: Box<str>,
     partial_line: Vec<u8>,
     event: StreamEvent,
+    has_data: bool,
     field_count: u32,
 }
 
@@ -78,6 +79,7 @@
             field: field.into(),
             partial_line: Vec::new(),
             event: StreamEvent::default(),
+            has_data: false,
             field_count: 0,
         }
     }
@@ -117,6 +119,7 @@
 
     fn finish_event(&mut self) -> Option<StreamEvent> {
         let event = std::mem::take(&mut self.event);
+        self.has_data = false;
         (std::mem::take(&mut self.field_count) > 0).then_some(event)
     }
 
@@ -130,7 +133,8 @@
         match name {
             "id" => self.event.id = value.trim().parse().ok(),
             "data" => {
-                if !self.event.data.is_empty() {
+                // An empty first line counts, so the length of the data can't tell whether it is the first.
+                if std::mem::replace(&mut self.has_data, true) {
                     self.event.data.push('\n');
                 }
                 self.event.data.push_str(value);
--- a/crates/daemon/tests/memory/fixture.rs
+++ b/crates/daemon/tests/memory/fixture.rs
@@ -13,6 +13,9 @@
 /// The length of the body of an item, in bytes.
 const BODY_BYTES: usize = 600;
 
+/// A line of the text of a result, between two empty ones.
+const TEXT_LINE: &str = "\n\ntttttttt\n";
+
 /// The length of the text of a result, in bytes.
 const TEXT_BYTES: usize = 4_000;
 
@@ -66,7 +69,7 @@
 }
 
 pub(crate) fn result(item: u32) -> NewResult {
-    let text: Arc<str> = "t".repeat(TEXT_BYTES).into();
+    let text: Arc<str> = TEXT_LINE.repeat(TEXT_BYTES / TEXT_LINE.len()).into();
     let outcome = ItemOutcome::Completed { text, versions: vec![1], score: None };
     NewResult::with_whole_text(ItemResult { item, outcome })
 }
