--- a/crates/daemon/src/gateway/events.rs
+++ b/crates/daemon/src/gateway/events.rs
@@ -1,4 +1,13 @@
 //! An incremental parser of server-sent events (`text/event-stream`).
+//!
+//! [`EventReader`] returns the events of a stream whose text this host collects. [`EventBoundary`]
+//! only follows a stream that is passed on. Both split lines with the same [`LineSplitter`].
+
+mod boundary;
+mod lines;
+
+pub use boundary::EventBoundary;
+use lines::LineSplitter;
 
 /// The most bytes of one event: the lines that have been parsed and the one that has not ended yet.
 const MAX_EVENT_BYTES: usize = 256 * 1024;
@@ -19,56 +28,24 @@
 }
 
 /// Parses events from bytes that arrive in chunks.
+///
+/// A block of lines without a `data` line is no event.
 #[derive(Debug)]
 pub struct EventReader {
     field: Box<str>,
+    lines: LineSplitter,
     partial_line: Vec<u8>,
     event: StreamEvent,
-    has_data: bool,
-    field_count: u32,
+    block: Block,
 }
 
-/// Follows the bytes of an event stream and tells whether they end between two events.
-#[derive(Debug, Clone, Copy, Default)]
-pub struct EventBoundary {
-    line: LineKind,
-    in_event: bool,
-    after_return: bool,
-}
-
-/// The kind of the line that has not ended yet, by its first byte.
+/// What the lines since the last blank one contain.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
-enum LineKind {
+enum Block {
     #[default]
     Empty,
-    Comment,
-    Field,
-}
-
-impl EventBoundary {
-    /// Adds the bytes that follow.
-    pub fn push(&mut self, chunk: &[u8]) {
-        for byte in chunk {
-            let after_return = std::mem::replace(&mut self.after_return, *byte == b'\r');
-            match (byte, self.line) {
-                (b'\n', _) if after_return => {}
-                (b'\r' | b'\n', line) => {
-                    self.in_event =
-                        line == LineKind::Field || (self.in_event && line == LineKind::Comment);
-                    self.line = LineKind::Empty;
-                }
-                (b':', LineKind::Empty) => self.line = LineKind::Comment,
-                (_, LineKind::Empty) => self.line = LineKind::Field,
-                _ => {}
-            }
-        }
-    }
-
-    /// Returns whether the bytes so far end between two events.
-    #[must_use]
-    pub fn is_between_events(&self) -> bool {
-        !self.in_event && self.line == LineKind::Empty
-    }
+    Fields,
+    Data,
 }
 
 impl EventReader {
@@ -77,10 +54,10 @@
     pub fn new(field: impl Into<Box<str>>) -> Self {
         Self {
             field: field.into(),
+            lines: LineSplitter::default(),
             partial_line: Vec::new(),
             event: StreamEvent::default(),
-            has_data: false,
-            field_count: 0,
+            block: Block::Empty,
         }
     }
 
@@ -91,21 +68,21 @@
     /// Returns an error if an event is longer than 256 KB, even if it has not ended.
     pub fn push(&mut self, chunk: &[u8]) -> Result<Vec<StreamEvent>, EventTooLong> {
         let mut events = Vec::new();
-        for part in chunk.split_inclusive(|byte| *byte == b'\n') {
-            if self.partial_line.len() + self.event.data.len() + part.len() > MAX_EVENT_BYTES {
+        for part in self.lines.split(chunk) {
+            if self.partial_line.len() + self.event.data.len() + part.bytes.len() > MAX_EVENT_BYTES
+            {
                 return Err(EventTooLong);
             }
-            self.partial_line.extend_from_slice(part);
-            if part.last() != Some(&b'\n') {
+            self.partial_line.extend_from_slice(part.bytes);
+            if !part.ends_line {
                 continue;
             }
             let line = std::mem::take(&mut self.partial_line);
-            let text = String::from_utf8_lossy(&line);
-            let text = text.trim_end_matches('\n').trim_end_matches('\r');
-            if text.is_empty() {
-                events.extend(self.finish_event());
+            let line = String::from_utf8_lossy(&line);
+            if line.is_empty() {
+                events.extend(self.finish_block());
             } else {
-                self.parse_line(text);
+                self.parse_line(&line);
             }
         }
         Ok(events)
@@ -114,13 +91,12 @@
     /// Returns whether the bytes so far end at the boundary of an event.
     #[must_use]
     pub fn is_between_events(&self) -> bool {
-        self.partial_line.is_empty() && self.field_count == 0
+        self.partial_line.is_empty() && self.block == Block::Empty
     }
 
-    fn finish_event(&mut self) -> Option<StreamEvent> {
+    fn finish_block(&mut self) -> Option<StreamEvent> {
         let event = std::mem::take(&mut self.event);
-        self.has_data = false;
-        (std::mem::take(&mut self.field_count) > 0).then_some(event)
+        (std::mem::take(&mut self.block) == Block::Data).then_some(event)
     }
 
     fn parse_line(&mut self, line: &str) {
@@ -129,16 +105,20 @@
         if name.is_empty() {
             return;
         }
-        self.field_count += 1;
+        if name == "data" {
+            // An empty first line counts, so the length of the data can't tell whether it is the first.
+            if self.block == Block::Data {
+                self.event.data.push('\n');
+            }
+            self.event.data.push_str(value);
+            self.block = Block::Data;
+            return;
+        }
+        if self.block == Block::Empty {
+            self.block = Block::Fields;
+        }
         match name {
             "id" => self.event.id = value.trim().parse().ok(),
-            "data" => {
-                // An empty first line counts, so the length of the data can't tell whether it is the first.
-                if std::mem::replace(&mut self.has_data, true) {
-                    self.event.data.push('\n');
-                }
-                self.event.data.push_str(value);
-            }
             name if *name == *self.field => self.event.field = Some(value.trim().into()),
             _ => {}
         }
