--- a/crates/core/src/gateway/board.rs
+++ b/crates/core/src/gateway/board.rs
@@ -217,6 +217,8 @@
         silent: bool,
         /// Whether the upstream has left for good.
         gone: bool,
+        /// Whether the upstream has told a store host that it leaves.
+        left: bool,
         /// Whether the upstream has said in an answer that it leaves.
         said_leaving: bool,
     },
--- a/crates/core/src/gateway/board/upstream.rs
+++ b/crates/core/src/gateway/board/upstream.rs
@@ -64,9 +64,9 @@
     pub announced: Announcement,
     /// Whether it has left for good.
     pub gone: bool,
-    /// When it left without having announced that it drains, and the sequence number of its last
-    /// announcement before that; `None` otherwise.
-    pub left: Option<(Millis, u64)>,
+    /// Whether it has told a store host that it leaves, by a call that is no announcement. Only another
+    /// instance ends this, since announcements of this one may be delayed.
+    pub left: bool,
     /// Its statement in an answer that it leaves; `None` before the first one.
     pub said_leaving: Option<SaidLeaving>,
     /// The limit that it has named in an answer; `None` before the first one.
@@ -107,7 +107,7 @@
         Self {
             announced,
             gone: false,
-            left: None,
+            left: false,
             said_leaving: None,
             limit: None,
             permits: Permits::default(),
@@ -151,7 +151,7 @@
     /// Returns whether the upstream may be sent new requests.
     #[must_use]
     pub fn accepts_requests(&self) -> bool {
-        !self.gone && !self.announced.leaving && self.said_leaving.is_none()
+        !self.gone && !self.left && !self.announced.leaving && self.said_leaving.is_none()
     }
 
     /// Records that this instance had ended at the given time.
--- a/crates/core/src/gateway/controller/membership.rs
+++ b/crates/core/src/gateway/controller/membership.rs
@@ -165,7 +165,7 @@
         board.received_routing = Some(routing.clone());
     }
     for record in &view.upstreams {
-        let UpstreamRecord { announced, silent, gone, said_leaving, limit } = record;
+        let UpstreamRecord { announced, silent, gone, left, said_leaving, limit } = record;
         if let Some(stated) = *limit {
             let (id, started_at) = (announced.id.clone(), announced.started_at);
             board.pending_limits.push(LimitRecord { id, started_at, stated });
@@ -174,6 +174,7 @@
             host: from,
             silent: *silent,
             gone: *gone,
+            left: *left,
             said_leaving: *said_leaving,
         };
         board.pending_announcements.push((announced.clone(), source));
--- a/crates/core/src/gateway/controller/registry.rs
+++ b/crates/core/src/gateway/controller/registry.rs
@@ -8,8 +8,10 @@
 //! Announcements under one name are ordered by the start time of the upstream's process and then by
 //! their number, so that a delayed one changes nothing. An upstream may send one announcement to
 //! two hosts and change in between. Two announcements with different content then have the same
-//! number, and every host keeps the same one of them. A silent upstream is not yet gone: it may be
-//! cut off from the store hosts only, so requests merely prefer other upstreams.
+//! number, and every host keeps the same one of them. A leave has no number: it ends the instance,
+//! whatever its announcements say that arrive later, here or at another host. A silent upstream is
+//! not yet gone: it may be cut off from the store hosts only, so requests merely prefer other
+//! upstreams.
 
 use super::Controller;
 use crate::gateway::action::{Action, Answer};
@@ -27,10 +29,6 @@
 /// twice this time it is removed; until then late announcements are matched to it.
 const UPSTREAM_RETENTION: Millis = Millis(60_000);
 
-/// How long after a leave all announcements of the same process are ignored as delayed, including
-/// those with higher numbers.
-const LEAVE_SETTLE_TIME: Millis = Millis(3_000);
-
 /// How long after an upstream's statement that it leaves this host tells the store hosts.
 const LEAVE_REPORT_DELAY: Millis = Millis(200);
 
@@ -130,22 +128,29 @@
 }
 
 fn handle_leave(board: &mut Board, id: &str) {
-    let now = board.now.mono;
     let Some(key) = board.upstream_index.get(id).copied() else { return };
     let upstream = &mut board.upstreams[key];
     if !upstream.announced.leaving {
-        upstream.left = Some((now, upstream.announced.seq));
-        upstream.announced.leaving = true;
-        report_change(board, key, "left without draining", None);
+        record_left(board, key, None);
         return;
     }
     if upstream.gone {
         return;
     }
-    upstream.gone = true;
+    (upstream.gone, upstream.left) = (true, true);
     report_change(board, key, "gone", None);
 }
 
+/// Records that an instance has told this store host, or the given one, that it leaves.
+fn record_left(board: &mut Board, key: UpstreamKey, learned_from: Option<HostId>) {
+    let upstream = &mut board.upstreams[key];
+    if std::mem::replace(&mut upstream.left, true) {
+        return;
+    }
+    upstream.announced.leaving = true;
+    report_change(board, key, "left", learned_from);
+}
+
 /// Applies an announcement, unless a newer one has been applied.
 fn handle_announcement(board: &mut Board, announced: Announcement, source: AnnouncementSource) {
     let now = board.now.mono;
@@ -154,22 +159,25 @@
             return;
         }
         let id = announced.id.clone();
-        let key = board.upstreams.insert(Upstream::new(announced, now));
+        let mut upstream = Upstream::new(announced, now);
+        upstream.left = matches!(source, AnnouncementSource::Registry { left: true, .. });
+        let key = board.upstreams.insert(upstream);
         board.upstream_index.insert(id, key);
         report_change(board, key, "joined", source.host());
         record_contact(board, key, source);
         return;
     };
-    let upstream = &mut board.upstreams[key];
-    let old = (upstream.announced.started_at, upstream.announced.seq);
-    let new = (announced.started_at, announced.seq);
-    let is_delayed = upstream.left.is_some_and(|(at, seq)| {
-        let is_settling = announced.seq <= seq + 1 || now.since(at) < LEAVE_SETTLE_TIME;
-        new.0 == old.0 && !announced.leaving && is_settling
-    });
-    if new < old || is_delayed {
+    let old = board.upstreams[key].announced.order();
+    let new = announced.order();
+    if let AnnouncementSource::Registry { host, left: true, .. } = source
+        && new.0 == old.0
+    {
+        record_left(board, key, Some(host));
+    }
+    if new < old {
         return;
     }
+    let upstream = &mut board.upstreams[key];
     let restarted = new.0 > old.0;
     if restarted {
         if announced.software != upstream.announced.software {
@@ -193,14 +201,11 @@
     };
     let kept = Announcement { software, ..kept };
     // A registry's record of a leave carries the number of the last announcement before it.
-    let leaving = announced.leaving || (new == old && upstream.announced.leaving);
+    let leaving = announced.leaving || upstream.left || (new == old && upstream.announced.leaving);
     let differs =
         upstream.announced.leaving != leaving || upstream.announced.content() != kept.content();
     let detail = if leaving { "leaving" } else { "changed" };
     upstream.announced = Announcement { leaving, ..kept };
-    if !leaving {
-        upstream.left = None;
-    }
     if let AnnouncementSource::Registry { gone: true, .. } = source
         && !upstream.gone
     {
--- a/crates/core/src/gateway/controller/views.rs
+++ b/crates/core/src/gateway/controller/views.rs
@@ -174,6 +174,7 @@
             announced: upstream.announced.clone(),
             silent: upstream.silent,
             gone: upstream.gone,
+            left: upstream.left,
             said_leaving: upstream.said_leaving.is_some(),
             limit: upstream.limit.map(|limit| limit.statement()),
         });
--- a/crates/core/src/gateway/event.rs
+++ b/crates/core/src/gateway/event.rs
@@ -255,6 +255,13 @@
 }
 
 impl Announcement {
+    /// Returns the start of the instance and the number of the announcement; of two announcements under
+    /// one id the greater one is newer.
+    #[must_use]
+    pub fn order(&self) -> (u64, u64) {
+        (self.started_at, self.seq)
+    }
+
     /// Returns the content without the fields that tell which announcement is newer.
     ///
     /// Hosts that receive two different announcements with the same sequence number compare their
--- a/crates/core/src/gateway/message.rs
+++ b/crates/core/src/gateway/message.rs
@@ -272,6 +272,10 @@
     pub silent: bool,
     /// Whether it has left for good.
     pub gone: bool,
+    /// Whether it has told a store host that it leaves. A host of an earlier version ignores this, and
+    /// knows it from the announcement, which then says the same.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub left: bool,
     /// Whether it has said in an answer that it leaves. A host of an earlier version ignores this.
     #[serde(default)]
     pub said_leaving: bool,
--- /dev/null
+++ b/crates/core/tests/it/departures.rs
@@ -0,0 +1,120 @@
+//! Upstreams that tell one store host that they leave, while other messages of theirs are late.
+
+use chestnutdrift_core::HostId;
+use chestnutdrift_core::gateway::{Answer, Call};
+use test_case::test_case;
+
+use crate::deployment::Deployment;
+use crate::leaving::{announcement, forwards, start};
+
+const STORES: [HostId; 3] = [HostId(1), HostId(2), HostId(3)];
+const ENTRIES: [HostId; 2] = [HostId(101), HostId(102)];
+
+/// The number of the last announcement that each upstream has sent when it leaves.
+const LAST_SEQ: u64 = 5;
+
+/// How long after an acknowledged leave no entry sends the upstream a request, in milliseconds.
+const DRAIN_MS: u64 = 2_500;
+
+/// Tells a store host that upstream `desk-1` leaves, and returns whether it acknowledged that.
+fn leave(deployment: &mut Deployment, store: HostId) -> bool {
+    let answer = deployment.call(store, Call::Leave { id: "desk-1".into() }, 1_000);
+    answer == Some(Answer::Done)
+}
+
+/// Delivers announcement `seq` of the instance that was started at `started_at`.
+fn announce_late(deployment: &mut Deployment, store: HostId, started_at: u64, seq: u64) {
+    deployment.send_call(store, Call::Announce(announcement("desk-1", started_at, seq)));
+}
+
+/// Fails the test if an entry sends the upstream a request within some seconds.
+fn assert_gets_nothing(deployment: &mut Deployment, case: &str) {
+    for second in 0..6 {
+        for entry in ENTRIES {
+            let [left, other] = forwards(deployment, entry, ["desk-1", "desk-2"]);
+            assert_eq!(left, 0, "{case}, after {second} s, {entry:?}");
+            assert!(other > 0, "{case}: {entry:?} sends nothing at all");
+        }
+        deployment.run(1_000);
+    }
+}
+
+/// Guards against a delayed heartbeat that brings back an upstream which has left, whichever store
+/// hosts the heartbeat and the leave reach.
+#[test_case(1, 1_500; "the next one")]
+#[test_case(2, 1_500; "one after it")]
+#[test_case(40, 1_500; "a much later one")]
+#[test_case(1, 6_000; "the next one, late")]
+#[test_case(3, 20_000; "a later one, very late")]
+#[test_case(0, 100; "the last one again")]
+fn a_delayed_heartbeat_brought_back_an_upstream_that_had_left(after: u64, delay_ms: u64) {
+    for (seed, leave_to) in STORES.into_iter().enumerate() {
+        for heartbeat_to in STORES {
+            let mut deployment = start(70 + seed as u64);
+            assert!(leave(&mut deployment, leave_to));
+            deployment.run(delay_ms);
+            announce_late(&mut deployment, heartbeat_to, 1, LAST_SEQ + after);
+            let case = format!("leave to {leave_to:?}, heartbeat to {heartbeat_to:?}");
+            assert_gets_nothing(&mut deployment, &case);
+        }
+    }
+}
+
+/// Guards against a leave that is ignored where a later heartbeat of the upstream came first.
+#[test]
+fn a_leave_was_ignored_by_hosts_that_knew_a_later_heartbeat() {
+    for leave_to in STORES {
+        for heartbeat_to in STORES {
+            let mut deployment = start(80);
+            announce_late(&mut deployment, heartbeat_to, 1, LAST_SEQ + 3);
+            assert!(leave(&mut deployment, leave_to));
+            deployment.run(DRAIN_MS);
+            let case = format!("leave to {leave_to:?}, heartbeat to {heartbeat_to:?}");
+            assert_gets_nothing(&mut deployment, &case);
+        }
+    }
+}
+
+/// Guards against a store host that has lost its memory, or its disk too, and learns of an upstream
+/// that has left from a delayed heartbeat.
+#[test_case(false; "restarted")]
+#[test_case(true; "replaced")]
+fn a_restarted_store_brought_back_an_upstream_that_had_left(loses_disk: bool) {
+    for leave_to in STORES {
+        for restarted in STORES {
+            let mut deployment = start(81);
+            assert!(leave(&mut deployment, leave_to));
+            deployment.run(1_000);
+            deployment.kill(restarted);
+            if loses_disk {
+                deployment.lose_disk(restarted);
+            }
+            deployment.run(500);
+            deployment.start(restarted);
+            for delay_ms in [0, 50, 3_000] {
+                deployment.run(delay_ms);
+                announce_late(&mut deployment, restarted, 1, LAST_SEQ + 1 + delay_ms);
+            }
+            let case = format!("leave to {leave_to:?}, {restarted:?} restarted");
+            assert_gets_nothing(&mut deployment, &case);
+        }
+    }
+}
+
+/// Guards against a new instance that gets no requests because the one before it has left.
+#[test]
+fn a_new_instance_under_the_id_of_one_that_has_left_got_nothing() {
+    for store in STORES {
+        let mut deployment = start(82);
+        assert!(leave(&mut deployment, STORES[0]));
+        deployment.run(1_000);
+        announce_late(&mut deployment, store, 2, 1);
+        deployment.run(1_500);
+        announce_late(&mut deployment, STORES[1], 1, 90);
+        deployment.run(1_500);
+        for entry in ENTRIES {
+            let [restarted, _] = forwards(&mut deployment, entry, ["desk-1", "desk-2"]);
+            assert!(restarted > 0, "{store:?}, {entry:?}");
+        }
+    }
+}
--- a/crates/core/tests/it/leaving.rs
+++ b/crates/core/tests/it/leaving.rs
@@ -18,7 +18,7 @@
 /// delays of 200 ms, and four hops.
 const MAX_REPORT_MS: u64 = 500;
 
-fn announcement(id: &str, started_at: u64, seq: u64) -> Announcement {
+pub(crate) fn announcement(id: &str, started_at: u64, seq: u64) -> Announcement {
     Announcement {
         id: id.into(),
         service: "desk".into(),
@@ -33,12 +33,12 @@
     }
 }
 
-fn announce(deployment: &mut Deployment, announced: Announcement) {
+pub(crate) fn announce(deployment: &mut Deployment, announced: Announcement) {
     deployment.send_call(STORE, Call::Announce(announced));
     deployment.run(SPREAD_MS);
 }
 
-fn start(seed: u64) -> Deployment {
+pub(crate) fn start(seed: u64) -> Deployment {
     let mut deployment = Deployment::new(seed, STORES, 2);
     deployment.start_serving();
     for id in ["desk-1", "desk-2"] {
@@ -76,7 +76,7 @@
 }
 
 /// Sends requests to an entry and returns how many of them went to each of the upstreams.
-fn forwards(deployment: &mut Deployment, entry: HostId, ids: [&str; 2]) -> [usize; 2] {
+pub(crate) fn forwards(deployment: &mut Deployment, entry: HostId, ids: [&str; 2]) -> [usize; 2] {
     let before = deployment.forwards.len();
     for _ in 0..10 {
         deployment.call(entry, request(), 20);
--- a/crates/core/tests/it/main.rs
+++ b/crates/core/tests/it/main.rs
@@ -7,6 +7,7 @@
 mod bookings;
 mod catch_up;
 mod deadly_requests;
+mod departures;
 mod determinism;
 mod directory;
 mod ended_upstreams;
