--- a/crates/core/src/gateway/board/host.rs
+++ b/crates/core/src/gateway/board/host.rs
@@ -1,6 +1,6 @@
 //! The other hosts of the deployment.
 
-use crate::gateway::message::Subscription;
+use crate::gateway::message::{Subscription, View};
 use crate::gateway::settings::Role;
 use crate::key::HostId;
 use crate::time::Millis;
@@ -117,6 +117,18 @@
         self.is_live(now) || self.reported_at.is_some_and(|at| now.since(at) < HOST_SILENCE_TIMEOUT)
     }
 
+    /// Returns whether this host knows all upstream records of that host once it has applied a view.
+    ///
+    /// Otherwise an earlier view was lost, and the next hello asks for the records again.
+    #[must_use]
+    pub fn follows_known_revision(&self, view: &View) -> bool {
+        let (boot_id, known) = self.known_revision;
+        match view.since {
+            None | Some(0) => true,
+            Some(since) => boot_id == view.revision.0 && since <= known && known <= view.revision.1,
+        }
+    }
+
     /// Returns what the host is sent without being asked.
     #[must_use]
     pub fn active_subscription(&self, now: Millis) -> Subscription {
--- a/crates/core/src/gateway/controller/membership.rs
+++ b/crates/core/src/gateway/controller/membership.rs
@@ -148,7 +148,9 @@
         host.zone.clone_from(&view.zone);
     }
     host.role = Role::Store;
-    host.known_revision = view.revision;
+    if host.follows_known_revision(view) {
+        host.known_revision = view.revision;
+    }
     host.holds_directory = view.holds_directory;
     host.misses_contacts = view.misses_contacts;
     if let Some(roster) = &view.roster {
--- a/crates/core/src/gateway/controller/views.rs
+++ b/crates/core/src/gateway/controller/views.rs
@@ -148,6 +148,7 @@
         misses_contacts: misses_contacts(board),
         routing,
         revision: (board.cfg.boot_id, board.revision),
+        since: Some(host.sent_revision),
         upstreams,
     };
     let revision = board.revision;
--- a/crates/core/src/gateway/message.rs
+++ b/crates/core/src/gateway/message.rs
@@ -256,6 +256,10 @@
     pub routing: Option<Arc<RoutingConfig>>,
     /// The boot id of the sender and the revision of its registry with these records applied.
     pub revision: (u64, u64),
+    /// The revision of the sender's registry that the records follow, so that a receiver which lacks
+    /// an earlier view does not count as knowing it; `None` from a host of an earlier version.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub since: Option<u64>,
     /// The upstreams that changed since the revision last sent.
     #[serde(skip_serializing_if = "Vec::is_empty")]
     pub upstreams: Vec<UpstreamRecord>,
--- a/crates/core/tests/it/departures.rs
+++ b/crates/core/tests/it/departures.rs
@@ -16,10 +16,17 @@
 /// How long after an acknowledged leave no entry sends the upstream a request, in milliseconds.
 const DRAIN_MS: u64 = 2_500;
 
-/// Tells a store host that upstream `desk-1` leaves, and returns whether it acknowledged that.
+/// Tells a store host that upstream `desk-1` leaves, and returns whether it acknowledged that within a
+/// second.
 fn leave(deployment: &mut Deployment, store: HostId) -> bool {
-    let answer = deployment.call(store, Call::Leave { id: "desk-1".into() }, 1_000);
-    answer == Some(Answer::Done)
+    let tag = deployment.send_call(store, Call::Leave { id: "desk-1".into() });
+    for _ in 0..1_000 {
+        if let Some(answer) = deployment.answers.get(&tag) {
+            return *answer == Answer::Done;
+        }
+        deployment.run(1);
+    }
+    false
 }
 
 /// Delivers announcement `seq` of the instance that was started at `started_at`.
@@ -118,3 +125,34 @@
         }
     }
 }
+
+/// Guards against a change of an upstream that is lost with the link to an entry, and counts as known
+/// there once the next view has arrived.
+#[test]
+fn a_view_that_was_lost_with_its_link_was_acknowledged_by_the_next_one() {
+    for seed in 90..100 {
+        for lost_ms in [150, 400, 700] {
+            let mut deployment = start(seed);
+            for store in STORES {
+                deployment.cut(ENTRIES[0], store, true);
+            }
+            let joining = Call::Announce(announcement("desk-3", 1, 1));
+            deployment.send_call(STORES[1], joining);
+            assert!(leave(&mut deployment, STORES[0]));
+            deployment.run(lost_ms);
+            for store in STORES {
+                deployment.cut(ENTRIES[0], store, false);
+            }
+            for seq in 1..10 {
+                let later = announcement(&format!("desk-{}", 10 + seq), 1, seq);
+                deployment.send_call(STORES[seq as usize % STORES.len()], Call::Announce(later));
+                deployment.run(250);
+            }
+            let case = format!("seed {seed}, {lost_ms} ms");
+            let upstreams = &deployment.gateway(ENTRIES[0]).board().upstream_index;
+            assert!(upstreams.contains_key("desk-3"), "{case}: the joined upstream is unknown");
+            let [left, _] = forwards(&mut deployment, ENTRIES[0], ["desk-1", "desk-2"]);
+            assert_eq!(left, 0, "{case}");
+        }
+    }
+}
