fix(core): an acknowledged leave was lost with the store that had acknowledged it

What callers saw: requests at an upstream later than it may get any after its acknowledged leave (DRAIN) Cause: the store answered once it knew of the leave itself; others heard of it up to 200 ms later.

--- a/crates/core/src/gateway/board.rs
+++ b/crates/core/src/gateway/board.rs
@@ -127,6 +127,9 @@
     /// Reports of other hosts that an upstream has said in an answer that it leaves, by its id and
     /// the wall time of its start, with the host; not handled yet.
     pub pending_leaves: Vec<(Box<str>, u64, HostId)>,
+    /// Upstreams that have told this store host that they leave, and the exchanges that wait until
+    /// other store hosts know it.
+    pub unconfirmed_leaves: Vec<(UpstreamKey, RequestTag)>,
     /// Reports of other hosts on the limit of an upstream, by its id and the wall time of its start;
     /// not handled yet.
     pub pending_limits: Vec<LimitRecord>,
@@ -261,6 +264,7 @@
             registry_changed: false,
             pending_announcements: Vec::new(),
             pending_leaves: Vec::new(),
+            unconfirmed_leaves: Vec::new(),
             pending_limits: Vec::new(),
             has_limits: false,
             quota_waits: BTreeMap::new(),
--- a/crates/core/src/gateway/board/host.rs
+++ b/crates/core/src/gateway/board/host.rs
@@ -47,6 +47,8 @@
     pub known_roster: u64,
     /// Whether contacts of that host leave its hellos unanswered.
     pub misses_contacts: bool,
+    /// Whether it answers messages on upstreams that leave.
+    pub keeps_leaves: bool,
     /// Whether its replica of the directory keeps up with the leader.
     pub holds_directory: bool,
     /// When the last hello to it was sent.
@@ -87,6 +89,7 @@
             introduced_to: 0,
             known_roster: 0,
             misses_contacts: false,
+            keeps_leaves: false,
             holds_directory: false,
             last_hello_sent: Millis(0),
             next_hello: Millis(0),
--- a/crates/core/src/gateway/board/upstream.rs
+++ b/crates/core/src/gateway/board/upstream.rs
@@ -5,6 +5,7 @@
 use crate::gateway::action::UpstreamAddress;
 use crate::gateway::board::{Ledger, LoadState, Permits, StatedLimit, UpstreamLimit};
 use crate::gateway::event::Announcement;
+use crate::gateway::message::UpstreamRecord;
 use crate::gateway::rate::RequestRate;
 use crate::key::{HostId, UpstreamKey};
 use crate::time::Millis;
@@ -67,6 +68,8 @@
     /// Whether it has told a store host that it leaves, by a call that is no announcement. Only another
     /// instance ends this, since announcements of this one may be delayed.
     pub left: bool,
+    /// Whether another store host knows that it leaves.
+    pub leave_kept: bool,
     /// Its statement in an answer that it leaves; `None` before the first one.
     pub said_leaving: Option<SaidLeaving>,
     /// The limit that it has named in an answer; `None` before the first one.
@@ -108,6 +111,7 @@
             announced,
             gone: false,
             left: false,
+            leave_kept: false,
             said_leaving: None,
             limit: None,
             permits: Permits::default(),
@@ -133,6 +137,19 @@
         UpstreamAddress { key, id, address, limited: self.rate_limit().is_some() }
     }
 
+    /// Returns the record of the upstream for other hosts.
+    #[must_use]
+    pub fn record(&self) -> UpstreamRecord {
+        UpstreamRecord {
+            announced: self.announced.clone(),
+            silent: self.silent,
+            gone: self.gone,
+            left: self.left,
+            said_leaving: self.said_leaving.is_some(),
+            limit: self.limit.map(|limit| limit.statement()),
+        }
+    }
+
     /// Returns how many requests the upstream takes from all hosts together; `None` without a limit.
     #[must_use]
     pub fn rate_limit(&self) -> Option<RequestRate> {
--- a/crates/core/src/gateway/controller.rs
+++ b/crates/core/src/gateway/controller.rs
@@ -12,6 +12,7 @@
 mod forwarding;
 mod items;
 mod jobs;
+mod leaves;
 mod lifecycle;
 mod limits;
 mod loads;
@@ -62,6 +63,9 @@
     }
     controllers.push(Box::new(calls::Calls));
     controllers.push(Box::new(registry::Registry::default()));
+    if role == Role::Store {
+        controllers.push(Box::new(leaves::Leaves::default()));
+    }
     controllers.push(Box::new(limits::Limits));
     controllers.push(Box::new(routing::RoutingInForce));
     if role == Role::Store {
--- a/crates/core/src/gateway/controller/membership.rs
+++ b/crates/core/src/gateway/controller/membership.rs
@@ -90,10 +90,12 @@
             GatewayMessage::Request { .. }
             | GatewayMessage::Reply { .. }
             | GatewayMessage::Suspects(_)
+            | GatewayMessage::LeavesKept { .. }
             | GatewayMessage::QuotaGrant(_)
             | GatewayMessage::Streams(_)
             | GatewayMessage::FindStream { .. }
             | GatewayMessage::StreamFound { .. } => {}
+            GatewayMessage::Leaves { upstreams, .. } => receive_records(board, from, upstreams),
             GatewayMessage::QuotaRequest(request) => {
                 board.pending_limits.extend(request.upstreams.iter().cloned());
             }
@@ -153,6 +155,7 @@
     }
     host.holds_directory = view.holds_directory;
     host.misses_contacts = view.misses_contacts;
+    host.keeps_leaves = view.keeps_leaves;
     if let Some(roster) = &view.roster {
         let stores = roster.zones.values().flatten().copied().collect();
         host.reported_stores = (roster.digest(), stores);
@@ -166,7 +169,12 @@
     if let Some(routing) = &view.routing {
         board.received_routing = Some(routing.clone());
     }
-    for record in &view.upstreams {
+    receive_records(board, from, &view.upstreams);
+}
+
+/// Passes the upstream records of another store host on to the registry and the limits.
+fn receive_records(board: &mut Board, from: HostId, records: &[UpstreamRecord]) {
+    for record in records {
         let UpstreamRecord { announced, silent, gone, left, said_leaving, limit } = record;
         if let Some(stated) = *limit {
             let (id, started_at) = (announced.id.clone(), announced.started_at);
--- a/crates/core/src/gateway/controller/registry.rs
+++ b/crates/core/src/gateway/controller/registry.rs
@@ -2,8 +2,8 @@
 //!
 //! Reads: `pending_calls` (announcements and leaves), `pending_announcements`, `pending_leaves`,
 //! upstreams that said in an answer that they leave, the clock.
-//! Writes: `pending_calls`, `upstreams`, `upstream_index`, `upgraded_upstreams`, `revision`, `registry_changed`,
-//! `hosts` (the next hello), `actions`.
+//! Writes: `pending_calls`, `upstreams`, `upstream_index`, `upgraded_upstreams`, `unconfirmed_leaves`, `revision`,
+//! `registry_changed`, `hosts` (the next hello), `actions`.
 //!
 //! Announcements under one name are ordered by the start time of the upstream's process and then by
 //! their number, so that a delayed one changes nothing. An upstream may send one announcement to
@@ -14,11 +14,12 @@
 //! upstreams.
 
 use super::Controller;
+use crate::error::{ErrorKind, Problem};
 use crate::gateway::action::{Action, Answer};
 use crate::gateway::board::{AnnouncementSource, Board, LeaveSource, SaidLeaving, Upstream};
 use crate::gateway::event::{Announcement, Call, Event, IncomingCall};
 use crate::gateway::settings::Role;
-use crate::key::{HostId, UpstreamKey};
+use crate::key::{HostId, RequestTag, UpstreamKey};
 use crate::time::Millis;
 use crate::timeline::EventKind;
 
@@ -73,12 +74,17 @@
     for IncomingCall { tag, trace, wait_limit, call } in std::mem::take(&mut board.pending_calls) {
         match call {
             Call::Announce(announced) => {
+                let id = announced.id.clone();
                 handle_announcement(board, announced, AnnouncementSource::Upstream);
-                board.answer(tag, Answer::Done);
+                acknowledge(board, tag, &id);
             }
-            Call::Leave { id } => {
+            Call::Leave { id } if board.upstream_index.contains_key(&id) => {
                 handle_leave(board, &id);
-                board.answer(tag, Answer::Done);
+                acknowledge(board, tag, &id);
+            }
+            Call::Leave { id } => {
+                let detail = "this host does not know the upstream; another one may";
+                board.reject(tag, &id, Problem::not_run(ErrorKind::NotReady, detail));
             }
             call => remaining.push_back(IncomingCall { tag, trace, wait_limit, call }),
         }
@@ -86,6 +92,19 @@
     board.pending_calls = remaining;
 }
 
+/// Answers an upstream. One that leaves gets its answer once other store hosts know it.
+fn acknowledge(board: &mut Board, tag: RequestTag, id: &str) {
+    let key = board.upstream_index.get(id).copied();
+    let leaving = key.filter(|key| {
+        let upstream = &board.upstreams[*key];
+        upstream.announced.leaving && !upstream.leave_kept
+    });
+    match leaving {
+        Some(key) => board.unconfirmed_leaves.push((key, tag)),
+        None => board.answer(tag, Answer::Done),
+    }
+}
+
 /// Handles the reports of other hosts that upstreams have said that they leave; a report on another
 /// instance than the known one is dropped.
 fn handle_reported_leaves(board: &mut Board) {
@@ -160,7 +179,10 @@
         }
         let id = announced.id.clone();
         let mut upstream = Upstream::new(announced, now);
-        upstream.left = matches!(source, AnnouncementSource::Registry { left: true, .. });
+        if let AnnouncementSource::Registry { left, .. } = source {
+            upstream.left = left;
+            upstream.leave_kept = left || upstream.announced.leaving;
+        }
         let key = board.upstreams.insert(upstream);
         board.upstream_index.insert(id, key);
         report_change(board, key, "joined", source.host());
@@ -169,10 +191,13 @@
     };
     let old = board.upstreams[key].announced.order();
     let new = announced.order();
-    if let AnnouncementSource::Registry { host, left: true, .. } = source
+    if let AnnouncementSource::Registry { host, left, .. } = source
         && new.0 == old.0
     {
-        record_left(board, key, Some(host));
+        board.upstreams[key].leave_kept |= left || announced.leaving;
+        if left {
+            record_left(board, key, Some(host));
+        }
     }
     if new < old {
         return;
--- a/crates/core/src/gateway/controller/views.rs
+++ b/crates/core/src/gateway/controller/views.rs
@@ -146,6 +146,7 @@
         roster,
         holds_directory: holds_directory(board),
         misses_contacts: misses_contacts(board),
+        keeps_leaves: true,
         routing,
         revision: (board.cfg.boot_id, board.revision),
         since: Some(host.sent_revision),
@@ -171,14 +172,7 @@
         if upstream.revision <= host.sent_revision || is_its_own {
             continue;
         }
-        records.push(UpstreamRecord {
-            announced: upstream.announced.clone(),
-            silent: upstream.silent,
-            gone: upstream.gone,
-            left: upstream.left,
-            said_leaving: upstream.said_leaving.is_some(),
-            limit: upstream.limit.map(|limit| limit.statement()),
-        });
+        records.push(upstream.record());
     }
     records
 }
--- a/crates/core/src/gateway/message.rs
+++ b/crates/core/src/gateway/message.rs
@@ -57,6 +57,22 @@
     ///
     /// A host of an earlier version drops this message.
     QuotaGrant(QuotaGrant),
+    /// Upstreams that leave, for the receiver to remember before the sender acknowledges it to them.
+    ///
+    /// A host of an earlier version drops this message.
+    Leaves {
+        /// The number of the message, which grows with each one of the sender.
+        number: u64,
+        /// The upstreams.
+        upstreams: Vec<UpstreamRecord>,
+    },
+    /// The sender remembers the upstreams of the receiver's message with this number.
+    ///
+    /// A host of an earlier version drops this message.
+    LeavesKept {
+        /// The number.
+        number: u64,
+    },
     /// Streams of callers that the sender has sent to upstreams, for the receiver to remember.
     ///
     /// A host of an earlier version drops this message.
@@ -251,6 +267,9 @@
     /// majority of the voters.
     #[serde(skip_serializing_if = "std::ops::Not::not")]
     pub misses_contacts: bool,
+    /// Whether the sender answers [`GatewayMessage::Leaves`]; not so a host of an earlier version.
+    #[serde(skip_serializing_if = "std::ops::Not::not")]
+    pub keeps_leaves: bool,
     /// A newer routing configuration; `None` where the receiver needs none.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub routing: Option<Arc<RoutingConfig>>,
@@ -394,6 +413,8 @@
                 let routing = view.routing.as_ref().map_or(0, |routing| routing.bytes());
                 routing + view.upstreams.len() * BYTES_PER_UPSTREAM
             }
+            Self::Leaves { upstreams, .. } => upstreams.len() * BYTES_PER_UPSTREAM,
+            Self::LeavesKept { .. } => 0,
             Self::Request { request, .. } => request.bytes(),
             Self::Reply { reply, .. } => reply.bytes(),
             Self::Suspects(suspects) => suspects.len() * BYTES_PER_SUSPECT,
--- a/crates/core/tests/it/departures.rs
+++ b/crates/core/tests/it/departures.rs
@@ -1,11 +1,11 @@
 //! Upstreams that tell one store host that they leave, while other messages of theirs are late.
 
-use chestnutdrift_core::HostId;
 use chestnutdrift_core::gateway::{Answer, Call};
+use chestnutdrift_core::{ErrorKind, HostId, Ran};
 use test_case::test_case;
 
 use crate::deployment::Deployment;
-use crate::leaving::{announcement, forwards, start};
+use crate::leaving::{announce, announcement, forwards, start};
 
 const STORES: [HostId; 3] = [HostId(1), HostId(2), HostId(3)];
 const ENTRIES: [HostId; 2] = [HostId(101), HostId(102)];
@@ -19,7 +19,12 @@
 /// Tells a store host that upstream `desk-1` leaves, and returns whether it acknowledged that within a
 /// second.
 fn leave(deployment: &mut Deployment, store: HostId) -> bool {
-    let tag = deployment.send_call(store, Call::Leave { id: "desk-1".into() });
+    leave_as(deployment, store, "desk-1")
+}
+
+/// Tells a store host that an upstream leaves, and returns whether it acknowledged that within a second.
+fn leave_as(deployment: &mut Deployment, store: HostId, id: &str) -> bool {
+    let tag = deployment.send_call(store, Call::Leave { id: id.into() });
     for _ in 0..1_000 {
         if let Some(answer) = deployment.answers.get(&tag) {
             return *answer == Answer::Done;
@@ -156,3 +161,72 @@
         }
     }
 }
+
+/// Guards against a leave that only the store host knows which has acknowledged it, when that host
+/// ends.
+#[test_case(false; "killed")]
+#[test_case(true; "its disk is lost")]
+fn an_acknowledged_leave_was_lost_with_its_store(loses_disk: bool) {
+    for seed in 110..120 {
+        for store in STORES {
+            let mut deployment = start(seed);
+            announce(&mut deployment, announcement("desk-3", 1, 1));
+            // Changes that come close together share one view, so the second one waits.
+            assert!(leave_as(&mut deployment, store, "desk-3"));
+            assert!(leave(&mut deployment, store));
+            deployment.kill(store);
+            if loses_disk {
+                deployment.lose_disk(store);
+            }
+            deployment.run(DRAIN_MS - 500);
+            deployment.start(store);
+            deployment.run(500);
+            announce_late(&mut deployment, store, 1, LAST_SEQ + 1);
+            assert_gets_nothing(&mut deployment, &format!("seed {seed}, {store:?}"));
+        }
+    }
+}
+
+/// Guards against upstreams that get no acknowledgement while a store host is down or frozen.
+#[test]
+fn a_leave_was_not_acknowledged_while_another_store_was_silent() {
+    for (seed, store) in (120..).zip(STORES) {
+        for (silent, is_frozen) in STORES.into_iter().flat_map(|id| [(id, false), (id, true)]) {
+            if silent == store {
+                continue;
+            }
+            let mut deployment = start(seed);
+            if is_frozen {
+                deployment.freeze(silent);
+            } else {
+                deployment.kill(silent);
+            }
+            deployment.run(100);
+            assert!(leave(&mut deployment, store), "{store:?} while {silent:?} is silent");
+        }
+    }
+}
+
+/// Guards against a store host that acknowledges a leave which no other host hears of.
+#[test]
+fn a_leave_was_acknowledged_that_no_other_store_could_know() {
+    let mut deployment = start(130);
+    for other in [STORES[1], STORES[2], ENTRIES[0], ENTRIES[1]] {
+        deployment.cut(STORES[0], other, true);
+    }
+    deployment.run(100);
+    assert!(!leave(&mut deployment, STORES[0]));
+    assert!(leave(&mut deployment, STORES[1]));
+    assert_gets_nothing_at(&mut deployment, ENTRIES[0]);
+    let mut deployment = start(131);
+    let unknown = Call::Leave { id: "desk-9".into() };
+    let answer = deployment.call(STORES[0], unknown, 1_000);
+    let Some(Answer::Problem(problem)) = answer else { panic!("{answer:?}") };
+    assert_eq!((problem.kind, problem.ran), (ErrorKind::NotReady, Ran::No));
+}
+
+fn assert_gets_nothing_at(deployment: &mut Deployment, entry: HostId) {
+    deployment.run(DRAIN_MS);
+    let [left, other] = forwards(deployment, entry, ["desk-1", "desk-2"]);
+    assert_eq!((left, other > 0), (0, true), "{entry:?}");
+}
