--- a/crates/daemon/src/gateway.rs
+++ b/crates/daemon/src/gateway.rs
@@ -9,6 +9,7 @@
 
 pub mod bodies;
 pub mod control;
+mod deadline;
 pub mod events;
 pub mod forward;
 pub mod input;
--- a/crates/daemon/src/gateway/forward.rs
+++ b/crates/daemon/src/gateway/forward.rs
@@ -10,6 +10,7 @@
 use hyper::http::{request, response};
 use hyper::{HeaderMap, Request, Response, StatusCode};
 
+use super::deadline::AnswerDeadline;
 use super::events::EventBoundary;
 use super::input::InputSender;
 use super::late_end::LateEndReport;
@@ -58,6 +59,15 @@
     pub body: Bytes,
 }
 
+/// A response whose head has come.
+struct ReceivedResponse {
+    success: bool,
+    head: response::Parts,
+    body: Incoming,
+    connection: Connection,
+    deadline: AnswerDeadline,
+}
+
 /// A request for an upstream, encoded.
 #[derive(Debug)]
 pub(super) struct UpstreamCall<'a> {
@@ -69,6 +79,8 @@
     pub(super) upstream: &'a UpstreamAddress,
     /// The time limit of a new connection.
     pub(super) connect_timeout: Duration,
+    /// The time limit of the whole answer.
+    pub(super) timeout: Duration,
     /// Whether a success is passed on as it arrives; otherwise once it is whole.
     pub(super) streamed: bool,
 }
@@ -89,6 +101,7 @@
         request_id: protocol.request_id(&received.head.headers),
         upstream: &forward.upstream,
         connect_timeout: Duration::from_millis(forward.connect.0),
+        timeout: Duration::from_millis(forward.deadline.0),
         streamed: forward.streamed,
     };
     let outcome = call.send(protocol, pool, inputs, &mut report).await;
@@ -110,6 +123,7 @@
         inputs: &InputSender,
         report: &mut Option<LateEndReport>,
     ) -> Outcome {
+        let deadline = AnswerDeadline::new(self.timeout, self.upstream, self.request_id);
         let sent = pool.send(self.upstream, &self.request, self.connect_timeout).await;
         let (response, connection) = match sent {
             Ok(sent) => sent,
@@ -140,8 +154,8 @@
             }
             class => {
                 let success = class == ResponseClass::Success;
-                let response = (head, body);
-                self.read_response(protocol, pool, report, success, response, connection).await
+                let received = ReceivedResponse { success, head, body, connection, deadline };
+                self.read_response(protocol, pool, report, received).await
             }
         }
     }
@@ -162,16 +176,15 @@
         protocol: &dyn Protocol,
         pool: &Pool,
         report: &mut Option<LateEndReport>,
-        success: bool,
-        response: (response::Parts, Incoming),
-        connection: Connection,
+        received: ReceivedResponse,
     ) -> Outcome {
-        let (head, body) = response;
+        let ReceivedResponse { success, head, body, connection, deadline } = received;
         let headers = protocol.forwarded_headers(&head.headers);
         if self.streamed && success {
             let events = is_event_stream(&head.headers).then(EventBoundary::default);
             let answer = UpstreamResponse { status: head.status, headers, body: Bytes::new() };
-            let streamed = StreamedBody::new(body, connection, report.take()).events(events);
+            let streamed = StreamedBody::new(body, connection, deadline);
+            let streamed = streamed.report(report.take()).events(events);
             return Outcome::Streaming(answer, Box::new(streamed));
         }
         let buffered = match read_up_to_limit(body).await {
@@ -183,7 +196,7 @@
         };
         let answer = UpstreamResponse { status: head.status, headers, body: buffered.bytes };
         if let Some(body) = buffered.rest {
-            let streamed = StreamedBody::new(body, connection, report.take());
+            let streamed = StreamedBody::new(body, connection, deadline).report(report.take());
             return Outcome::Streaming(answer, Box::new(streamed));
         }
         pool.release(self.upstream, connection, protocol.keep_alive_secs(&head.headers));
--- a/crates/daemon/src/gateway/rewards.rs
+++ b/crates/daemon/src/gateway/rewards.rs
@@ -83,6 +83,7 @@
             request_id: Some(&request.call.id),
             upstream: &request.upstream,
             connect_timeout: Duration::from_millis(request.connect.0),
+            timeout: Duration::from_millis(request.deadline.0),
             streamed: false,
         };
         match call.send(&*self.protocol, &self.pool, &self.inputs, &mut None).await {
--- a/crates/daemon/src/gateway/server.rs
+++ b/crates/daemon/src/gateway/server.rs
@@ -2,7 +2,7 @@
 
 use std::convert::Infallible;
 use std::net::SocketAddr;
-use std::pin::Pin;
+use std::pin::{Pin, pin};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::time::{Duration, Instant};
@@ -25,6 +25,7 @@
 
 use super::bodies::BodyMemory;
 use super::control::{Directive, MAX_QUEUED_DIRECTIVES};
+use super::deadline::{self, DeadlineWatch};
 use super::forward::{self, Outcome, ReceivedRequest, UpstreamResponse};
 use super::input::{Input, InputSender, NotQueued};
 use super::metrics;
@@ -145,10 +146,16 @@
     let buffer = usize::try_from(head).unwrap_or(usize::MAX).max(MIN_BUFFER_BYTES);
     let ends_with_connection = Arc::new(AtomicBool::new(false));
     let unframed = Arc::clone(&ends_with_connection);
+    let (answering, mut answer) = watch::channel(None);
     let service = service_fn(move |request: Request<Incoming>| {
         let server = Arc::clone(&server);
         unframed.store(request.version() < Version::HTTP_11, Ordering::Relaxed);
-        async move { Ok::<_, Infallible>(server.handle_request(listener, request).await) }
+        let answering = answering.clone();
+        async move {
+            let mut response = server.handle_request(listener, request).await;
+            answering.send_replace(response.extensions_mut().remove::<DeadlineWatch>());
+            Ok::<_, Infallible>(response)
+        }
     });
     // The library starts the time for a head at the end of the previous answer, so this time-out
     // bounds idle connections and slow senders alike.
@@ -157,25 +164,40 @@
         .timer(TokioTimer::new())
         .header_read_timeout(idle_timeout)
         .serve_connection(TokioIo::new(stream), service);
-    let ended = tokio::select! {
-        served = &mut connection => Some(served),
-        _ = close_requested.wait_for(|close| *close) => None,
+    let mut overrun = pin!(deadline::overrun(&mut answer));
+    let mut closing = false;
+    let end = loop {
+        tokio::select! {
+            served = &mut connection => break ConnectionEnd::Served(served),
+            () = &mut overrun => break ConnectionEnd::AnswerOverrun,
+            _ = close_requested.wait_for(|close| *close), if !closing => {
+                closing = true;
+                Pin::new(&mut connection).graceful_shutdown();
+            }
+        }
     };
-    let served = match ended {
-        Some(served) => served,
-        None => {
-            Pin::new(&mut connection).graceful_shutdown();
-            (&mut connection).await
+    let must_reset = match end {
+        ConnectionEnd::Served(Ok(())) => false,
+        ConnectionEnd::Served(Err(error)) => {
+            log::debug!(event = "connection"; "{error}");
+            // An answer by HTTP/1.0 may have no other framing than the end of its connection.
+            error.is_user() && ends_with_connection.load(Ordering::Relaxed)
         }
+        ConnectionEnd::AnswerOverrun => true,
     };
-    let Err(error) = served else { return };
-    log::debug!(event = "connection"; "{error}");
-    // An answer by HTTP/1.0 may have no other framing than the end of its connection.
-    if error.is_user() && ends_with_connection.load(Ordering::Relaxed) {
+    if must_reset {
         reset(&connection.into_parts().io.into_inner());
     }
 }
 
+/// How a caller's connection ended.
+enum ConnectionEnd {
+    /// One side closed it, or it failed.
+    Served(hyper::Result<()>),
+    /// The caller did not read an answer until its deadline.
+    AnswerOverrun,
+}
+
 /// Makes the end of a connection a reset, so that the peer doesn't take it for the end of an answer.
 fn reset(stream: &TcpStream) {
     if let Err(error) = set_socket_linger(stream, Some(Duration::ZERO)) {
@@ -355,7 +377,11 @@
                 // The report may be the last work that the host waits for.
                 let permit = Arc::clone(&self.server.streams).try_acquire_owned().ok();
                 self.server.report(key, ForwardEnd::Begun { status });
-                Some(response.into_response(|held| streamed.permit(permit).into_body(held)))
+                let watch = streamed.watch();
+                let body = |held| streamed.permit(permit).into_body(held);
+                let mut response = response.into_response(body);
+                response.extensions_mut().insert(watch);
+                Some(response)
             }
             Outcome::Failure(response) => {
                 let status = response.status.as_u16();
--- a/crates/daemon/src/gateway/stream.rs
+++ b/crates/daemon/src/gateway/stream.rs
@@ -6,6 +6,7 @@
 use hyper::body::{Body, Frame, Incoming};
 use tokio::sync::OwnedSemaphorePermit;
 
+use super::deadline::{AnswerDeadline, DeadlineWatch};
 use super::events::EventBoundary;
 use super::late_end::LateEndReport;
 use super::pool::Connection;
@@ -17,6 +18,7 @@
     body: Incoming,
     /// The connection, which must stay open as long as the body is read.
     connection: Connection,
+    deadline: AnswerDeadline,
     events: Option<EventBoundary>,
     /// The report; `None` once it is sent.
     report: Option<LateEndReport>,
@@ -24,13 +26,16 @@
 }
 
 impl StreamedBody {
-    /// Creates the rest of the answer to a forwarded request.
-    pub(super) fn new(
-        body: Incoming,
-        connection: Connection,
-        report: Option<LateEndReport>,
-    ) -> Self {
-        Self { body, connection, events: None, report, permit: None }
+    /// Creates the rest of an answer, which must end before its deadline.
+    pub(super) fn new(body: Incoming, connection: Connection, deadline: AnswerDeadline) -> Self {
+        Self { body, connection, deadline, events: None, report: None, permit: None }
+    }
+
+    /// Sets the report on the attempt; the default is none.
+    #[must_use]
+    pub(super) fn report(mut self, report: Option<LateEndReport>) -> Self {
+        self.report = report;
+        self
     }
 
     /// Sets the position in the events of the body; the default is that it is no event stream.
@@ -47,8 +52,15 @@
         self
     }
 
+    /// Returns what tells whether the body is still there at its deadline.
+    #[must_use]
+    pub(super) fn watch(&self) -> DeadlineWatch {
+        self.deadline.watch()
+    }
+
     /// Streams `held` and then the rest of the body. An error of the upstream's body aborts the
-    /// caller's, and so does the end of an event stream within an event, whatever its framing says.
+    /// caller's, and so do its deadline and the end of an event stream within an event, whatever its
+    /// framing says.
     #[must_use]
     pub fn into_body(self, held: Bytes) -> ResponseBody {
         let first = (!held.is_empty()).then_some(held);
@@ -64,8 +76,9 @@
 
     /// Reads the next frame, and reports the end of the body.
     async fn read(mut self) -> Option<(std::io::Result<Frame<Bytes>>, Option<Self>)> {
-        let error = match self.body.frame().await {
-            Some(Ok(frame)) => {
+        let error = match self.deadline.limit(self.body.frame()).await {
+            Err(passed) => std::io::Error::other(passed),
+            Ok(Some(Ok(frame))) => {
                 if let (Some(events), Some(data)) = (&mut self.events, frame.data_ref()) {
                     events.push(data);
                 }
@@ -75,12 +88,12 @@
                 }
                 return Some((Ok(frame), Some(self)));
             }
-            None if !self.is_within_event() => {
+            Ok(None) if !self.is_within_event() => {
                 self.report_complete();
                 return None;
             }
-            None => std::io::Error::other("the last event was cut off"),
-            Some(Err(error)) => std::io::Error::other(error),
+            Ok(None) => std::io::Error::other("the last event was cut off"),
+            Ok(Some(Err(error))) => std::io::Error::other(error),
         };
         drop(self.connection);
         if let Some(report) = self.report {
