--- a/crates/core/src/gateway/board/request.rs
+++ b/crates/core/src/gateway/board/request.rs
@@ -36,6 +36,9 @@
     pub resumes: Option<Box<str>>,
     /// Where that stream began; `None` if it is not known.
     pub origin: Option<StreamOrigin>,
+    /// The instances that can continue the stream, by id and start time, as the store knows them that
+    /// told the origin; `None` if it named none.
+    pub continuing: Option<Vec<(Box<str>, u64)>>,
     /// When it arrived.
     pub opened: Millis,
     /// When it must be answered at the latest: after the route's time-out or the caller's wait
--- a/crates/core/src/gateway/controller/forwarding.rs
+++ b/crates/core/src/gateway/controller/forwarding.rs
@@ -143,6 +143,7 @@
         service: draw_service(board, route),
         resumes,
         origin: None,
+        continuing: None,
         opened: now,
         until,
         state,
--- a/crates/core/src/gateway/controller/forwarding/taken_up.rs
+++ b/crates/core/src/gateway/controller/forwarding/taken_up.rs
@@ -12,9 +12,18 @@
 
 /// Returns whether an upstream may run a request: a stream that is taken up goes on only at the software
 /// version that began it.
+///
+/// This host may know an upstream as it was before it started anew with other software, so the store
+/// that told the version must know the same instance.
 pub(super) fn may_continue(board: &Board, request: &Request, upstream: UpstreamKey) -> bool {
     let Some(origin) = &request.origin else { return request.resumes.is_none() };
-    board.upstreams.get(upstream).is_some_and(|u| u.announced.software == origin.software)
+    let Some(upstream) = board.upstreams.get(upstream) else { return false };
+    let announced = &upstream.announced;
+    let is_instance = |(id, started_at): &(Box<str>, u64)| {
+        *id == announced.id && *started_at == announced.started_at
+    };
+    let is_known = request.continuing.as_ref().is_none_or(|known| known.iter().any(is_instance));
+    announced.software == origin.software && is_known
 }
 
 /// Returns why no upstream can continue the stream that a request takes up: its origin is not known, the
--- a/crates/core/src/gateway/controller/streams.rs
+++ b/crates/core/src/gateway/controller/streams.rs
@@ -1,7 +1,7 @@
 //! Streams: lets a stream that a caller takes up go on only at the software version that began it.
 //!
-//! Reads: messages of other hosts, `requests`, `stream_origins`, `hosts`, the clock.
-//! Writes: `new_streams`, `stream_origins`, `stream_searches`, `requests` (state and origin), `actions`.
+//! Reads: messages of other hosts, `requests`, `stream_origins`, `upstreams`, `hosts`, the clock.
+//! Writes: `new_streams`, `stream_origins`, `stream_searches`, `requests` (state, origin and instances), `actions`.
 //!
 //! An entry host tells a few stores when it sends a request for a stream to an upstream, which is before
 //! the first event comes back. The stores are drawn by a hash of the stream's id, so that any other entry
@@ -11,6 +11,7 @@
 use std::collections::BTreeMap;
 
 use super::Controller;
+use super::candidates::usable;
 use crate::checksum::checksum;
 use crate::gateway::board::{Board, RequestState, StreamOrigin, StreamRecord, StreamSearch};
 use crate::gateway::event::Event;
@@ -34,6 +35,9 @@
 /// How long new streams are collected before stores are told.
 const RECORD_DELAY: Millis = Millis(5);
 
+/// The origin of a stream, and the instances that can continue it where the store named them.
+type FoundOrigin = (StreamOrigin, Option<Vec<(Box<str>, u64)>>);
+
 /// Tells stores of streams, and finds the origins of those that callers take up.
 #[derive(Debug, Default)]
 pub(super) struct Streams {
@@ -69,15 +73,29 @@
         }
         GatewayMessage::FindStream { id } => {
             let origin = board.stream_origins.get(id).cloned();
-            board.send(from, GatewayMessage::StreamFound { id: id.clone(), origin });
+            let upstreams = origin.as_ref().map(|origin| instances_of(board, origin));
+            board.send(from, GatewayMessage::StreamFound { id: id.clone(), origin, upstreams });
         }
-        GatewayMessage::StreamFound { id, origin } => {
-            handle_found(board, from, id, origin.as_ref());
+        GatewayMessage::StreamFound { id, origin, upstreams } => {
+            let found = origin.clone().map(|origin| (origin, upstreams.clone()));
+            handle_found(board, from, id, found.as_ref());
         }
         _ => {}
     }
 }
 
+/// Returns the upstreams that can continue a stream, by instance id and start time.
+fn instances_of(board: &Board, origin: &StreamOrigin) -> Vec<(Box<str>, u64)> {
+    let mut instances = Vec::new();
+    for (_, upstream) in usable(board, &origin.service) {
+        let announced = &upstream.announced;
+        if announced.software == origin.software {
+            instances.push((announced.id.clone(), announced.started_at));
+        }
+    }
+    instances
+}
+
 /// Returns the stores that remember a stream, the first ones first.
 fn stores_of(board: &Board, id: &str, count: usize) -> Vec<HostId> {
     let mut stores = board.reachable_stores();
@@ -141,7 +159,7 @@
     }
 }
 
-fn handle_found(board: &mut Board, from: HostId, id: &str, origin: Option<&StreamOrigin>) {
+fn handle_found(board: &mut Board, from: HostId, id: &str, found: Option<&FoundOrigin>) {
     let mut ended = Vec::new();
     for (key, search) in &mut board.stream_searches {
         let request = board.requests.get(*key);
@@ -150,26 +168,27 @@
             continue;
         }
         search.asked.remove(&from);
-        if origin.is_some() || search.asked.is_empty() {
+        if found.is_some() || search.asked.is_empty() {
             ended.push(*key);
         }
     }
     for key in ended {
-        end_search(board, key, origin.cloned());
+        end_search(board, key, found.cloned());
     }
 }
 
 /// Lets a request go on with the origin of its stream, or without one, whereupon it is refused.
-fn end_search(board: &mut Board, key: RequestKey, origin: Option<StreamOrigin>) {
+fn end_search(board: &mut Board, key: RequestKey, found: Option<FoundOrigin>) {
     board.stream_searches.remove(&key);
     let Some(request) = board.requests.get_mut(key) else { return };
     if request.state != RequestState::Searching {
         return;
     }
     request.state = RequestState::Waiting;
-    if let Some(origin) = &origin {
+    if let Some((origin, instances)) = found {
         request.service.clone_from(&origin.service);
+        request.origin = Some(origin);
+        request.continuing = instances;
     }
-    request.origin = origin;
     board.another_round = true;
 }
--- a/crates/core/src/gateway/message.rs
+++ b/crates/core/src/gateway/message.rs
@@ -88,6 +88,10 @@
         id: Box<str>,
         /// The origin; `None` if the sender does not know it.
         origin: Option<StreamOrigin>,
+        /// The upstreams of the origin's version that the sender knows, by instance id, with the wall
+        /// time of their start in milliseconds; `None` from a host of an earlier version.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        upstreams: Option<Vec<(Box<str>, u64)>>,
     },
 }
 
@@ -420,7 +424,11 @@
             Self::Suspects(suspects) => suspects.len() * BYTES_PER_SUSPECT,
             Self::QuotaRequest(request) => request.upstreams.len() * BYTES_PER_LIMIT,
             Self::Streams(records) => records.len() * BYTES_PER_STREAM,
-            Self::FindStream { .. } | Self::StreamFound { .. } => BYTES_PER_STREAM,
+            Self::FindStream { .. } => BYTES_PER_STREAM,
+            Self::StreamFound { upstreams, .. } => {
+                let upstreams = upstreams.as_ref().map_or(0, Vec::len);
+                BYTES_PER_STREAM + upstreams * BYTES_PER_SEEN_UPSTREAM
+            }
             Self::QuotaGrant(grant) => grant.permits.len() * BYTES_PER_LIMIT,
         }
     }
--- a/crates/core/tests/it/taken_up_streams.rs
+++ b/crates/core/tests/it/taken_up_streams.rs
@@ -8,7 +8,7 @@
 use chestnutdrift_core::gateway::message::GatewayMessage;
 use chestnutdrift_core::gateway::{Announcement, Answer, Call, Event, ForwardEnd};
 use chestnutdrift_core::message::Message;
-use chestnutdrift_core::{Fingerprint, HostId, Ran};
+use chestnutdrift_core::{Fingerprint, HostId, Ran, RequestTag};
 use test_case::test_case;
 
 use crate::deployment::{Deployment, routing};
@@ -47,6 +47,16 @@
     deployment
 }
 
+/// Sends a request for a stream and does not wait for what becomes of it.
+fn send_stream(deployment: &mut Deployment, entry: HostId, resumes: Option<String>) -> RequestTag {
+    let stream = resumes.clone().unwrap_or_default();
+    let number = (deployment.now, deployment.forwards.len());
+    let fingerprint = Fingerprint::new(&[format!("{number:?} {stream}").as_bytes()]);
+    let (host, path) = ("desk.example".into(), "/desk/1".into());
+    let resumes = resumes.map(Into::into);
+    deployment.send_call(entry, Call::Request { host, path, fingerprint, resumes })
+}
+
 /// Sends a request for a stream; returns the upstream that it reaches, or its refusal.
 fn stream(
     deployment: &mut Deployment,
@@ -54,10 +64,7 @@
     resumes: Option<String>,
 ) -> Result<(String, String), Box<Answer>> {
     let before = deployment.forwards.len();
-    let fingerprint = Fingerprint::new(&[&before.to_be_bytes()]);
-    let (host, path) = ("desk.example".into(), "/desk/1".into());
-    let resumes = resumes.map(Into::into);
-    let tag = deployment.send_call(entry, Call::Request { host, path, fingerprint, resumes });
+    let tag = send_stream(deployment, entry, resumes);
     deployment.run(300);
     if let Some(answer) = deployment.answers.get(&tag) {
         return Err(Box::new(answer.clone()));
@@ -200,3 +207,103 @@
     begin(&mut deployment);
     assert!(sent.get() <= 3 * STREAMS, "{} messages", sent.get());
 }
+
+/// Guards against streams that go on at another version at an entry that knows the upstreams as they were
+/// before it was cut off or stood still.
+#[test_case("cut", 0; "cut off, at once")]
+#[test_case("cut", 150; "cut off, a moment later")]
+#[test_case("frozen", 0; "frozen, at once")]
+#[test_case("frozen", 150; "frozen, a moment later")]
+#[test_case("two", 0; "two entries cut off, at once")]
+fn a_stream_was_taken_up_at_another_version_by_an_entry_out_of_step(how: &str, after_ms: u64) {
+    for seed in 0..6 {
+        let mut deployment = mixed(940 + seed);
+        let out_of_step = if how == "two" { &ENTRIES[..2] } else { &ENTRIES[..1] };
+        let cut = |deployment: &mut Deployment, entry, cut| {
+            STORES.into_iter().for_each(|store| deployment.cut(entry, store, cut));
+        };
+        for entry in out_of_step {
+            match how {
+                "frozen" => deployment.freeze(*entry),
+                _ => cut(&mut deployment, *entry, true),
+            }
+        }
+        deployment.run(500);
+        // An upstream of the new version starts under the id and at the address of an old one.
+        upgrade(&mut deployment, 1, "v2");
+        upgrade(&mut deployment, 4, "v1");
+        deployment.run(1_500);
+        let version =
+            |upstream: &str| if matches!(upstream, "desk-1" | "desk-3") { "v2" } else { "v1" };
+        let begun = begin_at_once(&mut deployment, ENTRIES[2]);
+        for entry in out_of_step {
+            match how {
+                "frozen" => deployment.thaw(*entry),
+                _ => cut(&mut deployment, *entry, false),
+            }
+        }
+        deployment.run(after_ms);
+        let mut taken_up = Vec::new();
+        for (number, (id, upstream)) in begun.iter().enumerate() {
+            let entry = out_of_step[number % out_of_step.len()];
+            taken_up.push((send_stream(&mut deployment, entry, Some(id.clone())), upstream));
+        }
+        let before = deployment.forwards.len();
+        deployment.run(300);
+        for (tag, upstream) in taken_up {
+            if let Some(answer) = deployment.answers.get(&tag) {
+                assert_refused(answer);
+                continue;
+            }
+            let mut sent = deployment.forwards[before..].iter();
+            let (_, forward) = sent.find(|(_, forward)| forward.tag == tag).expect("a forward");
+            let next = &forward.upstream.id;
+            assert_eq!(version(next), version(upstream), "seed {seed}: {upstream}, then {next}");
+        }
+        deployment.run(3_000);
+        let entry = out_of_step[0];
+        let gone_on =
+            begun.iter().filter(|(id, _)| stream(&mut deployment, entry, Some(id.clone())).is_ok());
+        assert_eq!(
+            gone_on.count(),
+            STREAMS,
+            "seed {seed}: streams go on once the entry is in step"
+        );
+    }
+}
+
+/// Begins streams at an entry, all at the same time.
+fn begin_at_once(deployment: &mut Deployment, entry: HostId) -> Vec<(String, String)> {
+    let before = deployment.forwards.len();
+    (0..STREAMS).for_each(|_| {
+        send_stream(deployment, entry, None);
+        deployment.run(5);
+    });
+    deployment.run(50);
+    let sent = deployment.forwards[before..].to_vec();
+    let mut begun = Vec::new();
+    for (host, forward) in sent {
+        let end = ForwardEnd::Begun { status: 200 };
+        deployment.deliver(host, Event::ForwardEnded { attempt: forward.attempt, end });
+        begun.push((format!("call-{}", forward.tag.0), forward.upstream.id.to_string()));
+    }
+    assert_eq!(begun.len(), STREAMS);
+    begun
+}
+
+/// Starts an upstream anew under its id with other software.
+fn upgrade(deployment: &mut Deployment, number: u32, software: &str) {
+    let announcement = Announcement {
+        id: format!("desk-{number}").into(),
+        service: "desk".into(),
+        address: format!("10.0.1.{number}:8000").into(),
+        zone: "zone-1".into(),
+        slots: 64,
+        leaving: false,
+        started_at: 2,
+        seq: 1,
+        versions: Vec::new(),
+        software: software.into(),
+    };
+    deployment.send_call(STORES[0], Call::Announce(announcement));
+}
