--- a/crates/core/src/gateway/board/stream_origin.rs
+++ b/crates/core/src/gateway/board/stream_origin.rs
@@ -36,6 +36,10 @@
     pub number: u32,
     /// The origin.
     pub origin: StreamOrigin,
+    /// The instance id and the start time of the upstream as the sender knows it; `None` from a host of
+    /// an earlier version.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub instance: Option<(Box<str>, u64)>,
 }
 
 /// The origins that a store host remembers; a host that starts anew has none.
--- a/crates/core/src/gateway/controller/forwarding/taken_up.rs
+++ b/crates/core/src/gateway/controller/forwarding/taken_up.rs
@@ -69,5 +69,6 @@
     let (id, number) = (request.trace.clone(), request.attempts);
     let service = upstream.announced.service.clone();
     let origin = StreamOrigin { service, software: upstream.announced.software.clone() };
-    board.new_streams.push(StreamRecord { id, number, origin });
+    let instance = Some((upstream.announced.id.clone(), upstream.announced.started_at));
+    board.new_streams.push(StreamRecord { id, number, origin, instance });
 }
--- a/crates/core/src/gateway/controller/streams.rs
+++ b/crates/core/src/gateway/controller/streams.rs
@@ -68,7 +68,8 @@
     match message {
         GatewayMessage::Streams(records) => {
             for record in records {
-                board.stream_origins.insert(record.clone(), board.now.mono);
+                let record = with_known_software(board, record.clone());
+                board.stream_origins.insert(record, board.now.mono);
             }
         }
         GatewayMessage::FindStream { id } => {
@@ -84,6 +85,17 @@
     }
 }
 
+/// Returns a record with the software of the instance that this host knows, where that has started
+/// later than the one which the sender knows: it got the request.
+fn with_known_software(board: &Board, mut record: StreamRecord) -> StreamRecord {
+    let Some((id, started_at)) = &record.instance else { return record };
+    let known = board.upstream_index.get(id).map(|key| &board.upstreams[*key].announced);
+    if let Some(known) = known.filter(|known| known.started_at > *started_at) {
+        record.origin.software.clone_from(&known.software);
+    }
+    record
+}
+
 /// Returns the upstreams that can continue a stream, by instance id and start time.
 fn instances_of(board: &Board, origin: &StreamOrigin) -> Vec<(Box<str>, u64)> {
     let mut instances = Vec::new();
--- a/crates/core/tests/it/taken_up_streams.rs
+++ b/crates/core/tests/it/taken_up_streams.rs
@@ -272,6 +272,32 @@
     }
 }
 
+/// Guards against a stream that an entry out of step begins at an upstream which has other software than
+/// the entry believes.
+#[test]
+fn a_stream_was_recorded_under_the_version_of_an_earlier_instance() {
+    for seed in 0..6 {
+        let mut deployment = mixed(960 + seed);
+        for store in STORES {
+            deployment.cut(ENTRIES[0], store, true);
+        }
+        upgrade(&mut deployment, 1, "v2");
+        upgrade(&mut deployment, 4, "v1");
+        deployment.run(2_000);
+        for store in STORES {
+            deployment.cut(ENTRIES[0], store, false);
+        }
+        let begun = begin_at_once(&mut deployment, ENTRIES[0]);
+        deployment.run(3_000);
+        for (id, upstream) in &begun {
+            let (_, next) =
+                stream(&mut deployment, ENTRIES[1], Some(id.clone())).expect("a stream");
+            let is_new = |upstream: &str| matches!(upstream, "desk-1" | "desk-3");
+            assert_eq!(is_new(&next), is_new(upstream), "seed {seed}: {upstream}, then {next}");
+        }
+    }
+}
+
 /// Begins streams at an entry, all at the same time.
 fn begin_at_once(deployment: &mut Deployment, entry: HostId) -> Vec<(String, String)> {
     let before = deployment.forwards.len();
