--- a/crates/daemon/src/gateway/forward.rs
+++ b/crates/daemon/src/gateway/forward.rs
@@ -124,7 +124,8 @@
         report: &mut Option<LateEndReport>,
     ) -> Outcome {
         let deadline = AnswerDeadline::new(self.timeout, self.upstream, self.request_id);
-        let sent = pool.send(self.upstream, &self.request, self.connect_timeout).await;
+        let sent =
+            pool.send(self.upstream, &self.request, self.request_id, self.connect_timeout).await;
         let (response, connection) = match sent {
             Ok(sent) => sent,
             Err(SendError::NotSent(detail)) => {
--- a/crates/daemon/src/gateway/items.rs
+++ b/crates/daemon/src/gateway/items.rs
@@ -142,7 +142,8 @@
         let request = self.protocol.item_request(run);
         let deadline = Duration::from_millis(run.deadline.0);
         let silence = Duration::from_millis(run.silence.0);
-        let sent = self.pool.send(&run.upstream, &request, CONNECT_TIMEOUT);
+        let request_id = self.protocol.request_id(request.headers());
+        let sent = self.pool.send(&run.upstream, &request, request_id, CONNECT_TIMEOUT);
         let (response, connection) = match tokio::time::timeout(silence, sent).await {
             Ok(Ok(sent)) => sent,
             Ok(Err(SendError::NotSent(detail) | SendError::Refused(detail))) => {
@@ -154,7 +155,6 @@
         };
         let (head, body) = response.into_parts();
         let status = head.status.as_u16();
-        let request_id = self.protocol.request_id(request.headers());
         let call = format!("item={}", request_id.unwrap_or_default());
         let protocol = &*self.protocol;
         report_statements(protocol, &self.inputs, &run.upstream, &head, request_id, call);
--- a/crates/daemon/src/gateway/orders.rs
+++ b/crates/daemon/src/gateway/orders.rs
@@ -119,7 +119,7 @@
         request: &Request<Bytes>,
         call: &str,
     ) -> Result<Reply, Box<str>> {
-        let sent = self.pool.send(upstream, request, CONNECT_TIMEOUT);
+        let sent = self.pool.send(upstream, request, None, CONNECT_TIMEOUT);
         let Ok(sent) = tokio::time::timeout(RESPONSE_TIMEOUT, sent).await else {
             return Err(format!("no response within {RESPONSE_TIMEOUT:?}").into());
         };
--- a/crates/daemon/src/gateway/pool.rs
+++ b/crates/daemon/src/gateway/pool.rs
@@ -1,6 +1,6 @@
 //! A pool of connections to upstreams, which stay open between requests.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -31,6 +31,10 @@
 /// The maximum number of idle connections to one upstream.
 const MAX_IDLE_PER_UPSTREAM: usize = 32;
 
+/// The number of ids that a connection remembers: more requests than it carries while an attempt of one of
+/// them may follow.
+const MAX_CARRIED_IDS: usize = 64;
+
 /// The most bytes of a response's head, and of what is read ahead of a body.
 const MAX_HEAD_BYTES: usize = 64 * 1024;
 
@@ -57,6 +61,28 @@
 pub struct Connection {
     sender: SendRequest<Full<Bytes>>,
     task: AbortHandle,
+    carried: CarriedIds,
+}
+
+/// The ids of the last requests that a connection has carried.
+///
+/// All attempts of a request have its id, so a late copy of the answer to one of them passes for the
+/// answer to the next one on the same connection.
+#[derive(Debug, Default)]
+struct CarriedIds(VecDeque<Box<str>>);
+
+impl CarriedIds {
+    fn push(&mut self, id: Option<&str>) {
+        let Some(id) = id else { return };
+        if self.0.len() == MAX_CARRIED_IDS {
+            self.0.pop_front();
+        }
+        self.0.push_back(id.into());
+    }
+
+    fn contains(&self, id: Option<&str>) -> bool {
+        id.is_some_and(|id| self.0.iter().any(|carried| **carried == *id))
+    }
 }
 
 impl Drop for Connection {
@@ -96,7 +122,7 @@
     /// Sends a request over an idle connection or a new one.
     ///
     /// An idle connection that turns out to be closed before anything was sent on it is replaced by
-    /// the next idle one, or by a new one.
+    /// the next idle one, or by a new one. No connection carries two requests with the same id.
     ///
     /// # Errors
     ///
@@ -105,9 +131,11 @@
         &self,
         upstream: &UpstreamAddress,
         request: &Request<Bytes>,
+        request_id: Option<&str>,
         connect_timeout: Duration,
     ) -> Result<(Response<Incoming>, Connection), SendError> {
-        while let Some(mut connection) = self.take_idle(&upstream.id) {
+        while let Some(mut connection) = self.take_idle(&upstream.id, request_id) {
+            connection.carried.push(request_id);
             match connection.sender.send_request(with_full_body(request)).await {
                 Ok(response) => return with_known_coding(response, connection),
                 Err(error) if error.is_canceled() => {}
@@ -115,6 +143,7 @@
             }
         }
         let mut connection = self.connect(upstream, connect_timeout).await?;
+        connection.carried.push(request_id);
         match connection.sender.send_request(with_full_body(request)).await {
             Ok(response) => with_known_coding(response, connection),
             Err(error) => Err(SendError::Broken(error.to_string().into())),
@@ -179,17 +208,14 @@
         matches!(connected, Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused)
     }
 
-    fn take_idle(&self, id: &str) -> Option<Connection> {
+    /// Takes the newest usable connection to an upstream that has not carried the request before.
+    fn take_idle(&self, upstream_id: &str, request_id: Option<&str>) -> Option<Connection> {
         let now = Instant::now();
         let mut idle_by_upstream = self.idle.lock().ok()?;
-        let list = idle_by_upstream.get_mut(id)?;
-        while let Some(idle) = list.pop() {
-            let usable = idle.expires_at > now && idle.connection.sender.is_ready();
-            if usable {
-                return Some(idle.connection);
-            }
-        }
-        None
+        let list = idle_by_upstream.get_mut(upstream_id)?;
+        list.retain(|idle| idle.expires_at > now && idle.connection.sender.is_ready());
+        let newest = list.iter().rposition(|idle| !idle.connection.carried.contains(request_id))?;
+        Some(list.remove(newest).connection)
     }
 
     async fn connect(
@@ -224,7 +250,7 @@
                 log::debug!(event = "upstream-connection"; "{error}");
             }
         });
-        Ok(Connection { sender, task: task.abort_handle() })
+        Ok(Connection { sender, task: task.abort_handle(), carried: CarriedIds::default() })
     }
 }
 
