--- a/crates/core/src/gateway/board.rs
+++ b/crates/core/src/gateway/board.rs
@@ -55,7 +55,7 @@
 pub use store_request::{
     Origin, PendingDecision, PendingStoreRequest, ResultsReader, StoreRequestState,
 };
-pub use stream_origin::{StreamOrigin, StreamOrigins, StreamRecord, StreamSearch};
+pub use stream_origin::{InstanceId, StreamOrigin, StreamOrigins, StreamRecord, StreamSearch};
 pub use suspects::{CRASH_RETENTION, QUARANTINE_CRASHES, Suspects, incarnation};
 pub use text::{ReusableText, TextCache, is_same_item};
 pub use upstream::{ENDED_RETENTION, LeaveSource, SaidLeaving, Upstream, UpstreamHealth};
--- a/crates/core/src/gateway/board/request.rs
+++ b/crates/core/src/gateway/board/request.rs
@@ -1,7 +1,7 @@
 //! Callers' requests, on an entry host.
 
 use crate::directory::Route;
-use crate::gateway::board::StreamOrigin;
+use crate::gateway::board::{InstanceId, StreamOrigin};
 use crate::key::{AttemptKey, Fingerprint, RequestTag, UpstreamKey};
 use crate::time::Millis;
 
@@ -36,9 +36,9 @@
     pub resumes: Option<Box<str>>,
     /// Where that stream began; `None` if it is not known.
     pub origin: Option<StreamOrigin>,
-    /// The instances that can continue the stream, by id and start time, as the store knows them that
-    /// told the origin; `None` if it named none.
-    pub continuing: Option<Vec<(Box<str>, u64)>>,
+    /// The instances that can continue the stream, as the store knows them that told the origin; `None`
+    /// if it named none.
+    pub continuing: Option<Vec<InstanceId>>,
     /// When it arrived.
     pub opened: Millis,
     /// When it must be answered at the latest: after the route's time-out or the caller's wait
--- a/crates/core/src/gateway/board/stream_origin.rs
+++ b/crates/core/src/gateway/board/stream_origin.rs
@@ -26,6 +26,17 @@
     pub software: Box<str>,
 }
 
+/// One instance of an upstream, of all that have had its id.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub struct InstanceId {
+    /// The id.
+    pub id: Box<str>,
+    /// The wall time of its start in milliseconds.
+    #[serde(rename = "born")]
+    pub started_at: u64,
+}
+
 /// The origin of a stream, by the id of the caller's attempt that began it.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -36,10 +47,9 @@
     pub number: u32,
     /// The origin.
     pub origin: StreamOrigin,
-    /// The instance id and the start time of the upstream as the sender knows it; `None` from a host of
-    /// an earlier version.
+    /// The upstream, as the sender knows it; `None` from a host of an earlier version.
     #[serde(default, skip_serializing_if = "Option::is_none")]
-    pub instance: Option<(Box<str>, u64)>,
+    pub instance: Option<InstanceId>,
 }
 
 /// The origins that a store host remembers; a host that starts anew has none.
--- a/crates/core/src/gateway/controller/forwarding/taken_up.rs
+++ b/crates/core/src/gateway/controller/forwarding/taken_up.rs
@@ -19,10 +19,8 @@
     let Some(origin) = &request.origin else { return request.resumes.is_none() };
     let Some(upstream) = board.upstreams.get(upstream) else { return false };
     let announced = &upstream.announced;
-    let is_instance = |(id, started_at): &(Box<str>, u64)| {
-        *id == announced.id && *started_at == announced.started_at
-    };
-    let is_known = request.continuing.as_ref().is_none_or(|known| known.iter().any(is_instance));
+    let instance = announced.instance();
+    let is_known = request.continuing.as_ref().is_none_or(|known| known.contains(&instance));
     announced.software == origin.software && is_known
 }
 
@@ -69,6 +67,6 @@
     let (id, number) = (request.trace.clone(), request.attempts);
     let service = upstream.announced.service.clone();
     let origin = StreamOrigin { service, software: upstream.announced.software.clone() };
-    let instance = Some((upstream.announced.id.clone(), upstream.announced.started_at));
+    let instance = Some(upstream.announced.instance());
     board.new_streams.push(StreamRecord { id, number, origin, instance });
 }
--- a/crates/core/src/gateway/controller/leaves.rs
+++ b/crates/core/src/gateway/controller/leaves.rs
@@ -83,7 +83,8 @@
             board.answer(tag, Answer::Done);
             return;
         };
-        self.last_number += 1;
+        // A confirmation for the process before this one must not count for this one's leaves.
+        self.last_number = self.last_number.max(board.cfg.boot_id) + 1;
         let number = self.last_number;
         let contacts = keeping_contacts(board);
         for contact in &contacts {
--- a/crates/core/src/gateway/controller/streams.rs
+++ b/crates/core/src/gateway/controller/streams.rs
@@ -13,7 +13,9 @@
 use super::Controller;
 use super::candidates::usable;
 use crate::checksum::checksum;
-use crate::gateway::board::{Board, RequestState, StreamOrigin, StreamRecord, StreamSearch};
+use crate::gateway::board::{
+    Board, InstanceId, RequestState, StreamOrigin, StreamRecord, StreamSearch,
+};
 use crate::gateway::event::Event;
 use crate::gateway::message::GatewayMessage;
 use crate::gateway::settings::Role;
@@ -36,7 +38,7 @@
 const RECORD_DELAY: Millis = Millis(5);
 
 /// The origin of a stream, and the instances that can continue it where the store named them.
-type FoundOrigin = (StreamOrigin, Option<Vec<(Box<str>, u64)>>);
+type FoundOrigin = (StreamOrigin, Option<Vec<InstanceId>>);
 
 /// Tells stores of streams, and finds the origins of those that callers take up.
 #[derive(Debug, Default)]
@@ -88,21 +90,21 @@
 /// Returns a record with the software of the instance that this host knows, where that has started
 /// later than the one which the sender knows: it got the request.
 fn with_known_software(board: &Board, mut record: StreamRecord) -> StreamRecord {
-    let Some((id, started_at)) = &record.instance else { return record };
-    let known = board.upstream_index.get(id).map(|key| &board.upstreams[*key].announced);
-    if let Some(known) = known.filter(|known| known.started_at > *started_at) {
+    let Some(sent_to) = &record.instance else { return record };
+    let known = board.upstream_index.get(&sent_to.id).map(|key| &board.upstreams[*key].announced);
+    if let Some(known) = known.filter(|known| known.started_at > sent_to.started_at) {
         record.origin.software.clone_from(&known.software);
     }
     record
 }
 
-/// Returns the upstreams that can continue a stream, by instance id and start time.
-fn instances_of(board: &Board, origin: &StreamOrigin) -> Vec<(Box<str>, u64)> {
+/// Returns the upstreams that can continue a stream.
+fn instances_of(board: &Board, origin: &StreamOrigin) -> Vec<InstanceId> {
     let mut instances = Vec::new();
     for (_, upstream) in usable(board, &origin.service) {
         let announced = &upstream.announced;
         if announced.software == origin.software {
-            instances.push((announced.id.clone(), announced.started_at));
+            instances.push(announced.instance());
         }
     }
     instances
--- a/crates/core/src/gateway/event.rs
+++ b/crates/core/src/gateway/event.rs
@@ -7,6 +7,7 @@
 use crate::agreement::Record;
 use crate::directory::{ItemSpec, ItemText, RoutingConfig};
 use crate::error::Problem;
+use crate::gateway::board::InstanceId;
 use crate::gateway::rate::RequestRate;
 use crate::key::{AttemptKey, Fingerprint, HostId, OrderKey, RequestTag, SyncToken, UpstreamKey};
 use crate::message::Envelope;
@@ -262,6 +263,12 @@
         (self.started_at, self.seq)
     }
 
+    /// Returns the instance that announces itself.
+    #[must_use]
+    pub fn instance(&self) -> InstanceId {
+        InstanceId { id: self.id.clone(), started_at: self.started_at }
+    }
+
     /// Returns the content without the fields that tell which announcement is newer.
     ///
     /// Hosts that receive two different announcements with the same sequence number compare their
