--- a/crates/core/src/gateway/controller/membership.rs
+++ b/crates/core/src/gateway/controller/membership.rs
@@ -7,7 +7,7 @@
 
 use super::Controller;
 use crate::gateway::board::{AnnouncementSource, Board, Host, LeaveSource};
-use crate::gateway::event::Event;
+use crate::gateway::event::{Announcement, Event};
 use crate::gateway::message::{GatewayMessage, Hello, LimitRecord, Roster, UpstreamRecord, View};
 use crate::gateway::settings::Role;
 use crate::key::{HostId, HostKey};
@@ -131,9 +131,13 @@
         board.pending_leaves.push((id.clone(), *started_at, from));
     }
     board.pending_limits.extend(hello.limits.iter().cloned());
-    for (id, seq) in &hello.seen_upstreams {
+    for (at, (id, seq)) in hello.seen_upstreams.iter().enumerate() {
         let Some(key) = board.upstream_index.get(id) else { continue };
         let upstream = &mut board.upstreams[*key];
+        let started_at = hello.seen_starts.get(at).copied();
+        if started_at.is_some_and(|started_at| started_at != upstream.announced.started_at) {
+            continue;
+        }
         if *seq >= upstream.announced.seq {
             upstream.newly_seen |= *seq > upstream.announced.seq;
             upstream.announced.seq = *seq;
@@ -268,8 +272,10 @@
     };
     let batch: Vec<HostKey> =
         board.hosts.iter().filter(|(_, host)| in_batch(host)).map(|(key, _)| key).collect();
-    let seen_upstreams =
-        if board.cfg.role == Role::Store { take_newly_seen(board, &batch) } else { Vec::new() };
+    let (seen_upstreams, seen_starts): (Vec<_>, Vec<_>) =
+        if board.cfg.role == Role::Store { take_newly_seen(board, &batch) } else { Vec::new() }
+            .into_iter()
+            .unzip();
     let suspects = board.suspects.digest();
     let leaving_upstreams = leaving_upstreams(board);
     let limits = own_limits(board);
@@ -299,6 +305,7 @@
             routing_version: routing,
             known_revision: host.known_revision,
             seen_upstreams: if is_contact { seen_upstreams.clone() } else { Vec::new() },
+            seen_starts: if is_contact { seen_starts.clone() } else { Vec::new() },
             suspects,
             leaving_upstreams: leaving_upstreams.clone(),
             limits: limits.clone(),
@@ -343,8 +350,8 @@
 }
 
 /// Returns the upstreams of which an announcement became known since the last hellos, with its
-/// number, and forgets them if the hellos go to a contact.
-fn take_newly_seen(board: &mut Board, batch: &[HostKey]) -> Vec<(Box<str>, u64)> {
+/// number, and their start times, and forgets them if the hellos go to a contact.
+fn take_newly_seen(board: &mut Board, batch: &[HostKey]) -> Vec<((Box<str>, u64), u64)> {
     if !batch.iter().any(|key| board.hosts[*key].contact_since.is_some()) {
         return Vec::new();
     }
@@ -353,7 +360,8 @@
         if !std::mem::take(&mut upstream.newly_seen) {
             continue;
         }
-        announced.push((upstream.announced.id.clone(), upstream.announced.seq));
+        let Announcement { id, seq, started_at, .. } = &upstream.announced;
+        announced.push(((id.clone(), *seq), *started_at));
     }
     announced
 }
--- a/crates/core/src/gateway/message/membership.rs
+++ b/crates/core/src/gateway/message/membership.rs
@@ -37,6 +37,10 @@
     /// instance id, with the sequence number of the last announcement.
     #[serde(rename = "heard")]
     pub seen_upstreams: Vec<(Box<str>, u64)>,
+    /// The start times of these upstreams, in the same order, since their numbers start anew with each
+    /// instance; empty from a host of an earlier version.
+    #[serde(default, rename = "heard_born", skip_serializing_if = "Vec::is_empty")]
+    pub seen_starts: Vec<u64>,
     /// The digest of the sender's table of suspects; zero if it is empty, and from a host of an
     /// earlier version.
     #[serde(default)]
--- a/crates/core/tests/it/departures.rs
+++ b/crates/core/tests/it/departures.rs
@@ -230,3 +230,24 @@
     let [left, other] = forwards(deployment, entry, ["desk-1", "desk-2"]);
     assert_eq!((left, other > 0), (0, true), "{entry:?}");
 }
+
+/// Guards against a new instance whose announcements are ignored, a leave among them, since another store
+/// host still tells the number of the instance before.
+#[test]
+fn an_upstream_that_started_anew_drained_and_went_on_getting_requests() {
+    for seed in 140..150 {
+        for late_ms in [0, 100, 300, 600] {
+            let mut deployment = start(seed);
+            announce_late(&mut deployment, STORES[1], 1, 500);
+            deployment.run(late_ms);
+            announce_late(&mut deployment, STORES[0], 2, 1);
+            deployment.run(1_500);
+            let mut draining = announcement("desk-1", 2, 2);
+            draining.leaving = true;
+            deployment.send_call(STORES[0], Call::Announce(draining));
+            deployment.run(DRAIN_MS);
+            let [left, other] = forwards(&mut deployment, ENTRIES[0], ["desk-1", "desk-2"]);
+            assert_eq!((left, other > 0), (0, true), "seed {seed}, {late_ms} ms");
+        }
+    }
+}
--- a/crates/wire/tests/frame.rs
+++ b/crates/wire/tests/frame.rs
@@ -87,6 +87,7 @@
         incarnation: 1,
         routing_version: 2,
         known_revision: (3, 4),
+        seen_starts: vec![1_700_000_000_000],
         seen_upstreams: Vec::new(),
         suspects: 0,
         leaving_upstreams,
