--- a/crates/core/tests/it/taken_up_streams.rs
+++ b/crates/core/tests/it/taken_up_streams.rs
@@ -18,19 +18,24 @@
 const STREAMS: usize = 24;
 
 fn announce(deployment: &mut Deployment, number: u32, software: &str, leaving: bool, seq: u64) {
-    let announcement = Announcement {
+    let announcement = announcement(number, software, leaving, (1, seq));
+    deployment.send_call(STORES[0], Call::Announce(announcement));
+}
+
+/// Returns an announcement with its start time and number.
+fn announcement(number: u32, software: &str, leaving: bool, order: (u64, u64)) -> Announcement {
+    Announcement {
         id: format!("desk-{number}").into(),
         service: "desk".into(),
         address: format!("10.0.1.{number}:8000").into(),
         zone: "zone-1".into(),
         slots: 64,
         leaving,
-        started_at: 1,
-        seq,
+        started_at: order.0,
+        seq: order.1,
         versions: Vec::new(),
         software: software.into(),
-    };
-    deployment.send_call(STORES[0], Call::Announce(announcement));
+    }
 }
 
 /// Returns a deployment with a route for streams and two upstreams of each of two versions.
@@ -319,17 +324,6 @@
 
 /// Starts an upstream anew under its id with other software.
 fn upgrade(deployment: &mut Deployment, number: u32, software: &str) {
-    let announcement = Announcement {
-        id: format!("desk-{number}").into(),
-        service: "desk".into(),
-        address: format!("10.0.1.{number}:8000").into(),
-        zone: "zone-1".into(),
-        slots: 64,
-        leaving: false,
-        started_at: 2,
-        seq: 1,
-        versions: Vec::new(),
-        software: software.into(),
-    };
+    let announcement = announcement(number, software, false, (2, 1));
     deployment.send_call(STORES[0], Call::Announce(announcement));
 }
