--- a/crates/core/src/gateway/message/membership.rs
+++ b/crates/core/src/gateway/message/membership.rs
@@ -123,7 +123,7 @@
     /// majority of the voters.
     #[serde(skip_serializing_if = "std::ops::Not::not")]
     pub misses_contacts: bool,
-    /// Whether the sender answers [`GatewayMessage::Leaves`]; not so a host of an earlier version.
+    /// Whether the sender answers [`super::GatewayMessage::Leaves`]; not so a host of an earlier version.
     #[serde(skip_serializing_if = "std::ops::Not::not")]
     pub keeps_leaves: bool,
     /// A newer routing configuration; `None` where the receiver needs none.
--- a/crates/daemon/src/gateway/events.rs
+++ b/crates/daemon/src/gateway/events.rs
@@ -1,7 +1,7 @@
 //! An incremental parser of server-sent events (`text/event-stream`).
 //!
 //! [`EventReader`] returns the events of a stream whose text this host collects. [`EventBoundary`]
-//! only follows a stream that is passed on. Both split lines with the same [`LineSplitter`].
+//! only follows a stream that is passed on. Both split lines with the same `LineSplitter`.
 
 mod boundary;
 mod lines;
