feat(core): types of workspaces, the holder's lease and calls to the provider

Cause: two deployments need workspaces with keys, and usage reports and orders for upstreams that one host sends at a time; nothing in the code has types for them. No decision uses them yet. Conclusion: cargo check of all targets passes; nothing was measured, since no behaviour changes.

--- a/crates/core/src/directory.rs
+++ b/crates/core/src/directory.rs
@@ -11,6 +11,7 @@
 mod routing;
 mod state;
 mod text;
+mod workspace;
 
 pub use command::{DirectoryCommand, DirectoryOutcome};
 pub use job::{ItemOutcome, ItemResult, ItemSpec, Job, JobSpec, NewResult};
@@ -20,3 +21,4 @@
 };
 pub use state::Directory;
 pub use text::{ItemText, PartialText, TextPart};
+pub use workspace::{ApiKey, Workspace};
--- a/crates/core/src/directory/routing.rs
+++ b/crates/core/src/directory/routing.rs
@@ -6,6 +6,7 @@
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 
+use crate::directory::Workspace;
 use crate::time::Millis;
 
 /// A decoded routing configuration, with the document that the operator sent.
@@ -22,6 +23,9 @@
     pub services: Vec<ServiceSpec>,
     /// The limits on the requests of callers.
     pub limits: RequestLimits,
+    /// The workspaces; if there are any, requests need a key unless their route is public.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub workspaces: Vec<Workspace>,
 }
 
 impl RoutingConfig {
@@ -68,6 +72,9 @@
     pub single_version: bool,
     /// Whether a stream can be resumed at another upstream.
     pub resumable: bool,
+    /// Whether its requests need no key.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub public: bool,
 }
 
 /// The kind of the requests of a route.
--- a/crates/core/src/gateway.rs
+++ b/crates/core/src/gateway.rs
@@ -25,8 +25,10 @@
 pub mod board;
 pub mod controller;
 pub mod event;
+pub mod lease;
 pub mod message;
 pub mod policy;
+pub mod provider;
 pub mod rate;
 pub mod settings;
 
@@ -40,8 +42,13 @@
     Announcement, Call, Event, ForwardEnd, IncomingCall, ItemEnd, ItemRunReport, JobBody, LateEnd,
     OrderEnd, Query,
 };
+pub use lease::HolderLease;
 pub use message::{GatewayMessage, StoreReply, StoreRequest};
 pub use policy::Policies;
+pub use provider::{
+    CountOrder, ProviderCall, ProviderCallEnd, ProviderQueue, ProviderRequest, ProviderSettings,
+    UsageReport,
+};
 pub use rate::RequestRate;
 pub use settings::{DeploymentTimes, GatewaySettings, Role};
 
--- a/crates/core/src/gateway/action.rs
+++ b/crates/core/src/gateway/action.rs
@@ -8,6 +8,7 @@
 use crate::agreement::Record;
 use crate::directory::{ItemOutcome, JobSpec, RewardCall};
 use crate::error::Problem;
+use crate::gateway::provider::ProviderCall;
 use crate::gateway::settings::Role;
 use crate::key::{AttemptKey, Fingerprint, HostId, OrderKey, RequestTag, SyncToken, UpstreamKey};
 use crate::message::Envelope;
@@ -48,6 +49,8 @@
     },
     /// Orders an upstream to load a weight version.
     Order(Order),
+    /// Sends a call to the infrastructure provider.
+    CallProvider(ProviderCall),
     /// Closes the idle connections to an upstream, and each of the others when its answer ends.
     CloseUpstream {
         /// The upstream.
--- a/crates/core/src/gateway/board.rs
+++ b/crates/core/src/gateway/board.rs
@@ -29,9 +29,11 @@
 use crate::error::{Problem, Ran};
 use crate::gateway::action::{Action, Answer, Counters};
 use crate::gateway::event::{Announcement, IncomingCall};
+use crate::gateway::lease::HolderLease;
 use crate::gateway::message::{
     GatewayMessage, LimitRecord, StoreReply, StoreRequest, Subscription,
 };
+use crate::gateway::provider::ProviderQueue;
 use crate::gateway::settings::{GatewaySettings, Role};
 use crate::key::{
     AttemptKey, HostId, HostKey, ItemKey, JobKey, OrderKey, RequestKey, RequestTag,
@@ -197,6 +199,10 @@
     pub text_cache: TextCache,
     /// Orders whose end has not been reported.
     pub orders: SlotMap<OrderKey, PendingOrder>,
+    /// The lease under which this host performs singleton tasks; `None` while it may not.
+    pub holder_lease: Option<HolderLease>,
+    /// The requests to the infrastructure provider, and the ends of the calls.
+    pub provider: ProviderQueue,
     /// Whether the host takes requests.
     pub ready: bool,
     /// When the host began to stop; `None` where it does not stop.
@@ -296,6 +302,8 @@
             scored_items: Vec::new(),
             text_cache: TextCache::new(memory.text_cache_budget()),
             orders: SlotMap::with_key(),
+            holder_lease: None,
+            provider: ProviderQueue::default(),
             ready: false,
             draining: None,
             another_round: false,
--- a/crates/core/src/gateway/board/request.rs
+++ b/crates/core/src/gateway/board/request.rs
@@ -29,6 +29,8 @@
     pub fingerprint: Fingerprint,
     /// The route that it matched.
     pub route: Route,
+    /// The workspace of the caller, or `None` if it has none.
+    pub workspace: Option<Box<str>>,
     /// The service chosen from the route's targets.
     pub service: Box<str>,
     /// The stream that it takes up, by the id of the attempt that began it; empty if the caller names none,
--- a/crates/core/src/gateway/controller/forwarding.rs
+++ b/crates/core/src/gateway/controller/forwarding.rs
@@ -140,6 +140,7 @@
         trace,
         fingerprint,
         route: route.clone(),
+        workspace: None,
         service: draw_service(board, route),
         resumes,
         origin: None,
--- a/crates/core/src/gateway/event.rs
+++ b/crates/core/src/gateway/event.rs
@@ -8,8 +8,11 @@
 use crate::directory::{ItemSpec, ItemText, RoutingConfig};
 use crate::error::Problem;
 use crate::gateway::board::InstanceId;
+use crate::gateway::provider::ProviderCallEnd;
 use crate::gateway::rate::RequestRate;
-use crate::key::{AttemptKey, Fingerprint, HostId, OrderKey, RequestTag, SyncToken, UpstreamKey};
+use crate::key::{
+    AttemptKey, Fingerprint, HostId, OrderKey, ProviderCallKey, RequestTag, SyncToken, UpstreamKey,
+};
 use crate::message::Envelope;
 use crate::time::Millis;
 
@@ -77,6 +80,13 @@
         /// How it ended.
         end: OrderEnd,
     },
+    /// A call to the infrastructure provider has ended.
+    ProviderCallEnded {
+        /// The call.
+        call: ProviderCallKey,
+        /// How it ended.
+        end: ProviderCallEnd,
+    },
     /// An upstream has said in the head of an answer that it leaves.
     UpstreamLeaving {
         /// The upstream.
--- a/crates/core/src/gateway/settings.rs
+++ b/crates/core/src/gateway/settings.rs
@@ -4,6 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::gateway::provider::ProviderSettings;
 use crate::key::HostId;
 use crate::time::Millis;
 
@@ -88,6 +89,9 @@
     /// The resident memory that the process must stay below, in bytes; `None` if it is not limited.
     #[serde(default)]
     pub memory_limit: Option<u64>,
+    /// The interface of the infrastructure provider; `None` if the deployment has none.
+    #[serde(default)]
+    pub provider: Option<ProviderSettings>,
 }
 
 impl GatewaySettings {
@@ -115,6 +119,7 @@
             election_timeout: Millis(1_200),
             times: DeploymentTimes::default(),
             memory_limit: None,
+            provider: None,
         }
     }
 
@@ -182,6 +187,13 @@
         self
     }
 
+    /// Sets the interface of the infrastructure provider; the default is none.
+    #[must_use]
+    pub fn provider(mut self, provider: impl Into<Option<ProviderSettings>>) -> Self {
+        self.provider = provider.into();
+        self
+    }
+
     /// Returns the distance of a zone: 0 for this host's own, 1 for another in its region, 2
     /// elsewhere.
     #[must_use]
--- a/crates/core/src/key.rs
+++ b/crates/core/src/key.rs
@@ -24,6 +24,8 @@
     pub struct AttemptKey;
     /// Identifies an order that awaits an upstream's answer.
     pub struct OrderKey;
+    /// Identifies a call to the infrastructure provider that has not ended.
+    pub struct ProviderCallKey;
     /// Identifies a request from this host to a store host.
     pub struct StoreRequestKey;
     /// Identifies a job with items in progress.
--- a/crates/core/tests/it/deployment.rs
+++ b/crates/core/tests/it/deployment.rs
@@ -449,6 +449,7 @@
             Action::Note(event) => self.timeline.push(event),
             Action::Exit { .. } => self.kill(id),
             Action::Cancel { .. }
+            | Action::CallProvider(_)
             | Action::CloseUpstream { .. }
             | Action::Deliver { .. }
             | Action::Drain
--- a/crates/core/tests/it/deployment/documents.rs
+++ b/crates/core/tests/it/deployment/documents.rs
@@ -26,6 +26,7 @@
         due_after: Millis(7_500),
         single_version: false,
         resumable: true,
+        public: false,
     };
     let service =
         |name: &str, engine| ServiceSpec { name: name.into(), max_connections: 100, engine };
@@ -48,6 +49,7 @@
             body_bytes: 1 << 20,
             idle_timeout: Millis(15_000),
         },
+        workspaces: Vec::new(),
     })
 }
 
--- a/crates/daemon/src/gateway/control.rs
+++ b/crates/daemon/src/gateway/control.rs
@@ -204,6 +204,9 @@
             Action::Order(order) => {
                 self.outputs.runtime.spawn(self.outputs.orders.clone().run(order));
             }
+            Action::CallProvider(call) => {
+                log::error!(event = "provider-call-dropped", fence = call.fence; "no client");
+            }
             Action::CloseUpstream { upstream } => self.outputs.pool.close_upstream(&upstream),
             Action::Send { to, envelope } => self.outputs.links.send(to, envelope),
             Action::Persist { token, records } => {
--- a/crates/wire/tests/append.rs
+++ b/crates/wire/tests/append.rs
@@ -129,6 +129,7 @@
         routes: Vec::new(),
         services: Vec::new(),
         limits: RequestLimits { head_bytes: 1, body_bytes: 1, idle_timeout: Millis(1) },
+        workspaces: Vec::new(),
     };
     let command = Command::Directory(DirectoryCommand::PutRouting(Arc::new(routing)));
     let entry = Entry { index: 5, term: 2, command };
