fix(core): entry hosts refused requests for two seconds after a loss of power

Callers are sent back for 250 ms meanwhile, to another host in the same state. Excluded: the election (0.7 s after the first store) and the links, which open again within 100 ms. Change: for 5 s after its start a host sends a contact that has not answered yet a hello each 250 ms; a host without a routing configuration asks callers to come back after 600 ms.

--- a/crates/core/src/gateway/controller/forwarding.rs
+++ b/crates/core/src/gateway/controller/forwarding.rs
@@ -41,6 +41,10 @@
 /// of the request's attempts.
 const MAX_UNCOUNTED_REFUSALS: usize = 8;
 
+/// The delay before a caller's next try at a deployment that starts: an election and the delivery of
+/// the routing configuration take most of a second.
+const START_RETRY_DELAY: Millis = Millis(600);
+
 /// The time limit for accepting a job; callers of jobs wait for many seconds.
 const SUBMIT_TIMEOUT: Millis = Millis(5_000);
 
@@ -109,7 +113,8 @@
     let Call::Request { host, path, fingerprint, resumes } = call else { return };
     board.counters.requests += 1;
     let Some(routing) = board.routing.clone() else {
-        board.reject(tag, &trace, not_ready("no routing configuration received yet"));
+        let problem = not_ready("no routing configuration received yet");
+        board.reject(tag, &trace, problem.retry_after(START_RETRY_DELAY));
         return;
     };
     let Some(route) = routing.find_route(&host, &path) else {
--- a/crates/core/src/gateway/controller/membership.rs
+++ b/crates/core/src/gateway/controller/membership.rs
@@ -21,6 +21,14 @@
 /// The interval between two hellos to a contact that does not answer.
 const SILENT_HELLO_INTERVAL: Millis = Millis(2_000);
 
+/// The interval between two hellos to a contact that has not answered since this process started. When
+/// a whole deployment starts, the first hellos arrive before their receivers listen.
+const START_HELLO_INTERVAL: Millis = Millis(250);
+
+/// How long after the start of the process the short interval applies; a contact that is silent for
+/// longer is down or cut off.
+const START_HELLO_PERIOD: Millis = Millis(5_000);
+
 /// The interval between two hellos of a store host to another one that is no contact, so that every
 /// store host knows all others.
 const DISTANT_HELLO_INTERVAL: Millis = Millis(10_000);
@@ -286,6 +294,9 @@
         let interval = match (is_contact, host.is_live(now)) {
             (false, _) if board.cfg.role == Role::Entry => HELLO_INTERVAL,
             (true, true) => HELLO_INTERVAL,
+            (true, false) if host.last_seen.is_none() && now < START_HELLO_PERIOD => {
+                START_HELLO_INTERVAL
+            }
             (true, false) => SILENT_HELLO_INTERVAL,
             (false, _) => DISTANT_HELLO_INTERVAL,
         };
--- a/crates/core/tests/it/main.rs
+++ b/crates/core/tests/it/main.rs
@@ -34,6 +34,7 @@
 mod silent_replica;
 mod sole_survivor;
 mod stalled_disk;
+mod start_of_all;
 mod tables;
 mod taken_up_streams;
 mod text_cache;
