--- a/crates/core/src/directory.rs
+++ b/crates/core/src/directory.rs
@@ -21,4 +21,4 @@
 };
 pub use state::Directory;
 pub use text::{ItemText, PartialText, TextPart};
-pub use workspace::{ApiKey, Workspace};
+pub use workspace::{AccessError, ApiKey, Workspace, WorkspaceError};
--- a/crates/core/src/directory/command.rs
+++ b/crates/core/src/directory/command.rs
@@ -108,4 +108,6 @@
     Applied,
     /// The command names a job that does not exist.
     UnknownJob,
+    /// The id of the submitted job belongs to a job of another workspace.
+    JobIdTaken,
 }
--- a/crates/core/src/directory/job.rs
+++ b/crates/core/src/directory/job.rs
@@ -81,9 +81,19 @@
     pub give_up_after: Millis,
     /// The requests.
     pub items: Vec<ItemSpec>,
+    /// The workspace that the job belongs to, or `None` if it belongs to none.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub workspace: Option<Box<str>>,
 }
 
 impl JobSpec {
+    /// Returns whether callers of a workspace, or of none, may read and end the job. A job without a
+    /// workspace was accepted before there were workspaces, or on a public route.
+    #[must_use]
+    pub fn is_accessible_to(&self, workspace: Option<&str>) -> bool {
+        self.workspace.is_none() || self.workspace.as_deref() == workspace
+    }
+
     /// Returns the approximate size of the job's items in a message, in bytes.
     #[must_use]
     pub fn bytes(&self) -> usize {
--- a/crates/core/src/directory/routing.rs
+++ b/crates/core/src/directory/routing.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 
-use crate::directory::Workspace;
+use crate::directory::{Workspace, WorkspaceError, workspace};
 use crate::time::Millis;
 
 /// A decoded routing configuration, with the document that the operator sent.
@@ -170,6 +170,8 @@
         /// The route.
         route: Box<str>,
     },
+    /// The workspaces are not valid.
+    InvalidWorkspace(WorkspaceError),
 }
 
 impl Display for RoutingError {
@@ -188,6 +190,7 @@
             Self::InvalidPrefix { route } => {
                 write!(f, "route {route}: the prefix must begin and end with a slash")
             }
+            Self::InvalidWorkspace(error) => write!(f, "{error}"),
         }
     }
 }
@@ -223,7 +226,7 @@
                 return Err(RoutingError::ZeroWeight { route: name() });
             }
         }
-        Ok(())
+        workspace::check(&self.workspaces).map_err(RoutingError::InvalidWorkspace)
     }
 
     /// Returns the route of a host and path: the one with the longest matching prefix.
--- a/crates/core/src/directory/state.rs
+++ b/crates/core/src/directory/state.rs
@@ -35,7 +35,10 @@
             }
             DirectoryCommand::SubmitJob { spec, at } => {
                 let job = || Job::new(Arc::clone(spec), *at);
-                self.jobs.entry(spec.id.clone()).or_insert_with(job);
+                let job = self.jobs.entry(spec.id.clone()).or_insert_with(job);
+                if !job.spec.is_accessible_to(spec.workspace.as_deref()) {
+                    return DirectoryOutcome::JobIdTaken;
+                }
             }
             DirectoryCommand::AppendResults { job, results } => {
                 let Some(job) = self.jobs.get_mut(job) else { return DirectoryOutcome::UnknownJob };
--- a/crates/core/src/error.rs
+++ b/crates/core/src/error.rs
@@ -52,6 +52,10 @@
     TooFewHosts,
     /// No upstream accepted the request.
     Unavailable,
+    /// The request has no key, or its key is not known.
+    Unauthorized,
+    /// The id belongs to something that the caller may not change.
+    IdTaken,
 }
 
 /// The answer to a caller for an error kind.
@@ -65,7 +69,7 @@
     pub retryable: bool,
 }
 
-const TABLE: [(ErrorKind, u16, &str, bool); 17] = [
+const TABLE: [(ErrorKind, u16, &str, bool); 19] = [
     (ErrorKind::BadRequest, 400, "The request can't be read", false),
     (ErrorKind::BodyTooLarge, 413, "The body is too large", false),
     (ErrorKind::SlowSender, 408, "The body did not arrive in time", true),
@@ -83,6 +87,8 @@
     (ErrorKind::ChangeInvalid, 422, "The change is not valid", false),
     (ErrorKind::TooFewHosts, 409, "Too few hosts would remain", false),
     (ErrorKind::Unavailable, 503, "No upstream took the request", true),
+    (ErrorKind::Unauthorized, 401, "A known key is required", false),
+    (ErrorKind::IdTaken, 409, "The id is in use", false),
 ];
 
 impl ErrorKind {
--- a/crates/core/src/gateway.rs
+++ b/crates/core/src/gateway.rs
@@ -39,8 +39,8 @@
 pub use board::Board;
 pub use controller::Controller;
 pub use event::{
-    Announcement, Call, Event, ForwardEnd, IncomingCall, ItemEnd, ItemRunReport, JobBody, LateEnd,
-    OrderEnd, Query,
+    Announcement, Call, Event, ForwardEnd, IncomingCall, ItemEnd, ItemRunReport, JobBody,
+    JobCaller, LateEnd, OrderEnd, Query,
 };
 pub use lease::HolderLease;
 pub use message::{GatewayMessage, StoreReply, StoreRequest};
--- a/crates/core/src/gateway/action.rs
+++ b/crates/core/src/gateway/action.rs
@@ -115,6 +115,11 @@
     pub connect: Millis,
     /// Whether events are passed on as they arrive; otherwise the answer is passed on when whole.
     pub streamed: bool,
+    /// Whether the request is sent without the caller's key, and with no other name of a workspace
+    /// than the one given here.
+    pub strips_key: bool,
+    /// The workspace, whose name the upstream is sent; `None` if there is none.
+    pub workspace: Option<Box<str>>,
 }
 
 /// An item to run.
@@ -137,6 +142,9 @@
     pub silence: Millis,
     /// The time-out for the whole run.
     pub deadline: Millis,
+    /// Whether the item is sent without headers that carry a key, and with no other name of a
+    /// workspace than the job's.
+    pub strips_key: bool,
 }
 
 /// A reward call to send to an upstream.
--- a/crates/core/src/gateway/board.rs
+++ b/crates/core/src/gateway/board.rs
@@ -25,7 +25,7 @@
 use slotmap::SlotMap;
 
 use crate::checksum::checksum;
-use crate::directory::{DirectoryCommand, ItemSpec, RoutingConfig};
+use crate::directory::{DirectoryCommand, RoutingConfig};
 use crate::error::{Problem, Ran};
 use crate::gateway::action::{Action, Answer, Counters};
 use crate::gateway::event::{Announcement, IncomingCall};
@@ -59,7 +59,7 @@
 };
 pub use stream_origin::{InstanceId, StreamOrigin, StreamOrigins, StreamRecord, StreamSearch};
 pub use suspects::{CRASH_RETENTION, QUARANTINE_CRASHES, Suspects, incarnation};
-pub use text::{ReusableText, TextCache, is_same_item};
+pub use text::{Orphan, ReusableText, TextCache, is_same_item};
 pub use upstream::{ENDED_RETENTION, LeaveSource, SaidLeaving, Upstream, UpstreamHealth};
 
 /// The purpose of an attempt.
@@ -189,7 +189,7 @@
     pub items: SlotMap<ItemKey, Item>,
     /// Items whose job ended, or whose result was committed, while an attempt was still running; each
     /// is kept until its attempt ends.
-    pub orphans: BTreeMap<AttemptKey, (ItemSpec, Item)>,
+    pub orphans: BTreeMap<AttemptKey, Orphan>,
     /// The items of those jobs whose texts wait for their reward calls.
     pub reward_queue: RewardQueue,
     /// Items whose reward calls have ended for good, with the score, or `None` where the upstreams
--- a/crates/core/src/gateway/board/request.rs
+++ b/crates/core/src/gateway/board/request.rs
@@ -31,6 +31,10 @@
     pub route: Route,
     /// The workspace of the caller, or `None` if it has none.
     pub workspace: Option<Box<str>>,
+    /// Whether the caller's key and its name of a workspace are removed before the request is sent.
+    pub strips_key: bool,
+    /// The priority: that of the workspace, or else that of the route; zero is the highest.
+    pub priority: u32,
     /// The service chosen from the route's targets.
     pub service: Box<str>,
     /// The stream that it takes up, by the id of the attempt that began it; empty if the caller names none,
--- a/crates/core/src/gateway/board/store_request.rs
+++ b/crates/core/src/gateway/board/store_request.rs
@@ -92,6 +92,8 @@
     pub origin: Origin,
     /// The job.
     pub job: Box<str>,
+    /// The workspace of the caller, or `None` if it has none.
+    pub workspace: Option<Box<str>>,
     /// The first requested position.
     pub after: u32,
     /// When it is answered with an empty page if there is still no result.
--- a/crates/core/src/gateway/board/text.rs
+++ b/crates/core/src/gateway/board/text.rs
@@ -11,10 +11,22 @@
 /// Maximum size of the cached texts on a host without a memory limit, in bytes.
 const DEFAULT_MAX_BYTES: u64 = 64 * 1024 * 1024;
 
+/// An item whose job was dropped while a run of it had not ended.
+#[derive(Debug, Clone)]
+pub struct Orphan {
+    /// The item as it was submitted.
+    pub spec: ItemSpec,
+    /// The workspace of its job, or `None` if that has none.
+    pub workspace: Option<Box<str>>,
+    /// The item.
+    pub item: Item,
+}
+
 /// An item with its text.
 #[derive(Debug, Clone)]
 struct CachedText {
     spec: ItemSpec,
+    workspace: Option<Box<str>>,
     text: ItemText,
     /// Whether the text is complete; its score was missing when the item was stopped.
     is_whole: bool,
@@ -66,12 +78,13 @@
     }
 
     /// Caches the text of an item in place of an earlier one; an empty text is ignored.
-    pub fn insert(&mut self, spec: &ItemSpec, item: &Item) {
+    pub fn insert(&mut self, workspace: Option<&str>, spec: &ItemSpec, item: &Item) {
         if item.text.events == 0 {
             return;
         }
         let (text, is_whole) = (item.text.clone(), item.whole_at.is_some());
-        let text = CachedText { spec: spec.clone(), text, is_whole };
+        let workspace = workspace.map(Box::from);
+        let text = CachedText { spec: spec.clone(), workspace, text, is_whole };
         self.bytes += text.bytes();
         match self.texts.insert(spec.id.clone(), text) {
             Some(earlier) => self.bytes -= earlier.bytes(),
@@ -83,11 +96,14 @@
         }
     }
 
-    /// Returns the text of the same item, if the job is resumable and accepts the weight versions
-    /// that generated the text.
+    /// Returns the text of the same item of a job of the same workspace, if the job is resumable and
+    /// accepts the weight versions that generated the text.
     #[must_use]
     pub fn get(&self, job: &JobSpec, spec: &ItemSpec) -> Option<ReusableText<'_>> {
-        let cached = self.texts.get(&spec.id).filter(|cached| is_same_item(&cached.spec, spec))?;
+        let is_same = |cached: &&CachedText| {
+            cached.workspace == job.workspace && is_same_item(&cached.spec, spec)
+        };
+        let cached = self.texts.get(&spec.id).filter(is_same)?;
         let usable = job.resumable && job.accepts_versions(&cached.text.versions);
         usable.then_some(ReusableText { text: &cached.text, is_whole: cached.is_whole })
     }
--- a/crates/core/src/gateway/controller.rs
+++ b/crates/core/src/gateway/controller.rs
@@ -4,6 +4,7 @@
 //! rounds, until none of them requests another round. [`closing`] returns the controllers that run
 //! once afterwards. Controllers do not run each other; they communicate through the board.
 
+mod access;
 mod agreement;
 mod calls;
 mod candidates;
--- a/crates/core/src/gateway/controller/agreement.rs
+++ b/crates/core/src/gateway/controller/agreement.rs
@@ -162,6 +162,7 @@
         _ if term != entry.term => StoreReply::Undetermined,
         DirectoryOutcome::Applied => StoreReply::Done,
         DirectoryOutcome::UnknownJob => StoreReply::Unknown,
+        DirectoryOutcome::JobIdTaken => StoreReply::JobIdTaken,
     };
     board.reply(origin, reply);
 }
--- a/crates/core/src/gateway/controller/decisions.rs
+++ b/crates/core/src/gateway/controller/decisions.rs
@@ -57,12 +57,12 @@
 
 fn decide(board: &mut Board, origin: Origin, request: StoreRequest) {
     match request {
-        StoreRequest::Results { job, after, wait } => {
+        StoreRequest::Results { job, after, wait, workspace } => {
             let until = board.now.mono + wait;
-            board.results_readers.push(ResultsReader { origin, job, after, until });
+            board.results_readers.push(ResultsReader { origin, job, workspace, after, until });
         }
-        StoreRequest::ItemBody { job, item } => {
-            let reply = item_body(board, &job, &item);
+        StoreRequest::ItemBody { job, item, workspace } => {
+            let reply = item_body(board, &job, &item, workspace.as_deref());
             board.reply(origin, reply);
         }
         _ if !board.leads() => {
@@ -95,8 +95,11 @@
             }
         }
         StoreRequest::Submit(spec) => {
-            if job(board, &spec.id).is_some() {
-                board.reply(origin, StoreReply::Done);
+            let known = job(board, &spec.id).map(|job| Arc::clone(&job.spec));
+            if let Some(known) = known {
+                let may_access = known.is_accessible_to(spec.workspace.as_deref());
+                let reply = if may_access { StoreReply::Done } else { StoreReply::JobIdTaken };
+                board.reply(origin, reply);
             } else if !has_memory_for(board, &spec) {
                 board.counters.jobs_without_memory += 1;
                 board.reply(origin, StoreReply::NoMemory);
@@ -105,14 +108,16 @@
                 propose(board, DirectoryCommand::SubmitJob { spec: Arc::clone(&spec), at }, origin);
             }
         }
-        StoreRequest::EndJob { job: id } => match job(board, &id).map(|job| job.ended_at) {
-            None => board.reply(origin, StoreReply::Unknown),
-            Some(Some(_)) => board.reply(origin, StoreReply::Done),
-            Some(None) => {
-                let at = board.now.wall;
-                propose(board, DirectoryCommand::EndJob { job: id, at }, origin);
+        StoreRequest::EndJob { job: id, workspace } => {
+            match accessible_job(board, &id, workspace.as_deref()).map(|job| job.ended_at) {
+                None => board.reply(origin, StoreReply::Unknown),
+                Some(Some(_)) => board.reply(origin, StoreReply::Done),
+                Some(None) => {
+                    let at = board.now.wall;
+                    propose(board, DirectoryCommand::EndJob { job: id, at }, origin);
+                }
             }
-        },
+        }
         StoreRequest::Retire { host } => retire(board, origin, &host),
         StoreRequest::RetireStatus { host } => {
             let reply = retire_status(board, &host);
@@ -161,6 +166,11 @@
     directory(board).and_then(|directory| directory.jobs.get(id))
 }
 
+/// Returns a job that callers of a workspace may read and end; for all others it does not exist.
+fn accessible_job<'a>(board: &'a Board, id: &str, workspace: Option<&str>) -> Option<&'a Job> {
+    job(board, id).filter(|job| job.spec.is_accessible_to(workspace))
+}
+
 fn known_leader(board: &Board) -> Option<HostId> {
     let group = board.group.as_ref()?;
     let leader = group.replica.leader().or_else(|| board.leader.map(|(_, leader)| leader));
@@ -173,8 +183,8 @@
     board.leads() || group.replica.is_caught_up(board.now)
 }
 
-fn item_body(board: &Board, id: &str, item: &str) -> StoreReply {
-    let found = job(board, id).and_then(|job| {
+fn item_body(board: &Board, id: &str, item: &str, workspace: Option<&str>) -> StoreReply {
+    let found = accessible_job(board, id, workspace).and_then(|job| {
         let (index, spec) = job.item(item)?;
         (!job.has_result(index)).then(|| spec.body.clone())
     });
@@ -205,7 +215,8 @@
     let max_bytes = if board.memory.is_scarce() { MAX_SCARCE_PAGE_BYTES } else { MAX_PAGE_BYTES };
     let mut waiting = Vec::new();
     for reader in std::mem::take(&mut board.results_readers) {
-        let Some(job) = job(board, &reader.job) else {
+        let job = accessible_job(board, &reader.job, reader.workspace.as_deref());
+        let Some(job) = job else {
             let reply = if board.leads() {
                 StoreReply::Unknown
             } else {
--- a/crates/core/src/gateway/controller/forwarding.rs
+++ b/crates/core/src/gateway/controller/forwarding.rs
@@ -15,11 +15,11 @@
 use self::over_limit::{ask_for_permit, refuse_over_limit};
 use self::submissions::handle_job_read;
 use self::taken_up::{is_continuable, may_continue, record_stream, refuse_uncontinuable};
-use super::Controller;
 use super::calls::not_ready;
 use super::candidates::{self, CONNECT_TIMEOUT, candidates, draw_service};
 use super::lifecycle::{self, ENTRY_DRAIN_TIME};
 use super::suspects;
+use super::{Controller, access};
 use crate::directory::{Route, RouteKind, RoutingConfig};
 use crate::error::{ErrorKind, Problem};
 use crate::gateway::action::{Action, Forward};
@@ -106,7 +106,7 @@
 
 fn handle_opened(board: &mut Board, opened: IncomingCall) {
     let IncomingCall { tag, trace, wait_limit, call } = opened;
-    let Call::Request { host, path, fingerprint, resumes } = call else { return };
+    let Call::Request { host, path, fingerprint, resumes, key } = call else { return };
     board.counters.requests += 1;
     let Some(routing) = board.routing.clone() else {
         board.reject(tag, &trace, not_ready("no routing configuration received yet"));
@@ -117,6 +117,13 @@
         board.reject(tag, &trace, Problem::not_run(ErrorKind::NotFound, detail));
         return;
     };
+    let workspace = match access::authorize(board, &routing, route, key.as_ref()) {
+        Ok(workspace) => workspace,
+        Err(problem) => {
+            board.reject(tag, &trace, problem);
+            return;
+        }
+    };
     let now = board.now.mono;
     let is_job = route.kind == RouteKind::Batch;
     let timeout = if is_job { SUBMIT_TIMEOUT } else { route.timeout };
@@ -140,7 +147,9 @@
         trace,
         fingerprint,
         route: route.clone(),
-        workspace: None,
+        workspace: workspace.map(|workspace| workspace.name.clone()),
+        strips_key: routing.has_workspaces(),
+        priority: workspace.and_then(|workspace| workspace.priority).unwrap_or(route.priority),
         service: draw_service(board, route),
         resumes,
         origin: None,
@@ -342,6 +351,7 @@
     let attempt = board.begin_attempt(Purpose::Request(key), admission, 0);
     let now = board.now.mono;
     let routing = board.routing.as_deref().map_or(0, |routing: &RoutingConfig| routing.version);
+    let has_workspaces = access::has_workspaces(board);
     let upstream = &board.upstreams[upstream_key];
     let address = upstream.address(upstream_key);
     let request = &mut board.requests[key];
@@ -360,6 +370,8 @@
         deadline: remaining,
         connect: CONNECT_TIMEOUT.min(remaining),
         streamed: request.route.kind == RouteKind::Stream,
+        strips_key: request.strips_key || has_workspaces,
+        workspace: request.workspace.clone(),
     };
     let detail = format!(
         "upstream={} service={} attempt={} in_flight={}/{} answer_us={} heard_ms_ago={} \
--- a/crates/core/src/gateway/controller/forwarding/over_limit.rs
+++ b/crates/core/src/gateway/controller/forwarding/over_limit.rs
@@ -23,7 +23,7 @@
     // Others without a limit are busy now and may be free soon.
     let has_others = !usable(board, &request.service).all(is_limited);
     let max_wait = Millis(request.route.latency_objective.0 / MAX_WAIT_DIVISOR);
-    let (service, priority) = (request.service.clone(), request.route.priority);
+    let (service, priority) = (request.service.clone(), request.priority);
     let until = request.until.min(request.opened + max_wait);
     let wait = board.quota_waits.entry(service).or_default();
     if now < wait.refused_until {
--- a/crates/core/src/gateway/controller/forwarding/submissions.rs
+++ b/crates/core/src/gateway/controller/forwarding/submissions.rs
@@ -3,9 +3,9 @@
 use std::sync::Arc;
 
 use super::remove_request;
-use crate::directory::{ItemSpec, JobSpec, Route, RouteKind, RoutingConfig};
+use crate::directory::{ItemSpec, JobSpec, RouteKind, RoutingConfig};
 use crate::error::{ErrorKind, Problem};
-use crate::gateway::board::Board;
+use crate::gateway::board::{Board, Request};
 use crate::gateway::event::JobBody;
 use crate::gateway::message::StoreRequest;
 use crate::key::RequestTag;
@@ -24,7 +24,7 @@
             return;
         }
     };
-    let spec = job_spec(&request.route, body);
+    let spec = job_spec(&request, body);
     board.request_from_store(
         tag,
         request.trace,
@@ -66,7 +66,8 @@
     }
 }
 
-fn job_spec(route: &Route, body: &JobBody) -> JobSpec {
+fn job_spec(request: &Request, body: &JobBody) -> JobSpec {
+    let route = &request.route;
     let weighted = route.targets.iter().filter(|target| target.weight > 0);
     JobSpec {
         id: body.id.clone(),
@@ -81,5 +82,6 @@
         due_after: route.due_after,
         give_up_after: route.give_up_after,
         items: body.items.clone(),
+        workspace: request.workspace.clone(),
     }
 }
--- a/crates/core/src/gateway/controller/items.rs
+++ b/crates/core/src/gateway/controller/items.rs
@@ -18,7 +18,7 @@
 use self::engines::{FreeEngines, reserved_tokens};
 use self::progress::{handle_progress, move_slow_items, propose_parts};
 use self::resumption::{drop_text, is_text_hopeless, void_runs};
-use super::Controller;
+use super::{Controller, access};
 use crate::directory::{DirectoryCommand, ItemOutcome, ItemResult, ItemText, JobSpec, NewResult};
 use crate::gateway::action::{Action, RunItem};
 use crate::gateway::board::{Board, Item, ItemState, Purpose};
@@ -336,9 +336,9 @@
 
 /// Keeps the text of an item whose job was dropped, for a later job that contains the item again.
 fn keep_orphan_text(board: &mut Board, attempt: AttemptKey, text: &ItemText) {
-    let Some((spec, mut item)) = board.orphans.remove(&attempt) else { return };
-    item.append_events(text);
-    board.text_cache.insert(&spec, &item);
+    let Some(mut orphan) = board.orphans.remove(&attempt) else { return };
+    orphan.item.append_events(text);
+    board.text_cache.insert(orphan.workspace.as_deref(), &orphan.spec, &orphan.item);
 }
 
 /// Returns the outcome of a complete text with its score, if it needs one, or `None` if the job does
@@ -392,6 +392,7 @@
         version,
         silence: Millis(SILENCE_TIMEOUT.0 << item.short_runs.min(MAX_SILENCE_DOUBLINGS)),
         deadline: RUN_TIMEOUT,
+        strips_key: spec.workspace.is_some() || access::has_workspaces(board),
     };
     board.counters.item_runs += 1;
     board.note(EventKind::Item, spec.id.clone(), detail);
--- a/crates/core/src/gateway/controller/items/progress.rs
+++ b/crates/core/src/gateway/controller/items/progress.rs
@@ -33,8 +33,8 @@
         let Some(attempt) = board.attempts.get(*attempt_key).copied() else { continue };
         let Purpose::Item(item_key) = attempt.purpose else { continue };
         let Some(item) = board.items.get_mut(item_key) else {
-            if let Some((_, item)) = board.orphans.get_mut(attempt_key) {
-                item.append_events(text);
+            if let Some(orphan) = board.orphans.get_mut(attempt_key) {
+                orphan.item.append_events(text);
             }
             continue;
         };
--- a/crates/core/src/gateway/controller/jobs.rs
+++ b/crates/core/src/gateway/controller/jobs.rs
@@ -13,7 +13,7 @@
     NewResult,
 };
 use crate::gateway::action::Action;
-use crate::gateway::board::{Board, Item, ItemState, JobRun, is_same_item};
+use crate::gateway::board::{Board, Item, ItemState, JobRun, Orphan, is_same_item};
 use crate::gateway::event::Event;
 use crate::key::JobKey;
 use crate::time::Millis;
@@ -101,8 +101,8 @@
 /// earlier jobs.
 fn start_job(board: &mut Board, directory: &Directory, job: &Job) {
     let wanted: BTreeSet<&str> = job.spec.items.iter().map(|item| &*item.id).collect();
-    let (earlier_results, partial_texts) =
-        (results_by_item(directory, &wanted), partial_texts_by_item(directory, &wanted));
+    let earlier_results = results_by_item(directory, &job.spec, &wanted);
+    let partial_texts = partial_texts_by_item(directory, &job.spec, &wanted);
     let mut known_results = Vec::new();
     let now = board.now.mono;
     let age = board.now.wall.since(job.accepted_at);
@@ -177,10 +177,11 @@
 
 fn partial_texts_by_item<'a>(
     directory: &'a Directory,
+    spec: &JobSpec,
     wanted: &BTreeSet<&str>,
 ) -> PartialTexts<'a> {
     let mut partial_texts: PartialTexts<'_> = BTreeMap::new();
-    for job in directory.jobs.values() {
+    for job in jobs_of_workspace(directory, spec) {
         for index in job.items_with_partial_text() {
             let id = &*job.spec.items[index as usize].id;
             if !wanted.contains(id) {
@@ -235,13 +236,23 @@
     }
 }
 
-/// Returns the results of the wanted items in all jobs of the directory, by the names of the items.
+/// Returns the jobs of the directory that belong to the same workspace as a job.
+fn jobs_of_workspace<'a>(
+    directory: &'a Directory,
+    spec: &JobSpec,
+) -> impl Iterator<Item = &'a Job> {
+    directory.jobs.values().filter(|job| job.spec.workspace == spec.workspace)
+}
+
+/// Returns the results of the wanted items in all jobs of the directory that belong to the same
+/// workspace as a job, by the names of the items.
 fn results_by_item<'a>(
     directory: &'a Directory,
+    spec: &JobSpec,
     wanted: &BTreeSet<&str>,
 ) -> BTreeMap<&'a str, KnownResult<'a>> {
     let mut results = BTreeMap::new();
-    for job in directory.jobs.values() {
+    for job in jobs_of_workspace(directory, spec) {
         for result in &job.results {
             let Some(spec) = job.spec.items.get(result.item as usize) else { continue };
             if !wanted.contains(&*spec.id) {
@@ -280,20 +291,23 @@
 /// Stops the work on an item, and keeps its text for later jobs.
 fn stop_item(board: &mut Board, job: &JobSpec, item: Item) {
     let Some(spec) = job.items.get(item.index as usize) else { return };
+    let workspace = job.workspace.as_deref();
     match item.state {
-        ItemState::Running(attempt) => {
-            board.actions.push(Action::Cancel { attempt });
-            board.orphans.insert(attempt, (spec.clone(), item));
-        }
-        ItemState::Stopping(attempt) => {
-            board.orphans.insert(attempt, (spec.clone(), item));
+        ItemState::Running(attempt) | ItemState::Stopping(attempt) => {
+            if let ItemState::Running(_) = item.state {
+                board.actions.push(Action::Cancel { attempt });
+            }
+            let (spec, workspace) = (spec.clone(), job.workspace.clone());
+            board.orphans.insert(attempt, Orphan { spec, workspace, item });
         }
         ItemState::Scoring(attempt) => {
             board.end_attempt(attempt);
             board.actions.push(Action::Cancel { attempt });
-            board.text_cache.insert(spec, &item);
+            board.text_cache.insert(workspace, spec, &item);
+        }
+        ItemState::Waiting(_) | ItemState::Unscored(_) => {
+            board.text_cache.insert(workspace, spec, &item);
         }
-        ItemState::Waiting(_) | ItemState::Unscored(_) => board.text_cache.insert(spec, &item),
         ItemState::Proposed => {}
     }
 }
--- a/crates/core/src/gateway/controller/store_requests.rs
+++ b/crates/core/src/gateway/controller/store_requests.rs
@@ -154,6 +154,9 @@
         StoreReply::TooFew => {
             (problem(ErrorKind::TooFewHosts, "too few store hosts would remain"), "too-few")
         }
+        StoreReply::JobIdTaken => {
+            (problem(ErrorKind::IdTaken, "a job of another workspace has this id"), "id-taken")
+        }
         StoreReply::NoMemory => (Answer::Problem(no_memory(pending.maybe_done)), "no-memory"),
         StoreReply::NotLeader { .. } | StoreReply::Undetermined => return,
     };
--- a/crates/core/src/gateway/event.rs
+++ b/crates/core/src/gateway/event.rs
@@ -5,7 +5,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::agreement::Record;
-use crate::directory::{ItemSpec, ItemText, RoutingConfig};
+use crate::directory::{ApiKey, ItemSpec, ItemText, RoutingConfig};
 use crate::error::Problem;
 use crate::gateway::board::InstanceId;
 use crate::gateway::provider::ProviderCallEnd;
@@ -152,6 +152,9 @@
         /// the caller names none, and `None` if it takes none up.
         #[serde(default)]
         resumes: Option<Box<str>>,
+        /// The key of the caller, or `None` if it presented none.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        key: Option<ApiKey>,
     },
     /// Reads results of a job.
     Results {
@@ -161,6 +164,9 @@
         after: u32,
         /// How long to wait for a result at that position.
         wait: Millis,
+        /// The caller.
+        #[serde(default)]
+        caller: JobCaller,
     },
     /// Reads the request body of an item that has no committed result yet.
     ItemBody {
@@ -168,11 +174,17 @@
         job: Box<str>,
         /// The item.
         item: Box<str>,
+        /// The caller.
+        #[serde(default)]
+        caller: JobCaller,
     },
     /// Ends a job.
     EndJob {
         /// The job.
         job: Box<str>,
+        /// The caller.
+        #[serde(default)]
+        caller: JobCaller,
     },
     /// Puts a routing configuration in force.
     PutRouting(Arc<RoutingConfig>),
@@ -206,6 +218,16 @@
     Query(Query),
 }
 
+/// The caller of a job call other than a submission.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct JobCaller {
+    /// The `Host` header without the port.
+    pub host: Box<str>,
+    /// The key, or `None` if the caller presented none.
+    pub key: Option<ApiKey>,
+}
+
 /// The state that can be read from one host.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
--- a/crates/core/src/gateway/message.rs
+++ b/crates/core/src/gateway/message.rs
@@ -193,6 +193,9 @@
         after: u32,
         /// How long to wait for a result at that position.
         wait: Millis,
+        /// The workspace of the caller, or `None` if it has none.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        workspace: Option<Box<str>>,
     },
     /// Reads the request body of an item.
     ItemBody {
@@ -200,11 +203,17 @@
         job: Box<str>,
         /// The item.
         item: Box<str>,
+        /// The workspace of the caller, or `None` if it has none.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        workspace: Option<Box<str>>,
     },
     /// Ends a job.
     EndJob {
         /// The job.
         job: Box<str>,
+        /// The workspace of the caller, or `None` if it has none.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        workspace: Option<Box<str>>,
     },
     /// Retires a store host.
     Retire {
@@ -249,6 +258,10 @@
     ///
     /// A host of an earlier version drops this reply and times out.
     NoMemory,
+    /// The id of the submitted job belongs to a job of another workspace.
+    ///
+    /// A host of an earlier version drops this reply and times out.
+    JobIdTaken,
     /// The sender can't determine the answer at the moment; a requested change may have been
     /// made.
     #[serde(rename = "not_sure")]
@@ -301,6 +314,7 @@
             | Self::TooFew
             | Self::NotLeader { .. }
             | Self::NoMemory
+            | Self::JobIdTaken
             | Self::Undetermined => 0,
         }
     }
--- a/crates/core/tests/it/deadly_requests.rs
+++ b/crates/core/tests/it/deadly_requests.rs
@@ -51,6 +51,7 @@
         path: "/desk/1".into(),
         fingerprint,
         resumes: None,
+        key: None,
     }
 }
 
--- a/crates/core/tests/it/deployment.rs
+++ b/crates/core/tests/it/deployment.rs
@@ -4,6 +4,7 @@
 //! decided by a seeded random generator. Tests cut links, and kill, freeze and restart hosts with
 //! or without their disks.
 
+mod calls;
 pub(crate) mod documents;
 mod faults;
 pub(crate) mod messages;
@@ -15,13 +16,12 @@
 
 use chestnutdrift_core::agreement::Record;
 use chestnutdrift_core::gateway::{
-    Action, Answer, Call, Event, Gateway, GatewaySettings, IncomingCall, JobBody, Order,
-    ResultsPage, Role, RunItem,
+    Action, Answer, Call, Event, Gateway, GatewaySettings, JobBody, Order, Role, RunItem,
 };
 use chestnutdrift_core::key::SyncToken;
 use chestnutdrift_core::message::Envelope;
 use chestnutdrift_core::timeline::TimelineEvent;
-use chestnutdrift_core::{Fingerprint, HostId, Millis, Now, RequestTag};
+use chestnutdrift_core::{HostId, Millis, Now, RequestTag};
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 
@@ -97,6 +97,8 @@
     pub(crate) scorer: Option<Scorer>,
     /// The runs that ended their item's text: the time, the host and the item's id.
     pub(crate) whole_runs: Vec<(u64, HostId, Box<str>)>,
+    /// The workspaces under which items were run.
+    pub(crate) run_workspaces: BTreeSet<Option<Box<str>>>,
     pub(crate) engines: Vec<SimEngine>,
     pub(crate) orders: Vec<(u64, HostId, Order)>,
     /// The number of slots of each engine.
@@ -151,6 +153,7 @@
             rewards: Vec::new(),
             scorer: None,
             whole_runs: Vec::new(),
+            run_workspaces: BTreeSet::new(),
             engines: Vec::new(),
             orders: Vec::new(),
             engine_slots: 4,
@@ -264,45 +267,6 @@
         self.now = end;
     }
 
-    /// Sends a call to a host and returns its tag.
-    pub(crate) fn send_call(&mut self, id: HostId, call: Call) -> RequestTag {
-        let tag = RequestTag(self.next_tag);
-        self.next_tag += 1;
-        let trace = format!("call-{}", tag.0).into();
-        let incoming = IncomingCall { tag, trace, wait_limit: None, call };
-        self.deliver(id, Event::Opened(incoming));
-        tag
-    }
-
-    /// Sends a call to a host, advances the simulation, and returns the answer if there is one.
-    pub(crate) fn call(&mut self, id: HostId, call: Call, millis: u64) -> Option<Answer> {
-        let tag = self.send_call(id, call);
-        self.run(millis);
-        self.answers.get(&tag).cloned()
-    }
-
-    /// Submits a job through an entry and returns the tag of the call.
-    pub(crate) fn submit(&mut self, entry: HostId, body: JobBody) -> RequestTag {
-        let call = Call::Request {
-            host: "jobs.example".into(),
-            path: "/jobs/1".into(),
-            fingerprint: Fingerprint::default(),
-            resumes: None,
-        };
-        let tag = self.send_call(entry, call);
-        self.jobs.insert(tag, body);
-        tag
-    }
-
-    /// Reads the results of a job that follow a position.
-    pub(crate) fn results(&mut self, id: HostId, job: &str, after: u32) -> Option<ResultsPage> {
-        let call = Call::Results { job: job.into(), after, wait: Millis(0) };
-        match self.call(id, call, 1_500)? {
-            Answer::Results(page) => Some(page),
-            _ => None,
-        }
-    }
-
     /// Returns the leader that holds its lease, if any; fails the test if there are two.
     pub(crate) fn leader(&self) -> Option<HostId> {
         let mut leaders = Vec::new();
@@ -440,7 +404,10 @@
                 self.deliver(id, Event::JobRead { tag, job: Ok(job) });
             }
             Action::Forward(forward) => self.forwards.push((id, forward)),
-            Action::RunItem(run) => self.schedule(self.now + 3, Scheduled::Run(id, boot_id, run)),
+            Action::RunItem(run) => {
+                self.run_workspaces.insert(run.job.workspace.clone());
+                self.schedule(self.now + 3, Scheduled::Run(id, boot_id, run));
+            }
             Action::RequestReward(request) => self.answer_reward(id, boot_id, &request),
             Action::Order(order) => {
                 self.orders.push((self.now, id, order.clone()));
--- a/crates/core/tests/it/directory.rs
+++ b/crates/core/tests/it/directory.rs
@@ -2,7 +2,7 @@
 
 use chestnutdrift_core::directory::ItemOutcome;
 use chestnutdrift_core::gateway::board::UpstreamHealth;
-use chestnutdrift_core::gateway::{Announcement, Answer, Call, Role};
+use chestnutdrift_core::gateway::{Announcement, Answer, Call, JobCaller, Role};
 use chestnutdrift_core::{Fingerprint, HostId, Millis};
 use test_case::test_case;
 
@@ -245,7 +245,12 @@
     deployment.start(restarted);
     for _ in 0..200 {
         deployment.run(10);
-        let call = Call::Results { job: "job".into(), after: 59, wait: Millis(0) };
+        let call = Call::Results {
+            job: "job".into(),
+            after: 59,
+            wait: Millis(0),
+            caller: JobCaller::default(),
+        };
         let Some(Answer::Results(page)) = deployment.call(restarted, call, 10) else { continue };
         assert_eq!(page.results.len(), 1, "a result that was already read is missing");
     }
@@ -440,7 +445,7 @@
         let id = format!("job-{index}");
         deployment.submit(ENTRY, job(&id, 8, 1));
         deployment.run(80 + index * 7);
-        deployment.send_call(ENTRY, Call::EndJob { job: id.into() });
+        deployment.send_call(ENTRY, Call::EndJob { job: id.into(), caller: JobCaller::default() });
         deployment.run(500);
         let leader = deployment.leader().expect("a leader");
         assert!(!deployment.is_overdue(leader), "job {index}");
@@ -469,6 +474,7 @@
         path: "/desk/1".into(),
         fingerprint: Fingerprint::default(),
         resumes: None,
+        key: None,
     };
     deployment.send_call(ENTRY, request);
     deployment.run(700);
--- a/crates/core/tests/it/ended_upstreams.rs
+++ b/crates/core/tests/it/ended_upstreams.rs
@@ -35,7 +35,8 @@
 fn send(deployment: &mut Deployment, entry: HostId, path: &str) -> RequestTag {
     let fingerprint = Fingerprint::new(&[path.as_bytes()]);
     let (host, path) = ("desk.example".into(), "/desk/1".into());
-    let tag = deployment.send_call(entry, Call::Request { host, path, fingerprint, resumes: None });
+    let tag = deployment
+        .send_call(entry, Call::Request { host, path, fingerprint, resumes: None, key: None });
     deployment.run(5);
     tag
 }
--- a/crates/core/tests/it/job_memory.rs
+++ b/crates/core/tests/it/job_memory.rs
@@ -1,6 +1,6 @@
 //! Jobs and the memory limit of the store hosts.
 
-use chestnutdrift_core::gateway::{Answer, Call, Event};
+use chestnutdrift_core::gateway::{Answer, Call, Event, JobCaller};
 use chestnutdrift_core::{ErrorKind, HostId, Problem, RequestTag};
 use test_case::test_case;
 
@@ -141,6 +141,10 @@
         deployment.run(JOB_INTERVAL_MS);
         refused_in_a_row = if is_accepted(&deployment, tag) { 0 } else { refused_in_a_row + 1 };
         assert!(refused_in_a_row < 30, "no job was accepted for 300 s");
-        deployment.call(ENTRY, Call::EndJob { job: id.into() }, 1_000);
+        deployment.call(
+            ENTRY,
+            Call::EndJob { job: id.into(), caller: JobCaller::default() },
+            1_000,
+        );
     }
 }
--- a/crates/core/tests/it/leaving.rs
+++ b/crates/core/tests/it/leaving.rs
@@ -72,6 +72,7 @@
         path: "/desk/1".into(),
         fingerprint,
         resumes: None,
+        key: None,
     }
 }
 
--- a/crates/core/tests/it/limits.rs
+++ b/crates/core/tests/it/limits.rs
@@ -91,6 +91,7 @@
                     path: path.into(),
                     fingerprint,
                     resumes: None,
+                    key: None,
                 };
                 tags.push(self.deployment.send_call(entry, call));
             }
@@ -347,7 +348,7 @@
         let (host, path) = ("desk.example".into(), "/desk/1".into());
         deployment.send_call(
             HostId(101 + number % 2),
-            Call::Request { host, path, fingerprint, resumes: None },
+            Call::Request { host, path, fingerprint, resumes: None, key: None },
         );
         deployment.run(20);
         for (entry, forward) in std::mem::take(&mut deployment.forwards) {
--- a/crates/core/tests/it/log_size.rs
+++ b/crates/core/tests/it/log_size.rs
@@ -5,13 +5,14 @@
 use std::sync::Arc;
 
 use chestnutdrift_core::HostId;
+use chestnutdrift_core::Millis;
 use chestnutdrift_core::agreement::{Entry, GroupMessage};
 use chestnutdrift_core::directory::{
     Directory, DirectoryCommand, ItemOutcome, ItemResult, ItemText, JobSpec, NewResult, TextPart,
 };
 use chestnutdrift_core::gateway::board::DirectoryGroup;
+use chestnutdrift_core::gateway::{Call, JobCaller, Role};
 use chestnutdrift_core::message::Message;
-use chestnutdrift_core::{Millis, gateway::Call, gateway::Role};
 use test_case::test_case;
 
 use crate::deployment::{Deployment, SimEngine, job, routing};
@@ -34,7 +35,7 @@
             deployment.run(1_000);
             check(deployment);
         }
-        let call = Call::EndJob { job: id.as_str().into() };
+        let call = Call::EndJob { job: id.as_str().into(), caller: JobCaller::default() };
         deployment.call(ENTRY, call, 900);
     }
 }
@@ -272,6 +273,7 @@
             due_after: Millis(7_500),
             give_up_after: Millis(40_000),
             items: body.items,
+            workspace: None,
         })
     };
     let result = |item, outcome| NewResult::with_whole_text(ItemResult { item, outcome });
--- a/crates/core/tests/it/main.rs
+++ b/crates/core/tests/it/main.rs
@@ -38,3 +38,4 @@
 mod taken_up_streams;
 mod text_cache;
 mod voter_sets;
+mod workspaces;
--- a/crates/core/tests/it/partial_texts.rs
+++ b/crates/core/tests/it/partial_texts.rs
@@ -27,6 +27,7 @@
         due_after: Millis(7_500),
         give_up_after: Millis(40_000),
         items: body.items,
+        workspace: None,
     };
     Job::new(Arc::new(spec), Millis(0))
 }
--- a/crates/core/tests/it/planned_stop.rs
+++ b/crates/core/tests/it/planned_stop.rs
@@ -28,7 +28,8 @@
 
 fn request(deployment: &mut Deployment) -> RequestTag {
     let (host, path) = ("desk.example".into(), "/desk/1".into());
-    let call = Call::Request { host, path, fingerprint: Fingerprint::default(), resumes: None };
+    let call =
+        Call::Request { host, path, fingerprint: Fingerprint::default(), resumes: None, key: None };
     deployment.send_call(ENTRY, call)
 }
 
--- a/crates/core/tests/it/rewards.rs
+++ b/crates/core/tests/it/rewards.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use chestnutdrift_core::directory::ItemOutcome;
-use chestnutdrift_core::gateway::{Answer, Call, ForwardEnd, JobBody, ResultsPage};
+use chestnutdrift_core::gateway::{Answer, Call, ForwardEnd, JobBody, JobCaller, ResultsPage};
 use chestnutdrift_core::{ErrorKind, HostId, Millis};
 use test_case::test_case;
 
@@ -146,7 +146,11 @@
     deployment.run(1_500);
     assert_eq!(deployment.answers.get(&tag), Some(&Answer::Accepted));
     assert!(!deployment.rewards.is_empty());
-    let ended = deployment.call(ENTRY, Call::EndJob { job: "job".into() }, 900);
+    let ended = deployment.call(
+        ENTRY,
+        Call::EndJob { job: "job".into(), caller: JobCaller::default() },
+        900,
+    );
     assert_eq!(ended, Some(Answer::Done));
     let called = deployment.rewards.len();
     deployment.run(5_000);
@@ -162,7 +166,7 @@
     deployment.scorer = Some(Box::new(|_, _| broken()));
     deployment.submit(ENTRY, with_rewards(job("job", 8, 1)));
     deployment.run(2_000);
-    deployment.call(ENTRY, Call::EndJob { job: "job".into() }, 900);
+    deployment.call(ENTRY, Call::EndJob { job: "job".into(), caller: JobCaller::default() }, 900);
     let runs = deployment.whole_runs.len();
     deployment.scorer = None;
     let mut again = with_rewards(job("job", 8, 1));
--- a/crates/core/tests/it/tables.rs
+++ b/crates/core/tests/it/tables.rs
@@ -24,7 +24,7 @@
         let answer = kind.answer();
         assert!((400..600).contains(&answer.status), "{kind:?}: {answer:?}");
     }
-    assert_eq!(seen.len(), 17);
+    assert_eq!(seen.len(), 19);
 }
 
 #[test]
--- a/crates/core/tests/it/taken_up_streams.rs
+++ b/crates/core/tests/it/taken_up_streams.rs
@@ -59,7 +59,7 @@
     let fingerprint = Fingerprint::new(&[format!("{number:?} {stream}").as_bytes()]);
     let (host, path) = ("desk.example".into(), "/desk/1".into());
     let resumes = resumes.map(Into::into);
-    deployment.send_call(entry, Call::Request { host, path, fingerprint, resumes })
+    deployment.send_call(entry, Call::Request { host, path, fingerprint, resumes, key: None })
 }
 
 /// Sends a request for a stream; returns the upstream that it reaches, or its refusal.
--- a/crates/core/tests/it/text_cache.rs
+++ b/crates/core/tests/it/text_cache.rs
@@ -18,7 +18,7 @@
     for spec in body.items.iter().chain(&body.items) {
         let mut item = Item::new(JobKey::default(), 0, Millis(0));
         item.text.push_event(1, &"a".repeat(TEXT_BYTES), Some(1));
-        cache.insert(spec, &item);
+        cache.insert(None, spec, &item);
         assert!(cache.bytes() <= MAX_BYTES, "{} bytes", cache.bytes());
     }
     assert!(cache.bytes() >= MAX_BYTES - 2 * TEXT_BYTES as u64, "{} bytes", cache.bytes());
--- /dev/null
+++ b/crates/core/tests/it/workspaces.rs
@@ -0,0 +1,268 @@
+//! Workspaces: which calls their keys admit, and what reaches upstreams.
+
+use std::sync::Arc;
+
+use chestnutdrift_core::directory::{ApiKey, RoutingConfig, Workspace};
+use chestnutdrift_core::gateway::{Answer, Call, Event, Forward, ForwardEnd, JobCaller};
+use chestnutdrift_core::{Fingerprint, HostId, Millis, Ran, RequestTag};
+use test_case::test_case;
+
+use crate::deployment::{Deployment, job, routing};
+use crate::directory::{ENTRY, STORES, started};
+
+const OTHER_ENTRY: HostId = HostId(102);
+
+/// How long a configuration takes to all hosts after it was acknowledged, in milliseconds.
+const SPREAD_MS: u64 = 3_000;
+
+fn workspace(name: &str, keys: &[&str], priority: Option<u32>) -> Workspace {
+    let keys = keys.iter().map(|key| ApiKey::new(*key)).collect();
+    Workspace { name: name.into(), keys, priority }
+}
+
+/// Returns a configuration with two workspaces, and a public route in addition.
+fn with_workspaces(version: u64, keys: &[&str]) -> RoutingConfig {
+    let mut config = Arc::unwrap_or_clone(routing(version));
+    let mut public = config.routes[0].clone();
+    (public.name, public.host, public.public) = ("open".into(), "open.example".into(), true);
+    config.routes.push(public);
+    config.workspaces = vec![workspace("red", keys, Some(3)), workspace("blue", &["b-1"], None)];
+    config
+}
+
+fn put(deployment: &mut Deployment, config: RoutingConfig) {
+    let put = deployment.call(STORES[0], Call::PutRouting(Arc::new(config)), 900);
+    assert_eq!(put, Some(Answer::Done));
+    deployment.run(SPREAD_MS);
+}
+
+/// Returns a deployment with two workspaces and a desk that answers nothing by itself.
+fn serving() -> Deployment {
+    let mut deployment = started(41);
+    deployment.announce_desk(STORES[0], 1, 1, 1);
+    put(&mut deployment, with_workspaces(2, &["r-1", "r-2"]));
+    deployment
+}
+
+fn request(deployment: &mut Deployment, host: &str, key: Option<&str>) -> RequestTag {
+    let call = Call::Request {
+        host: host.into(),
+        path: "/desk/1".into(),
+        fingerprint: Fingerprint::default(),
+        resumes: None,
+        key: key.map(ApiKey::new),
+    };
+    let tag = deployment.send_call(ENTRY, call);
+    deployment.run(5);
+    tag
+}
+
+fn take_forward(deployment: &mut Deployment, tag: RequestTag) -> Option<Forward> {
+    let index = deployment.forwards.iter().position(|(_, forward)| forward.tag == tag)?;
+    Some(deployment.forwards.remove(index).1)
+}
+
+fn caller(key: Option<&str>) -> JobCaller {
+    JobCaller { host: "jobs.example".into(), key: key.map(ApiKey::new) }
+}
+
+fn submission(key: &str) -> Call {
+    Call::Request {
+        host: "jobs.example".into(),
+        path: "/jobs/1".into(),
+        fingerprint: Fingerprint::default(),
+        resumes: None,
+        key: Some(ApiKey::new(key)),
+    }
+}
+
+/// Submits a job of twelve items, which have the same names whatever its id.
+fn submit(deployment: &mut Deployment, entry: HostId, id: &str, key: &str) -> Option<Answer> {
+    let mut body = job("job", 12, 1);
+    body.id = id.into();
+    let tag = deployment.send_job(entry, submission(key), body);
+    deployment.run(1_000);
+    deployment.answers.get(&tag).cloned()
+}
+
+fn results(deployment: &mut Deployment, host: HostId, key: Option<&str>) -> Option<Answer> {
+    let (after, wait, caller) = (0, Millis(0), caller(key));
+    deployment.call(host, Call::Results { job: "job".into(), after, wait, caller }, 1_500)
+}
+
+/// Returns the status of an answer that says that the call did not run.
+fn not_run(answer: Option<Answer>) -> u16 {
+    let Some(Answer::Problem(problem)) = answer else { panic!("{answer:?}") };
+    assert_eq!(problem.ran, Ran::No);
+    problem.kind.answer().status
+}
+
+/// Guards against a request that is admitted without a known key, or refused with one.
+#[test]
+fn a_request_needs_a_known_key_unless_its_route_is_public() {
+    let mut deployment = serving();
+    for key in [None, Some("r-3"), Some("r-1 "), Some("")] {
+        let tag = request(&mut deployment, "desk.example", key);
+        assert_eq!(not_run(deployment.answers.get(&tag).cloned()), 401, "{key:?}");
+        let open = request(&mut deployment, "open.example", key);
+        let forward = take_forward(&mut deployment, open).expect("an upstream");
+        assert_eq!((forward.strips_key, forward.workspace), (true, None));
+    }
+    for (host, key, name) in [
+        ("desk.example", "r-2", "red"),
+        ("desk.example", "b-1", "blue"),
+        ("open.example", "r-1", "red"),
+    ] {
+        let tag = request(&mut deployment, host, Some(key));
+        let forward = take_forward(&mut deployment, tag).expect("an upstream");
+        assert_eq!((forward.strips_key, forward.workspace.as_deref()), (true, Some(name)));
+    }
+}
+
+/// Guards against a deployment without workspaces that treats keys as its own.
+#[test]
+fn without_workspaces_keys_and_names_are_left_to_upstreams() {
+    let mut deployment = started(41);
+    deployment.announce_desk(STORES[0], 1, 1, 1);
+    deployment.run(SPREAD_MS);
+    let tag = request(&mut deployment, "desk.example", Some("r-1"));
+    let forward = take_forward(&mut deployment, tag).expect("an upstream");
+    assert_eq!((forward.strips_key, forward.workspace), (false, None));
+}
+
+/// Guards against a revocation that reaches requests admitted before it, or spares later ones; the
+/// retry at another upstream is sent under the same name.
+#[test]
+fn a_revoked_key_admits_no_new_request_but_those_under_way_go_on() {
+    let mut deployment = serving();
+    deployment.announce_desk(STORES[0], 2, 1, 1);
+    deployment.run(SPREAD_MS);
+    let mut config = with_workspaces(3, &["r-2"]);
+    config.routes[0].timeout = Millis(30_000);
+    put(&mut deployment, config.clone());
+    let old = request(&mut deployment, "desk.example", Some("r-2"));
+    let first = take_forward(&mut deployment, old).expect("an upstream");
+    (config.version, config.workspaces[0].keys) = (4, vec![ApiKey::new("r-4")]);
+    put(&mut deployment, config);
+    let new = request(&mut deployment, "desk.example", Some("r-2"));
+    assert_eq!(not_run(deployment.answers.get(&new).cloned()), 401);
+    assert!(!deployment.answers.contains_key(&old), "the request under way was ended");
+    let end = ForwardEnd::Broken { detail: "reset".into() };
+    deployment.deliver(ENTRY, Event::ForwardEnded { attempt: first.attempt, end });
+    deployment.run(100);
+    let second = take_forward(&mut deployment, old).expect("another upstream");
+    assert_eq!((second.strips_key, second.workspace.as_deref()), (true, Some("red")));
+}
+
+/// Guards against a job that other workspaces read, change or notice, and against one that callers of
+/// its own workspace can't reach at other hosts.
+#[test]
+fn a_job_exists_only_for_its_workspace() {
+    let mut deployment = serving();
+    assert_eq!(submit(&mut deployment, ENTRY, "job", "r-1"), Some(Answer::Accepted));
+    let item = |key| Call::ItemBody {
+        job: "job".into(),
+        item: "job-11".into(),
+        caller: caller(Some(key)),
+    };
+    let end = |key| Call::EndJob { job: "job".into(), caller: caller(Some(key)) };
+    for host in [ENTRY, OTHER_ENTRY, STORES[0], STORES[1], STORES[2]] {
+        assert_eq!(not_run(results(&mut deployment, host, Some("b-1"))), 404);
+        assert_eq!(not_run(results(&mut deployment, host, Some("none"))), 401);
+        assert_eq!(not_run(results(&mut deployment, host, None)), 401);
+        assert_eq!(not_run(deployment.call(host, item("b-1"), 1_500)), 404);
+        assert_eq!(not_run(deployment.call(host, end("b-1"), 2_500)), 404);
+        let page = results(&mut deployment, host, Some("r-2"));
+        assert!(matches!(page, Some(Answer::Results(_))), "{host:?}: {page:?}");
+    }
+    assert_eq!(not_run(submit(&mut deployment, OTHER_ENTRY, "job", "b-1")), 409);
+    assert_eq!(submit(&mut deployment, OTHER_ENTRY, "job", "r-2"), Some(Answer::Accepted));
+    deployment.run(6_000);
+    let Some(Answer::Results(page)) = results(&mut deployment, ENTRY, Some("r-1")) else {
+        panic!("no results")
+    };
+    assert_eq!(page.results.len(), 12, "another workspace ended the job");
+    assert_eq!(deployment.run_workspaces, [Some("red".into())].into());
+    for _ in 0..2 {
+        assert_eq!(deployment.call(OTHER_ENTRY, end("r-2"), 2_500), Some(Answer::Done));
+    }
+}
+
+/// Guards against two workspaces that are both told that a job of an id is theirs, where the second
+/// submission was proposed before the first was applied.
+#[test]
+fn of_two_submissions_at_the_same_time_one_is_refused() {
+    let mut deployment = serving();
+    let tags = [(ENTRY, "r-1"), (ENTRY, "b-1")]
+        .map(|(entry, key)| deployment.send_job(entry, submission(key), job("job", 12, 1)));
+    deployment.run(1_500);
+    let answers = tags.map(|tag| deployment.answers.get(&tag).cloned());
+    let refused = answers.into_iter().filter(|answer| *answer != Some(Answer::Accepted));
+    assert_eq!(refused.map(not_run).collect::<Vec<_>>(), [409]);
+}
+
+/// Guards against a job whose workspace is lost with its leader, its key or all disks but one, or whose
+/// text serves the same item of another workspace.
+#[test_case(false; "another leader")]
+#[test_case(true; "a leader without its disk")]
+fn the_workspace_of_a_job_survives_failover_and_revocation(loses_disk: bool) {
+    let mut deployment = serving();
+    deployment.encodes_messages = true;
+    deployment.events_per_item = Some(100);
+    assert_eq!(submit(&mut deployment, ENTRY, "job", "r-1"), Some(Answer::Accepted));
+    put(&mut deployment, with_workspaces(3, &["r-4"]));
+    let leader = deployment.leader().expect("a leader");
+    deployment.kill(leader);
+    if loses_disk {
+        deployment.lose_disk(leader);
+    }
+    deployment.run(4_000);
+    deployment.start(leader);
+    deployment.run(10_000);
+    assert_eq!(not_run(results(&mut deployment, ENTRY, Some("r-1"))), 401);
+    assert_eq!(not_run(results(&mut deployment, ENTRY, Some("b-1"))), 404);
+    let Some(Answer::Results(page)) = results(&mut deployment, OTHER_ENTRY, Some("r-4")) else {
+        panic!("no results")
+    };
+    assert_eq!(page.results.len(), 12);
+    assert_eq!(deployment.run_workspaces, [Some("red".into())].into());
+    let runs = |deployment: &Deployment| -> usize {
+        deployment.engines.iter().map(|engine| engine.started_runs.len()).sum()
+    };
+    let before = runs(&deployment);
+    assert_eq!(submit(&mut deployment, ENTRY, "again-red", "r-4"), Some(Answer::Accepted));
+    deployment.run(1_000);
+    assert_eq!(runs(&deployment), before, "the results of the same workspace are used again");
+    assert_eq!(submit(&mut deployment, ENTRY, "again-blue", "b-1"), Some(Answer::Accepted));
+    deployment.run(10_000);
+    assert_eq!(runs(&deployment), before + 12, "another workspace's results were used");
+}
+
+/// Guards against jobs that were accepted before there were workspaces and then can't be read.
+#[test]
+fn a_job_without_a_workspace_is_open_to_every_known_key() {
+    let mut deployment = started(41);
+    deployment.submit(ENTRY, job("job", 12, 1));
+    deployment.run(1_000);
+    put(&mut deployment, with_workspaces(2, &["r-1"]));
+    for key in ["r-1", "b-1"] {
+        let page = results(&mut deployment, OTHER_ENTRY, Some(key));
+        assert!(matches!(page, Some(Answer::Results(_))), "{page:?}");
+    }
+    assert_eq!(not_run(results(&mut deployment, OTHER_ENTRY, None)), 401);
+}
+
+/// Guards against a key in the output of `Debug`, which logs and failing tests print.
+#[test]
+fn a_key_is_in_no_debug_output() {
+    let config = with_workspaces(2, &["secret-key"]);
+    let call = Call::Results {
+        job: "job".into(),
+        after: 0,
+        wait: Millis(0),
+        caller: caller(Some("secret-key")),
+    };
+    for text in [format!("{config:?}"), format!("{call:?}"), format!("{:#?}", config.workspaces)] {
+        assert!(!text.contains("secret"), "{text}");
+    }
+}
--- a/crates/daemon/tests/memory/fixture.rs
+++ b/crates/daemon/tests/memory/fixture.rs
@@ -65,6 +65,7 @@
         due_after: Millis(10_000),
         give_up_after: Millis(20_000),
         items: (0..ITEMS).map(item).collect(),
+        workspace: None,
     }
 }
 
--- a/crates/wire/examples/leader_cost.rs
+++ b/crates/wire/examples/leader_cost.rs
@@ -17,7 +17,7 @@
 use std::time::{Duration, Instant};
 
 use chestnutdrift_core::HostId;
-use chestnutdrift_core::gateway::{Call, Event, GatewayMessage};
+use chestnutdrift_core::gateway::{Call, Event, GatewayMessage, JobCaller};
 use chestnutdrift_core::message::Message;
 use chestnutdrift_wire::frame::Encoder;
 
@@ -124,7 +124,12 @@
             let job = format!("job-{trainer}-{step}");
             deployment.send_call(
                 HostId(101 + (step * 5) % ENTRIES),
-                Call::Results { job: job.into(), after: 0, wait: chestnutdrift_core::Millis(0) },
+                Call::Results {
+                    job: job.into(),
+                    after: 0,
+                    wait: chestnutdrift_core::Millis(0),
+                    caller: JobCaller::default(),
+                },
             );
         }
         deployment.run(READ_INTERVAL_MS);
--- a/crates/wire/tests/append.rs
+++ b/crates/wire/tests/append.rs
@@ -58,6 +58,7 @@
                 due_after: Millis(7_500),
                 give_up_after: Millis(40_000),
                 items: (0..rng.random_range(1..20)).map(|_| item(rng)).collect(),
+                workspace: None,
             };
             let (spec, at) = (Arc::new(spec), Millis(rng.random()));
             Command::Directory(DirectoryCommand::SubmitJob { spec, at })
