feat(core): keys are refused without contact to the stores, and shown nowhere

Cause: a host that hears of no revocation served revoked keys for ever; the document of a configuration, and so its keys, was in the output of Debug; operators had no list of workspaces. Before: without these settings hosts serve by the newest configuration that they hold, as they do here.

--- a/crates/core/src/directory.rs
+++ b/crates/core/src/directory.rs
@@ -5,6 +5,7 @@
 //! [`DirectoryCommand`]s in the same order to its [`Directory`].
 
 mod command;
+mod document;
 mod job;
 mod rebuild;
 mod reward_call;
@@ -14,6 +15,7 @@
 mod workspace;
 
 pub use command::{DirectoryCommand, DirectoryOutcome};
+pub use document::ConfigDocument;
 pub use job::{ItemOutcome, ItemResult, ItemSpec, Job, JobSpec, NewResult};
 pub use reward_call::RewardCall;
 pub use routing::{
--- a/crates/core/src/directory/routing.rs
+++ b/crates/core/src/directory/routing.rs
@@ -3,10 +3,9 @@
 use std::collections::BTreeSet;
 use std::fmt::{Display, Formatter};
 
-use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 
-use crate::directory::{Workspace, WorkspaceError, workspace};
+use crate::directory::{ConfigDocument, Workspace, WorkspaceError, workspace};
 use crate::time::Millis;
 
 /// A decoded routing configuration, with the document that the operator sent.
@@ -16,7 +15,7 @@
     /// The version. The configuration with the highest version is in force.
     pub version: u64,
     /// The document as it was sent; operators read it back.
-    pub document: Bytes,
+    pub document: ConfigDocument,
     /// The routes.
     pub routes: Vec<Route>,
     /// The services that the routes refer to.
@@ -33,7 +32,7 @@
     #[must_use]
     pub fn bytes(&self) -> usize {
         // A message carries the document and the configuration that was decoded from it.
-        2 * self.document.len()
+        2 * self.document.expose().len()
     }
 }
 
--- a/crates/core/src/gateway.rs
+++ b/crates/core/src/gateway.rs
@@ -34,7 +34,7 @@
 
 pub use action::{
     Action, Answer, Counters, Forward, HostView, Order, ResultsEntry, ResultsPage, RewardRequest,
-    RunItem, UpstreamAddress, UpstreamView,
+    RunItem, UpstreamAddress, UpstreamView, WorkspaceView,
 };
 pub use board::Board;
 pub use controller::Controller;
@@ -50,7 +50,7 @@
     UsageReport,
 };
 pub use rate::RequestRate;
-pub use settings::{DeploymentTimes, GatewaySettings, Role};
+pub use settings::{DeploymentTimes, GatewaySettings, Role, WorkspaceSettings};
 
 use crate::time::{Millis, Now};
 
--- a/crates/core/src/gateway/action.rs
+++ b/crates/core/src/gateway/action.rs
@@ -6,7 +6,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::agreement::Record;
-use crate::directory::{ItemOutcome, JobSpec, RewardCall};
+use crate::directory::{ConfigDocument, ItemOutcome, JobSpec, RewardCall};
 use crate::error::Problem;
 use crate::gateway::provider::ProviderCall;
 use crate::gateway::settings::Role;
@@ -209,7 +209,7 @@
     /// The request body of an item.
     Body(Bytes),
     /// The newest routing configuration, byte for byte as the operator sent it.
-    Routing(Bytes),
+    Routing(ConfigDocument),
     /// Whether the retirement of a host is complete.
     Retiring {
         /// Whether the host may be removed.
@@ -223,6 +223,8 @@
     Hosts(Vec<HostView>),
     /// The upstreams that this host knows.
     Upstreams(Vec<UpstreamView>),
+    /// The workspaces of the routing configuration in force here.
+    Workspaces(Vec<WorkspaceView>),
 }
 
 /// Results of a job, starting at a requested position.
@@ -298,6 +300,18 @@
     pub versions: Vec<(Box<str>, u64)>,
 }
 
+/// A workspace of the routing configuration, without its keys.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub struct WorkspaceView {
+    /// The name.
+    pub name: Box<str>,
+    /// The number of its keys.
+    pub keys: usize,
+    /// The priority of its requests, or `None` if that of the route applies.
+    pub priority: Option<u32>,
+}
+
 /// Counters of one host since its process started.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(default)]
--- a/crates/core/src/gateway/controller/access.rs
+++ b/crates/core/src/gateway/controller/access.rs
@@ -1,13 +1,15 @@
 //! Access: whether the workspaces of the routing configuration in force admit a call.
 //!
-//! Reads: `routing`, `hosts`, `group`, the clock. Writes: nothing; the controllers that take calls
+//! Reads: `routing`, `hosts`, `group`, the clock. Writes: nothing: the controllers that take calls
 //! apply the decision.
 
 use super::calls::not_ready;
 use crate::directory::{AccessError, ApiKey, Route, RoutingConfig, Workspace};
 use crate::error::{ErrorKind, Problem};
+use crate::gateway::action::WorkspaceView;
 use crate::gateway::board::Board;
 use crate::gateway::event::JobCaller;
+use crate::gateway::settings::Role;
 
 /// Returns the workspace of a request on a route, or `None` if it has none.
 ///
@@ -21,7 +23,7 @@
     key: Option<&ApiKey>,
 ) -> Result<Option<&'a Workspace>, Problem> {
     if routing.has_workspaces() && !route.public {
-        check_configuration_age(board)?;
+        check_contact(board)?;
     }
     routing.authorize(route, key).map_err(unauthorized)
 }
@@ -43,7 +45,7 @@
         return if caller.key.is_some() { Err(not_ready(detail)) } else { Ok(None) };
     };
     if routing.has_workspaces() && !routing.has_public_jobs(&caller.host) {
-        check_configuration_age(board)?;
+        check_contact(board)?;
     }
     let workspace = routing.authorize_job_call(&caller.host, caller.key.as_ref());
     Ok(workspace.map_err(unauthorized)?.map(|workspace| workspace.name.clone()))
@@ -58,6 +60,28 @@
     Problem::not_run(ErrorKind::Unauthorized, error.to_string())
 }
 
-fn check_configuration_age(_board: &Board) -> Result<(), Problem> {
-    Ok(())
+/// Refuses a call that needs a key while a revocation may not have reached this host, where the
+/// settings ask for that.
+fn check_contact(board: &Board) -> Result<(), Problem> {
+    let settings = board.cfg.workspaces;
+    if !settings.fail_closed || board.leads() {
+        return Ok(());
+    }
+    let stores = board.hosts.values().filter(|host| host.role == Role::Store);
+    let last_seen = stores.filter_map(|host| host.last_seen).max();
+    if last_seen.is_some_and(|at| board.now.mono.since(at) <= settings.revocation) {
+        return Ok(());
+    }
+    Err(not_ready("no store host was heard from within the time for a revocation"))
+}
+
+/// Returns the workspaces of the routing configuration in force, without their keys.
+pub(super) fn workspace_views(board: &Board) -> Vec<WorkspaceView> {
+    let Some(routing) = &board.routing else { return Vec::new() };
+    let view = |workspace: &Workspace| WorkspaceView {
+        name: workspace.name.clone(),
+        keys: workspace.keys.len(),
+        priority: workspace.priority,
+    };
+    routing.workspaces.iter().map(view).collect()
 }
--- a/crates/core/src/gateway/controller/calls.rs
+++ b/crates/core/src/gateway/controller/calls.rs
@@ -125,6 +125,7 @@
         }
         Query::Hosts => Answer::Hosts(host_views(board)),
         Query::Upstreams => Answer::Upstreams(upstream_views(board)),
+        Query::Workspaces => Answer::Workspaces(access::workspace_views(board)),
     };
     board.answer(tag, answer);
 }
--- a/crates/core/src/gateway/controller/forwarding.rs
+++ b/crates/core/src/gateway/controller/forwarding.rs
@@ -373,7 +373,7 @@
         strips_key: request.strips_key || has_workspaces,
         workspace: request.workspace.clone(),
     };
-    let detail = format!(
+    let mut detail = format!(
         "upstream={} service={} attempt={} in_flight={}/{} answer_us={} heard_ms_ago={} \
          routing={routing} left_ms={} fingerprint={}",
         upstream.announced.id,
@@ -386,6 +386,9 @@
         remaining.0,
         request.fingerprint
     );
+    if let Some(workspace) = &request.workspace {
+        detail.push_str(&format!(" workspace={workspace}"));
+    }
     let trace = request.trace.clone();
     record_stream(board, key, upstream_key);
     board.counters.forwards += 1;
--- a/crates/core/src/gateway/event.rs
+++ b/crates/core/src/gateway/event.rs
@@ -240,6 +240,8 @@
     Hosts,
     /// The upstreams that this host knows.
     Upstreams,
+    /// The workspaces of the routing configuration in force here.
+    Workspaces,
 }
 
 /// The body of a batch job, decoded.
--- a/crates/core/src/gateway/settings.rs
+++ b/crates/core/src/gateway/settings.rs
@@ -48,6 +48,23 @@
     }
 }
 
+/// How a host handles the keys of workspaces.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub struct WorkspaceSettings {
+    /// Whether requests that need a key are refused while no store host has been heard from for
+    /// longer than `revocation`.
+    pub fail_closed: bool,
+    /// The time within which a revoked key is to be refused.
+    pub revocation: Millis,
+}
+
+impl Default for WorkspaceSettings {
+    fn default() -> Self {
+        Self { fail_closed: false, revocation: Millis(5_000) }
+    }
+}
+
 /// The settings of one gateway.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -92,6 +109,9 @@
     /// The interface of the infrastructure provider; `None` if the deployment has none.
     #[serde(default)]
     pub provider: Option<ProviderSettings>,
+    /// How this host handles the keys of workspaces.
+    #[serde(default)]
+    pub workspaces: WorkspaceSettings,
 }
 
 impl GatewaySettings {
@@ -120,6 +140,7 @@
             times: DeploymentTimes::default(),
             memory_limit: None,
             provider: None,
+            workspaces: WorkspaceSettings::default(),
         }
     }
 
@@ -194,6 +215,14 @@
         self
     }
 
+    /// Sets how the host handles the keys of workspaces; the default is that of
+    /// [`WorkspaceSettings`].
+    #[must_use]
+    pub fn workspaces(mut self, workspaces: WorkspaceSettings) -> Self {
+        self.workspaces = workspaces;
+        self
+    }
+
     /// Returns the distance of a zone: 0 for this host's own, 1 for another in its region, 2
     /// elsewhere.
     #[must_use]
--- a/crates/core/tests/it/deployment.rs
+++ b/crates/core/tests/it/deployment.rs
@@ -17,6 +17,7 @@
 use chestnutdrift_core::agreement::Record;
 use chestnutdrift_core::gateway::{
     Action, Answer, Call, Event, Gateway, GatewaySettings, JobBody, Order, Role, RunItem,
+    WorkspaceSettings,
 };
 use chestnutdrift_core::key::SyncToken;
 use chestnutdrift_core::message::Envelope;
@@ -115,6 +116,8 @@
     pub(crate) sync_ms: BTreeMap<HostId, u64>,
     /// The memory limit of hosts that start from now on, in bytes.
     pub(crate) memory_limit: Option<u64>,
+    /// How hosts that start from now on handle keys.
+    pub(crate) workspaces: WorkspaceSettings,
     /// The hosts whose disks sync nothing, with the last token that waits.
     stalled_disks: BTreeMap<HostId, Option<SyncToken>>,
     nodes: BTreeMap<HostId, Node>,
@@ -163,6 +166,7 @@
             encodes_messages: false,
             sync_ms: BTreeMap::new(),
             memory_limit: None,
+            workspaces: WorkspaceSettings::default(),
             stalled_disks: BTreeMap::new(),
             nodes: BTreeMap::new(),
             seeds: (1..=stores.min(3)).map(HostId).collect(),
@@ -232,7 +236,8 @@
             .first_start(first_start)
             .instance_ids(node.incarnation, boot_id)
             .seed(self.seed)
-            .memory_limit(self.memory_limit);
+            .memory_limit(self.memory_limit)
+            .workspaces(self.workspaces);
         node.gateway = Some(Gateway::new(cfg, Now::new(Millis(0), Millis(START_WALL_MS + now))));
         let records = node.disk.clone();
         self.handle(id, &Event::Restored(records));
--- a/crates/core/tests/it/deployment/documents.rs
+++ b/crates/core/tests/it/deployment/documents.rs
@@ -38,7 +38,7 @@
     };
     Arc::new(RoutingConfig {
         version,
-        document: Bytes::from(format!("routing {version}")),
+        document: format!("routing {version}").into(),
         routes: vec![
             route("desk", RouteKind::Idempotent, "desk"),
             route("jobs", RouteKind::Batch, "engines"),
--- a/crates/core/tests/it/workspaces.rs
+++ b/crates/core/tests/it/workspaces.rs
@@ -1,13 +1,19 @@
 //! Workspaces: which calls their keys admit, and what reaches upstreams.
 
+use std::cell::RefCell;
+use std::rc::Rc;
 use std::sync::Arc;
 
 use chestnutdrift_core::directory::{ApiKey, RoutingConfig, Workspace};
-use chestnutdrift_core::gateway::{Answer, Call, Event, Forward, ForwardEnd, JobCaller};
+use chestnutdrift_core::gateway::{
+    Answer, Call, Event, Forward, ForwardEnd, GatewayMessage, JobCaller, RequestRate, StoreRequest,
+    WorkspaceSettings,
+};
+use chestnutdrift_core::message::Message;
 use chestnutdrift_core::{Fingerprint, HostId, Millis, Ran, RequestTag};
 use test_case::test_case;
 
-use crate::deployment::{Deployment, job, routing};
+use crate::deployment::{Deployment, SimEngine, job, routing};
 use crate::directory::{ENTRY, STORES, started};
 
 const OTHER_ENTRY: HostId = HostId(102);
@@ -238,6 +244,26 @@
     assert_eq!(runs(&deployment), before + 12, "another workspace's results were used");
 }
 
+/// Guards against the text of an ended job that the same item of another workspace's job continues.
+#[test]
+fn saved_texts_are_continued_within_their_workspace_only() {
+    let mut deployment = serving();
+    deployment.events_per_item = Some(100);
+    let mut resumed = Vec::new();
+    for (id, key) in [("first", "r-1"), ("other", "b-1"), ("second", "r-2")] {
+        let before: Vec<usize> = deployment.engines.iter().map(|e| e.started_runs.len()).collect();
+        assert_eq!(submit(&mut deployment, ENTRY, id, key), Some(Answer::Accepted));
+        let new = |(engine, before): (&SimEngine, usize)| engine.started_runs[before..].to_vec();
+        let runs: Vec<(u32, u64)> = deployment.engines.iter().zip(before).flat_map(new).collect();
+        assert!(!runs.is_empty());
+        resumed.push(runs.iter().filter(|(_, first_event)| *first_event > 1).count());
+        let end = Call::EndJob { job: id.into(), caller: caller(Some(key)) };
+        assert_eq!(deployment.call(ENTRY, end, 500), Some(Answer::Done));
+    }
+    assert_eq!((resumed[0], resumed[1]), (0, 0), "another workspace's text was continued");
+    assert!(resumed[2] > 0, "no text was continued");
+}
+
 /// Guards against jobs that were accepted before there were workspaces and then can't be read.
 #[test]
 fn a_job_without_a_workspace_is_open_to_every_known_key() {
@@ -252,17 +278,86 @@
     assert_eq!(not_run(results(&mut deployment, OTHER_ENTRY, None)), 401);
 }
 
+/// Guards against a host that serves revoked keys for longer than the settings allow, or refuses
+/// requests that need no key.
+#[test_case(false; "open")]
+#[test_case(true; "closed")]
+fn a_host_without_contact_refuses_keys_only_where_it_fails_closed(fail_closed: bool) {
+    let mut deployment = serving();
+    deployment.workspaces = WorkspaceSettings { fail_closed, revocation: Millis(5_000) };
+    deployment.kill(ENTRY);
+    deployment.start(ENTRY);
+    let (after, wait) = (0, Millis(0));
+    let read = Call::Results { job: "job".into(), after, wait, caller: caller(Some("r-1")) };
+    let early = deployment.send_call(ENTRY, read);
+    let tag = request(&mut deployment, "desk.example", Some("r-1"));
+    for tag in [early, tag] {
+        let answer = deployment.answers.get(&tag).cloned();
+        assert_eq!(not_run(answer), 503, "it has no configuration");
+    }
+    deployment.run(SPREAD_MS);
+    for store in STORES {
+        deployment.cut(ENTRY, store, true);
+    }
+    deployment.run(4_500);
+    let tag = request(&mut deployment, "desk.example", Some("r-1"));
+    assert!(take_forward(&mut deployment, tag).is_some(), "{:?}", deployment.answers.get(&tag));
+    deployment.run(1_500);
+    let open = request(&mut deployment, "open.example", None);
+    assert!(take_forward(&mut deployment, open).is_some());
+    let tag = request(&mut deployment, "desk.example", Some("r-1"));
+    if fail_closed {
+        assert_eq!(not_run(deployment.answers.get(&tag).cloned()), 503);
+        assert_eq!(not_run(results(&mut deployment, ENTRY, Some("r-1"))), 503);
+    } else {
+        assert!(take_forward(&mut deployment, tag).is_some());
+    }
+}
+
+/// Guards against permits that are granted by the route's priority instead of the workspace's.
+#[test]
+fn permits_are_asked_for_with_the_priority_of_the_workspace() {
+    let mut deployment = serving();
+    let asked = Rc::new(RefCell::new(Vec::new()));
+    let sent = Rc::clone(&asked);
+    deployment.on_send = Some(Box::new(move |_, envelope| {
+        let Message::Gateway(message) = &envelope.message else { return };
+        if let GatewayMessage::QuotaRequest(request) = &**message {
+            sent.borrow_mut().push(request.priority);
+        }
+    }));
+    let upstream = deployment.gateway(ENTRY).board().upstream_index["desk-1"];
+    let rate = RequestRate::per_second(0.5);
+    let limit = Event::UpstreamLimit { upstream, rate, answer: "answer".into() };
+    deployment.deliver(ENTRY, limit);
+    deployment.run(5);
+    request(&mut deployment, "desk.example", Some("r-1"));
+    let asked = asked.borrow();
+    assert!(!asked.is_empty() && asked.iter().all(|priority| *priority == 3), "{asked:?}");
+}
+
 /// Guards against a key in the output of `Debug`, which logs and failing tests print.
 #[test]
 fn a_key_is_in_no_debug_output() {
-    let config = with_workspaces(2, &["secret-key"]);
-    let call = Call::Results {
-        job: "job".into(),
-        after: 0,
-        wait: Millis(0),
-        caller: caller(Some("secret-key")),
-    };
-    for text in [format!("{config:?}"), format!("{call:?}"), format!("{:#?}", config.workspaces)] {
+    let mut config = with_workspaces(2, &["secret-key"]);
+    config.document = "{\"apiKeys\": [\"secret-key\"]}".into();
+    let caller = caller(Some("secret-key"));
+    let call = Call::Results { job: "job".into(), after: 0, wait: Millis(0), caller };
+    let answer = Answer::Routing(config.document.clone());
+    for text in [format!("{config:#?}"), format!("{call:?}"), format!("{answer:?}")] {
         assert!(!text.contains("secret"), "{text}");
     }
 }
+
+/// Guards against hosts of an earlier version that can't read what a deployment without workspaces
+/// sends and stores.
+#[test]
+fn without_workspaces_nothing_is_encoded_that_was_not_before() {
+    let config = Arc::unwrap_or_clone(routing(1));
+    let results =
+        StoreRequest::Results { job: "job".into(), after: 0, wait: Millis(0), workspace: None };
+    let mut buf = Vec::new();
+    ciborium::into_writer(&(config, results), &mut buf).expect("an encoding");
+    let text = String::from_utf8_lossy(&buf);
+    assert!(!text.contains("workspace") && !text.contains("public"), "{text}");
+}
--- a/crates/daemon/src/gateway/settings.rs
+++ b/crates/daemon/src/gateway/settings.rs
@@ -5,7 +5,7 @@
 use std::path::{Path, PathBuf};
 use std::time::Duration;
 
-use chestnutdrift_core::gateway::{DeploymentTimes, GatewaySettings, Role};
+use chestnutdrift_core::gateway::{DeploymentTimes, GatewaySettings, Role, WorkspaceSettings};
 use chestnutdrift_core::{HostId, Millis};
 use ini::Ini;
 use log::LevelFilter;
@@ -21,7 +21,9 @@
 const LIMIT_KEYS: [&str; 3] = ["connections", "tolerated", "memory"];
 const TIME_KEYS: [&str; 4] = ["announce_every", "order_lease", "grace", "results_kept"];
 const LOG_KEYS: [&str; 1] = ["level"];
-const SECTIONS: [&str; 7] = ["host", "regions", "listen", "seeds", "limits", "times", "log"];
+const WORKSPACE_KEYS: [&str; 2] = ["fail_closed", "revocation"];
+const SECTIONS: [&str; 8] =
+    ["host", "regions", "listen", "seeds", "limits", "times", "workspaces", "log"];
 
 /// The default limit of open connections from callers, operators and upstreams; it leaves file
 /// descriptors for connections to upstreams.
@@ -112,7 +114,8 @@
         .seed(host.number("seed", 0)?)
         .election_timeout(millis(election))
         .times(deployment_times(path, ini)?)
-        .memory_limit(memory_limit(limits)?);
+        .memory_limit(memory_limit(limits)?)
+        .workspaces(workspaces(path, ini)?);
     Ok(settings)
 }
 
@@ -196,6 +199,18 @@
     })
 }
 
+fn workspaces(path: &Path, ini: &Ini) -> Result<WorkspaceSettings, SettingsError> {
+    let section = Section::open(path, ini, "workspaces", &WORKSPACE_KEYS)?;
+    let defaults = WorkspaceSettings::default();
+    // The template leaves the value empty where the deployment does not set it.
+    let parse = |text: &str| if text.is_empty() { Some(false) } else { text.parse().ok() };
+    let fail_closed = section.parse_or("fail_closed", false, "true or false", parse)?;
+    let parse = |text: &str| parse_duration(text).filter(|time| !time.is_zero()).map(millis);
+    let expected = "a time above zero, such as 5s";
+    let revocation = section.parse_or("revocation", defaults.revocation, expected, parse)?;
+    Ok(WorkspaceSettings { fail_closed, revocation })
+}
+
 fn log(path: &Path, ini: &Ini) -> Result<LogSettings, SettingsError> {
     let section = Section::open(path, ini, "log", &LOG_KEYS)?;
     let expected = "off, error, warn, info, debug or trace";
--- a/crates/daemon/tests/process/gateway_settings.rs
+++ b/crates/daemon/tests/process/gateway_settings.rs
@@ -1,5 +1,7 @@
 //! The settings of a gateway are checked before it starts.
 
+use chestnutdrift_core::Millis;
+use chestnutdrift_core::gateway::WorkspaceSettings;
 use chestnutdrift_daemon::gateway::GatewaySettingsFile;
 use chestnutdrift_daemon::settings::SettingsError;
 use test_case::test_case;
@@ -43,3 +45,21 @@
     let error = read(limit).expect_err("the settings are invalid").to_string();
     assert!(error.contains(expected), "{error}");
 }
+
+#[test_case("", false, 5_000; "not set")]
+#[test_case("fail_closed =", false, 5_000; "as the template leaves it")]
+#[test_case("fail_closed = true\nrevocation = 4000ms", true, 4_000; "set")]
+fn the_settings_of_workspaces_are_read(text: &str, fail_closed: bool, revocation: u64) {
+    let file = read(&format!("[workspaces]\n{text}")).expect("the settings are valid");
+    let expected = WorkspaceSettings { fail_closed, revocation: Millis(revocation) };
+    assert_eq!(file.gateway.workspaces, expected);
+}
+
+/// Guards against a host that starts with another meaning of these settings than the operator's.
+#[test_case("fail_closed = yes", "fail_closed: \"yes\" can't be read"; "not true or false")]
+#[test_case("revocation = 0s", "revocation: \"0s\" can't be read"; "no time")]
+#[test_case("revocation = 5", "revocation: \"5\" can't be read"; "no unit")]
+fn settings_of_workspaces_that_can_not_be_used_are_refused(text: &str, expected: &str) {
+    let error = read(&format!("[workspaces]\n{text}")).expect_err("invalid settings").to_string();
+    assert!(error.contains(expected), "{error}");
+}
