--- a/crates/core/src/directory/routing.rs
+++ b/crates/core/src/directory/routing.rs
@@ -3,10 +3,9 @@
 use std::collections::BTreeSet;
 use std::fmt::{Display, Formatter};
 
-use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 
-use crate::directory::Workspace;
+use crate::directory::{ConfigDocument, Workspace, WorkspaceError, workspace};
 use crate::time::Millis;
 
 /// A decoded routing configuration, with the document that the operator sent.
@@ -16,7 +15,7 @@
     /// The version. The configuration with the highest version is in force.
     pub version: u64,
     /// The document as it was sent; operators read it back.
-    pub document: Bytes,
+    pub document: ConfigDocument,
     /// The routes.
     pub routes: Vec<Route>,
     /// The services that the routes refer to.
@@ -33,7 +32,7 @@
     #[must_use]
     pub fn bytes(&self) -> usize {
         // A message carries the document and the configuration that was decoded from it.
-        2 * self.document.len()
+        2 * self.document.expose().len()
     }
 }
 
@@ -170,6 +169,8 @@
         /// The route.
         route: Box<str>,
     },
+    /// The workspaces are not valid.
+    InvalidWorkspace(WorkspaceError),
 }
 
 impl Display for RoutingError {
@@ -188,6 +189,7 @@
             Self::InvalidPrefix { route } => {
                 write!(f, "route {route}: the prefix must begin and end with a slash")
             }
+            Self::InvalidWorkspace(error) => write!(f, "{error}"),
         }
     }
 }
@@ -223,7 +225,7 @@
                 return Err(RoutingError::ZeroWeight { route: name() });
             }
         }
-        Ok(())
+        workspace::check(&self.workspaces).map_err(RoutingError::InvalidWorkspace)
     }
 
     /// Returns the route of a host and path: the one with the longest matching prefix.
--- a/crates/core/tests/it/main.rs
+++ b/crates/core/tests/it/main.rs
@@ -39,3 +39,4 @@
 mod taken_up_streams;
 mod text_cache;
 mod voter_sets;
+mod workspaces;
