feat(core): the holder's lease is written by one controller

Cause: orders for weight versions make their own checks of the lead and the lease, which calls to the provider need as well. Change: a controller writes the lease on the board after the group's messages are handled; loads reads it. The command SetOrderer and its wire format stay. Before: `Loads::may_order` checked the lead, the waiting time and the orderer. Conclusion: one check for all work that one host does at a time.

--- a/crates/core/src/gateway/controller.rs
+++ b/crates/core/src/gateway/controller.rs
@@ -32,6 +32,7 @@
 
 use super::board::Board;
 use super::event::Event;
+use super::lease::holder::Holder;
 use super::policy::Policies;
 use super::settings::Role;
 use crate::time::Millis;
@@ -60,6 +61,7 @@
     controllers.push(Box::new(membership::Membership));
     if role == Role::Store {
         controllers.push(Box::new(agreement::Agreement));
+        controllers.push(Box::new(Holder::default()));
     }
     controllers.push(Box::new(calls::Calls));
     controllers.push(Box::new(registry::Registry::default()));
--- a/crates/core/src/gateway/controller/loads.rs
+++ b/crates/core/src/gateway/controller/loads.rs
@@ -1,13 +1,10 @@
 //! Loads: on the leader, orders engines to load the named weight versions.
 //!
-//! Reads: ended orders, `group` (named versions, orderer), `jobs`, `upstreams`, `routing`,
-//! `draining`, the clock.
-//! Writes: `orders`, `upstreams` (load state), `counters`, `proposals`, `actions`.
+//! Reads: ended orders, `holder_lease`, `group` (named versions), `jobs`, `upstreams`, `routing`, the
+//! clock.
+//! Writes: `orders`, `upstreams` (load state), `counters`, `actions`.
 //!
-//! Only one host sends orders: the leader, under its lease, once the directory names it as the
-//! orderer. A leader that is not yet the orderer waits until the orders of the previous one can no
-//! longer take effect; a host that leads again after a restart is still the orderer. A version goes
-//! first to the engines that are furthest behind, a few at a time, so that the others continue to
+//! Only the host that holds the lease sends orders. A version goes first to the engines that are furthest behind, a few at a time, so that the others continue to
 //! run under weights that jobs still accept. A model that too few engines can run for its jobs goes
 //! before all others.
 
@@ -15,10 +12,11 @@
 
 use self::due::{DueLoad, due_loads};
 use super::Controller;
-use crate::directory::{DirectoryCommand, Route, ServiceSpec};
+use crate::directory::{Route, ServiceSpec};
 use crate::gateway::action::{Action, Order};
 use crate::gateway::board::Board;
 use crate::gateway::event::{Event, OrderEnd};
+use crate::gateway::lease::HolderLease;
 use crate::key::OrderKey;
 use crate::time::Millis;
 use crate::timeline::EventKind;
@@ -35,10 +33,6 @@
 /// The delay before the next try to order an engine whose limit is reached.
 const ADMISSION_INTERVAL: Millis = Millis(100);
 
-/// How much longer than the order lease a new leader waits before its first order, because earlier
-/// orders may still be in transit.
-const ORDER_LEASE_MARGIN: Millis = Millis(300);
-
 /// The least time between two checks for engines to order: each looks at every model on every engine.
 const CHECK_INTERVAL: Millis = Millis(50);
 
@@ -49,8 +43,6 @@
     next_check: Millis,
     /// Whether a check was left out since the last one.
     is_check_left_out: bool,
-    /// The fencing token under which this host last proposed itself as the orderer.
-    proposed_fencing_token: u64,
 }
 
 impl Controller for Loads {
@@ -65,7 +57,7 @@
         }
         self.next_check = board.now.mono + CHECK_INTERVAL;
         finish_loads(board);
-        if !self.may_order(board) {
+        if board.holder_lease.is_none() {
             return;
         }
         let Some(routing) = board.routing.clone() else { return };
@@ -85,45 +77,10 @@
                 next = next.min(upstream.load.retry_at);
             }
         }
-        match orders_allowed_from(board) {
-            Some(from) if from > now => next.min(from),
-            _ => next,
-        }
-    }
-}
-
-impl Loads {
-    /// Returns whether this host may send orders now. Proposes this host as the orderer when due.
-    fn may_order(&mut self, board: &mut Board) -> bool {
-        let is_due = orders_allowed_from(board).is_some_and(|from| board.now.mono >= from);
-        if !is_due || !board.leads() || board.draining.is_some() {
-            return false;
-        }
-        if is_orderer(board) {
-            return true;
-        }
-        let fence = board.group.as_ref().map_or(0, |group| group.replica.fencing_token());
-        if self.proposed_fencing_token != fence {
-            self.proposed_fencing_token = fence;
-            board.proposals.push((DirectoryCommand::SetOrderer { host: board.cfg.id }, None));
-            board.another_round = true;
-        }
-        false
+        next
     }
 }
 
-fn is_orderer(board: &Board) -> bool {
-    board.group.as_ref().is_some_and(|group| group.directory.orderer == Some(board.cfg.id))
-}
-
-/// Returns from when on this host may send orders, or may propose itself as the orderer; `None` if
-/// it does not lead.
-fn orders_allowed_from(board: &Board) -> Option<Millis> {
-    let since = board.group.as_ref()?.replica.leader_since()?;
-    let wait = board.cfg.times.order_lease + ORDER_LEASE_MARGIN;
-    Some(if is_orderer(board) { since } else { since + wait })
-}
-
 fn handle_order_ended(board: &mut Board, key: OrderKey, end: &OrderEnd) {
     let Some(order) = board.orders.remove(key) else { return };
     let now = board.now.mono;
@@ -196,9 +153,7 @@
 fn send_order(board: &mut Board, due: &DueLoad, runs_end_first: bool) {
     let now = board.now;
     let (key, model, version) = (due.key, &*due.model, due.version);
-    let Some(group) = &board.group else { return };
-    let Some(valid_until) = group.replica.lease_end(now) else { return };
-    let fence = group.replica.fencing_token();
+    let Some(HolderLease { fence, valid_until }) = board.holder_lease else { return };
     let Some(admission) = board.admit_order(key) else {
         board.upstreams[key].load.retry_at = now.mono + ADMISSION_INTERVAL;
         return;
--- a/crates/core/src/gateway/lease.rs
+++ b/crates/core/src/gateway/lease.rs
@@ -1,4 +1,9 @@
 //! The right of one host of the deployment to do what only one host may do at a time.
+//!
+//! [`HolderLease`] on the board is what every singleton task reads: orders for weight versions, calls
+//! to the infrastructure provider. The controller in [`holder`] writes it.
+
+pub mod holder;
 
 use serde::{Deserialize, Serialize};
 
