feat(core): usage of workspaces is counted, settled and reported to the provider

Cause: a deployment with workspaces owes its infrastructure provider the number of requests of each workspace that began to run, by windows of true time. Change: entry hosts record starts and send them to the leader as ages; the leader settles windows in the directory, by the median of the stores' clocks, and the holder reports them. Calls to the provider wait in the queue on the board, paced, one for a subject, with backoff after failures. Before: no provider calls. After: 15 tests in a simulated deployment; counts are exact in all of them but the one that kills an entry host. Conclusion: nothing is sent or stored where the settings name no usage window.

--- a/crates/core/src/directory.rs
+++ b/crates/core/src/directory.rs
@@ -11,6 +11,7 @@
 mod routing;
 mod state;
 mod text;
+mod usage;
 mod workspace;
 
 pub use command::{DirectoryCommand, DirectoryOutcome};
@@ -21,4 +22,5 @@
 };
 pub use state::Directory;
 pub use text::{ItemText, PartialText, TextPart};
+pub use usage::{MAX_SETTLED_WINDOWS, UsageCounts, UsageWindows};
 pub use workspace::{ApiKey, Workspace};
--- a/crates/core/src/directory/command.rs
+++ b/crates/core/src/directory/command.rs
@@ -4,7 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::directory::{JobSpec, NewResult, RoutingConfig, TextPart};
+use crate::directory::{JobSpec, NewResult, RoutingConfig, TextPart, UsageCounts};
 use crate::key::HostId;
 use crate::time::Millis;
 
@@ -75,12 +75,30 @@
         /// The retired incarnation. A replacement at the same address has another one.
         incarnation: u64,
     },
+    /// Names the first usage window; ignored if there is one.
+    StartUsage {
+        /// The number of the window.
+        window: u64,
+    },
+    /// Settles the counts of a usage window; ignored unless it is the next one.
+    SettleUsage {
+        /// The number of the window.
+        window: u64,
+        /// The counts.
+        counts: UsageCounts,
+    },
+    /// Drops the counts of the usage windows that the provider has accepted.
+    UsageReported {
+        /// The number of the last of them.
+        through: u64,
+    },
 }
 
 impl DirectoryCommand {
     /// Returns the approximate size of the command in a message, in bytes.
     #[must_use]
     pub fn bytes(&self) -> usize {
+        const BYTES_PER_COUNT: usize = 10;
         match self {
             Self::PutRouting(routing) => routing.bytes(),
             Self::SubmitJob { spec, .. } => spec.bytes(),
@@ -90,7 +108,12 @@
             Self::SaveTextParts { parts, .. } => {
                 parts.iter().map(|part| part.text.text.len()).sum()
             }
-            Self::SetNamedVersion { .. }
+            Self::SettleUsage { counts, .. } => {
+                counts.keys().map(|workspace| workspace.len() + BYTES_PER_COUNT).sum()
+            }
+            Self::StartUsage { .. }
+            | Self::UsageReported { .. }
+            | Self::SetNamedVersion { .. }
             | Self::EndJob { .. }
             | Self::RemoveJobs { .. }
             | Self::SetOrderer { .. }
--- a/crates/core/src/directory/rebuild.rs
+++ b/crates/core/src/directory/rebuild.rs
@@ -50,12 +50,23 @@
         for (&host, &incarnation) in &self.retired {
             chunks.push(DirectoryCommand::RetireVoter { host, incarnation });
         }
+        self.push_usage(&mut chunks);
         for job in self.jobs.values() {
             push_job(&mut chunks, job);
         }
         chunks.chunks
     }
 
+    /// Adds the commands that settle the windows which are not reported, in their order.
+    fn push_usage(&self, chunks: &mut Chunks) {
+        let first = self.usage.settled.keys().next().copied().or(self.usage.next);
+        let Some(first) = first else { return };
+        chunks.push(DirectoryCommand::StartUsage { window: first });
+        for (&window, counts) in &self.usage.settled {
+            chunks.push(DirectoryCommand::SettleUsage { window, counts: counts.clone() });
+        }
+    }
+
     /// Makes a command that rebuilds another directory share the texts and items that this one
     /// holds as well, so that both together need little more memory than one.
     pub fn share_with(&self, command: &mut DirectoryCommand) {
--- a/crates/core/src/directory/state.rs
+++ b/crates/core/src/directory/state.rs
@@ -5,7 +5,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::directory::{DirectoryCommand, DirectoryOutcome, Job, RoutingConfig};
+use crate::directory::{DirectoryCommand, DirectoryOutcome, Job, RoutingConfig, UsageWindows};
 use crate::key::HostId;
 
 /// The state that the directory group replicates.
@@ -22,6 +22,9 @@
     pub orderer: Option<HostId>,
     /// The hosts that were removed from the voter set for good, with their incarnations.
     pub retired: BTreeMap<HostId, u64>,
+    /// The usage windows.
+    #[serde(skip_serializing_if = "UsageWindows::is_unused")]
+    pub usage: UsageWindows,
 }
 
 impl Directory {
@@ -62,6 +65,9 @@
             DirectoryCommand::RetireVoter { host, incarnation } => {
                 self.retired.insert(*host, *incarnation);
             }
+            DirectoryCommand::StartUsage { window } => self.usage.start(*window),
+            DirectoryCommand::SettleUsage { window, counts } => self.usage.settle(*window, counts),
+            DirectoryCommand::UsageReported { through } => self.usage.remove_reported(*through),
         }
         DirectoryOutcome::Applied
     }
--- a/crates/core/src/gateway.rs
+++ b/crates/core/src/gateway.rs
@@ -31,6 +31,7 @@
 pub mod provider;
 pub mod rate;
 pub mod settings;
+pub mod usage;
 
 pub use action::{
     Action, Answer, Counters, Forward, HostView, Order, ResultsEntry, ResultsPage, RewardRequest,
@@ -47,7 +48,7 @@
 pub use policy::Policies;
 pub use provider::{
     CountOrder, ProviderCall, ProviderCallEnd, ProviderQueue, ProviderRequest, ProviderSettings,
-    UsageReport,
+    Subject, UsageReport,
 };
 pub use rate::RequestRate;
 pub use settings::{DeploymentTimes, GatewaySettings, Role};
--- a/crates/core/src/gateway/action.rs
+++ b/crates/core/src/gateway/action.rs
@@ -210,7 +210,7 @@
     /// Whether the host takes requests.
     Ready(bool),
     /// The counters of the host.
-    Counters(Counters),
+    Counters(Box<Counters>),
     /// The hosts that this one knows, including itself.
     Hosts(Vec<HostView>),
     /// The upstreams that this host knows.
@@ -348,6 +348,26 @@
     pub streams_refused: u64,
     /// Requests refused because they exceeded the limits of upstreams.
     pub over_limit: u64,
+    /// Calls sent to the infrastructure provider.
+    pub provider_calls: u64,
+    /// Those that failed, so that the same content is sent again.
+    pub provider_failures: u64,
+    /// Starts of callers' requests that this host has recorded.
+    pub usage_starts: u64,
+    /// Starts that were merged in coarse steps because there were too many records.
+    pub usage_merges: u64,
+    /// Starts that came after their window was settled, counted on the leader since it leads.
+    pub usage_late_starts: u64,
+    /// Usage windows settled by this host.
+    pub usage_settled: u64,
+    /// Usage windows reported by this host.
+    pub usage_reported: u64,
+    /// Those that were reported after they were due.
+    pub usage_late: u64,
+    /// Usage windows dropped because too many were not reported.
+    pub usage_dropped: u64,
+    /// The last usage window that this host has reported; zero before the first.
+    pub usage_last_window: u64,
     /// The version of the routing configuration in force.
     pub routing_version: u64,
     /// Whether the host takes requests.
--- a/crates/core/src/gateway/board.rs
+++ b/crates/core/src/gateway/board.rs
@@ -35,6 +35,7 @@
 };
 use crate::gateway::provider::ProviderQueue;
 use crate::gateway::settings::{GatewaySettings, Role};
+use crate::gateway::usage::StartLog;
 use crate::key::{
     AttemptKey, HostId, HostKey, ItemKey, JobKey, OrderKey, RequestKey, RequestTag,
     StoreRequestKey, UpstreamKey,
@@ -203,6 +204,8 @@
     pub holder_lease: Option<HolderLease>,
     /// The requests to the infrastructure provider, and the ends of the calls.
     pub provider: ProviderQueue,
+    /// The starts of callers' requests that this entry host has observed.
+    pub usage: StartLog,
     /// Whether the host takes requests.
     pub ready: bool,
     /// When the host began to stop; `None` where it does not stop.
@@ -304,6 +307,7 @@
             orders: SlotMap::with_key(),
             holder_lease: None,
             provider: ProviderQueue::default(),
+            usage: StartLog::default(),
             ready: false,
             draining: None,
             another_round: false,
--- a/crates/core/src/gateway/controller.rs
+++ b/crates/core/src/gateway/controller.rs
@@ -34,7 +34,10 @@
 use super::event::Event;
 use super::lease::holder::Holder;
 use super::policy::Policies;
+use super::provider::calls::ProviderCalls;
 use super::settings::Role;
+use super::usage::recording::Recording;
+use super::usage::settlement::Settlement;
 use crate::time::Millis;
 
 /// A task of a gateway, performed for each event.
@@ -74,7 +77,10 @@
         controllers.push(Box::new(quotas::Quotas::default()));
     }
     match role {
-        Role::Entry => controllers.push(Box::new(forwarding::Forwarding::new(choice))),
+        Role::Entry => {
+            controllers.push(Box::new(Recording::default()));
+            controllers.push(Box::new(forwarding::Forwarding::new(choice)));
+        }
         Role::Store => controllers.push(Box::new(rewards::Rewards::new(choice))),
     }
     if role == Role::Entry {
@@ -88,6 +94,8 @@
         controllers.push(Box::new(jobs::Jobs::default()));
         controllers.push(Box::new(items::Items::new(placement)));
         controllers.push(Box::new(loads::Loads::default()));
+        controllers.push(Box::new(Settlement::default()));
+        controllers.push(Box::new(ProviderCalls::default()));
         controllers.push(Box::new(views::Views::default()));
     }
     controllers.push(Box::new(lifecycle::Lifecycle));
--- a/crates/core/src/gateway/controller/agreement.rs
+++ b/crates/core/src/gateway/controller/agreement.rs
@@ -208,7 +208,13 @@
         DirectoryCommand::SetOrderer { host } => {
             board.note(EventKind::Ordered, "directory", format!("orderer={}", host.0));
         }
-        DirectoryCommand::RemoveJobs { .. } | DirectoryCommand::SaveTextParts { .. } => {}
+        DirectoryCommand::StartUsage { window } => {
+            board.note(EventKind::Usage, window.to_string(), "first window");
+        }
+        DirectoryCommand::RemoveJobs { .. }
+        | DirectoryCommand::SaveTextParts { .. }
+        | DirectoryCommand::SettleUsage { .. }
+        | DirectoryCommand::UsageReported { .. } => {}
     }
 }
 
--- a/crates/core/src/gateway/controller/forwarding.rs
+++ b/crates/core/src/gateway/controller/forwarding.rs
@@ -26,6 +26,7 @@
 use crate::gateway::board::{Attempt, Board, Purpose, Request, RequestState, StreamSearch};
 use crate::gateway::event::{Call, Event, ForwardEnd, IncomingCall};
 use crate::gateway::policy::UpstreamChoice;
+use crate::gateway::usage::recording::note_dispatch;
 use crate::key::{AttemptKey, RequestKey, RequestTag, UpstreamKey};
 use crate::time::Millis;
 use crate::timeline::EventKind;
@@ -341,6 +342,7 @@
     let Some(admission) = board.admit(upstream_key) else { return };
     let attempt = board.begin_attempt(Purpose::Request(key), admission, 0);
     let now = board.now.mono;
+    note_dispatch(board, key, attempt);
     let routing = board.routing.as_deref().map_or(0, |routing: &RoutingConfig| routing.version);
     let upstream = &board.upstreams[upstream_key];
     let address = upstream.address(upstream_key);
--- a/crates/core/src/gateway/controller/membership.rs
+++ b/crates/core/src/gateway/controller/membership.rs
@@ -93,6 +93,9 @@
             | GatewayMessage::LeavesKept { .. }
             | GatewayMessage::QuotaGrant(_)
             | GatewayMessage::Streams(_)
+            | GatewayMessage::UsageStarts(_)
+            | GatewayMessage::UsageAck(_)
+            | GatewayMessage::Clock(_)
             | GatewayMessage::FindStream { .. }
             | GatewayMessage::StreamFound { .. } => {}
             GatewayMessage::Leaves { upstreams, .. } => receive_records(board, from, upstreams),
--- a/crates/core/src/gateway/message.rs
+++ b/crates/core/src/gateway/message.rs
@@ -10,6 +10,7 @@
 use crate::directory::{JobSpec, RoutingConfig};
 use crate::gateway::action::ResultsPage;
 use crate::gateway::board::{InstanceId, StatedLimit, StreamOrigin, StreamRecord};
+use crate::gateway::usage::{ClockReading, UsageAck, UsageStarts};
 use crate::key::{Fingerprint, HostId};
 use crate::time::Millis;
 
@@ -93,6 +94,13 @@
         #[serde(default, skip_serializing_if = "Option::is_none")]
         upstreams: Option<Vec<InstanceId>>,
     },
+    /// Starts of requests, for the leader to count. A host of an earlier version drops this message.
+    UsageStarts(UsageStarts),
+    /// The reply to it. A host of an earlier version drops this message.
+    UsageAck(UsageAck),
+    /// The leader asks for the time on the receiver's wall clock, or is told it. A host of an earlier
+    /// version drops this message.
+    Clock(ClockReading),
 }
 
 /// A host's request for permits.
@@ -264,6 +272,7 @@
         const BYTES_PER_SUSPECT: usize = 256;
         const BYTES_PER_LIMIT: usize = 64;
         const BYTES_PER_STREAM: usize = 128;
+        const BYTES_PER_START: usize = 12;
         match self {
             Self::Hello(hello) => hello.seen_upstreams.len() * BYTES_PER_SEEN_UPSTREAM,
             Self::View(view) => {
@@ -282,6 +291,8 @@
                 let upstreams = upstreams.as_ref().map_or(0, Vec::len);
                 BYTES_PER_STREAM + upstreams * BYTES_PER_SEEN_UPSTREAM
             }
+            Self::UsageStarts(starts) => starts.records.len() * BYTES_PER_START,
+            Self::UsageAck(_) | Self::Clock(_) => 0,
             Self::QuotaGrant(grant) => grant.permits.len() * BYTES_PER_LIMIT,
         }
     }
--- a/crates/core/src/gateway/provider.rs
+++ b/crates/core/src/gateway/provider.rs
@@ -4,9 +4,13 @@
 //! holds the lease sends it as a [`ProviderCall`], within the provider's rate, and the ends of calls
 //! are left in the queue for the controller that made the request.
 
+pub mod calls;
+
 use std::collections::BTreeMap;
+use std::fmt::{Display, Formatter};
 
 use serde::{Deserialize, Serialize};
+use slotmap::SlotMap;
 
 use crate::key::ProviderCallKey;
 use crate::time::Millis;
@@ -59,6 +63,39 @@
     SetUpstreamCount(CountOrder),
 }
 
+/// What a request to the provider is about. One call for it is in progress at a time.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Subject {
+    /// The usage of a window.
+    Usage(u64),
+    /// The number of upstreams of a service in an availability zone, and whether they are reclaimable.
+    UpstreamCount(Box<str>, Box<str>, bool),
+}
+
+impl Display for Subject {
+    fn fmt(&self, f: &mut Formatter<'_>) -> std::fmt::Result {
+        match self {
+            Self::Usage(window) => write!(f, "usage/{window}"),
+            Self::UpstreamCount(service, zone, reclaimable) => {
+                write!(f, "upstreams/{service}/{zone}/reclaimable={reclaimable}")
+            }
+        }
+    }
+}
+
+impl ProviderRequest {
+    /// Returns what the request is about.
+    #[must_use]
+    pub fn subject(&self) -> Subject {
+        match self {
+            Self::ReportUsage(report) => Subject::Usage(report.window),
+            Self::SetUpstreamCount(CountOrder { service, zone, reclaimable, .. }) => {
+                Subject::UpstreamCount(service.clone(), zone.clone(), *reclaimable)
+            }
+        }
+    }
+}
+
 /// A call to the provider for the shell to send.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -71,6 +108,8 @@
     pub fence: u64,
     /// The time on the monotonic clock after which the call must not be sent.
     pub valid_until: Millis,
+    /// How long the answer is awaited.
+    pub timeout: Millis,
     /// The content.
     pub request: ProviderRequest,
 }
@@ -99,11 +138,50 @@
     },
 }
 
+impl ProviderCallEnd {
+    /// Returns whether the next call for the same subject must wait for a time.
+    #[must_use]
+    pub fn is_failure(&self) -> bool {
+        match self {
+            Self::Accepted | Self::Unavailable | Self::Expired => false,
+            Self::RateLimited | Self::Rejected { .. } | Self::Unknown { .. } => true,
+        }
+    }
+}
+
+/// A call to the provider that has not ended.
+#[derive(Debug, Clone)]
+pub struct RunningCall {
+    /// The content.
+    pub request: ProviderRequest,
+    /// The fencing token under which it was sent.
+    pub fence: u64,
+    /// When it was sent.
+    pub sent: Millis,
+    /// How long the answer is awaited.
+    pub timeout: Millis,
+}
+
 /// The requests to the provider that wait, and the ends of calls that are not handled yet.
+///
+/// Each request gets one end. A controller that gets another end than [`ProviderCallEnd::Accepted`]
+/// puts the request into the queue again where it is still wanted; the queue delays it after a failure.
+/// The number of subjects bounds the queue: there are at most a few windows, and two for each service
+/// and availability zone.
 #[derive(Debug, Clone, Default)]
 pub struct ProviderQueue {
     /// The requests to send, in order. Each controller has at most one request for a subject here.
     pub waiting: Vec<ProviderRequest>,
     /// The ends of calls, for the controllers that made the requests.
     pub ended: Vec<(ProviderRequest, ProviderCallEnd)>,
+    /// The calls that have not ended.
+    pub running: SlotMap<ProviderCallKey, RunningCall>,
+}
+
+impl ProviderQueue {
+    /// Returns whether a call for a subject has not ended.
+    #[must_use]
+    pub fn is_running(&self, subject: &Subject) -> bool {
+        self.running.values().any(|call| call.request.subject() == *subject)
+    }
 }
--- a/crates/core/src/gateway/settings.rs
+++ b/crates/core/src/gateway/settings.rs
@@ -194,6 +194,12 @@
         self
     }
 
+    /// Returns whether usage is counted and reported.
+    #[must_use]
+    pub fn reports_usage(&self) -> bool {
+        self.provider.as_ref().is_some_and(|provider| provider.usage_window.is_some())
+    }
+
     /// Returns the distance of a zone: 0 for this host's own, 1 for another in its region, 2
     /// elsewhere.
     #[must_use]
--- a/crates/core/src/key.rs
+++ b/crates/core/src/key.rs
@@ -32,6 +32,8 @@
     pub struct JobKey;
     /// Identifies an item of a job that has no listed result yet.
     pub struct ItemKey;
+    /// Identifies the name of a workspace whose usage is counted.
+    pub struct WorkspaceKey;
     /// Identifies a request under which upstreams ended.
     pub struct SuspectKey;
 }
--- a/crates/core/src/timeline.rs
+++ b/crates/core/src/timeline.rs
@@ -106,6 +106,12 @@
     Job,
     /// A request to another host ended.
     Asked,
+    /// A call to the infrastructure provider was sent.
+    ProviderCalled,
+    /// A call to the infrastructure provider ended.
+    ProviderAnswered,
+    /// A usage window was settled, reported or dropped.
+    Usage,
 }
 
 /// One event on the timeline.
--- a/crates/core/tests/it/deployment.rs
+++ b/crates/core/tests/it/deployment.rs
@@ -7,8 +7,10 @@
 pub(crate) mod documents;
 mod faults;
 pub(crate) mod messages;
+pub(crate) mod provider;
 pub(crate) mod rewards;
 mod upstreams;
+pub(crate) mod usage;
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, Instant};
@@ -16,7 +18,7 @@
 use chestnutdrift_core::agreement::Record;
 use chestnutdrift_core::gateway::{
     Action, Answer, Call, Event, Gateway, GatewaySettings, IncomingCall, JobBody, Order,
-    ResultsPage, Role, RunItem,
+    ProviderCall, ProviderSettings, ResultsPage, Role, RunItem,
 };
 use chestnutdrift_core::key::SyncToken;
 use chestnutdrift_core::message::Envelope;
@@ -28,7 +30,9 @@
 pub(crate) use documents::{job, routing};
 pub(crate) use upstreams::SimEngine;
 
+use provider::SimProvider;
 use rewards::{Scorer, SentReward};
+use usage::{EntryEvent, Started, UsageEntry};
 
 /// The wall-clock time at which a simulation starts, in milliseconds.
 const START_WALL_MS: u64 = 1_700_000_000_000;
@@ -45,6 +49,8 @@
     Run(HostId, u64, RunItem),
     Order(HostId, u64, Order),
     Announce(usize),
+    Provider(HostId, u64, ProviderCall),
+    Entry(HostId, EntryEvent),
 }
 
 /// A simulated host.
@@ -113,6 +119,16 @@
     pub(crate) sync_ms: BTreeMap<HostId, u64>,
     /// The memory limit of hosts that start from now on, in bytes.
     pub(crate) memory_limit: Option<u64>,
+    /// The provider's interface in the settings of hosts that start from now on.
+    pub(crate) provider_settings: Option<ProviderSettings>,
+    pub(crate) provider: SimProvider,
+    /// The hosts that can't reach the provider.
+    pub(crate) provider_links_cut: BTreeSet<HostId>,
+    /// How far a host's wall clock is ahead, in milliseconds.
+    pub(crate) wall_offsets: BTreeMap<HostId, i64>,
+    usage_entries: BTreeMap<HostId, UsageEntry>,
+    /// The requests of workspaces that began to run.
+    started: Started,
     /// The hosts whose disks sync nothing, with the last token that waits.
     stalled_disks: BTreeMap<HostId, Option<SyncToken>>,
     nodes: BTreeMap<HostId, Node>,
@@ -137,8 +153,25 @@
 
     /// Creates and starts a deployment of a size, with the IDs of [`Deployment::new`].
     pub(crate) fn sized(seed: u64, size: Size) -> Self {
-        let Size { stores, entries, .. } = size;
-        let mut deployment = Self {
+        let mut deployment = Self::empty(seed, size);
+        deployment.start_all();
+        deployment
+    }
+
+    /// Adds and starts the hosts of the deployment's size.
+    pub(crate) fn start_all(&mut self) {
+        for id in 1..=self.size.stores {
+            self.add(HostId(id), Role::Store, true);
+        }
+        for id in 1..=self.size.entries {
+            self.add(HostId(100 + id), Role::Entry, true);
+        }
+    }
+
+    /// Creates a deployment of a size whose hosts are not started.
+    pub(crate) fn empty(seed: u64, size: Size) -> Self {
+        let stores = size.stores;
+        Self {
             now: 0,
             rng: Pcg64Mcg::seed_from_u64(seed),
             seed,
@@ -160,6 +193,12 @@
             encodes_messages: false,
             sync_ms: BTreeMap::new(),
             memory_limit: None,
+            provider_settings: None,
+            provider: SimProvider::default(),
+            provider_links_cut: BTreeSet::new(),
+            wall_offsets: BTreeMap::new(),
+            usage_entries: BTreeMap::new(),
+            started: Started::new(),
             stalled_disks: BTreeMap::new(),
             nodes: BTreeMap::new(),
             seeds: (1..=stores.min(3)).map(HostId).collect(),
@@ -171,14 +210,7 @@
             sequence: 0,
             next_tag: 1,
             jobs: BTreeMap::new(),
-        };
-        for id in 1..=stores {
-            deployment.add(HostId(id), Role::Store, true);
-        }
-        for id in 1..=entries {
-            deployment.add(HostId(100 + id), Role::Entry, true);
         }
-        deployment
     }
 
     /// Adds a host and starts it.
@@ -229,7 +261,8 @@
             .first_start(first_start)
             .instance_ids(node.incarnation, boot_id)
             .seed(self.seed)
-            .memory_limit(self.memory_limit);
+            .memory_limit(self.memory_limit)
+            .provider(self.provider_settings.clone());
         node.gateway = Some(Gateway::new(cfg, Now::new(Millis(0), Millis(START_WALL_MS + now))));
         let records = node.disk.clone();
         self.handle(id, &Event::Restored(records));
@@ -336,13 +369,6 @@
         text
     }
 
-    /// Returns whether the next deadline of a host passed more than 5 ms ago.
-    pub(crate) fn is_overdue(&self, id: HostId) -> bool {
-        let deadline =
-            self.gateway(id).next_deadline().0.saturating_add(self.nodes[&id].started_at);
-        deadline + 5 < self.now
-    }
-
     /// Returns the running hosts.
     pub(crate) fn hosts(&self) -> Vec<HostId> {
         let running = self.nodes.iter().filter(|(_, node)| node.gateway.is_some());
@@ -392,6 +418,8 @@
             Scheduled::Run(id, boot_id, run) => self.run_item(id, boot_id, &run),
             Scheduled::Order(id, boot_id, order) => self.handle_order(id, boot_id, &order),
             Scheduled::Announce(index) => self.announce(index),
+            Scheduled::Provider(id, boot_id, call) => self.call_provider(id, boot_id, call),
+            Scheduled::Entry(id, event) => self.handle_entry(id, event),
         }
     }
 
@@ -402,7 +430,9 @@
             return;
         }
         let Some(gateway) = &mut node.gateway else { return };
-        let clock = Now::new(Millis(now - node.started_at), Millis(START_WALL_MS + now));
+        let ahead = self.wall_offsets.get(&id).copied().unwrap_or_default();
+        let wall = Millis((START_WALL_MS + now).saturating_add_signed(ahead));
+        let clock = Now::new(Millis(now - node.started_at), wall);
         let started = Instant::now();
         let actions = gateway.handle(clock, event);
         if let Some(observe) = &mut self.on_event {
@@ -448,8 +478,8 @@
             }
             Action::Note(event) => self.timeline.push(event),
             Action::Exit { .. } => self.kill(id),
+            Action::CallProvider(call) => self.begin_call(id, boot_id, call),
             Action::Cancel { .. }
-            | Action::CallProvider(_)
             | Action::CloseUpstream { .. }
             | Action::Deliver { .. }
             | Action::Drain
@@ -457,25 +487,6 @@
         }
     }
 
-    fn send(&mut self, from: HostId, to: HostId, envelope: Envelope) {
-        if let Some(observe) = &mut self.on_send {
-            observe(from, &envelope);
-        }
-        let is_lost = self.rng.random_range(0..100) < self.drop_percent;
-        if is_lost || self.cut_links.contains(&(from, to)) {
-            return;
-        }
-        let Some(node) = self.nodes.get(&to) else { return };
-        let boot_id = node.boot_id;
-        // The messages of a link arrive in order and share its bandwidth.
-        let delay = 2 + u64::from((from.0 * 7 + to.0 * 13) % 20);
-        let free_at = self.link_free_at.entry((from, to)).or_default();
-        *free_at = (*free_at).max(self.now) + messages::bytes(&envelope) / self.bytes_per_ms;
-        let arrival_time = *free_at + delay;
-        let envelope = if self.encodes_messages { messages::copy(&envelope) } else { envelope };
-        self.schedule(arrival_time, Scheduled::Event(to, boot_id, Event::Received(envelope)));
-    }
-
     fn boot_id(&self, id: HostId) -> u64 {
         self.nodes[&id].boot_id
     }
--- a/crates/core/tests/it/deployment/faults.rs
+++ b/crates/core/tests/it/deployment/faults.rs
@@ -6,6 +6,13 @@
 use super::Deployment;
 
 impl Deployment {
+    /// Returns whether the next deadline of a host passed more than 5 ms ago.
+    pub(crate) fn is_overdue(&self, id: HostId) -> bool {
+        let deadline =
+            self.gateway(id).next_deadline().0.saturating_add(self.nodes[&id].started_at);
+        deadline + 5 < self.now
+    }
+
     /// Kills a host; records that were persisted stay on its disk.
     pub(crate) fn kill(&mut self, id: HostId) {
         let node = self.nodes.get_mut(&id).expect("a known host");
@@ -30,6 +37,7 @@
         let node = self.nodes.get_mut(&id).expect("a known host");
         node.is_frozen = false;
         let queued = std::mem::take(&mut node.queued_events);
+        self.release_calls(id);
         self.handle(id, &Event::Tick);
         for event in queued {
             self.handle(id, &event);
--- a/crates/core/tests/it/main.rs
+++ b/crates/core/tests/it/main.rs
@@ -37,4 +37,5 @@
 mod tables;
 mod taken_up_streams;
 mod text_cache;
+mod usage;
 mod voter_sets;
--- /dev/null
+++ b/crates/core/tests/it/usage.rs
@@ -0,0 +1,240 @@
+//! Usage reports to the infrastructure provider, in a simulated deployment.
+
+use std::cell::Cell;
+use std::rc::Rc;
+
+use chestnutdrift_core::HostId;
+use chestnutdrift_core::directory::{ApiKey, Workspace};
+use chestnutdrift_core::gateway::message::GatewayMessage;
+use chestnutdrift_core::gateway::{Answer, Call, ForwardEnd};
+use chestnutdrift_core::message::{Envelope, Message};
+use test_case::test_case;
+
+use crate::deployment::provider::settings;
+use crate::deployment::{Deployment, Size, routing};
+
+const ENTRIES: [HostId; 2] = [HostId(201), HostId(202)];
+
+/// Returns a deployment of five stores in which workspaces are in force, with two entries.
+fn reporting(seed: u64) -> Deployment {
+    let size = Size { stores: 5, entries: 0, zones: 3, zones_per_region: 1, tolerated_losses: 2 };
+    let mut deployment = Deployment::empty(seed, size);
+    deployment.provider_settings = Some(settings());
+    deployment.provider.answer_ms = 20;
+    deployment.start_all();
+    deployment.run(5_000);
+    put_workspaces(&mut deployment);
+    for entry in ENTRIES {
+        deployment.add_usage_entry(entry);
+    }
+    deployment
+}
+
+fn put_workspaces(deployment: &mut Deployment) {
+    let mut configuration = (*routing(1)).clone();
+    configuration.workspaces =
+        vec![Workspace { name: "red".into(), keys: vec![ApiKey::new("key")], priority: None }];
+    let put = deployment.call(HostId(2), Call::PutRouting(configuration.into()), 900);
+    assert_eq!(put, Some(Answer::Done));
+}
+
+/// Lets requests come for a time, then waits until all windows can be reported, and checks them.
+fn finish(deployment: &mut Deployment, millis: u64) {
+    deployment.run_with_requests(millis);
+    let through = Deployment::window_at(deployment.now);
+    deployment.run(25_000);
+    assert_exact(deployment, through);
+}
+
+fn leader(deployment: &Deployment) -> HostId {
+    deployment.leader().expect("a leader")
+}
+
+fn is_usage(envelope: &Envelope) -> bool {
+    let Message::Gateway(message) = &envelope.message else { return false };
+    matches!(
+        **message,
+        GatewayMessage::UsageStarts(_) | GatewayMessage::UsageAck(_) | GatewayMessage::Clock(_)
+    )
+}
+
+/// Checks that each window from the first one on, up to `through`, was reported with the right counts.
+fn assert_exact(deployment: &Deployment, through: u64) {
+    let reports = deployment.checked_reports();
+    let first = *reports.keys().next().expect("a report");
+    assert!(through >= first + 3, "{first}..={through} are too few windows");
+    for window in first..=through {
+        let expected = deployment.expected_counts(window);
+        assert_eq!(reports.get(&window), Some(&expected), "window {window}");
+    }
+}
+
+/// Guards against requests that count twice, in the wrong window or not at all.
+#[test]
+fn the_counts_of_each_window_are_exact() {
+    let mut deployment = reporting(7);
+    deployment.run_with_requests(40_000);
+    deployment.run(12_000);
+    assert_exact(&deployment, Deployment::window_at(deployment.now - 12_000));
+    let delays = deployment.report_delays();
+    assert!(delays.values().all(|delay| (0..10_000).contains(delay)), "{delays:?}");
+}
+
+/// Guards against requests that count although no upstream began to run them.
+#[test]
+fn a_request_counts_once_and_only_if_it_ran() {
+    let mut deployment = reporting(8);
+    deployment.run(20_000 - deployment.now % 5_000);
+    let window = Deployment::window_at(deployment.now);
+    deployment.run(500);
+    let refused = || ForwardEnd::NotRun { status: 421, other_instance: false };
+    for _ in 0..10 {
+        deployment.request_of(ENTRIES[0], "red", 40, refused());
+        deployment.request_of(ENTRIES[1], "red", 40, ForwardEnd::Delivered { status: 200 });
+    }
+    deployment.run(20_000);
+    // The requests that were refused run at their second upstream, and that is known 2 s later.
+    let counts = deployment.checked_reports().remove(&window).expect("a report");
+    assert_eq!(counts, [("red".into(), 20)].into());
+}
+
+/// Guards against a suspended holder that sends what it had decided to send when it wakes up.
+#[test_case(11; "seed 11")]
+#[test_case(12; "seed 12")]
+fn a_holder_that_was_suspended_in_the_middle_of_a_call_sends_nothing(seed: u64) {
+    let mut deployment = reporting(seed);
+    deployment.run_with_requests(16_000);
+    let holder = leader(&deployment);
+    let is_calling =
+        |deployment: &Deployment| !deployment.gateway(holder).board().provider.running.is_empty();
+    while !is_calling(&deployment) {
+        deployment.run(1);
+    }
+    deployment.freeze(holder);
+    deployment.run_with_requests(14_000);
+    deployment.thaw(holder);
+    finish(&mut deployment, 20_000);
+    assert!(deployment.call_holders().len() > 1, "another host took over");
+}
+
+/// Guards against two holders while one is cut off from the others but reaches the provider.
+#[test]
+fn a_holder_that_is_cut_off_from_the_others_stops() {
+    let mut deployment = reporting(13);
+    deployment.run_with_requests(16_000);
+    let holder = leader(&deployment);
+    let others: Vec<HostId> =
+        deployment.hosts().into_iter().filter(|host| *host != holder).chain(ENTRIES).collect();
+    others.iter().for_each(|other| deployment.cut(holder, *other, true));
+    deployment.run_with_requests(15_000);
+    others.iter().for_each(|other| deployment.cut(holder, *other, false));
+    finish(&mut deployment, 20_000);
+    assert!(deployment.call_holders().len() > 1, "another host took over");
+}
+
+/// Guards against counts that are lost with the leader, or settled by its successor before the entries
+/// have sent theirs again.
+#[test_case(14; "seed 14")]
+#[test_case(15; "seed 15")]
+fn two_stores_are_lost_with_their_disks(seed: u64) {
+    let mut deployment = reporting(seed);
+    deployment.run_with_requests(18_000);
+    let first = leader(&deployment);
+    let second = HostId(first.0 % 5 + 1);
+    for host in [first, second] {
+        deployment.kill(host);
+        deployment.lose_disk(host);
+    }
+    finish(&mut deployment, 25_000);
+    assert!(deployment.call_holders().len() > 1, "another host took over");
+}
+
+/// Guards against windows that are skipped or counted anew when all stores start again.
+#[test]
+fn all_stores_lose_power() {
+    let mut deployment = reporting(16);
+    deployment.run_with_requests(18_000);
+    let stores = deployment.hosts();
+    stores.iter().for_each(|store| deployment.kill(*store));
+    deployment.run_with_requests(2_000);
+    stores.iter().for_each(|store| deployment.start(*store));
+    finish(&mut deployment, 25_000);
+}
+
+/// Guards against a loss of more than what a killed entry had not sent yet.
+#[test]
+fn an_entry_is_killed_before_its_counts_are_collected() {
+    let mut deployment = reporting(17);
+    deployment.run_with_requests(17_000);
+    let window = Deployment::window_at(deployment.now);
+    deployment.kill_usage_entry(ENTRIES[0]);
+    deployment.run_with_requests(15_000);
+    deployment.run(15_000);
+    let reports = deployment.checked_reports();
+    let sum = |counts: &chestnutdrift_core::directory::UsageCounts| counts.values().sum::<u64>();
+    let missing = sum(&deployment.expected_counts(window)) - sum(&reports[&window]);
+    // 27 requests a second come at an entry: 250 ms of them, and those not yet known to have begun.
+    assert!((1..=20).contains(&missing), "{missing}");
+    for window in window + 1..=window + 2 {
+        assert_eq!(reports[&window], deployment.expected_counts(window), "window {window}");
+    }
+}
+
+/// Guards against starts that are lost with a message, or count again with its copy.
+#[test]
+fn messages_between_hosts_are_lost_and_sent_again() {
+    let mut deployment = reporting(18);
+    deployment.drop_percent = 10;
+    deployment.run_with_requests(30_000);
+    deployment.drop_percent = 0;
+    finish(&mut deployment, 5_000);
+}
+
+/// Guards against windows that shift with the clock of the leader or of another store.
+#[test_case(2_500; "ahead")]
+#[test_case(-2_500; "behind")]
+fn the_clocks_of_two_stores_are_stepped(step: i64) {
+    let mut deployment = reporting(19);
+    deployment.run_with_requests(16_000);
+    let first = leader(&deployment);
+    for host in [first, HostId(first.0 % 5 + 1)] {
+        deployment.wall_offsets.insert(host, step);
+    }
+    finish(&mut deployment, 20_000);
+    let delays = deployment.report_delays();
+    assert!(delays.values().all(|delay| (3_900..5_000).contains(delay)), "{delays:?}");
+}
+
+/// Guards against other counts, or lost windows, when the provider is back.
+#[test]
+fn the_provider_is_silent_and_then_back() {
+    let mut deployment = reporting(20);
+    deployment.run_with_requests(16_000);
+    deployment.provider.is_silent = true;
+    deployment.run_with_requests(30_000);
+    deployment.provider.is_silent = false;
+    // Its answers come after the first time-out, so that it gets the same reports twice.
+    deployment.provider.answer_ms = 3_000;
+    finish(&mut deployment, 10_000);
+}
+
+/// Guards against messages, in deployments that do not report usage.
+#[test_case(false; "no provider")]
+#[test_case(true; "no workspaces")]
+fn no_message_on_usage_is_sent_without_workspaces_and_provider(has_provider: bool) {
+    let size = Size { stores: 3, entries: 2, zones: 3, zones_per_region: 1, tolerated_losses: 1 };
+    let mut deployment = Deployment::empty(21, size);
+    deployment.provider_settings = has_provider.then(settings);
+    let count = Rc::new(Cell::new(0));
+    let counted = Rc::clone(&count);
+    deployment.on_send = Some(Box::new(move |_, envelope| {
+        counted.set(counted.get() + u32::from(is_usage(envelope)));
+    }));
+    deployment.start_all();
+    deployment.run(5_000);
+    if !has_provider {
+        put_workspaces(&mut deployment);
+    }
+    deployment.run(15_000);
+    assert_eq!((count.get(), deployment.provider.calls.len()), (0, 0));
+}
