feat(daemon): a client for the infrastructure provider

Cause: the core's calls to the provider need a client, and its interface needs settings. The settings name the duties by the words of the deployment, so that those stay in deploy/. Before: calls to the provider were dropped with a log line.

--- a/crates/daemon/src/gateway.rs
+++ b/crates/daemon/src/gateway.rs
@@ -2,8 +2,8 @@
 //!
 //! The control thread owns the [`Gateway`](chestnutdrift_core::gateway::Gateway) and waits on one
 //! channel with a deadline ([`control`]). One traffic thread owns all sockets: those of callers and
-//! operators ([`server`]), of upstreams ([`pool`], [`forward`], [`items`], [`rewards`], [`orders`]) and of links
-//! to other hosts. A store host has a thread for its disk, and every host has one that writes the
+//! operators ([`server`]), of upstreams ([`pool`], [`forward`], [`items`], [`rewards`], [`orders`]), of the
+//! infrastructure provider ([`provider`]) and of links to other hosts. A store host has a thread for its disk, and every host has one that writes the
 //! log. The format of messages is behind the trait in [`protocol`]: this module depends on HTTP,
 //! but on no particular message.
 
@@ -20,6 +20,7 @@
 pub mod orders;
 pub mod pool;
 pub mod protocol;
+pub mod provider;
 pub mod rewards;
 pub mod server;
 pub mod settings;
--- a/crates/daemon/src/gateway/control.rs
+++ b/crates/daemon/src/gateway/control.rs
@@ -16,6 +16,7 @@
 use super::load::LoadMeter;
 use super::orders::OrderSender;
 use super::pool::Pool;
+use super::provider::ProviderClient;
 use super::rewards::RewardCalls;
 use super::server::ServerState;
 use crate::clock::Clock;
@@ -69,6 +70,8 @@
     pub rewards: RewardCalls,
     /// The sender of orders to upstreams.
     pub orders: OrderSender,
+    /// The client of the infrastructure provider.
+    pub provider: ProviderClient,
 }
 
 /// The control thread's state.
@@ -205,7 +208,7 @@
                 self.outputs.runtime.spawn(self.outputs.orders.clone().run(order));
             }
             Action::CallProvider(call) => {
-                log::error!(event = "provider-call-dropped", fence = call.fence; "no client");
+                self.outputs.runtime.spawn(self.outputs.provider.clone().run(call));
             }
             Action::CloseUpstream { upstream } => self.outputs.pool.close_upstream(&upstream),
             Action::Send { to, envelope } => self.outputs.links.send(to, envelope),
--- a/crates/daemon/src/gateway/protocol.rs
+++ b/crates/daemon/src/gateway/protocol.rs
@@ -4,7 +4,8 @@
 
 use bytes::Bytes;
 use chestnutdrift_core::gateway::{
-    Answer, Call, Forward, JobBody, Order, RequestRate, RewardRequest, RunItem, UpstreamAddress,
+    Answer, Call, Forward, JobBody, Order, ProviderCall, RequestRate, RewardRequest, RunItem,
+    UpstreamAddress,
 };
 use chestnutdrift_core::{Millis, Problem};
 use hyper::http::{request, response};
@@ -173,6 +174,9 @@
     /// Encodes an order; `orders_before` is the number of orders that the upstream has accepted.
     fn order_request(&self, order: &Order, orders_before: u64) -> Request<Bytes>;
 
+    /// Encodes a call to the infrastructure provider at an address.
+    fn provider_request(&self, call: &ProviderCall, address: &str) -> Request<Bytes>;
+
     /// Returns how many seconds the upstream keeps an idle connection, where it announces it.
     fn keep_alive_secs(&self, headers: &HeaderMap) -> Option<u64>;
 }
--- a/crates/daemon/src/gateway/settings.rs
+++ b/crates/daemon/src/gateway/settings.rs
@@ -1,8 +1,11 @@
 //! The settings of a gateway, read from an INI file and validated.
 
+mod provider;
+
 use std::collections::BTreeMap;
 use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
 use std::path::{Path, PathBuf};
+use std::sync::Arc;
 use std::time::Duration;
 
 use chestnutdrift_core::gateway::{DeploymentTimes, GatewaySettings, Role};
@@ -11,6 +14,7 @@
 use log::LevelFilter;
 
 use super::protocol::Listener;
+use crate::gateway::settings::provider::Provider;
 use crate::logging::LogSettings;
 use crate::settings::{Section, SettingsError, load, parse_bytes, parse_duration};
 
@@ -21,7 +25,8 @@
 const LIMIT_KEYS: [&str; 3] = ["connections", "tolerated", "memory"];
 const TIME_KEYS: [&str; 4] = ["announce_every", "order_lease", "grace", "results_kept"];
 const LOG_KEYS: [&str; 1] = ["level"];
-const SECTIONS: [&str; 7] = ["host", "regions", "listen", "seeds", "limits", "times", "log"];
+const SECTIONS: [&str; 8] =
+    ["host", "regions", "listen", "seeds", "limits", "times", "provider", "log"];
 
 /// The default limit of open connections from callers, operators and upstreams; it leaves file
 /// descriptors for connections to upstreams.
@@ -43,6 +48,8 @@
     pub listeners: BTreeMap<Listener, SocketAddr>,
     /// The address for links from other hosts; all hosts use the same port.
     pub link_address: SocketAddr,
+    /// The address of the infrastructure provider; `None` if the deployment has none.
+    pub provider_address: Option<Arc<str>>,
     /// The maximum number of open connections to the listeners.
     pub max_connections: usize,
     /// The log's settings.
@@ -60,9 +67,11 @@
         let host = Section::open(path, &ini, "host", &HOST_KEYS)?;
         let listen = Section::open(path, &ini, "listen", &LISTEN_KEYS)?;
         let limits = Section::open(path, &ini, "limits", &LIMIT_KEYS)?;
+        let Provider { address, settings } = provider::read(path, &ini)?;
         let file = Self {
             path: path.into(),
-            gateway: gateway(path, &ini, &host, &limits)?,
+            gateway: gateway(path, &ini, &host, &limits)?.provider(settings),
+            provider_address: address,
             data_dir: host.text("data").filter(|text| !text.is_empty()).map(PathBuf::from),
             listeners: listeners(&listen)?,
             link_address: required_address(&listen, "links")?.into(),
--- /dev/null
+++ b/crates/daemon/src/gateway/settings/provider.rs
@@ -0,0 +1,75 @@
+//! The settings of the infrastructure provider's interface.
+
+use std::path::Path;
+use std::sync::Arc;
+
+use chestnutdrift_core::Millis;
+use chestnutdrift_core::gateway::ProviderSettings;
+use ini::Ini;
+
+use super::millis;
+use crate::settings::{Section, SettingsError, parse_duration};
+
+const KEYS: [&str; 7] = [
+    "address",
+    "calls_per_second",
+    "duties",
+    "usage_duty",
+    "scaling_duty",
+    "usage_window",
+    "usage_due",
+];
+
+/// The default of the most calls a second.
+const DEFAULT_CALLS_PER_SECOND: u32 = 50;
+
+/// The default of the time after the end of a window at which its report is due.
+const DEFAULT_USAGE_DUE: Millis = Millis(10_000);
+
+/// The provider's address and the settings of the core, both `None` if the deployment has none.
+#[derive(Debug, Default)]
+pub(super) struct Provider {
+    pub(super) address: Option<Arc<str>>,
+    pub(super) settings: Option<ProviderSettings>,
+}
+
+/// Reads the section of the provider; a key with an empty value counts as not set.
+pub(super) fn read(path: &Path, ini: &Ini) -> Result<Provider, SettingsError> {
+    let section = Section::open(path, ini, "provider", &KEYS)?;
+    let set = |key: &str| section.text(key).filter(|text| !text.is_empty());
+    let Some(address) = set("address") else { return Ok(Provider::default()) };
+    check_address(&section, address)?;
+    let time = |key: &str| -> Result<Option<Millis>, SettingsError> {
+        let Some(text) = set(key) else { return Ok(None) };
+        let time = parse_duration(text).filter(|time| !time.is_zero()).ok_or_else(|| {
+            section.error(key, format!("{text:?} can't be read"), "a time such as 5s")
+        })?;
+        Ok(Some(millis(time)))
+    };
+    let calls_per_second = match set("calls_per_second") {
+        Some(_) => section.number("calls_per_second", DEFAULT_CALLS_PER_SECOND)?,
+        None => DEFAULT_CALLS_PER_SECOND,
+    };
+    let duties = set("duties").unwrap_or_default();
+    let has_duty = |key: &str, default: &str| {
+        let name = set(key).unwrap_or(default);
+        duties.split(',').any(|duty| duty.trim() == name)
+    };
+    let usage_window = time("usage_window")?.filter(|_| has_duty("usage_duty", "usage"));
+    let settings = ProviderSettings {
+        calls_per_second,
+        usage_window,
+        usage_due: time("usage_due")?.unwrap_or(DEFAULT_USAGE_DUE),
+        scaling: has_duty("scaling_duty", "scaling"),
+    };
+    Ok(Provider { address: Some(address.into()), settings: Some(settings) })
+}
+
+fn check_address(section: &Section<'_>, address: &str) -> Result<(), SettingsError> {
+    let parts = address.rsplit_once(':');
+    if parts.is_some_and(|(host, port)| !host.is_empty() && port.parse::<u16>().is_ok()) {
+        return Ok(());
+    }
+    let expected = "a host name or IP address and a port, such as 10.0.0.7:7100";
+    Err(section.error("address", format!("{address:?} can't be read"), expected))
+}
--- a/crates/daemon/src/gateway/start.rs
+++ b/crates/daemon/src/gateway/start.rs
@@ -19,6 +19,7 @@
 use super::orders::OrderSender;
 use super::pool::Pool;
 use super::protocol::Protocol;
+use super::provider::ProviderClient;
 use super::rewards::RewardCalls;
 use super::server::{Server, ServerState};
 use super::settings::GatewaySettingsFile;
@@ -81,6 +82,12 @@
     let outputs = Outputs {
         items: ItemRuns::new(Arc::clone(&protocol), pool.clone(), inputs.clone()),
         rewards: RewardCalls::new(Arc::clone(&protocol), pool.clone(), inputs.clone()),
+        provider: ProviderClient {
+            protocol: Arc::clone(&protocol),
+            address: file.provider_address.clone(),
+            clock,
+            inputs: inputs.clone(),
+        },
         orders: OrderSender { protocol, pool: pool.clone(), clock, inputs },
         runtime: Arc::clone(&runtime),
         server: Arc::clone(&state),
--- a/crates/daemon/tests/process/gateway_settings.rs
+++ b/crates/daemon/tests/process/gateway_settings.rs
@@ -43,3 +43,34 @@
     let error = read(limit).expect_err("the settings are invalid").to_string();
     assert!(error.contains(expected), "{error}");
 }
+
+const PROVIDER: &str = "[provider]
+address = 10.0.0.9:7400
+usage_duty = metering
+scaling_duty = autoscale
+";
+
+fn provider(keys: &str) -> Option<(u32, Option<u64>, u64, bool)> {
+    let file = read(&format!("\n{PROVIDER}{keys}")).expect("the settings are valid");
+    assert_eq!(file.provider_address.as_deref(), Some("10.0.0.9:7400"));
+    let settings = file.gateway.provider?;
+    let (window, due) = (settings.usage_window.map(|window| window.0), settings.usage_due.0);
+    Some((settings.calls_per_second, window, due, settings.scaling))
+}
+
+/// Guards against a host that does not start, or takes duties that it does not have, because the
+/// platform leaves fields out.
+#[test_case("calls_per_second = 20\nduties = metering,autoscale\nusage_window = 5s\nusage_due = 9s",
+    (20, Some(5_000), 9_000, true); "all")]
+#[test_case("calls_per_second =\nduties = metering\nusage_window =\nusage_due =",
+    (50, None, 10_000, false); "no window")]
+#[test_case("duties =\nusage_window = 5s", (50, None, 10_000, false); "no duties")]
+fn the_provider_is_read(keys: &str, expected: (u32, Option<u64>, u64, bool)) {
+    assert_eq!(provider(keys), Some(expected));
+}
+
+#[test]
+fn a_provider_without_an_address_is_none() {
+    let file = read("\n[provider]\naddress =\nduties = usage\n").expect("valid settings");
+    assert_eq!((file.provider_address, file.gateway.provider), (None, None));
+}
