fix(core): a lapse of the leader's lease no longer loses counted starts

Cause: a leader whose lease lapsed for a moment dropped the starts that it had acknowledged under its token; two clocks of which one is stepped moved the median; a rejected report held up others. Change: counted starts live as long as the fencing token; of an even number of clocks the median stays closest to its last value; reports that failed come after those that did not; the records of an entry host have a strict bound. Before: found by reading. Conclusion: counts depend on the token, not on the lease.

--- a/crates/core/src/gateway/action.rs
+++ b/crates/core/src/gateway/action.rs
@@ -356,6 +356,8 @@
     pub usage_starts: u64,
     /// Starts that were merged in coarse steps because there were too many records.
     pub usage_merges: u64,
+    /// Starts that were dropped because too many were not acknowledged.
+    pub usage_lost_starts: u64,
     /// Starts that came after their window was settled, counted on the leader since it leads.
     pub usage_late_starts: u64,
     /// Usage windows settled by this host.
--- a/crates/core/src/gateway/usage/recording.rs
+++ b/crates/core/src/gateway/usage/recording.rs
@@ -207,6 +207,7 @@
         let Some((fence, leader)) = self.leader else { return };
         let now = board.now.mono;
         board.usage.expire(now);
+        board.counters.usage_lost_starts = board.usage.lost;
         let transit = self.round_trip.map_or(Millis(0), |round_trip| Millis(round_trip.0 / 2));
         let message = board.usage.message(now, transit);
         if message.records.is_empty() {
--- a/crates/core/src/gateway/usage/settlement.rs
+++ b/crates/core/src/gateway/usage/settlement.rs
@@ -8,7 +8,7 @@
 //! same. A new leader has no counts of its own yet and settles nothing until the entry hosts have had
 //! the time to send it their recent records.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 
 use crate::directory::{DirectoryCommand, MAX_SETTLED_WINDOWS, UsageWindows};
 use crate::gateway::board::Board;
@@ -48,6 +48,8 @@
     proposed: Option<(u64, bool)>,
     /// The windows whose reports are in the provider's queue.
     queued: BTreeSet<u64>,
+    /// The number of failed reports of a window.
+    failures: BTreeMap<u64, u32>,
     /// The windows that the provider has accepted and the directory still holds.
     accepted: BTreeSet<u64>,
     /// The last window that was proposed as reported.
@@ -63,6 +65,7 @@
 impl Controller for Settlement {
     fn run(&mut self, board: &mut Board, event: Option<&Event>) {
         self.follow_leadership(board);
+        let leads = board.leads();
         if let Some(Event::Received(envelope)) = event
             && let Message::Gateway(message) = &envelope.message
         {
@@ -73,6 +76,9 @@
         for (window, end) in ended {
             term.handle_report_end(board, window, &end);
         }
+        if !leads {
+            return;
+        }
         term.read_clocks(board);
         term.settle(board);
         term.report(board);
@@ -116,12 +122,14 @@
 }
 
 impl Settlement {
-    /// Begins or ends a term as this host begins or ceases to lead.
+    /// Begins a term when this host begins to lead, and drops it with its fencing token.
+    ///
+    /// A leader whose lease lapses for a moment keeps the term: entry hosts do not send again what it
+    /// has acknowledged under the token.
     fn follow_leadership(&mut self, board: &Board) {
         let fence = board.group.as_ref().map_or(0, |group| group.replica.fencing_token());
-        if !board.leads() || !is_counted(board) {
-            self.term = None;
-        } else if self.term.as_ref().is_none_or(|term| term.fence != fence) {
+        self.term.take_if(|term| term.fence != fence);
+        if self.term.is_none() && board.leads() && is_counted(board) {
             let since = board.group.as_ref().and_then(|group| group.replica.leader_since());
             let since = since.unwrap_or(board.now.mono);
             self.term = Some(Term { fence, since, ..Term::default() });
@@ -139,7 +147,7 @@
                 term.clocks.handle_reply(board.now.mono, from, *number, *wall);
             }
             GatewayMessage::UsageStarts(starts) => {
-                let Some(term) = &mut self.term else { return };
+                let Some(term) = self.term.as_mut().filter(|_| board.leads()) else { return };
                 // Records that were numbered for an earlier token say nothing about which ones the
                 // sender still has to send.
                 let is_meant = starts.fence == term.fence;
@@ -172,7 +180,7 @@
         if now < self.clocks.next_question() {
             return;
         }
-        let (number, stores) = self.clocks.ask(now, board.live_stores());
+        let (number, stores) = self.clocks.ask(board.now, board.live_stores());
         for store in stores {
             let question = ClockReading { number, wall: None };
             board.send(*store, GatewayMessage::Clock(question));
@@ -234,22 +242,21 @@
         board.note(EventKind::Usage, subject, "dropped: too many windows are not reported");
     }
 
-    /// Puts the reports of the oldest settled windows into the provider's queue.
+    /// Puts reports of settled windows into the provider's queue: those that failed least often first,
+    /// so that one which the provider rejects holds up no other, and of these the oldest.
     fn report(&mut self, board: &mut Board) {
         if board.holder_lease.is_none() {
             return;
         }
         let Some(windows) = windows(board) else { return };
-        let mut due = Vec::new();
-        for (window, counts) in &windows.settled {
-            if self.queued.len() + due.len() >= MAX_QUEUED_REPORTS {
-                break;
-            }
-            if !self.queued.contains(window) && !self.accepted.contains(window) {
-                due.push(UsageReport { window: *window, counts: counts.clone() });
-            }
-        }
-        for report in due {
+        let is_due =
+            |window: &u64| !self.queued.contains(window) && !self.accepted.contains(window);
+        let mut due: Vec<u64> = windows.settled.keys().copied().filter(is_due).collect();
+        due.sort_by_key(|window| self.failures.get(window));
+        due.truncate(MAX_QUEUED_REPORTS.saturating_sub(self.queued.len()));
+        let report = |window| UsageReport { window, counts: windows.settled[&window].clone() };
+        let reports: Vec<UsageReport> = due.into_iter().map(report).collect();
+        for report in reports {
             self.queued.insert(report.window);
             board.provider.waiting.push(ProviderRequest::ReportUsage(report));
         }
@@ -258,8 +265,10 @@
     fn handle_report_end(&mut self, board: &mut Board, window: u64, end: &ProviderCallEnd) {
         self.queued.remove(&window);
         if *end != ProviderCallEnd::Accepted {
+            *self.failures.entry(window).or_default() += 1;
             return;
         }
+        self.failures.remove(&window);
         self.accepted.insert(window);
         board.counters.usage_reported += 1;
         board.counters.usage_last_window = board.counters.usage_last_window.max(window);
@@ -281,6 +290,7 @@
         let end = unreported.copied().or(windows.next).unwrap_or(0);
         let first = windows.settled.keys().next().copied().unwrap_or(end);
         self.accepted.retain(|window| *window >= first);
+        self.failures.retain(|window, _| *window >= first);
         let Some(through) = end.checked_sub(1).filter(|through| *through >= first) else { return };
         if self.proposed_reported.is_none_or(|proposed| proposed < through) {
             self.proposed_reported = Some(through);
--- a/crates/core/src/gateway/usage/starts.rs
+++ b/crates/core/src/gateway/usage/starts.rs
@@ -11,7 +11,8 @@
 /// The steps in which starts of one workspace are merged.
 const STEP: Millis = Millis(10);
 
-/// The steps in which starts are merged that the leader has, or while there are too many records.
+/// The steps in which starts are merged while there are too many records, and half of that for those
+/// that the leader has.
 const COARSE_STEP: Millis = Millis(100);
 
 /// How long records are kept for a new leader: longer than a window and the time to settle it, and
@@ -85,6 +86,8 @@
     acknowledged: Steps,
     /// How often starts were merged in coarse steps because there were too many records.
     pub merges: u64,
+    /// The number of starts that were dropped although the leader did not have them.
+    pub lost: u64,
 }
 
 /// Returns the step of a start; a coarse step is named by the fine one in its middle.
@@ -145,17 +148,29 @@
         self.acknowledged = self.acknowledged.split_off(&from);
         self.new = self.new.split_off(&from);
         while self.unacknowledged.front().is_some_and(|record| record.at < oldest) {
-            self.unacknowledged.pop_front();
-            self.first_seq += 1;
+            self.pop_unacknowledged();
         }
+        // Records of very many workspaces are too many in coarse steps too.
+        while self.len() > MAX_RECORDS && self.acknowledged.pop_first().is_some() {}
+        while self.len() > MAX_RECORDS {
+            let Some(record) = self.pop_unacknowledged() else { break };
+            self.lost += u64::from(record.count);
+        }
+    }
+
+    fn pop_unacknowledged(&mut self) -> Option<StartRecord> {
+        let record = self.unacknowledged.pop_front()?;
+        self.first_seq += 1;
+        Some(record)
     }
 
     /// Handles the acknowledgement of the records before a number.
     pub(super) fn acknowledge(&mut self, next_seq: u64) {
         while self.first_seq < next_seq {
-            let Some(record) = self.unacknowledged.pop_front() else { return };
-            self.first_seq += 1;
-            let step = (step_of(record.at, COARSE_STEP), record.workspace);
+            let Some(record) = self.pop_unacknowledged() else { return };
+            let is_many = self.len() >= MAX_RECORDS / 2;
+            let step = if is_many { COARSE_STEP } else { STEP };
+            let step = (step_of(record.at, step), record.workspace);
             *self.acknowledged.entry(step).or_default() += record.count;
         }
     }
--- a/crates/core/src/gateway/usage/true_time.rs
+++ b/crates/core/src/gateway/usage/true_time.rs
@@ -34,6 +34,8 @@
     first_question: Option<Millis>,
     asked: Vec<HostId>,
     readings: BTreeMap<HostId, VecDeque<Reading>>,
+    /// The base at the last question; `None` before the first replies.
+    last_base: Option<i64>,
 }
 
 impl StoreClocks {
@@ -43,7 +45,11 @@
     }
 
     /// Begins a question to some of the live store hosts, and returns its number and the hosts.
-    pub(super) fn ask(&mut self, now: Millis, mut stores: Vec<HostId>) -> (u64, &[HostId]) {
+    pub(super) fn ask(&mut self, now: Now, mut stores: Vec<HostId>) -> (u64, &[HostId]) {
+        if self.are_read(now.mono) {
+            self.last_base = Some(self.base(now));
+        }
+        let now = now.mono;
         stores.truncate(MAX_ASKED);
         self.number += 1;
         self.sent_at = now;
@@ -76,7 +82,9 @@
     /// Returns the true time at the zero of this host's monotonic clock: the median of all clocks.
     ///
     /// Of each host the reading with the shortest round trip counts. The median does not move while
-    /// the clocks of a minority are wrong.
+    /// the clocks of a minority are wrong. Of an even number of clocks, it is the value between the two
+    /// in the middle that is closest to the one before, so that it does not follow one of two clocks
+    /// that is stepped.
     pub(super) fn base(&self, now: Now) -> i64 {
         let mut bases = vec![signed(now.wall) - signed(now.mono)];
         for readings in self.readings.values() {
@@ -85,7 +93,11 @@
         }
         bases.sort_unstable();
         let middle = bases.len() / 2;
-        if bases.len() % 2 == 1 { bases[middle] } else { bases[middle - 1].midpoint(bases[middle]) }
+        if bases.len() % 2 == 1 {
+            return bases[middle];
+        }
+        let (low, high) = (bases[middle - 1], bases[middle]);
+        self.last_base.unwrap_or(low.midpoint(high)).clamp(low, high)
     }
 }
 
--- a/crates/daemon/src/gateway/metrics.rs
+++ b/crates/daemon/src/gateway/metrics.rs
@@ -291,6 +291,7 @@
         ("provider_failures", counters.provider_failures),
         ("usage_starts", counters.usage_starts),
         ("usage_merges", counters.usage_merges),
+        ("usage_lost_starts", counters.usage_lost_starts),
         ("usage_late_starts", counters.usage_late_starts),
         ("usage_settled", counters.usage_settled),
         ("usage_reported", counters.usage_reported),
