--- a/crates/core/src/directory.rs
+++ b/crates/core/src/directory.rs
@@ -12,6 +12,7 @@
 mod routing;
 mod state;
 mod text;
+mod usage;
 mod workspace;
 
 pub use command::{DirectoryCommand, DirectoryOutcome};
@@ -23,4 +24,5 @@
 };
 pub use state::Directory;
 pub use text::{ItemText, PartialText, TextPart};
+pub use usage::{MAX_SETTLED_WINDOWS, UsageCounts, UsageWindows};
 pub use workspace::{AccessError, ApiKey, Workspace, WorkspaceError};
--- a/crates/core/src/gateway/controller.rs
+++ b/crates/core/src/gateway/controller.rs
@@ -33,8 +33,12 @@
 
 use super::board::Board;
 use super::event::Event;
+use super::lease::holder::Holder;
 use super::policy::Policies;
+use super::provider::calls::ProviderCalls;
 use super::settings::Role;
+use super::usage::recording::Recording;
+use super::usage::settlement::Settlement;
 use crate::time::Millis;
 
 /// A task of a gateway, performed for each event.
@@ -61,6 +65,7 @@
     controllers.push(Box::new(membership::Membership));
     if role == Role::Store {
         controllers.push(Box::new(agreement::Agreement));
+        controllers.push(Box::new(Holder::default()));
     }
     controllers.push(Box::new(calls::Calls));
     controllers.push(Box::new(registry::Registry::default()));
@@ -73,7 +78,10 @@
         controllers.push(Box::new(quotas::Quotas::default()));
     }
     match role {
-        Role::Entry => controllers.push(Box::new(forwarding::Forwarding::new(choice))),
+        Role::Entry => {
+            controllers.push(Box::new(Recording::default()));
+            controllers.push(Box::new(forwarding::Forwarding::new(choice)));
+        }
         Role::Store => controllers.push(Box::new(rewards::Rewards::new(choice))),
     }
     if role == Role::Entry {
@@ -87,6 +95,8 @@
         controllers.push(Box::new(jobs::Jobs::default()));
         controllers.push(Box::new(items::Items::new(placement)));
         controllers.push(Box::new(loads::Loads::default()));
+        controllers.push(Box::new(Settlement::default()));
+        controllers.push(Box::new(ProviderCalls::default()));
         controllers.push(Box::new(views::Views::default()));
     }
     controllers.push(Box::new(lifecycle::Lifecycle));
--- a/crates/core/tests/it/main.rs
+++ b/crates/core/tests/it/main.rs
@@ -38,5 +38,6 @@
 mod tables;
 mod taken_up_streams;
 mod text_cache;
+mod usage;
 mod voter_sets;
 mod workspaces;
