feat(core): orders for upstreams, and items that move before an upstream is gone

Cause: a deployment lets the gateway order model engines by zone and kind, and takes reclaimable ones away with a notice of about 2 s. Change: services have a scaling specification; announcements say whether an upstream is reclaimable and when it is gone. The module gateway/scaling estimates the demand, decides on the numbers behind a policy trait, records them in the directory and requests the orders from the provider queue. The leader stops resumable items that end after their upstream is gone, so that they resume elsewhere. Before: no orders; items broke off with their upstream. Conclusion: without the scaling setting and notices, messages stay the same.

--- a/crates/core/src/directory.rs
+++ b/crates/core/src/directory.rs
@@ -9,6 +9,7 @@
 mod rebuild;
 mod reward_call;
 mod routing;
+mod scaling;
 mod state;
 mod text;
 mod workspace;
@@ -19,6 +20,7 @@
 pub use routing::{
     EngineSpec, RequestLimits, Route, RouteKind, RoutingConfig, RoutingError, ServiceSpec, Target,
 };
+pub use scaling::{ScalingSpec, UpstreamTarget};
 pub use state::Directory;
 pub use text::{ItemText, PartialText, TextPart};
 pub use workspace::{ApiKey, Workspace};
--- a/crates/core/src/directory/command.rs
+++ b/crates/core/src/directory/command.rs
@@ -4,10 +4,13 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::directory::{JobSpec, NewResult, RoutingConfig, TextPart};
+use crate::directory::{JobSpec, NewResult, RoutingConfig, TextPart, UpstreamTarget};
 use crate::key::HostId;
 use crate::time::Millis;
 
+/// The approximate size of a target in a message, in bytes.
+const TARGET_BYTES: usize = 128;
+
 /// A change of the directory.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -75,6 +78,8 @@
         /// The retired incarnation. A replacement at the same address has another one.
         incarnation: u64,
     },
+    /// Sets intended numbers of upstreams, each in place of the one for the same upstreams.
+    SetUpstreamTargets(Vec<UpstreamTarget>),
 }
 
 impl DirectoryCommand {
@@ -90,6 +95,7 @@
             Self::SaveTextParts { parts, .. } => {
                 parts.iter().map(|part| part.text.text.len()).sum()
             }
+            Self::SetUpstreamTargets(targets) => targets.len() * TARGET_BYTES,
             Self::SetNamedVersion { .. }
             | Self::EndJob { .. }
             | Self::RemoveJobs { .. }
--- a/crates/core/src/directory/rebuild.rs
+++ b/crates/core/src/directory/rebuild.rs
@@ -50,6 +50,10 @@
         for (&host, &incarnation) in &self.retired {
             chunks.push(DirectoryCommand::RetireVoter { host, incarnation });
         }
+        if !self.upstream_targets.is_empty() {
+            let targets = self.upstream_targets.clone();
+            chunks.push(DirectoryCommand::SetUpstreamTargets(targets));
+        }
         for job in self.jobs.values() {
             push_job(&mut chunks, job);
         }
--- a/crates/core/src/directory/routing.rs
+++ b/crates/core/src/directory/routing.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 
-use crate::directory::Workspace;
+use crate::directory::{ScalingSpec, Workspace};
 use crate::time::Millis;
 
 /// A decoded routing configuration, with the document that the operator sent.
@@ -112,6 +112,9 @@
     pub max_connections: u32,
     /// The properties of its engines, or `None` if its upstreams run no model.
     pub engine: Option<EngineSpec>,
+    /// How the number of its upstreams may change, or `None` if it is fixed.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub scaling: Option<ScalingSpec>,
 }
 
 /// The model engines of a service.
@@ -170,6 +173,11 @@
         /// The route.
         route: Box<str>,
     },
+    /// The least number of a service's upstreams is greater than the greatest.
+    InvalidScaling {
+        /// The service.
+        service: Box<str>,
+    },
 }
 
 impl Display for RoutingError {
@@ -188,6 +196,9 @@
             Self::InvalidPrefix { route } => {
                 write!(f, "route {route}: the prefix must begin and end with a slash")
             }
+            Self::InvalidScaling { service } => {
+                write!(f, "service {service}: the minimum of scaling exceeds the maximum")
+            }
         }
     }
 }
@@ -202,6 +213,11 @@
     /// Returns the first error found.
     pub fn check(&self) -> Result<(), RoutingError> {
         let services: BTreeSet<&str> = self.services.iter().map(|spec| &*spec.name).collect();
+        for spec in &self.services {
+            if spec.scaling.as_ref().is_some_and(|scaling| scaling.min > scaling.max) {
+                return Err(RoutingError::InvalidScaling { service: spec.name.clone() });
+            }
+        }
         let mut seen = BTreeSet::new();
         for route in &self.routes {
             let name = || route.name.clone();
--- a/crates/core/src/directory/state.rs
+++ b/crates/core/src/directory/state.rs
@@ -5,7 +5,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::directory::{DirectoryCommand, DirectoryOutcome, Job, RoutingConfig};
+use crate::directory::{DirectoryCommand, DirectoryOutcome, Job, RoutingConfig, UpstreamTarget};
 use crate::key::HostId;
 
 /// The state that the directory group replicates.
@@ -22,6 +22,9 @@
     pub orderer: Option<HostId>,
     /// The hosts that were removed from the voter set for good, with their incarnations.
     pub retired: BTreeMap<HostId, u64>,
+    /// The intended numbers of upstreams.
+    #[serde(skip_serializing_if = "Vec::is_empty")]
+    pub upstream_targets: Vec<UpstreamTarget>,
 }
 
 impl Directory {
@@ -62,6 +65,12 @@
             DirectoryCommand::RetireVoter { host, incarnation } => {
                 self.retired.insert(*host, *incarnation);
             }
+            DirectoryCommand::SetUpstreamTargets(targets) => {
+                for target in targets {
+                    self.upstream_targets.retain(|known| !known.is_same_pool(target));
+                    self.upstream_targets.push(target.clone());
+                }
+            }
         }
         DirectoryOutcome::Applied
     }
--- a/crates/core/src/gateway.rs
+++ b/crates/core/src/gateway.rs
@@ -30,6 +30,7 @@
 pub mod policy;
 pub mod provider;
 pub mod rate;
+pub mod scaling;
 pub mod settings;
 
 pub use action::{
--- a/crates/core/src/gateway/action.rs
+++ b/crates/core/src/gateway/action.rs
@@ -210,7 +210,7 @@
     /// Whether the host takes requests.
     Ready(bool),
     /// The counters of the host.
-    Counters(Counters),
+    Counters(Box<Counters>),
     /// The hosts that this one knows, including itself.
     Hosts(Vec<HostView>),
     /// The upstreams that this host knows.
@@ -326,6 +326,14 @@
     pub items_errored: u64,
     /// Runs that ended without an outcome for their item, which then runs again.
     pub items_moved: u64,
+    /// Runs that were moved from an upstream before it was gone.
+    pub items_moved_in_time: u64,
+    /// Orders for numbers of upstreams that were sent.
+    pub scaling_orders: u64,
+    /// Those orders that the provider refused.
+    pub scaling_refused: u64,
+    /// The intended number of upstreams of all services, on the host that orders them.
+    pub upstreams_intended: u64,
     /// Texts of items that were dropped because no engine could continue them in time.
     pub texts_dropped: u64,
     /// Reward calls sent to upstreams.
--- a/crates/core/src/gateway/board.rs
+++ b/crates/core/src/gateway/board.rs
@@ -1,6 +1,7 @@
 //! The blackboard of a gateway: all state of a host, in arenas with small `Copy` keys.
 
 mod admission;
+mod announcement_source;
 mod group;
 mod host;
 mod item;
@@ -34,6 +35,7 @@
     GatewayMessage, LimitRecord, StoreReply, StoreRequest, Subscription,
 };
 use crate::gateway::provider::ProviderQueue;
+use crate::gateway::scaling::ScalingState;
 use crate::gateway::settings::{GatewaySettings, Role};
 use crate::key::{
     AttemptKey, HostId, HostKey, ItemKey, JobKey, OrderKey, RequestKey, RequestTag,
@@ -44,6 +46,7 @@
 use crate::timeline::{EventKind, HybridClock, Timeline, TimelineEvent};
 
 pub use admission::Admission;
+pub use announcement_source::AnnouncementSource;
 pub use group::{DirectoryGroup, PendingCommit, PendingSync};
 pub use host::{HOST_SILENCE_TIMEOUT, Host};
 pub use item::{Item, ItemState, JobRun};
@@ -60,7 +63,9 @@
 pub use stream_origin::{InstanceId, StreamOrigin, StreamOrigins, StreamRecord, StreamSearch};
 pub use suspects::{CRASH_RETENTION, QUARANTINE_CRASHES, Suspects, incarnation};
 pub use text::{ReusableText, TextCache, is_same_item};
-pub use upstream::{ENDED_RETENTION, LeaveSource, SaidLeaving, Upstream, UpstreamHealth};
+pub use upstream::{
+    ENDED_RETENTION, LeaveNotice, LeaveSource, SaidLeaving, Upstream, UpstreamHealth,
+};
 
 /// The purpose of an attempt.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -203,6 +208,8 @@
     pub holder_lease: Option<HolderLease>,
     /// The requests to the infrastructure provider, and the ends of the calls.
     pub provider: ProviderQueue,
+    /// The numbers of upstreams, on the host that orders them.
+    pub scaling: ScalingState,
     /// Whether the host takes requests.
     pub ready: bool,
     /// When the host began to stop; `None` where it does not stop.
@@ -213,37 +220,6 @@
     pub actions: Vec<Action>,
 }
 
-/// The source of an announcement.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum AnnouncementSource {
-    /// The upstream itself.
-    Upstream,
-    /// The registry of another store host.
-    Registry {
-        /// The store host.
-        host: HostId,
-        /// Whether that host counts the upstream as silent.
-        silent: bool,
-        /// Whether the upstream has left for good.
-        gone: bool,
-        /// Whether the upstream has told a store host that it leaves.
-        left: bool,
-        /// Whether the upstream has said in an answer that it leaves.
-        said_leaving: bool,
-    },
-}
-
-impl AnnouncementSource {
-    /// Returns the host that passed the announcement on; `None` if it came from the upstream.
-    #[must_use]
-    pub fn host(self) -> Option<HostId> {
-        match self {
-            Self::Upstream => None,
-            Self::Registry { host, .. } => Some(host),
-        }
-    }
-}
-
 impl Board {
     /// Creates the board of a host that knows nothing but its seeds.
     #[must_use]
@@ -304,6 +280,7 @@
             orders: SlotMap::with_key(),
             holder_lease: None,
             provider: ProviderQueue::default(),
+            scaling: ScalingState::default(),
             ready: false,
             draining: None,
             another_round: false,
--- a/crates/core/src/gateway/board/item.rs
+++ b/crates/core/src/gateway/board/item.rs
@@ -123,6 +123,14 @@
         self.state = ItemState::Unscored(now);
     }
 
+    /// Returns how many events the text is expected to lack, or `None` if the caller stated nothing.
+    #[must_use]
+    pub fn remaining_events(&self, spec: &JobSpec, tokens_per_event: u32) -> Option<u32> {
+        let expected = spec.items.get(self.index as usize)?.expected_tokens;
+        let events = expected.div_ceil(tokens_per_event.max(1));
+        (expected > 0).then(|| events.saturating_sub(self.text.events))
+    }
+
     /// Sets the text to the part that the replicated log holds, from which the next run continues.
     pub fn resume_from_log(&mut self, text: ItemText) {
         self.logged_prefix = LoggedPrefix { events: text.events, bytes: text.text.len() };
--- a/crates/core/src/gateway/board/upstream.rs
+++ b/crates/core/src/gateway/board/upstream.rs
@@ -58,6 +58,15 @@
     pub source: LeaveSource,
 }
 
+/// The announced departure of an upstream at a fixed time.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct LeaveNotice {
+    /// When this host learned of it.
+    pub since: Millis,
+    /// When the upstream is gone.
+    pub until: Millis,
+}
+
 /// An upstream, as this host sees it.
 #[derive(Debug, Clone)]
 pub struct Upstream {
@@ -72,6 +81,8 @@
     pub leave_kept: bool,
     /// Its statement in an answer that it leaves; `None` before the first one.
     pub said_leaving: Option<SaidLeaving>,
+    /// Its announced departure at a fixed time; `None` before the announcement.
+    pub leave_notice: Option<LeaveNotice>,
     /// The limit that it has named in an answer; `None` before the first one.
     pub limit: Option<UpstreamLimit>,
     /// The permits of this host to send it requests while it has a limit.
@@ -107,12 +118,13 @@
     /// Creates an upstream from its first announcement.
     #[must_use]
     pub fn new(announced: Announcement, now: Millis) -> Self {
-        Self {
+        let mut upstream = Self {
             announced,
             gone: false,
             left: false,
             leave_kept: false,
             said_leaving: None,
+            leave_notice: None,
             limit: None,
             permits: Permits::default(),
             ledger: Ledger::default(),
@@ -127,7 +139,9 @@
             tokens: 0,
             health: UpstreamHealth::default(),
             load: LoadState::default(),
-        }
+        };
+        upstream.record_notice(now);
+        upstream
     }
 
     /// Returns the address of the upstream, whose key on the board is `key`.
@@ -137,11 +151,28 @@
         UpstreamAddress { key, id, address, limited: self.rate_limit().is_some() }
     }
 
+    /// Takes over the time at which the upstream is gone from its latest announcement.
+    ///
+    /// Copies of one announcement arrive with different delays, so the earliest time is kept.
+    pub fn record_notice(&mut self, now: Millis) {
+        if !self.announced.leaving {
+            self.leave_notice = None;
+        }
+        let Some(leaves_in) = self.announced.leaves_in else { return };
+        let until = now + leaves_in;
+        match &mut self.leave_notice {
+            Some(notice) => notice.until = notice.until.min(until),
+            None => self.leave_notice = Some(LeaveNotice { since: now, until }),
+        }
+    }
+
     /// Returns the record of the upstream for other hosts.
     #[must_use]
-    pub fn record(&self) -> UpstreamRecord {
+    pub fn record(&self, now: Millis) -> UpstreamRecord {
+        let mut announced = self.announced.clone();
+        announced.leaves_in = self.leave_notice.map(|notice| notice.until.since(now));
         UpstreamRecord {
-            announced: self.announced.clone(),
+            announced,
             silent: self.silent,
             gone: self.gone,
             left: self.left,
--- a/crates/core/src/gateway/controller.rs
+++ b/crates/core/src/gateway/controller.rs
@@ -33,6 +33,7 @@
 use super::board::Board;
 use super::event::Event;
 use super::policy::Policies;
+use super::scaling::Scaling;
 use super::settings::Role;
 use crate::time::Millis;
 
@@ -54,7 +55,7 @@
 /// Returns the controllers of `role` that run in rounds, in execution order.
 #[must_use]
 pub fn rounds(role: Role, policies: Policies) -> Vec<Box<dyn Controller>> {
-    let Policies { choice, placement } = policies;
+    let Policies { choice, placement, scaling } = policies;
     let mut controllers: Vec<Box<dyn Controller>> =
         vec![Box::new(memory::Memory), Box::new(contacts::Contacts::default())];
     controllers.push(Box::new(membership::Membership));
@@ -86,6 +87,7 @@
         controllers.push(Box::new(jobs::Jobs::default()));
         controllers.push(Box::new(items::Items::new(placement)));
         controllers.push(Box::new(loads::Loads::default()));
+        controllers.push(Box::new(Scaling::new(scaling)));
         controllers.push(Box::new(views::Views::default()));
     }
     controllers.push(Box::new(lifecycle::Lifecycle));
--- a/crates/core/src/gateway/controller/agreement.rs
+++ b/crates/core/src/gateway/controller/agreement.rs
@@ -208,7 +208,9 @@
         DirectoryCommand::SetOrderer { host } => {
             board.note(EventKind::Ordered, "directory", format!("orderer={}", host.0));
         }
-        DirectoryCommand::RemoveJobs { .. } | DirectoryCommand::SaveTextParts { .. } => {}
+        DirectoryCommand::RemoveJobs { .. }
+        | DirectoryCommand::SaveTextParts { .. }
+        | DirectoryCommand::SetUpstreamTargets(_) => {}
     }
 }
 
--- a/crates/core/src/gateway/controller/calls.rs
+++ b/crates/core/src/gateway/controller/calls.rs
@@ -96,7 +96,7 @@
             let limited = |upstream: &&Upstream| upstream.rate_limit().is_some() && !upstream.gone;
             counters.upstreams_limited = board.upstreams.values().filter(limited).count() as u64;
             counters.routing_version = board.routing.as_ref().map_or(0, |r| r.version);
-            Answer::Counters(counters)
+            Answer::Counters(Box::new(counters))
         }
         Query::Hosts => Answer::Hosts(host_views(board)),
         Query::Upstreams => Answer::Upstreams(upstream_views(board)),
--- a/crates/core/src/gateway/controller/items.rs
+++ b/crates/core/src/gateway/controller/items.rs
@@ -7,15 +7,18 @@
 //! An item whose run breaks off resumes at another engine of the same software version after the last
 //! event received. An item on
 //! an engine that is much slower than the median is first stopped there and then resumes elsewhere.
+//! The same is done with an item on an engine that will be gone before the item ends.
 //! A complete text that needs a score waits for its reward call. The texts of long items are written to the log in parts, so that another leader can resume them.
 
 mod engines;
+mod leaving;
 mod progress;
 mod resumption;
 
 use std::collections::BTreeMap;
 
 use self::engines::{FreeEngines, reserved_tokens};
+use self::leaving::move_from_leaving;
 use self::progress::{handle_progress, move_slow_items, propose_parts};
 use self::resumption::{drop_text, is_text_hopeless, void_runs};
 use super::Controller;
@@ -67,6 +70,8 @@
     flush_at: Millis,
     /// When the next pass over the waiting items may be made.
     next_pass: Millis,
+    /// When items on upstreams that will be gone are looked at again; zero if there are none.
+    next_move: Millis,
 }
 
 impl Items {
@@ -78,6 +83,7 @@
             finished_bytes: 0,
             flush_at: Millis::MAX,
             next_pass: Millis(0),
+            next_move: Millis(0),
         }
     }
 }
@@ -99,6 +105,11 @@
         for (key, score) in std::mem::take(&mut board.scored_items) {
             self.finish_scored(board, key, score);
         }
+        if board.now.mono >= self.next_move {
+            let may_move_later = move_from_leaving(board);
+            let next = board.now.mono + ENGINE_POLL_INTERVAL;
+            self.next_move = if may_move_later { next } else { Millis(0) };
+        }
         self.expire_items(board);
         self.place_waiting(board);
         self.flush(board);
@@ -107,6 +118,9 @@
     fn next_deadline(&self, board: &Board) -> Millis {
         let now = board.now.mono;
         let mut next = self.flush_at;
+        if self.next_move > now {
+            next = next.min(self.next_move);
+        }
         for item in board.items.values() {
             if let ItemState::Waiting(at) = item.state {
                 let again =
--- a/crates/core/src/gateway/controller/leaves.rs
+++ b/crates/core/src/gateway/controller/leaves.rs
@@ -12,7 +12,7 @@
 use super::Controller;
 use crate::error::{ErrorKind, Problem};
 use crate::gateway::action::Answer;
-use crate::gateway::board::{Board, Upstream};
+use crate::gateway::board::Board;
 use crate::gateway::event::Event;
 use crate::gateway::message::GatewayMessage;
 use crate::gateway::settings::Role;
@@ -79,7 +79,9 @@
     }
 
     fn tell_contacts(&mut self, board: &mut Board, upstream: UpstreamKey, tag: RequestTag) {
-        let Some(record) = board.upstreams.get(upstream).map(Upstream::record) else {
+        let now = board.now.mono;
+        let Some(record) = board.upstreams.get(upstream).map(|upstream| upstream.record(now))
+        else {
             board.answer(tag, Answer::Done);
             return;
         };
--- a/crates/core/src/gateway/controller/registry.rs
+++ b/crates/core/src/gateway/controller/registry.rs
@@ -224,13 +224,16 @@
     } else {
         kept.software.clone()
     };
-    let kept = Announcement { software, ..kept };
+    // The same holds for the kind.
+    let reclaimable = kept.reclaimable || upstream.announced.reclaimable;
+    let kept = Announcement { software, reclaimable, ..kept };
     // A registry's record of a leave carries the number of the last announcement before it.
     let leaving = announced.leaving || upstream.left || (new == old && upstream.announced.leaving);
     let differs =
         upstream.announced.leaving != leaving || upstream.announced.content() != kept.content();
     let detail = if leaving { "leaving" } else { "changed" };
     upstream.announced = Announcement { leaving, ..kept };
+    upstream.record_notice(now);
     if let AnnouncementSource::Registry { gone: true, .. } = source
         && !upstream.gone
     {
--- a/crates/core/src/gateway/controller/views.rs
+++ b/crates/core/src/gateway/controller/views.rs
@@ -172,7 +172,7 @@
         if upstream.revision <= host.sent_revision || is_its_own {
             continue;
         }
-        records.push(upstream.record());
+        records.push(upstream.record(board.now.mono));
     }
     records
 }
--- a/crates/core/src/gateway/event.rs
+++ b/crates/core/src/gateway/event.rs
@@ -263,6 +263,12 @@
     /// What two versions write does not fit together.
     #[serde(default, skip_serializing_if = "str::is_empty")]
     pub software: Box<str>,
+    /// Whether the provider may reclaim it at short notice.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub reclaimable: bool,
+    /// How long after this announcement it is gone; `None` if it does not leave by a fixed time.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub leaves_in: Option<Millis>,
 }
 
 impl Announcement {
@@ -286,7 +292,8 @@
     /// grow.
     #[must_use]
     pub fn content(&self) -> impl Ord {
-        (&self.versions, self.slots, &self.address, &self.service, &self.zone, &self.software)
+        let Self { versions, slots, address, service, zone, software, reclaimable, .. } = self;
+        (versions, slots, address, service, zone, software, reclaimable)
     }
 }
 
--- a/crates/core/src/gateway/policy.rs
+++ b/crates/core/src/gateway/policy.rs
@@ -6,6 +6,8 @@
 pub use choice::{RandomFree, ShortestExpectedTime, UpstreamCandidate, UpstreamChoice};
 pub use placement::{EngineCandidate, FewestInFlight, ItemPlacement, LongestFirst, WaitingItem};
 
+use super::scaling::{KeepBaseline, ScalingPolicy};
+
 /// The policies of a gateway.
 #[derive(Debug)]
 pub struct Policies {
@@ -13,10 +15,16 @@
     pub choice: Box<dyn UpstreamChoice>,
     /// Orders the waiting items of jobs and chooses their engines.
     pub placement: Box<dyn ItemPlacement>,
+    /// Decides on the numbers of upstreams.
+    pub scaling: Box<dyn ScalingPolicy>,
 }
 
 impl Default for Policies {
     fn default() -> Self {
-        Self { choice: Box::new(ShortestExpectedTime), placement: Box::new(LongestFirst) }
+        Self {
+            choice: Box::new(ShortestExpectedTime),
+            placement: Box::new(LongestFirst),
+            scaling: Box::new(KeepBaseline),
+        }
     }
 }
--- a/crates/core/src/key.rs
+++ b/crates/core/src/key.rs
@@ -26,6 +26,8 @@
     pub struct OrderKey;
     /// Identifies a call to the infrastructure provider that has not ended.
     pub struct ProviderCallKey;
+    /// Identifies the upstreams of one kind, of a service in an availability zone.
+    pub struct PoolKey;
     /// Identifies a request from this host to a store host.
     pub struct StoreRequestKey;
     /// Identifies a job with items in progress.
--- a/crates/core/src/timeline.rs
+++ b/crates/core/src/timeline.rs
@@ -106,6 +106,8 @@
     Job,
     /// A request to another host ended.
     Asked,
+    /// A number of upstreams was decided or ordered, or such an order ended.
+    Scaling,
 }
 
 /// One event on the timeline.
--- a/crates/core/tests/it/deployment/documents.rs
+++ b/crates/core/tests/it/deployment/documents.rs
@@ -28,8 +28,12 @@
         resumable: true,
         public: false,
     };
-    let service =
-        |name: &str, engine| ServiceSpec { name: name.into(), max_connections: 100, engine };
+    let service = |name: &str, engine| ServiceSpec {
+        name: name.into(),
+        max_connections: 100,
+        engine,
+        scaling: None,
+    };
     let engine = EngineSpec {
         slots: 4,
         memory_tokens: 100_000,
--- a/crates/core/tests/it/deployment/upstreams.rs
+++ b/crates/core/tests/it/deployment/upstreams.rs
@@ -86,6 +86,8 @@
             seq: self.seq,
             versions: self.versions.clone().into_iter().collect(),
             software: self.software.clone(),
+            reclaimable: false,
+            leaves_in: None,
         }
     }
 }
@@ -104,6 +106,8 @@
             seq,
             versions: Vec::new(),
             software: "v1".into(),
+            reclaimable: false,
+            leaves_in: None,
         };
         self.send_call(store, Call::Announce(announcement));
     }
--- a/crates/core/tests/it/directory.rs
+++ b/crates/core/tests/it/directory.rs
@@ -403,6 +403,8 @@
         seq: 34,
         versions: vec![("model".into(), version)],
         software: "v1".into(),
+        reclaimable: false,
+        leaves_in: None,
     };
     let first_event = deployment.timeline.len();
     for (store, version) in STORES.into_iter().zip([3, 5, 3]) {
@@ -461,6 +463,8 @@
         seq: 1,
         versions: Vec::new(),
         software: "v1".into(),
+        reclaimable: false,
+        leaves_in: None,
     };
     deployment.send_call(STORES[0], Call::Announce(announcement));
     deployment.run(200);
--- a/crates/core/tests/it/leaving.rs
+++ b/crates/core/tests/it/leaving.rs
@@ -30,6 +30,8 @@
         seq,
         versions: Vec::new(),
         software: "v1".into(),
+        reclaimable: false,
+        leaves_in: None,
     }
 }
 
--- a/crates/core/tests/it/many_hosts.rs
+++ b/crates/core/tests/it/many_hosts.rs
@@ -96,6 +96,8 @@
         seq: 2,
         versions: Vec::new(),
         software: "v1".into(),
+        reclaimable: false,
+        leaves_in: None,
     }
 }
 
--- a/crates/core/tests/it/taken_up_streams.rs
+++ b/crates/core/tests/it/taken_up_streams.rs
@@ -35,6 +35,8 @@
         seq: order.1,
         versions: Vec::new(),
         software: software.into(),
+        reclaimable: false,
+        leaves_in: None,
     }
 }
 
