--- a/crates/core/src/gateway/controller/registry.rs
+++ b/crates/core/src/gateway/controller/registry.rs
@@ -276,11 +276,12 @@
     board.revision += 1;
     board.registry_changed = true;
     board.another_round = true;
+    let now = board.now.mono;
     let upstream = &mut board.upstreams[key];
     upstream.revision = board.revision;
     upstream.learned_from = learned_from;
     let announced = &upstream.announced;
-    let detail = format!(
+    let mut detail = format!(
         "{change} service={} address={} zone={} born={} seq={} versions={:?} software={}",
         announced.service,
         announced.address,
@@ -290,6 +291,12 @@
         announced.versions,
         announced.software
     );
+    if announced.reclaimable {
+        detail.push_str(" reclaimable=true");
+    }
+    if let Some(notice) = upstream.leave_notice {
+        detail.push_str(&format!(" gone_in_ms={}", notice.until.since(now).0));
+    }
     let (id, has_left) = (announced.id.clone(), !upstream.accepts_requests());
     let kind = if has_left { EventKind::UpstreamLeft } else { EventKind::UpstreamJoined };
     board.note(kind, id, detail);
--- a/crates/core/src/gateway/scaling/controller.rs
+++ b/crates/core/src/gateway/scaling/controller.rs
@@ -84,7 +84,11 @@
             count_upstreams(board, &service.name);
             let needed = estimate(board, service, spec);
             board.scaling.demand.entry(service.name.clone()).or_default().record(now, needed);
-            if !record_baseline(board, &service.name) && now >= board.scaling.recording_until {
+            let Some(group) = &board.group else { return };
+            let recorded = &group.directory.upstream_targets;
+            let is_recording = board.scaling.is_recording(recorded, now);
+            let has_baseline = recorded.iter().any(|target| target.service == service.name);
+            if !is_recording && !record_baseline(board, &service.name) && has_baseline {
                 self.decide(board, &service.name, spec);
             }
             orders::send_due(board, &service.name, spec.start_time);
@@ -166,7 +170,6 @@
 
 /// Proposes intended numbers to the directory.
 fn record(board: &mut Board, targets: Vec<UpstreamTarget>, detail: &str) {
-    board.scaling.recording_until = board.now.mono + RECORD_TIMEOUT;
     for target in &targets {
         let kind = if target.reclaimable { "reclaimable" } else { "permanent" };
         let subject = format!("{}/{}/{kind}", target.service, target.zone);
@@ -174,20 +177,18 @@
             format!("decided count={} baseline={} {detail}", target.count, target.baseline);
         board.note(EventKind::Scaling, subject, detail);
     }
+    board.scaling.recording = Some((targets.clone(), board.now.mono + RECORD_TIMEOUT));
     board.proposals.push((DirectoryCommand::SetUpstreamTargets(targets), None));
     board.another_round = true;
 }
 
-/// Records the numbers that stand without an order as the baseline, once they have settled; returns
-/// whether the service has none yet.
+/// Has the numbers that stand without an order recorded as the baseline, once they have settled;
+/// returns whether there are such numbers.
 fn record_baseline(board: &mut Board, service: &str) -> bool {
     let now = board.now.mono;
-    let Some(group) = &board.group else { return true };
+    let Some(group) = &board.group else { return false };
     let known = &group.directory.upstream_targets;
     let is_first = !known.iter().any(|target| *target.service == *service);
-    if now < board.scaling.recording_until {
-        return is_first;
-    }
     let mut targets = Vec::new();
     for (_, pool) in board.scaling.pools_of(service) {
         let settle = if is_first { BASELINE_SETTLE_TIME } else { SURPLUS_SETTLE_TIME };
@@ -200,10 +201,11 @@
             targets.push(target);
         }
     }
-    if !targets.is_empty() {
+    let is_due = !targets.is_empty();
+    if is_due {
         record(board, targets, "stands");
     }
-    is_first
+    is_due
 }
 
 /// Estimates how many upstreams of a service the open items need.
--- a/crates/core/src/gateway/scaling/decision.rs
+++ b/crates/core/src/gateway/scaling/decision.rs
@@ -177,9 +177,12 @@
         let safe = self.safe_number();
         for index in order {
             let pool = &self.pools[index];
-            // Those that stand without an order are not removed.
             let removed = pool.count.saturating_sub(pool.baseline);
-            if removed == 0 || pool.idle < removed || total - removed < peak.max(self.baseline()) {
+            // The lower number would also remove those that stand without an order.
+            if removed == 0 || pool.present > pool.count || pool.idle < removed {
+                continue;
+            }
+            if total - removed < peak.max(self.baseline()) {
                 continue;
             }
             let zone = self.pools.iter().filter(|other| other.zone == pool.zone);
--- a/crates/core/src/gateway/scaling/pool.rs
+++ b/crates/core/src/gateway/scaling/pool.rs
@@ -75,9 +75,8 @@
     /// Returns whether the provider may have upstreams to give.
     #[must_use]
     pub fn is_available(&self, now: Millis) -> bool {
-        let is_reclaimed = self.reclaimed_at > Millis(0)
-            && now < self.reclaimed_at + RECLAIM_HOLD_TIME
-            && self.missing_since.is_some();
+        let is_reclaimed =
+            self.reclaimed_at > Millis(0) && now < self.reclaimed_at + RECLAIM_HOLD_TIME;
         !is_reclaimed && now >= self.refused_until
     }
 
@@ -125,8 +124,9 @@
     pub last_growth: Millis,
     /// When upstreams were last added for the demand.
     pub last_addition: Millis,
-    /// Until when no decision is made, as the last one is not recorded yet; the time is a limit.
-    pub recording_until: Millis,
+    /// The numbers that were decided last, and until when their record is awaited; `None` once they
+    /// are recorded.
+    pub recording: Option<(Vec<UpstreamTarget>, Millis)>,
     /// The fencing token under which this state was built.
     pub fence: u64,
 }
@@ -140,6 +140,17 @@
         self.pools.iter().filter(move |(_, pool)| *pool.service == *service)
     }
 
+    /// Returns whether the record of the last decision is awaited.
+    pub(super) fn is_recording(&mut self, recorded: &[UpstreamTarget], now: Millis) -> bool {
+        let awaits = self.recording.as_ref().is_some_and(|(targets, until)| {
+            now < *until && !targets.iter().all(|target| recorded.contains(target))
+        });
+        if !awaits {
+            self.recording = None;
+        }
+        awaits
+    }
+
     /// Returns the pool of a kind, which is added where it is new; `None` if there are too many.
     fn ensure(&mut self, service: &str, zone: &str, reclaimable: bool) -> Option<PoolKey> {
         let is_it = |pool: &Pool| {
--- a/crates/core/tests/it/deployment.rs
+++ b/crates/core/tests/it/deployment.rs
@@ -8,6 +8,7 @@
 mod faults;
 pub(crate) mod messages;
 pub(crate) mod rewards;
+mod runs;
 mod upstreams;
 
 use std::collections::{BTreeMap, BTreeSet};
@@ -98,6 +99,8 @@
     /// The runs that ended their item's text: the time, the host and the item's id.
     pub(crate) whole_runs: Vec<(u64, HostId, Box<str>)>,
     pub(crate) engines: Vec<SimEngine>,
+    /// The runs of items, if they can be cancelled; otherwise a cancelled run continues.
+    pub(crate) runs: Option<runs::Runs>,
     pub(crate) orders: Vec<(u64, HostId, Order)>,
     /// The number of slots of each engine.
     pub(crate) engine_slots: u32,
@@ -152,6 +155,7 @@
             scorer: None,
             whole_runs: Vec::new(),
             engines: Vec::new(),
+            runs: None,
             orders: Vec::new(),
             engine_slots: 4,
             event_interval_ms: 20,
@@ -448,8 +452,8 @@
             }
             Action::Note(event) => self.timeline.push(event),
             Action::Exit { .. } => self.kill(id),
-            Action::Cancel { .. }
-            | Action::CallProvider(_)
+            Action::Cancel { attempt } => self.cancel_run(id, boot_id, attempt),
+            Action::CallProvider(_)
             | Action::CloseUpstream { .. }
             | Action::Deliver { .. }
             | Action::Drain
--- a/crates/core/tests/it/deployment/upstreams.rs
+++ b/crates/core/tests/it/deployment/upstreams.rs
@@ -124,7 +124,7 @@
         self.send_call(store, Call::Announce(announcement));
     }
 
-    fn engine_index(&self, id: &str) -> usize {
+    pub(super) fn engine_index(&self, id: &str) -> usize {
         self.engines.iter().position(|engine| &*engine.id == id).expect("a known engine")
     }
 
@@ -160,6 +160,9 @@
         let first = run.resume_after.unwrap_or(0) + 1;
         let length = self.events_per_item.unwrap_or(u64::from(run.item % 5) + 3);
         engine.started_runs.push((run.item, first));
+        if let Some(runs) = &mut self.runs {
+            runs.insert((host, run.attempt), index);
+        }
         let is_silent = engine.first_event_ms > run.silence.0;
         let (end, last) = if rejected {
             (ItemEnd::NotRun { status: 421, other_instance: false }, first - 1)
--- a/crates/core/tests/it/leaving.rs
+++ b/crates/core/tests/it/leaving.rs
@@ -1,8 +1,10 @@
 //! Upstreams that say in an answer that they leave.
 
+use std::collections::BTreeMap;
+
 use chestnutdrift_core::gateway::board::LeaveSource;
 use chestnutdrift_core::gateway::{Announcement, Answer, Call, Event, Forward, ForwardEnd, Query};
-use chestnutdrift_core::{ErrorKind, Fingerprint, HostId, Ran, UpstreamKey};
+use chestnutdrift_core::{ErrorKind, Fingerprint, HostId, Millis, Ran, UpstreamKey};
 
 use crate::deployment::{Deployment, SimEngine, job};
 
@@ -358,3 +360,49 @@
     let results = deployment.results(ENTRY, "job", 0).expect("a page");
     assert_eq!(results.results.len(), 64);
 }
+
+/// Guards against items that are lost with their engine although its departure was announced in time,
+/// and against items that are moved although they end before.
+#[test]
+fn items_that_end_after_their_engine_is_gone_move_in_time() {
+    let mut deployment = Deployment::new(63, STORES, 1);
+    (deployment.event_interval_ms, deployment.events_per_item) = (47, Some(150));
+    (deployment.engine_slots, deployment.runs) = (8, Some(BTreeMap::new()));
+    for number in 1..=3 {
+        deployment.add_engine(SimEngine::new(number));
+    }
+    let leader = deployment.start_serving();
+    let submit = |deployment: &mut Deployment, id: &str| {
+        let mut body = job(id, 6, 1);
+        body.items.iter_mut().for_each(|item| item.expected_tokens = 150 * 64);
+        deployment.submit(ENTRY, body);
+    };
+    submit(&mut deployment, "early");
+    deployment.run(5_500);
+    submit(&mut deployment, "late");
+    deployment.run(1_000);
+    // The early items still run for a second, the late ones for six.
+    let on_engine = |deployment: &Deployment| {
+        let board = deployment.gateway(leader).board();
+        board.upstreams[board.upstream_index["engine-1"]].in_flight
+    };
+    assert_eq!(on_engine(&deployment), 4);
+    deployment.engines[0].leaving = true;
+    deployment.engines[0].seq += 1;
+    let mut announced = deployment.engines[0].announcement(8);
+    (announced.reclaimable, announced.leaves_in) = (true, Some(Millis(2_300)));
+    deployment.send_call(STORE, Call::Announce(announced));
+    deployment.run(500);
+    assert_eq!(on_engine(&deployment), 2, "the late items move at once");
+    deployment.run(1_800);
+    assert_eq!(deployment.take_away("engine-1"), 0, "runs that broke off");
+    deployment.run(10_000);
+    let moved = deployment.gateway(leader).board().counters.items_moved_in_time;
+    assert_eq!(moved, 2);
+    let resumed = deployment.engines[1..].iter().flat_map(|engine| &engine.started_runs);
+    assert_eq!(resumed.filter(|(_, first)| *first > 1).count(), 2, "the text goes on");
+    for id in ["early", "late"] {
+        let results = deployment.results(ENTRY, id, 0).expect("a page");
+        assert_eq!(results.results.len(), 6);
+    }
+}
--- a/crates/core/tests/it/main.rs
+++ b/crates/core/tests/it/main.rs
@@ -30,6 +30,7 @@
 mod rewards;
 mod routing;
 mod samples;
+mod scaling;
 mod scripts;
 mod silent_replica;
 mod sole_survivor;
