fix(core): a restarting upstream kept the baseline from being recorded

Cause: each upstream that came back counted as growth, so a deployment whose engines crash every few seconds never settled. The test of due work passed without the rule that it tests. Change: only a number above the greatest one seen counts as growth. The test of due work states items that wait and what they need. Before: no order could be made while engines restarted within 5 s of each other. After: the tests of the core pass; without the rule on due work its test fails. Conclusion: none of the constants changed.

--- a/crates/core/src/gateway/scaling/pool.rs
+++ b/crates/core/src/gateway/scaling/pool.rs
@@ -27,6 +27,8 @@
     pub reclaimable: bool,
     /// The number of live upstreams that do not leave.
     pub present: u32,
+    /// The greatest number that this host has seen.
+    pub most_present: u32,
     /// The number of those that run nothing.
     pub idle: u32,
     /// When the last of them that were reclaimed was gone; zero if none was.
@@ -58,6 +60,7 @@
             zone: zone.into(),
             reclaimable,
             present: 0,
+            most_present: 0,
             idle: 0,
             reclaimed_at: Millis(0),
             missing_since: None,
@@ -120,7 +123,7 @@
     pub pools: SlotMap<PoolKey, Pool>,
     /// The demand for each service.
     pub demand: BTreeMap<Box<str>, DemandHistory>,
-    /// When the number of upstreams known to this host last grew.
+    /// When a pool last had more upstreams than before. One that restarts does not count.
     pub last_growth: Millis,
     /// When upstreams were last added for the demand.
     pub last_addition: Millis,
@@ -168,12 +171,9 @@
 pub(super) fn count_upstreams(board: &mut Board, service: &str) {
     let now = board.now.mono;
     let mut state = std::mem::take(&mut board.scaling);
-    let mut before = 0;
-    for (_, pool) in state.pools.iter_mut().filter(|(_, pool)| *pool.service == *service) {
-        before += pool.present;
+    for pool in state.pools.values_mut().filter(|pool| *pool.service == *service) {
         (pool.present, pool.idle) = (0, 0);
     }
-    let mut after = 0;
     for upstream in board.upstreams.values() {
         let announced = &upstream.announced;
         if *announced.service != *service {
@@ -190,11 +190,13 @@
         if is_present(upstream, now) {
             pool.present += 1;
             pool.idle += u32::from(upstream.in_flight == 0);
-            after += 1;
         }
     }
-    if after > before {
-        state.last_growth = now;
+    for pool in state.pools.values_mut() {
+        if pool.present > pool.most_present {
+            pool.most_present = pool.present;
+            state.last_growth = now;
+        }
     }
     if let Some(group) = &board.group {
         let targets = &group.directory.upstream_targets;
--- a/crates/core/tests/it/scaling.rs
+++ b/crates/core/tests/it/scaling.rs
@@ -311,12 +311,14 @@
 /// Guards against engines that are ordered too late for work that can't end by its due time.
 #[test]
 fn work_that_exceeds_the_engines_before_it_is_due_needs_more() {
-    let serving = Serving { upstreams: 2, slots: 8, has_room: true, start_time: Millis(4_000) };
-    let needed = |count, due| {
-        let item = ItemWork { due: Millis(due), remaining: Millis(5_000), waits: false };
-        needed_upstreams(&mut vec![item; count], Millis(0), serving)
+    let serving = Serving { upstreams: 2, slots: 8, has_room: true, start_time: Millis(3_500) };
+    let needed = |running, waiting, due| {
+        let item = |waits| ItemWork { due: Millis(due), remaining: Millis(5_000), waits };
+        let mut items = [vec![item(false); running], vec![item(true); waiting]].concat();
+        needed_upstreams(&mut items, Millis(0), serving)
     };
-    assert_eq!(needed(16, 10_000), 2, "16 slots, 5 s each");
-    assert!(needed(16, 10_000) < needed(48, 10_000), "240 s of work, 160 s of slots");
-    assert_eq!(needed(16, 3_000), 2, "new engines would come too late");
+    assert_eq!(needed(16, 0, 6_000), 2, "80 s of work, 96 s of slots");
+    assert_eq!(needed(16, 0, 4_500), 2, "no engine makes an item faster");
+    assert_eq!(needed(16, 8, 6_000), 4, "120 s of work, and new engines serve for 2 s");
+    assert_eq!(needed(16, 8, 3_000), 2, "new engines would come too late");
 }
