--- a/crates/core/src/directory/command.rs
+++ b/crates/core/src/directory/command.rs
@@ -4,10 +4,13 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::directory::{JobSpec, NewResult, RoutingConfig, TextPart, UsageCounts};
+use crate::directory::{JobSpec, NewResult, RoutingConfig, TextPart, UpstreamTarget, UsageCounts};
 use crate::key::HostId;
 use crate::time::Millis;
 
+/// The approximate size of a target in a message, in bytes.
+const TARGET_BYTES: usize = 128;
+
 /// A change of the directory.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -92,6 +95,8 @@
         /// The number of the last of them.
         through: u64,
     },
+    /// Sets intended numbers of upstreams, each in place of the one for the same upstreams.
+    SetUpstreamTargets(Vec<UpstreamTarget>),
 }
 
 impl DirectoryCommand {
@@ -111,6 +116,7 @@
             Self::SettleUsage { counts, .. } => {
                 counts.keys().map(|workspace| workspace.len() + BYTES_PER_COUNT).sum()
             }
+            Self::SetUpstreamTargets(targets) => targets.len() * TARGET_BYTES,
             Self::StartUsage { .. }
             | Self::UsageReported { .. }
             | Self::SetNamedVersion { .. }
--- a/crates/core/src/directory/rebuild.rs
+++ b/crates/core/src/directory/rebuild.rs
@@ -51,6 +51,10 @@
             chunks.push(DirectoryCommand::RetireVoter { host, incarnation });
         }
         self.push_usage(&mut chunks);
+        if !self.upstream_targets.is_empty() {
+            let targets = self.upstream_targets.clone();
+            chunks.push(DirectoryCommand::SetUpstreamTargets(targets));
+        }
         for job in self.jobs.values() {
             push_job(&mut chunks, job);
         }
--- a/crates/core/src/directory/routing.rs
+++ b/crates/core/src/directory/routing.rs
@@ -5,7 +5,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::directory::{ConfigDocument, Workspace, WorkspaceError, workspace};
+use crate::directory::{ConfigDocument, ScalingSpec, Workspace, WorkspaceError, workspace};
 use crate::time::Millis;
 
 /// A decoded routing configuration, with the document that the operator sent.
@@ -111,6 +111,9 @@
     pub max_connections: u32,
     /// The properties of its engines, or `None` if its upstreams run no model.
     pub engine: Option<EngineSpec>,
+    /// How the number of its upstreams may change, or `None` if it is fixed.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub scaling: Option<ScalingSpec>,
 }
 
 /// The model engines of a service.
@@ -171,6 +174,11 @@
     },
     /// The workspaces are not valid.
     InvalidWorkspace(WorkspaceError),
+    /// The least number of a service's upstreams is greater than the greatest.
+    InvalidScaling {
+        /// The service.
+        service: Box<str>,
+    },
 }
 
 impl Display for RoutingError {
@@ -190,6 +198,9 @@
                 write!(f, "route {route}: the prefix must begin and end with a slash")
             }
             Self::InvalidWorkspace(error) => write!(f, "{error}"),
+            Self::InvalidScaling { service } => {
+                write!(f, "service {service}: the minimum of scaling exceeds the maximum")
+            }
         }
     }
 }
@@ -204,6 +215,11 @@
     /// Returns the first error found.
     pub fn check(&self) -> Result<(), RoutingError> {
         let services: BTreeSet<&str> = self.services.iter().map(|spec| &*spec.name).collect();
+        for spec in &self.services {
+            if spec.scaling.as_ref().is_some_and(|scaling| scaling.min > scaling.max) {
+                return Err(RoutingError::InvalidScaling { service: spec.name.clone() });
+            }
+        }
         let mut seen = BTreeSet::new();
         for route in &self.routes {
             let name = || route.name.clone();
--- a/crates/core/src/directory/state.rs
+++ b/crates/core/src/directory/state.rs
@@ -5,7 +5,9 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::directory::{DirectoryCommand, DirectoryOutcome, Job, RoutingConfig, UsageWindows};
+use crate::directory::{
+    DirectoryCommand, DirectoryOutcome, Job, RoutingConfig, UpstreamTarget, UsageWindows,
+};
 use crate::key::HostId;
 
 /// The state that the directory group replicates.
@@ -25,6 +27,9 @@
     /// The usage windows.
     #[serde(skip_serializing_if = "UsageWindows::is_unused")]
     pub usage: UsageWindows,
+    /// The intended numbers of upstreams.
+    #[serde(skip_serializing_if = "Vec::is_empty")]
+    pub upstream_targets: Vec<UpstreamTarget>,
 }
 
 impl Directory {
@@ -71,6 +76,12 @@
             DirectoryCommand::StartUsage { window } => self.usage.start(*window),
             DirectoryCommand::SettleUsage { window, counts } => self.usage.settle(*window, counts),
             DirectoryCommand::UsageReported { through } => self.usage.remove_reported(*through),
+            DirectoryCommand::SetUpstreamTargets(targets) => {
+                for target in targets {
+                    self.upstream_targets.retain(|known| !known.is_same_pool(target));
+                    self.upstream_targets.push(target.clone());
+                }
+            }
         }
         DirectoryOutcome::Applied
     }
--- a/crates/core/src/gateway/controller.rs
+++ b/crates/core/src/gateway/controller.rs
@@ -36,6 +36,7 @@
 use super::lease::holder::Holder;
 use super::policy::Policies;
 use super::provider::calls::ProviderCalls;
+use super::scaling::Scaling;
 use super::settings::Role;
 use super::usage::recording::Recording;
 use super::usage::settlement::Settlement;
@@ -59,7 +60,7 @@
 /// Returns the controllers of `role` that run in rounds, in execution order.
 #[must_use]
 pub fn rounds(role: Role, policies: Policies) -> Vec<Box<dyn Controller>> {
-    let Policies { choice, placement } = policies;
+    let Policies { choice, placement, scaling } = policies;
     let mut controllers: Vec<Box<dyn Controller>> =
         vec![Box::new(memory::Memory), Box::new(contacts::Contacts::default())];
     controllers.push(Box::new(membership::Membership));
@@ -96,6 +97,7 @@
         controllers.push(Box::new(items::Items::new(placement)));
         controllers.push(Box::new(loads::Loads::default()));
         controllers.push(Box::new(Settlement::default()));
+        controllers.push(Box::new(Scaling::new(scaling)));
         controllers.push(Box::new(ProviderCalls::default()));
         controllers.push(Box::new(views::Views::default()));
     }
--- a/crates/core/src/gateway/controller/agreement.rs
+++ b/crates/core/src/gateway/controller/agreement.rs
@@ -214,6 +214,7 @@
         }
         DirectoryCommand::RemoveJobs { .. }
         | DirectoryCommand::SaveTextParts { .. }
+        | DirectoryCommand::SetUpstreamTargets(_)
         | DirectoryCommand::SettleUsage { .. }
         | DirectoryCommand::UsageReported { .. } => {}
     }
--- a/crates/core/src/gateway/controller/registry.rs
+++ b/crates/core/src/gateway/controller/registry.rs
@@ -224,13 +224,16 @@
     } else {
         kept.software.clone()
     };
-    let kept = Announcement { software, ..kept };
+    // The same holds for the kind.
+    let reclaimable = kept.reclaimable || upstream.announced.reclaimable;
+    let kept = Announcement { software, reclaimable, ..kept };
     // A registry's record of a leave carries the number of the last announcement before it.
     let leaving = announced.leaving || upstream.left || (new == old && upstream.announced.leaving);
     let differs =
         upstream.announced.leaving != leaving || upstream.announced.content() != kept.content();
     let detail = if leaving { "leaving" } else { "changed" };
     upstream.announced = Announcement { leaving, ..kept };
+    upstream.record_notice(now);
     if let AnnouncementSource::Registry { gone: true, .. } = source
         && !upstream.gone
     {
@@ -273,11 +276,12 @@
     board.revision += 1;
     board.registry_changed = true;
     board.another_round = true;
+    let now = board.now.mono;
     let upstream = &mut board.upstreams[key];
     upstream.revision = board.revision;
     upstream.learned_from = learned_from;
     let announced = &upstream.announced;
-    let detail = format!(
+    let mut detail = format!(
         "{change} service={} address={} zone={} born={} seq={} versions={:?} software={}",
         announced.service,
         announced.address,
@@ -287,6 +291,12 @@
         announced.versions,
         announced.software
     );
+    if announced.reclaimable {
+        detail.push_str(" reclaimable=true");
+    }
+    if let Some(notice) = upstream.leave_notice {
+        detail.push_str(&format!(" gone_in_ms={}", notice.until.since(now).0));
+    }
     let (id, has_left) = (announced.id.clone(), !upstream.accepts_requests());
     let kind = if has_left { EventKind::UpstreamLeft } else { EventKind::UpstreamJoined };
     board.note(kind, id, detail);
--- a/crates/core/src/timeline.rs
+++ b/crates/core/src/timeline.rs
@@ -112,6 +112,8 @@
     ProviderAnswered,
     /// A usage window was settled, reported or dropped.
     Usage,
+    /// A number of upstreams was decided or ordered, or such an order ended.
+    Scaling,
 }
 
 /// One event on the timeline.
--- a/crates/core/tests/it/deployment.rs
+++ b/crates/core/tests/it/deployment.rs
@@ -10,6 +10,7 @@
 pub(crate) mod messages;
 pub(crate) mod provider;
 pub(crate) mod rewards;
+mod runs;
 mod upstreams;
 pub(crate) mod usage;
 
@@ -107,6 +108,8 @@
     /// The workspaces under which items were run.
     pub(crate) run_workspaces: BTreeSet<Option<Box<str>>>,
     pub(crate) engines: Vec<SimEngine>,
+    /// The runs of items, if they can be cancelled; otherwise a cancelled run continues.
+    pub(crate) runs: Option<runs::Runs>,
     pub(crate) orders: Vec<(u64, HostId, Order)>,
     /// The number of slots of each engine.
     pub(crate) engine_slots: u32,
@@ -191,6 +194,7 @@
             whole_runs: Vec::new(),
             run_workspaces: BTreeSet::new(),
             engines: Vec::new(),
+            runs: None,
             orders: Vec::new(),
             engine_slots: 4,
             event_interval_ms: 20,
@@ -451,8 +455,8 @@
             Action::Note(event) => self.timeline.push(event),
             Action::Exit { .. } => self.kill(id),
             Action::CallProvider(call) => self.begin_call(id, boot_id, call),
-            Action::Cancel { .. }
-            | Action::CloseUpstream { .. }
+            Action::Cancel { attempt } => self.cancel_run(id, boot_id, attempt),
+            Action::CloseUpstream { .. }
             | Action::Deliver { .. }
             | Action::Drain
             | Action::CloseIdle => {}
