--- a/crates/daemon/src/gateway/settings/provider.rs
+++ b/crates/daemon/src/gateway/settings/provider.rs
@@ -47,7 +47,10 @@
         Ok(Some(millis(time)))
     };
     let calls_per_second = match set("calls_per_second") {
-        Some(_) => section.number("calls_per_second", DEFAULT_CALLS_PER_SECOND)?,
+        Some(text) => whole_rate(text).ok_or_else(|| {
+            let expected = "a number of calls of at least 1";
+            section.error("calls_per_second", format!("{text:?} can't be read"), expected)
+        })?,
         None => DEFAULT_CALLS_PER_SECOND,
     };
     let duties = set("duties").unwrap_or_default();
@@ -65,6 +68,13 @@
     Ok(Provider { address: Some(address.into()), settings: Some(settings) })
 }
 
+/// Returns a rate, which may have a fraction, as a whole number of calls a second, rounded down.
+fn whole_rate(text: &str) -> Option<u32> {
+    let rate: f64 = text.parse().ok()?;
+    #[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+    (rate >= 1.0 && rate <= f64::from(u32::MAX)).then_some(rate as u32)
+}
+
 fn check_address(section: &Section<'_>, address: &str) -> Result<(), SettingsError> {
     let parts = address.rsplit_once(':');
     if parts.is_some_and(|(host, port)| !host.is_empty() && port.parse::<u16>().is_ok()) {
