test(core): a rebuilt directory keeps the intended numbers of upstreams

Change: the test's directory has an intended number; a function moves to its only user, and two links to private constants leave the documentation.

--- a/crates/core/src/gateway/scaling/controller.rs
+++ b/crates/core/src/gateway/scaling/controller.rs
@@ -16,7 +16,6 @@
 use crate::gateway::board::{Board, ItemState};
 use crate::gateway::controller::Controller;
 use crate::gateway::event::Event;
-use crate::key::PoolKey;
 use crate::time::Millis;
 use crate::timeline::EventKind;
 
@@ -271,8 +270,3 @@
     measured.sort_unstable();
     measured.get(measured.len() / 2).copied().unwrap_or(DEFAULT_EVENT_INTERVAL_US)
 }
-
-/// Returns the keys of the pools of a service.
-pub(super) fn pool_keys(board: &Board, service: &str) -> Vec<PoolKey> {
-    board.scaling.pools_of(service).map(|(key, _)| key).collect()
-}
--- a/crates/core/src/gateway/scaling/demand.rs
+++ b/crates/core/src/gateway/scaling/demand.rs
@@ -88,13 +88,13 @@
         }
     }
 
-    /// Returns the need that has lasted for [`SUSTAINED_TIME`], or zero.
+    /// Returns the need that has lasted for 1.5 s, or zero.
     #[must_use]
     pub fn sustained(&self, now: Millis) -> u32 {
         self.samples_of(now, SUSTAINED_TIME).and_then(Iterator::min).unwrap_or(0)
     }
 
-    /// Returns the greatest need within [`LOW_HOLD_TIME`], or `None` if it is not known yet.
+    /// Returns the greatest need within the hold time of 30 s, or `None` if it is not known yet.
     #[must_use]
     pub fn peak(&self, now: Millis) -> Option<u32> {
         self.samples_of(now, LOW_HOLD_TIME).and_then(Iterator::max)
--- a/crates/core/src/gateway/scaling/orders.rs
+++ b/crates/core/src/gateway/scaling/orders.rs
@@ -1,6 +1,5 @@
 //! The orders for numbers of upstreams: when one is due, and what follows from its end.
 
-use super::controller::pool_keys;
 use super::pool::Pool;
 use crate::directory::UpstreamTarget;
 use crate::gateway::board::Board;
@@ -31,7 +30,8 @@
 /// Requests the orders of a service that are due.
 pub(super) fn send_due(board: &mut Board, service: &str, start_time: Millis) {
     let now = board.now.mono;
-    for key in pool_keys(board, service) {
+    let keys: Vec<PoolKey> = board.scaling.pools_of(service).map(|(key, _)| key).collect();
+    for key in keys {
         let Some(group) = &board.group else { return };
         let pool = &mut board.scaling.pools[key];
         let Some(target) = pool.target(&group.directory.upstream_targets).cloned() else {
--- a/crates/core/tests/it/log_size.rs
+++ b/crates/core/tests/it/log_size.rs
@@ -8,6 +8,7 @@
 use chestnutdrift_core::agreement::{Entry, GroupMessage};
 use chestnutdrift_core::directory::{
     Directory, DirectoryCommand, ItemOutcome, ItemResult, ItemText, JobSpec, NewResult, TextPart,
+    UpstreamTarget,
 };
 use chestnutdrift_core::gateway::board::DirectoryGroup;
 use chestnutdrift_core::message::Message;
@@ -281,11 +282,21 @@
     text.push_event(1, "first", Some(2));
     let part = |event_offset| TextPart { item: 1, event_offset, text: Arc::new(text.clone()) };
     let model = Box::from("model");
+    let target = UpstreamTarget {
+        service: "engines".into(),
+        zone: "zone-1".into(),
+        reclaimable: true,
+        baseline: 4,
+        count: 6,
+        changes: 3,
+        reduces: false,
+    };
     for command in [
         DirectoryCommand::PutRouting(routing(4)),
         DirectoryCommand::SetNamedVersion { model, version: 9 },
         DirectoryCommand::SetOrderer { host: HostId(2) },
         DirectoryCommand::RetireVoter { host: HostId(3), incarnation: 8 },
+        DirectoryCommand::SetUpstreamTargets(vec![target]),
         DirectoryCommand::SubmitJob { spec: spec("ended"), at: Millis(10) },
         DirectoryCommand::SubmitJob { spec: spec("open"), at: Millis(20) },
         DirectoryCommand::AppendResults {
