test(core): one definition of a submitted job

Change: deployment/documents.rs holds it; the values are unchanged, except that the new tests of scaling allow three attempts, which they do not use. Conclusion: no test checks less than before.

--- a/crates/core/tests/it/deployment/documents.rs
+++ b/crates/core/tests/it/deployment/documents.rs
@@ -5,8 +5,8 @@
 use bytes::Bytes;
 use chestnutdrift_core::Millis;
 use chestnutdrift_core::directory::{
-    EngineSpec, ItemSpec, RequestLimits, RewardCall, Route, RouteKind, RoutingConfig, ServiceSpec,
-    Target,
+    EngineSpec, ItemSpec, JobSpec, RequestLimits, RewardCall, Route, RouteKind, RoutingConfig,
+    ServiceSpec, Target,
 };
 use chestnutdrift_core::gateway::JobBody;
 
@@ -78,6 +78,25 @@
     }
 }
 
+/// Returns a job that the engines run, as the directory keeps it.
+pub(crate) fn submitted_job(id: &str, items: u32) -> JobSpec {
+    let body = job(id, items, 1);
+    JobSpec {
+        id: body.id,
+        host: "jobs.example".into(),
+        prefix: "/jobs/".into(),
+        services: vec!["engines".into()],
+        model: body.model,
+        min_version: 1,
+        single_version: false,
+        resumable: true,
+        max_attempts: 3,
+        due_after: Millis(7_500),
+        give_up_after: Millis(40_000),
+        items: body.items,
+    }
+}
+
 /// Returns a job with a reward call for each item, whose id is that of the item after `reward-`.
 pub(crate) fn with_rewards(mut job: JobBody) -> JobBody {
     for item in &mut job.items {
--- a/crates/core/tests/it/log_size.rs
+++ b/crates/core/tests/it/log_size.rs
@@ -7,7 +7,7 @@
 use chestnutdrift_core::HostId;
 use chestnutdrift_core::agreement::{Entry, GroupMessage};
 use chestnutdrift_core::directory::{
-    Directory, DirectoryCommand, ItemOutcome, ItemResult, ItemText, JobSpec, NewResult, TextPart,
+    Directory, DirectoryCommand, ItemOutcome, ItemResult, ItemText, NewResult, TextPart,
     UpstreamTarget,
 };
 use chestnutdrift_core::gateway::board::DirectoryGroup;
@@ -15,6 +15,7 @@
 use chestnutdrift_core::{Millis, gateway::Call, gateway::Role};
 use test_case::test_case;
 
+use crate::deployment::documents::submitted_job;
 use crate::deployment::{Deployment, SimEngine, job, routing};
 use crate::directory::{ENTRY, STORES, started};
 
@@ -258,23 +259,7 @@
 /// Returns a directory with an ended and an open job, and every other kind of content.
 fn directory() -> Directory {
     let mut directory = Directory::default();
-    let spec = |id: &str| {
-        let body = job(id, 3, 1);
-        Arc::new(JobSpec {
-            id: body.id,
-            host: "jobs.example".into(),
-            prefix: "/jobs/".into(),
-            services: vec!["engines".into()],
-            model: body.model,
-            min_version: 1,
-            single_version: false,
-            resumable: true,
-            max_attempts: 3,
-            due_after: Millis(7_500),
-            give_up_after: Millis(40_000),
-            items: body.items,
-        })
-    };
+    let spec = |id: &str| Arc::new(submitted_job(id, 3));
     let result = |item, outcome| NewResult::with_whole_text(ItemResult { item, outcome });
     let completed =
         ItemOutcome::Completed { text: "one\ntwo".into(), versions: vec![1, 2], score: None };
--- a/crates/core/tests/it/scaling.rs
+++ b/crates/core/tests/it/scaling.rs
@@ -3,7 +3,7 @@
 
 use std::sync::Arc;
 
-use chestnutdrift_core::directory::{Directory, JobSpec, RoutingConfig, ScalingSpec};
+use chestnutdrift_core::directory::{Directory, RoutingConfig, ScalingSpec};
 use chestnutdrift_core::gateway::board::{Item, ItemState, JobRun, LeaveNotice, Upstream};
 use chestnutdrift_core::gateway::policy::Policies;
 use chestnutdrift_core::gateway::scaling::{ItemWork, Scaling, Serving, needed_upstreams};
@@ -14,7 +14,7 @@
 use chestnutdrift_core::key::{HostId, JobKey, Key, UpstreamKey};
 use chestnutdrift_core::{Millis, Now};
 
-use crate::deployment::{job, routing};
+use crate::deployment::documents::{routing, submitted_job};
 use crate::leaving::announcement;
 
 const ZONES: [(&str, u32); 6] =
@@ -40,25 +40,6 @@
     routing
 }
 
-/// Returns a job that the engines run, as the directory keeps it.
-fn submitted_job(id: &str, items: u32) -> JobSpec {
-    let body = job(id, items, 1);
-    JobSpec {
-        id: body.id,
-        host: "jobs.example".into(),
-        prefix: "/jobs/".into(),
-        services: vec!["engines".into()],
-        model: body.model,
-        min_version: body.min_version,
-        single_version: false,
-        resumable: true,
-        max_attempts: 2,
-        due_after: Millis(7_500),
-        give_up_after: Millis(40_000),
-        items: body.items,
-    }
-}
-
 /// A host that holds the lease, and the provider.
 struct Holder {
     board: Board,
