--- a/crates/core/tests/it/usage.rs
+++ b/crates/core/tests/it/usage.rs
@@ -69,10 +69,12 @@
     }
 }
 
-/// Guards against requests that count twice, in the wrong window or not at all.
+/// Guards against requests that count twice, in the wrong window or not at all, also where the clocks of
+/// single hosts are wrong.
 #[test]
 fn the_counts_of_each_window_are_exact() {
     let mut deployment = reporting(7);
+    deployment.wall_offsets = [(HostId(3), 8_000), (HostId(4), -8_000)].into();
     deployment.run_with_requests(40_000);
     deployment.run(12_000);
     assert_exact(&deployment, Deployment::window_at(deployment.now - 12_000));
@@ -223,13 +225,41 @@
     finish(&mut deployment, 5_000);
 }
 
-/// Guards against windows that shift with the clock of the leader or of another store.
-#[test_case(2_500; "ahead")]
-#[test_case(-2_500; "behind")]
-fn the_clocks_of_two_stores_are_stepped(step: i64) {
+/// Guards against starts that are lost, although they are acknowledged, when the leader can't reach the
+/// others for a moment.
+#[test]
+fn the_lease_of_the_leader_lapses() {
+    let mut deployment = reporting(23);
+    deployment.run_with_requests(18_000);
+    let (first, others) = (leader(&deployment), deployment.hosts());
+    let cut = |deployment: &mut Deployment, is_cut| {
+        others.iter().filter(|other| **other != first).for_each(|other| {
+            deployment.cut(first, *other, is_cut);
+        });
+    };
+    cut(&mut deployment, true);
+    while deployment.leader().is_some() {
+        deployment.run(10);
+    }
+    cut(&mut deployment, false);
+    deployment.run_with_requests(300);
+    assert_eq!(deployment.leader(), Some(first), "no other host was elected");
+    finish(&mut deployment, 15_000);
+}
+
+/// Guards against windows that shift with the clocks of the leader and of another store, of five or of
+/// four.
+#[test_case(2_500, false; "ahead")]
+#[test_case(-2_500, false; "behind")]
+#[test_case(2_500, true; "ahead while one store is down")]
+fn the_clocks_of_two_stores_are_stepped(step: i64, one_is_down: bool) {
     let mut deployment = reporting(19);
     deployment.run_with_requests(16_000);
     let first = leader(&deployment);
+    if one_is_down {
+        deployment.kill(HostId((first.0 + 1) % 5 + 1));
+        deployment.run_with_requests(15_000);
+    }
     for host in [first, HostId(first.0 % 5 + 1)] {
         deployment.wall_offsets.insert(host, step);
     }
