test(daemon): neutral names of duties in the test of settings

Cause: words of the platform stood in a test of the daemon. Change: other words; the settings name them, so any will do. Forwarding's list of writes names `usage`.

--- a/crates/core/src/gateway/controller/forwarding.rs
+++ b/crates/core/src/gateway/controller/forwarding.rs
@@ -3,8 +3,8 @@
 //! Reads: opened requests, ended attempts, decoded jobs, callers that are gone, `routing`,
 //! `upstreams`, `draining`, the clock.
 //! Writes: `requests`, `request_index`, `attempts`, `upstreams` (health), `suspects`,
-//! `suspects_changed`, `quota_waits`, `new_streams`, `stream_searches`, `store_requests`, `counters`,
-//! `actions`.
+//! `suspects_changed`, `quota_waits`, `new_streams`, `stream_searches`, `store_requests`, `usage`,
+//! `counters`, `actions`.
 
 mod endings;
 mod over_limit;
--- a/crates/daemon/tests/process/gateway_settings.rs
+++ b/crates/daemon/tests/process/gateway_settings.rs
@@ -46,8 +46,8 @@
 
 const PROVIDER: &str = "[provider]
 address = 10.0.0.9:7400
-usage_duty = metering
-scaling_duty = autoscale
+usage_duty = reports
+scaling_duty = counts
 ";
 
 fn provider(keys: &str) -> Option<(u32, Option<u64>, u64, bool)> {
@@ -60,9 +60,9 @@
 
 /// Guards against a host that does not start, or takes duties that it does not have, because the
 /// platform leaves fields out.
-#[test_case("calls_per_second = 20\nduties = metering,autoscale\nusage_window = 5s\nusage_due = 9s",
+#[test_case("calls_per_second = 20\nduties = reports,counts\nusage_window = 5s\nusage_due = 9s",
     (20, Some(5_000), 9_000, true); "all")]
-#[test_case("calls_per_second =\nduties = metering\nusage_window = s\nusage_due = s",
+#[test_case("calls_per_second =\nduties = reports\nusage_window = s\nusage_due = s",
     (50, None, 10_000, false); "no window")]
 #[test_case("duties =\nusage_window = 5s", (50, None, 10_000, false); "no duties")]
 fn the_provider_is_read(keys: &str, expected: (u32, Option<u64>, u64, bool)) {
