feat(core): learned capacity of upstreams for requests, shared between hosts

Cause: an entry host sees a few requests a second, so each had to find a slow upstream by itself, an upstream that answers quick errors drew requests, and one that answers nothing was tried again. Change: with learned capacity, an upstream whose answers take over twice its peers' median is chosen last; hosts name it in their hellos, and a store with reports of several hosts marks its record. A request that would wait in vain is refused at once as not run, but never while an upstream has half of its slots free. The upstream view and the metrics show the estimates and their ages.

--- a/crates/core/src/gateway.rs
+++ b/crates/core/src/gateway.rs
@@ -34,8 +34,8 @@
 pub mod settings;
 
 pub use action::{
-    Action, Answer, Counters, Forward, HostView, Order, ResultsEntry, ResultsPage, RewardRequest,
-    RunItem, UpstreamAddress, UpstreamView,
+    Action, Answer, CapacityView, Counters, Forward, HostView, Order, ResultsEntry, ResultsPage,
+    RewardRequest, RunItem, UpstreamAddress, UpstreamView,
 };
 pub use board::Board;
 pub use capacity::CapacityEstimate;
--- a/crates/core/src/gateway/action.rs
+++ b/crates/core/src/gateway/action.rs
@@ -210,7 +210,7 @@
     /// Whether the host takes requests.
     Ready(bool),
     /// The counters of the host.
-    Counters(Counters),
+    Counters(Box<Counters>),
     /// The hosts that this one knows, including itself.
     Hosts(Vec<HostView>),
     /// The upstreams that this host knows.
@@ -288,6 +288,31 @@
     pub in_flight: u32,
     /// The weight version of each model.
     pub versions: Vec<(Box<str>, u64)>,
+    /// What the answering host has learned of it; `None` unless capacity is learned.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub capacity: Option<CapacityView>,
+}
+
+/// What a host has learned of the capacity of an upstream.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub struct CapacityView {
+    /// Number of slots that it announces.
+    pub slots: u32,
+    /// Number of requests that it is given at a time.
+    pub request_limit: u32,
+    /// Time until its answer to a request, in microseconds; zero where unknown.
+    pub response_time_us: u64,
+    /// Time since that was last observed; `None` if it never was.
+    pub response_seen_ms_ago: Option<u64>,
+    /// Number of items that it is given at a time.
+    pub item_limit: u32,
+    /// Time between two events of an item, in microseconds; zero where unknown.
+    pub event_interval_us: u64,
+    /// Time since that was last observed; `None` if it never was.
+    pub events_seen_ms_ago: Option<u64>,
+    /// Whether a store host says that it is clearly slower than its peers.
+    pub slow: bool,
 }
 
 /// Counters of one host since its process started.
@@ -348,6 +373,17 @@
     pub streams_refused: u64,
     /// Requests refused because they exceeded the limits of upstreams.
     pub over_limit: u64,
+    /// Requests refused because upstreams could not serve them in time at their learned capacity.
+    pub over_capacity: u64,
+    /// Upstreams that a store host says are clearly slower than their peers.
+    pub upstreams_slow: u64,
+    /// Sum of the slots that upstreams announce.
+    pub announced_slots: u64,
+    /// Sum of the numbers of items that upstreams are given at a time.
+    pub learned_slots: u64,
+    /// The longest time since a learned event interval or response time was last observed, in
+    /// milliseconds.
+    pub oldest_estimate_ms: u64,
     /// The version of the routing configuration in force.
     pub routing_version: u64,
     /// Whether the host takes requests.
--- a/crates/core/src/gateway/board/upstream.rs
+++ b/crates/core/src/gateway/board/upstream.rs
@@ -6,7 +6,7 @@
 use crate::gateway::board::{
     Attempt, Ledger, LoadState, Permits, Purpose, StatedLimit, UpstreamLimit,
 };
-use crate::gateway::capacity::{CapacityEstimate, Observation};
+use crate::gateway::capacity::{CapacityEstimate, Observation, SlowReports};
 use crate::gateway::event::Announcement;
 use crate::gateway::message::UpstreamRecord;
 use crate::gateway::rate::RequestRate;
@@ -106,6 +106,8 @@
     pub request_capacity: CapacityEstimate,
     /// What it does with items, as this host observes it.
     pub item_capacity: CapacityEstimate,
+    /// Whether it is slow, as hosts tell each other.
+    pub slow_reports: SlowReports,
     /// Its weights, as far as this host has ordered them.
     pub load: LoadState,
 }
@@ -135,6 +137,7 @@
             health: UpstreamHealth::default(),
             request_capacity: CapacityEstimate::default(),
             item_capacity: CapacityEstimate::default(),
+            slow_reports: SlowReports::default(),
             load: LoadState::default(),
         }
     }
@@ -160,6 +163,16 @@
         }
     }
 
+    /// Returns how many requests the upstream is given at a time.
+    ///
+    /// This is at least half of its slots: a host sees only its own requests, and must not refuse any
+    /// while an upstream may have room.
+    #[must_use]
+    pub fn request_slots(&self, learned: bool, now: Millis) -> u32 {
+        let slots = self.announced.slots.max(1);
+        if learned { self.request_capacity.limit(now, slots).max(slots.div_ceil(2)) } else { slots }
+    }
+
     /// Returns how many items the upstream is given at a time.
     #[must_use]
     pub fn item_slots(&self, learned: bool, now: Millis) -> u32 {
@@ -173,6 +186,12 @@
         if learned { self.item_capacity.unit_time_us(now) } else { self.health.event_interval_us }
     }
 
+    /// Records that a request took the given time: until its answer, or at least this long without one.
+    pub fn record_response(&mut self, now: Millis, took: Millis) {
+        let slots = self.announced.slots;
+        self.request_capacity.observe(now, Observation { slots, units: 1, took });
+    }
+
     /// Records that `events` events of an item arrived within the time `took`.
     pub fn record_events(&mut self, now: Millis, events: u32, took: Millis) {
         self.health.record_events(events, took);
@@ -197,6 +216,7 @@
             left: self.left,
             said_leaving: self.said_leaving.is_some(),
             limit: self.limit.map(|limit| limit.statement()),
+            slow: self.slow_reports.is_stated(),
         }
     }
 
@@ -251,12 +271,22 @@
 impl UpstreamHealth {
     /// Records a delivered answer, after which the upstream is no longer avoided.
     pub fn record_success(&mut self, took: Millis) {
-        self.failures = 0;
-        self.avoid_until = Millis(0);
+        self.record_answer();
+        self.record_response_time(took);
+    }
+
+    /// Records the time until an answer, or for which there was none.
+    pub fn record_response_time(&mut self, took: Millis) {
         self.response_time_us =
             moving_average(self.response_time_us, took.0 * 1_000, RESPONSE_TIME_WEIGHT_PERCENT);
     }
 
+    /// Records a delivered answer that says nothing about the speed.
+    pub fn record_answer(&mut self) {
+        self.failures = 0;
+        self.avoid_until = Millis(0);
+    }
+
     /// Records a failure; the upstream is avoided for longer with each failure in a row.
     ///
     /// Failures while it is avoided don't count, since requests in flight at the same time often fail
--- a/crates/core/src/gateway/capacity.rs
+++ b/crates/core/src/gateway/capacity.rs
@@ -7,10 +7,13 @@
 //! forgets what it learned at a number in flight within seconds.
 
 mod recent_mean;
+mod slow_reports;
 
 use self::recent_mean::RecentMean;
 use crate::time::Millis;
 
+pub use self::slow_reports::{MAX_SLOW_UPSTREAMS, REPORT_VALIDITY, SlowReports};
+
 /// The number of ranges into which the slots of an upstream are divided, each with its own mean.
 const LEVELS: usize = 8;
 
@@ -44,7 +47,10 @@
 
 /// An upstream whose unit of work takes more than this percentage of its peers' median is slow.
 /// Engines at all their slots take up to 130 % of the time that they take alone.
-pub const SLOW_PERCENT: u64 = 170;
+pub const SLOW_ENGINE_PERCENT: u64 = 170;
+
+/// The same for requests, of which each takes a different time.
+pub const SLOW_ANSWER_PERCENT: u64 = 200;
 
 /// What one upstream does with one kind of work.
 ///
@@ -173,8 +179,9 @@
     known.get(known.len().saturating_sub(1) / 2).copied().unwrap_or(0)
 }
 
-/// Returns whether a unit time is clearly above the median of the peers; not so if one is unknown.
+/// Returns whether a unit time is more than the percentage of the peers' median; not so if one is
+/// unknown.
 #[must_use]
-pub fn is_slow(unit_time_us: u64, median_us: u64) -> bool {
-    median_us > 0 && unit_time_us * 100 > median_us * SLOW_PERCENT
+pub fn is_slow(unit_time_us: u64, median_us: u64, percent: u64) -> bool {
+    median_us > 0 && unit_time_us * 100 > median_us * percent
 }
--- a/crates/core/src/gateway/controller.rs
+++ b/crates/core/src/gateway/controller.rs
@@ -7,6 +7,7 @@
 mod agreement;
 mod calls;
 mod candidates;
+mod capacity;
 mod contacts;
 mod decisions;
 mod forwarding;
@@ -63,6 +64,7 @@
     }
     controllers.push(Box::new(calls::Calls));
     controllers.push(Box::new(registry::Registry::default()));
+    controllers.push(Box::new(capacity::Capacity::default()));
     if role == Role::Store {
         controllers.push(Box::new(leaves::Leaves::default()));
     }
--- a/crates/core/src/gateway/controller/calls.rs
+++ b/crates/core/src/gateway/controller/calls.rs
@@ -12,7 +12,7 @@
 
 use super::Controller;
 use crate::error::{ErrorKind, Problem};
-use crate::gateway::action::{Answer, HostView, UpstreamView};
+use crate::gateway::action::{Answer, CapacityView, Counters, HostView, UpstreamView};
 use crate::gateway::board::{Board, DirectoryGroup, Upstream};
 use crate::gateway::event::{Call, Event, IncomingCall, Query};
 use crate::gateway::message::StoreRequest;
@@ -95,8 +95,9 @@
             counters.upstreams_leaving = board.upstreams.values().filter(leaving).count() as u64;
             let limited = |upstream: &&Upstream| upstream.rate_limit().is_some() && !upstream.gone;
             counters.upstreams_limited = board.upstreams.values().filter(limited).count() as u64;
+            count_capacity(board, &mut counters);
             counters.routing_version = board.routing.as_ref().map_or(0, |r| r.version);
-            Answer::Counters(counters)
+            Answer::Counters(Box::new(counters))
         }
         Query::Hosts => Answer::Hosts(host_views(board)),
         Query::Upstreams => Answer::Upstreams(upstream_views(board)),
@@ -133,6 +134,36 @@
     views
 }
 
+/// Sums up what this host has learned of the capacity of upstreams; nothing unless it learns it.
+fn count_capacity(board: &Board, counters: &mut Counters) {
+    if !board.cfg.learned_capacity {
+        return;
+    }
+    for upstream in board.upstreams.values().filter(|upstream| upstream.accepts_requests()) {
+        let view = capacity_view(board, upstream);
+        counters.upstreams_slow += u64::from(view.slow);
+        counters.announced_slots += u64::from(view.slots);
+        counters.learned_slots += u64::from(view.item_limit);
+        let age_ms = view.response_seen_ms_ago.max(view.events_seen_ms_ago).unwrap_or(0);
+        counters.oldest_estimate_ms = counters.oldest_estimate_ms.max(age_ms);
+    }
+}
+
+fn capacity_view(board: &Board, upstream: &Upstream) -> CapacityView {
+    let now = board.now.mono;
+    let (requests, items) = (&upstream.request_capacity, &upstream.item_capacity);
+    CapacityView {
+        slots: upstream.announced.slots,
+        request_limit: upstream.request_slots(true, now),
+        response_time_us: requests.unit_time_us(now),
+        response_seen_ms_ago: requests.age(now).map(|age| age.0),
+        item_limit: upstream.item_slots(true, now),
+        event_interval_us: items.unit_time_us(now),
+        events_seen_ms_ago: items.age(now).map(|age| age.0),
+        slow: upstream.slow_reports.is_stated_by_any(now),
+    }
+}
+
 fn upstream_views(board: &Board) -> Vec<UpstreamView> {
     let mut views = Vec::new();
     for upstream in board.upstreams.values() {
@@ -156,6 +187,7 @@
             state: state.into(),
             in_flight: upstream.in_flight,
             versions: announced.versions.clone(),
+            capacity: board.cfg.learned_capacity.then(|| capacity_view(board, upstream)),
         });
     }
     views
--- a/crates/core/src/gateway/controller/candidates.rs
+++ b/crates/core/src/gateway/controller/candidates.rs
@@ -1,8 +1,11 @@
 //! The upstreams of plain services: which of them a request may be sent to, and what the end of an
 //! attempt says about its upstream. Callers' requests and reward calls share these rules.
 
+pub(super) mod speeds;
+
 use rand::Rng;
 
+use self::speeds::Speeds;
 use super::registry;
 use crate::directory::Route;
 use crate::gateway::board::{Attempt, Board, Upstream};
@@ -15,6 +18,9 @@
 /// The time limit of a new connection to an upstream: a round trip between regions, and a margin.
 pub(super) const CONNECT_TIMEOUT: Millis = Millis(300);
 
+/// The first HTTP status of an error.
+const FIRST_ERROR_STATUS: u16 = 400;
+
 /// Draws the service of a request at random, by the weights of the route's targets.
 pub(super) fn draw_service(board: &mut Board, route: &Route) -> Box<str> {
     let sum: u64 = route.targets.iter().map(|target| u64::from(target.weight)).sum();
@@ -38,6 +44,7 @@
 ) -> Vec<UpstreamCandidate> {
     let now = board.now.mono;
     let contacts = board.live_contacts();
+    let speeds = board.cfg.learned_capacity.then(|| Speeds::new(board, service));
     let mut candidates = Vec::new();
     for (key, upstream) in usable(board, service) {
         if !board.may_send(key) {
@@ -47,8 +54,12 @@
             key,
             distance: board.cfg.distance(&upstream.announced.zone),
             in_flight: upstream.in_flight,
-            slots: upstream.announced.slots.max(1),
-            response_time_us: upstream.health.response_time_us,
+            slots: upstream.request_slots(speeds.is_some(), now),
+            response_time_us: match &speeds {
+                Some(speeds) => speeds.response_time_us(board, upstream),
+                None => upstream.health.response_time_us,
+            },
+            slow: speeds.as_ref().is_some_and(|speeds| speeds.is_slow(key)),
             tried: is_tried(key),
             avoided: upstream.is_avoided(now),
             silent: registry::is_silent(board, &contacts, upstream),
@@ -78,13 +89,22 @@
     if let ForwardEnd::UpstreamEnded { .. } = end {
         board.counters.upstreams_ended += 1;
     }
+    let learned = board.cfg.learned_capacity;
     let Some(upstream) = board.upstreams.get_mut(attempt.upstream) else { return };
     if let ForwardEnd::ConnectRefused { .. } | ForwardEnd::UpstreamEnded { .. } = end {
         upstream.record_end(now);
     }
     match end {
-        ForwardEnd::Delivered { .. } | ForwardEnd::Begun { .. } => {
-            upstream.health.record_success(took);
+        ForwardEnd::Delivered { status } | ForwardEnd::Begun { status } => {
+            if *status < FIRST_ERROR_STATUS {
+                upstream.record_response(now, took);
+            }
+            // With learned capacity, a quick error is no sign of speed.
+            if *status < FIRST_ERROR_STATUS || !learned {
+                upstream.health.record_success(took);
+            } else {
+                upstream.health.record_answer();
+            }
         }
         ForwardEnd::NotRun { other_instance: true, .. } => {
             upstream.gone = true;
@@ -99,4 +119,17 @@
         | ForwardEnd::Broken { .. }
         | ForwardEnd::UpstreamEnded { .. } => upstream.health.record_failure(now),
     }
+    speeds::report_if_slow(board, attempt.upstream);
+}
+
+/// Records that a request was taken away from an upstream after the given time without an answer.
+pub(super) fn record_move(board: &mut Board, key: UpstreamKey, took: Millis) {
+    let now = board.now.mono;
+    let Some(upstream) = board.upstreams.get_mut(key) else { return };
+    upstream.health.record_failure(now);
+    upstream.record_response(now, took);
+    if board.cfg.learned_capacity {
+        upstream.health.record_response_time(took);
+    }
+    speeds::report_if_slow(board, key);
 }
--- a/crates/core/src/gateway/controller/forwarding.rs
+++ b/crates/core/src/gateway/controller/forwarding.rs
@@ -6,11 +6,13 @@
 //! `suspects_changed`, `quota_waits`, `new_streams`, `stream_searches`, `store_requests`, `counters`,
 //! `actions`.
 
+mod capacity_refusals;
 mod endings;
 mod over_limit;
 mod submissions;
 mod taken_up;
 
+use self::capacity_refusals::refuse_over_capacity;
 use self::endings::{deliver_held, fail, fail_after_max_wait, is_quarantined, refuse};
 use self::over_limit::{ask_for_permit, refuse_over_limit};
 use self::submissions::handle_job_read;
@@ -290,9 +292,7 @@
                 }
                 let Some(next) = self.choose(board, key) else { return };
                 cancel_attempt(board, attempt);
-                if let Some(slow) = board.upstreams.get_mut(running.upstream) {
-                    slow.health.record_failure(now);
-                }
+                candidates::record_move(board, running.upstream, now.since(running.started));
                 let request = &mut board.requests[key];
                 request.maybe_ran = true;
                 request.last_failure = "upstream too slow; request moved to another one".into();
@@ -309,6 +309,7 @@
             RequestState::Waiting => match self.choose(board, key) {
                 Some(upstream) => start_attempt(board, key, upstream),
                 None if !ask_for_permit(board, key) => refuse_over_limit(board, key),
+                None if refuse_over_capacity(board, key) => {}
                 None => fail_after_max_wait(board, key),
             },
             RequestState::Reading | RequestState::Searching if now >= request.until => {
--- a/crates/core/src/gateway/controller/membership.rs
+++ b/crates/core/src/gateway/controller/membership.rs
@@ -6,6 +6,7 @@
 //! `pending_leaves`, `pending_limits`, `upstreams` (time and number of the last announcement), `actions`.
 
 use super::Controller;
+use super::candidates::speeds;
 use crate::gateway::board::{AnnouncementSource, Board, Host, LeaveSource};
 use crate::gateway::event::{Announcement, Event};
 use crate::gateway::message::{GatewayMessage, Hello, LimitRecord, Roster, UpstreamRecord, View};
@@ -179,7 +180,7 @@
 /// Passes the upstream records of another store host on to the registry and the limits.
 fn receive_records(board: &mut Board, from: HostId, records: &[UpstreamRecord]) {
     for record in records {
-        let UpstreamRecord { announced, silent, gone, left, said_leaving, limit } = record;
+        let UpstreamRecord { announced, silent, gone, left, said_leaving, limit, .. } = record;
         if let Some(stated) = *limit {
             let (id, started_at) = (announced.id.clone(), announced.started_at);
             board.pending_limits.push(LimitRecord { id, started_at, stated });
@@ -279,6 +280,7 @@
     let suspects = board.suspects.digest();
     let leaving_upstreams = leaving_upstreams(board);
     let limits = own_limits(board);
+    let slow_upstreams = speeds::slow_upstreams(board);
     for key in batch {
         let routing = board.routing.as_ref().map_or(0, |routing| routing.version);
         let host = &mut board.hosts[key];
@@ -309,6 +311,7 @@
             suspects,
             leaving_upstreams: leaving_upstreams.clone(),
             limits: limits.clone(),
+            slow_upstreams: slow_upstreams.clone(),
             subscription: host.subscribes_as,
             known_roster: host.reported_stores.0,
         };
--- a/crates/core/src/gateway/message/membership.rs
+++ b/crates/core/src/gateway/message/membership.rs
@@ -53,6 +53,10 @@
     /// host of an earlier version ignores them.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub limits: Vec<LimitRecord>,
+    /// Upstreams that the sender saw to be clearly slower than their peers, by instance id, with the wall
+    /// time of their start in milliseconds. A host of an earlier version ignores them.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub slow_upstreams: Vec<(Box<str>, u64)>,
     /// What the receiver sends the sender beside replies; all from a host of an earlier version.
     #[serde(default, rename = "wants")]
     pub subscription: Subscription,
@@ -162,4 +166,8 @@
     /// ignores this.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub limit: Option<StatedLimit>,
+    /// Whether hosts have reported to the sender that it is clearly slower than its peers. A host of an
+    /// earlier version ignores this.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub slow: bool,
 }
--- a/crates/core/src/gateway/policy.rs
+++ b/crates/core/src/gateway/policy.rs
@@ -1,10 +1,12 @@
 //! The policies of a gateway: traits with interchangeable implementations.
 
 mod choice;
+mod learned_choice;
 mod learned_placement;
 mod placement;
 
 pub use choice::{RandomFree, ShortestExpectedTime, UpstreamCandidate, UpstreamChoice};
+pub use learned_choice::LearnedChoice;
 pub use learned_placement::LearnedPlacement;
 pub use placement::{EngineCandidate, FewestInFlight, ItemPlacement, LongestFirst, WaitingItem};
 
@@ -21,7 +23,7 @@
     /// Returns the policies for learned capacity.
     #[must_use]
     pub fn learned() -> Self {
-        Self { placement: Box::new(LearnedPlacement), ..Self::default() }
+        Self { choice: Box::new(LearnedChoice), placement: Box::new(LearnedPlacement) }
     }
 }
 
--- a/crates/core/src/gateway/policy/choice.rs
+++ b/crates/core/src/gateway/policy/choice.rs
@@ -32,6 +32,8 @@
     pub tried: bool,
     /// Whether it is avoided after recent failures.
     pub avoided: bool,
+    /// Whether it is clearly slower than its peers.
+    pub slow: bool,
     /// Whether every live store host counts it as silent.
     pub silent: bool,
 }
@@ -75,7 +77,7 @@
 /// Returns the expected response time in buckets of 5 ms.
 ///
 /// Each request in flight adds the response time divided by the number of slots.
-fn response_time_bucket(candidate: &UpstreamCandidate) -> u64 {
+pub(super) fn response_time_bucket(candidate: &UpstreamCandidate) -> u64 {
     let distance = match candidate.distance {
         0 => 0,
         1 => OTHER_ZONE_US,
--- a/crates/core/src/gateway/policy/learned_placement.rs
+++ b/crates/core/src/gateway/policy/learned_placement.rs
@@ -3,7 +3,7 @@
 use std::cmp::Reverse;
 
 use super::placement::{EngineCandidate, ItemPlacement, LongestFirst, WaitingItem};
-use crate::gateway::capacity::{PROBE_AFTER, is_slow};
+use crate::gateway::capacity::{PROBE_AFTER, SLOW_ENGINE_PERCENT, is_slow};
 use crate::key::UpstreamKey;
 
 /// Places the items of the job that is due first, the longest expected item first, and gives slow
@@ -34,7 +34,7 @@
 }
 
 fn engine_is_slow(engine: &EngineCandidate) -> bool {
-    is_slow(engine.event_interval_us, engine.median_interval_us)
+    is_slow(engine.event_interval_us, engine.median_interval_us, SLOW_ENGINE_PERCENT)
 }
 
 /// Returns whether an engine takes an item, unless a better one does.
--- a/crates/core/tests/it/capacity/item_replay.rs
+++ b/crates/core/tests/it/capacity/item_replay.rs
@@ -15,6 +15,8 @@
 use rand_pcg::Pcg64Mcg;
 use slotmap::SlotMap;
 
+use super::percentile;
+
 const ENGINES: usize = 10;
 const SLOTS: u32 = 8;
 const STEP_MS: u64 = 5;
@@ -102,12 +104,6 @@
     }
 }
 
-fn percentile(values: &[u64], percent: usize) -> u64 {
-    let mut sorted = values.to_vec();
-    sorted.sort_unstable();
-    sorted[(sorted.len() - 1) * percent / 100]
-}
-
 impl fmt::Display for Figures {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(
--- a/crates/core/tests/it/deployment.rs
+++ b/crates/core/tests/it/deployment.rs
@@ -15,7 +15,7 @@
 
 use chestnutdrift_core::agreement::Record;
 use chestnutdrift_core::gateway::{
-    Action, Answer, Call, Event, Gateway, GatewaySettings, IncomingCall, JobBody, Order,
+    Action, Answer, Call, Event, Gateway, GatewaySettings, IncomingCall, JobBody, Order, Policies,
     ResultsPage, Role, RunItem,
 };
 use chestnutdrift_core::key::SyncToken;
@@ -72,6 +72,9 @@
     pub(crate) tolerated_losses: u32,
 }
 
+/// Whether hosts learn capacity, and their policies.
+pub(crate) type HostPolicies = (bool, fn() -> Policies);
+
 /// Observes the events that hosts handle.
 pub(crate) type EventObserver = Box<dyn FnMut(HostId, &Event, Duration)>;
 
@@ -118,6 +121,7 @@
     nodes: BTreeMap<HostId, Node>,
     seeds: Vec<HostId>,
     size: Size,
+    policies: HostPolicies,
     /// The bandwidth of a link, in bytes per millisecond.
     pub(crate) bytes_per_ms: u64,
     link_free_at: BTreeMap<(HostId, HostId), u64>,
@@ -137,6 +141,11 @@
 
     /// Creates and starts a deployment of a size, with the IDs of [`Deployment::new`].
     pub(crate) fn sized(seed: u64, size: Size) -> Self {
+        Self::with_policies(seed, size, (false, Policies::default))
+    }
+
+    /// Creates and starts a deployment with learned capacity, or without it, and with policies.
+    pub(crate) fn with_policies(seed: u64, size: Size, policies: HostPolicies) -> Self {
         let Size { stores, entries, .. } = size;
         let mut deployment = Self {
             now: 0,
@@ -164,6 +173,7 @@
             nodes: BTreeMap::new(),
             seeds: (1..=stores.min(3)).map(HostId).collect(),
             size,
+            policies,
             bytes_per_ms: 10_000,
             link_free_at: BTreeMap::new(),
             cut_links: BTreeSet::new(),
@@ -229,8 +239,10 @@
             .first_start(first_start)
             .instance_ids(node.incarnation, boot_id)
             .seed(self.seed)
-            .memory_limit(self.memory_limit);
-        node.gateway = Some(Gateway::new(cfg, Now::new(Millis(0), Millis(START_WALL_MS + now))));
+            .memory_limit(self.memory_limit)
+            .learned_capacity(self.policies.0);
+        let clock = Now::new(Millis(0), Millis(START_WALL_MS + now));
+        node.gateway = Some(Gateway::with_policies(cfg, clock, (self.policies.1)()));
         let records = node.disk.clone();
         self.handle(id, &Event::Restored(records));
     }
--- a/crates/wire/tests/frame.rs
+++ b/crates/wire/tests/frame.rs
@@ -92,6 +92,7 @@
         suspects: 0,
         leaving_upstreams,
         limits: Vec::new(),
+        slow_upstreams: Vec::new(),
         subscription: Subscription::default(),
         known_roster: 0,
     };
