--- a/crates/core/src/gateway.rs
+++ b/crates/core/src/gateway.rs
@@ -23,6 +23,7 @@
 
 pub mod action;
 pub mod board;
+pub mod capacity;
 pub mod controller;
 pub mod event;
 pub mod lease;
@@ -35,10 +36,11 @@
 pub mod usage;
 
 pub use action::{
-    Action, Answer, Counters, Forward, HostView, Order, ResultsEntry, ResultsPage, RewardRequest,
-    RunItem, UpstreamAddress, UpstreamView, WorkspaceView,
+    Action, Answer, CapacityView, Counters, Forward, HostView, Order, ResultsEntry, ResultsPage,
+    RewardRequest, RunItem, UpstreamAddress, UpstreamView, WorkspaceView,
 };
 pub use board::Board;
+pub use capacity::CapacityEstimate;
 pub use controller::Controller;
 pub use event::{
     Announcement, Call, Event, ForwardEnd, IncomingCall, ItemEnd, ItemRunReport, JobBody,
@@ -72,7 +74,8 @@
     /// Creates the gateway of a host with the default policies.
     #[must_use]
     pub fn new(cfg: GatewaySettings, now: Now) -> Self {
-        Self::with_policies(cfg, now, Policies::default())
+        let policies = if cfg.learned_capacity { Policies::learned() } else { Policies::default() };
+        Self::with_policies(cfg, now, policies)
     }
 
     /// Creates the gateway of a host with the given policies.
--- a/crates/core/src/gateway/controller.rs
+++ b/crates/core/src/gateway/controller.rs
@@ -8,6 +8,7 @@
 mod agreement;
 mod calls;
 mod candidates;
+mod capacity;
 mod contacts;
 mod decisions;
 mod forwarding;
@@ -70,6 +71,7 @@
     }
     controllers.push(Box::new(calls::Calls));
     controllers.push(Box::new(registry::Registry::default()));
+    controllers.push(Box::new(capacity::Capacity::default()));
     if role == Role::Store {
         controllers.push(Box::new(leaves::Leaves::default()));
     }
--- a/crates/core/src/gateway/settings.rs
+++ b/crates/core/src/gateway/settings.rs
@@ -112,6 +112,9 @@
     /// How this host handles the keys of workspaces.
     #[serde(default)]
     pub workspaces: WorkspaceSettings,
+    /// Whether the capacity of upstreams is learned; otherwise it is the announced slots.
+    #[serde(default)]
+    pub learned_capacity: bool,
 }
 
 impl GatewaySettings {
@@ -141,6 +144,7 @@
             memory_limit: None,
             provider: None,
             workspaces: WorkspaceSettings::default(),
+            learned_capacity: false,
         }
     }
 
@@ -229,6 +233,13 @@
         self.provider.as_ref().is_some_and(|provider| provider.usage_window.is_some())
     }
 
+    /// Sets whether the capacity of upstreams is learned; the default is no.
+    #[must_use]
+    pub fn learned_capacity(mut self, learned: bool) -> Self {
+        self.learned_capacity = learned;
+        self
+    }
+
     /// Returns the distance of a zone: 0 for this host's own, 1 for another in its region, 2
     /// elsewhere.
     #[must_use]
--- a/crates/core/tests/it/deployment.rs
+++ b/crates/core/tests/it/deployment.rs
@@ -19,7 +19,7 @@
 
 use chestnutdrift_core::agreement::Record;
 use chestnutdrift_core::gateway::{
-    Action, Answer, Call, Event, Gateway, GatewaySettings, JobBody, Order, ProviderCall,
+    Action, Answer, Call, Event, Gateway, GatewaySettings, JobBody, Order, Policies, ProviderCall,
     ProviderSettings, Role, RunItem, WorkspaceSettings,
 };
 use chestnutdrift_core::key::SyncToken;
@@ -80,6 +80,9 @@
     pub(crate) tolerated_losses: u32,
 }
 
+/// Whether hosts learn capacity, and their policies.
+pub(crate) type HostPolicies = (bool, fn() -> Policies);
+
 /// Observes the events that hosts handle.
 pub(crate) type EventObserver = Box<dyn FnMut(HostId, &Event, Duration)>;
 
@@ -142,6 +145,7 @@
     nodes: BTreeMap<HostId, Node>,
     seeds: Vec<HostId>,
     size: Size,
+    policies: HostPolicies,
     /// The bandwidth of a link, in bytes per millisecond.
     pub(crate) bytes_per_ms: u64,
     link_free_at: BTreeMap<(HostId, HostId), u64>,
@@ -166,6 +170,14 @@
         deployment
     }
 
+    /// Creates and starts a deployment with learned capacity, or without it, and with policies.
+    pub(crate) fn with_policies(seed: u64, size: Size, policies: HostPolicies) -> Self {
+        let mut deployment = Self::empty(seed, size);
+        deployment.policies = policies;
+        deployment.start_all();
+        deployment
+    }
+
     /// Adds and starts the hosts of the deployment's size.
     pub(crate) fn start_all(&mut self) {
         for id in 1..=self.size.stores {
@@ -214,6 +226,7 @@
             nodes: BTreeMap::new(),
             seeds: (1..=stores.min(3)).map(HostId).collect(),
             size,
+            policies: (false, Policies::default),
             bytes_per_ms: 10_000,
             link_free_at: BTreeMap::new(),
             cut_links: BTreeSet::new(),
@@ -274,8 +287,10 @@
             .seed(self.seed)
             .memory_limit(self.memory_limit)
             .workspaces(self.workspaces)
-            .provider(self.provider_settings.clone());
-        node.gateway = Some(Gateway::new(cfg, Now::new(Millis(0), Millis(START_WALL_MS + now))));
+            .provider(self.provider_settings.clone())
+            .learned_capacity(self.policies.0);
+        let clock = Now::new(Millis(0), Millis(START_WALL_MS + now));
+        node.gateway = Some(Gateway::with_policies(cfg, clock, (self.policies.1)()));
         let records = node.disk.clone();
         self.handle(id, &Event::Restored(records));
     }
--- a/crates/daemon/tests/process/gateway_settings.rs
+++ b/crates/daemon/tests/process/gateway_settings.rs
@@ -95,3 +95,11 @@
     let file = read("\n[provider]\naddress =\nduties = usage\n").expect("valid settings");
     assert_eq!((file.provider_address, file.gateway.provider), (None, None));
 }
+
+#[test_case("", false; "not set")]
+#[test_case("[capacity]\nlearned = true", true; "on")]
+#[test_case("[capacity]\nlearned = false", false; "off")]
+fn capacity_is_learned_only_where_the_settings_say_so(section: &str, learned: bool) {
+    let file = read(section).expect("the settings are valid");
+    assert_eq!(file.gateway.learned_capacity, learned);
+}
