--- a/crates/core/src/gateway/controller/items/engines.rs
+++ b/crates/core/src/gateway/controller/items/engines.rs
@@ -144,9 +144,13 @@
     upstream.in_flight < upstream.item_slots(board.cfg.learned_capacity, board.now.mono)
 }
 
-/// Returns the median event interval of the engines of a service; zero without one.
+/// Returns the median event interval of the engines of a service; zero without one, and unless
+/// capacity is learned.
 fn median_interval_us(board: &Board, service: &str) -> u64 {
     let (learned, now) = (board.cfg.learned_capacity, board.now.mono);
+    if !learned {
+        return 0;
+    }
     let peers = board
         .upstreams
         .values()
--- a/crates/daemon/tests/process/gateway_settings.rs
+++ b/crates/daemon/tests/process/gateway_settings.rs
@@ -43,3 +43,11 @@
     let error = read(limit).expect_err("the settings are invalid").to_string();
     assert!(error.contains(expected), "{error}");
 }
+
+#[test_case("", false; "not set")]
+#[test_case("[capacity]\nlearned = true", true; "on")]
+#[test_case("[capacity]\nlearned = false", false; "off")]
+fn capacity_is_learned_only_where_the_settings_say_so(section: &str, learned: bool) {
+    let file = read(section).expect("the settings are valid");
+    assert_eq!(file.gateway.learned_capacity, learned);
+}
