feat(core): items go to the engine with the fewest tokens in flight

Cause: a step of an engine takes longer the more tokens its items have in memory. Change: learned placement ranks engines by the tokens reserved in their memory, in steps of 500, and then by the number of items.

--- a/crates/core/src/gateway/controller/items/engines.rs
+++ b/crates/core/src/gateway/controller/items/engines.rs
@@ -128,6 +128,7 @@
                 distance: board.cfg.distance(&upstream.announced.zone),
                 in_flight: upstream.in_flight,
                 slots: upstream.item_slots(learned, now),
+                tokens: upstream.tokens,
                 event_interval_us: upstream.event_interval_us(learned, now),
                 median_interval_us: engine.median_interval_us,
                 observed: upstream.item_capacity.age(now),
--- a/crates/core/src/gateway/policy/learned_placement.rs
+++ b/crates/core/src/gateway/policy/learned_placement.rs
@@ -6,10 +6,16 @@
 use crate::gateway::capacity::{PROBE_AFTER, SLOW_ENGINE_PERCENT, is_slow};
 use crate::key::UpstreamKey;
 
+/// Engines whose tokens in flight differ by less than this count as equally loaded, so that the number
+/// of items and the distance decide between them.
+const TOKEN_STEP: u64 = 500;
+
 /// Places the items of the job that is due first, the longest expected item first, and gives slow
 /// engines fewer and shorter items.
 ///
-/// Items go to the least loaded engine that is not slow. A slow engine gets only items that end
+/// Items go to the engine with the fewest tokens in flight that is not slow: a step of an engine takes
+/// longer the more tokens its items have in memory, whatever their number. Long items thus run nearly
+/// alone, and short ones beside each other. A slow engine gets only items that end
 /// there no later than the longest waiting one ends at a typical engine, and others once they have
 /// waited for as long as the slow engine takes longer; it fills only the share of its slots that its
 /// speed is of a typical one's. An idle engine whose slowness is not confirmed by new
@@ -27,7 +33,8 @@
         let rank = |engine: &&EngineCandidate| {
             let load = u64::from(engine.in_flight) * 100 / u64::from(engine.slots.max(1));
             let is_probe = is_probe(engine, item);
-            (Reverse(is_probe), engine_is_slow(engine), load, engine.distance, engine.key)
+            let tokens = engine.tokens / TOKEN_STEP;
+            (Reverse(is_probe), engine_is_slow(engine), tokens, load, engine.distance, engine.key)
         };
         able.min_by_key(rank).map(|engine| engine.key)
     }
--- a/crates/core/src/gateway/policy/placement.rs
+++ b/crates/core/src/gateway/policy/placement.rs
@@ -35,6 +35,8 @@
     pub in_flight: u32,
     /// Number of items that it runs at a time.
     pub slots: u32,
+    /// Number of tokens that the items in flight reserve in its memory.
+    pub tokens: u64,
     /// Moving average of the interval between two events of an item, in microseconds; zero where
     /// unknown.
     pub event_interval_us: u64,
--- a/crates/core/tests/it/capacity.rs
+++ b/crates/core/tests/it/capacity.rs
@@ -5,7 +5,7 @@
 
 use chestnutdrift_core::gateway::capacity::Observation;
 use chestnutdrift_core::gateway::policy::{
-    EngineCandidate, ItemPlacement, LearnedPlacement, WaitingItem,
+    EngineCandidate, ItemPlacement, LearnedPlacement, LongestFirst, WaitingItem,
 };
 use chestnutdrift_core::gateway::{Answer, Call, CapacityEstimate, Event, ForwardEnd, Policies};
 use chestnutdrift_core::key::{ItemKey, UpstreamKey};
@@ -218,6 +218,7 @@
         distance: 0,
         in_flight: 0,
         slots: SLOTS,
+        tokens: 0,
         event_interval_us: 200_000,
         median_interval_us: 50_000,
         observed: Some(Millis(100)),
@@ -237,3 +238,34 @@
     let waited = WaitingItem { waited: Millis(15_000), ..item };
     assert_eq!(LearnedPlacement.place(&waited, &[engine]), Some(engine.key));
 }
+
+/// Guards against long items that run beside each other, and thus slowly, while engines with many short
+/// items have far fewer tokens in memory: the last items of a step decide when it ends.
+#[test]
+fn a_long_item_goes_to_the_engine_with_the_fewest_tokens_in_flight() {
+    let mut keys: SlotMap<UpstreamKey, ()> = SlotMap::with_key();
+    let mut items: SlotMap<ItemKey, ()> = SlotMap::with_key();
+    let mut engine = |in_flight: u32, tokens: u64| EngineCandidate {
+        key: keys.insert(()),
+        distance: 0,
+        in_flight,
+        slots: SLOTS,
+        tokens,
+        event_interval_us: 50_000,
+        median_interval_us: 50_000,
+        observed: Some(Millis(100)),
+    };
+    let (one_long, many_short) = (engine(1, 7_000), engine(4, 2_400));
+    let item = WaitingItem {
+        key: items.insert(()),
+        due: Millis(7_500),
+        index: 0,
+        expected: 12_000,
+        longest: 12_000,
+        waited: Millis(0),
+        begun: false,
+    };
+    let engines = [one_long, many_short];
+    assert_eq!(LearnedPlacement.place(&item, &engines), Some(many_short.key));
+    assert_eq!(LongestFirst.place(&item, &engines), Some(one_long.key), "by the number of items");
+}
--- a/crates/core/tests/it/capacity/item_replay.rs
+++ b/crates/core/tests/it/capacity/item_replay.rs
@@ -336,6 +336,7 @@
                     distance: 0,
                     in_flight: engine.in_flight,
                     slots: self.limit(engine),
+                    tokens: 0,
                     event_interval_us: self.interval_us(engine),
                     median_interval_us: median,
                     observed: engine.estimate.age(now),
