fix(core): a retired leader left the others to wait for an election

Change: a retired leader transfers its leadership, as a stopping one does, and never to another retired voter.

--- a/crates/core/src/agreement/election.rs
+++ b/crates/core/src/agreement/election.rs
@@ -1,6 +1,6 @@
 //! Leader election: pre-vote, vote, leadership transfer, and stepping down.
 
-use crate::agreement::{Command, GroupMessage, Outbox, Replica, Role};
+use crate::agreement::{Command, GroupMessage, Outbox, Replica, Role, Voter};
 use crate::key::HostId;
 use crate::time::{Millis, Now};
 
@@ -46,7 +46,7 @@
             self.heartbeat(now, out);
             self.expire_learners(now);
             self.remove_unhealthy_voter(now, out);
-            self.resign_if_retired();
+            self.resign_if_retired(out);
         }
     }
 
@@ -132,7 +132,8 @@
         if !was_leader {
             return;
         }
-        let others = self.voters().iter().filter(|voter| voter.host != self.local.host);
+        let may_lead = |voter: &&Voter| voter.host != self.local.host && !self.is_retired(**voter);
+        let others = self.voters().iter().filter(may_lead);
         let target = others.max_by_key(|voter| self.stored_index(**voter)).map(|voter| voter.host);
         if let Some(host) = target {
             out.immediate.push((host, GroupMessage::TimeoutNow { term: self.term }));
--- a/crates/core/src/agreement/membership.rs
+++ b/crates/core/src/agreement/membership.rs
@@ -187,10 +187,11 @@
         self.send_appends(now, out);
     }
 
-    /// Gives up the leadership for good if this host is retired.
-    pub(super) fn resign_if_retired(&mut self) {
+    /// Gives up the leadership for good if this host is retired, and has another voter elected at
+    /// once: without a leader no item runs until an election timeout has passed.
+    pub(super) fn resign_if_retired(&mut self, out: &mut Outbox) {
         if self.role == Role::Leader && self.is_retired(self.local) {
-            self.resign();
+            self.transfer_leadership(out);
         }
     }
 
@@ -209,7 +210,7 @@
         });
     }
 
-    fn is_retired(&self, voter: Voter) -> bool {
+    pub(super) fn is_retired(&self, voter: Voter) -> bool {
         self.retired.get(&voter.host) == Some(&voter.incarnation)
     }
 
