fix(core): a refused order never turns into a reduction

Cause: after a 409 the intended number was lowered with `reduces` set, so upstreams that came after all were ordered away. Change: decisions say themselves whether they reduce; only the removal of idle upstreams does.

--- a/crates/core/src/directory/scaling.rs
+++ b/crates/core/src/directory/scaling.rs
@@ -49,7 +49,7 @@
     pub count: u32,
     /// How often the intended number was changed, each time by an order.
     pub changes: u64,
-    /// Whether the last change lowered the number.
+    /// Whether upstreams are to be removed, and the order for it is not confirmed.
     pub reduces: bool,
 }
 
--- a/crates/core/src/gateway/scaling.rs
+++ b/crates/core/src/gateway/scaling.rs
@@ -13,6 +13,6 @@
 mod pool;
 
 pub use controller::Scaling;
-pub use decision::{KeepBaseline, PoolView, ScalingInput, ScalingPolicy};
+pub use decision::{CountChange, KeepBaseline, PoolView, ScalingInput, ScalingPolicy};
 pub use demand::{DemandHistory, ItemWork, Serving, needed_upstreams};
 pub use pool::{Pool, ScalingState};
--- a/crates/core/src/gateway/scaling/controller.rs
+++ b/crates/core/src/gateway/scaling/controller.rs
@@ -8,7 +8,7 @@
 //! same. The numbers that the deployment stands with are recorded without an order once no further
 //! upstreams announce themselves.
 
-use super::decision::{PoolView, ScalingInput, ScalingPolicy};
+use super::decision::{CountChange, PoolView, ScalingInput, ScalingPolicy};
 use super::demand::{ItemWork, Serving, needed_upstreams};
 use super::orders;
 use super::pool::{Pool, ScalingState, count_upstreams};
@@ -133,17 +133,18 @@
         if changes.is_empty() {
             return;
         }
-        let mut targets = Vec::new();
-        for (key, count) in changes {
+        let (mut targets, mut adds) = (Vec::new(), false);
+        for CountChange { key, count, reduces } in changes {
             let Some(pool) = board.scaling.pools.get(key) else { continue };
             let target = pool.target(&group.directory.upstream_targets);
             let mut target = target.cloned().unwrap_or_else(|| empty_target(pool));
-            target.reduces = count < target.count;
+            target.reduces = reduces;
+            adds |= count > target.count;
             target.changes += 1;
             target.count = count;
             targets.push(target);
         }
-        if targets.iter().any(|target| !target.reduces) {
+        if adds {
             board.scaling.last_addition = now;
         }
         let detail = format!("needed={needed} peak={:?}", input.peak);
--- a/crates/core/src/gateway/scaling/decision.rs
+++ b/crates/core/src/gateway/scaling/decision.rs
@@ -58,10 +58,21 @@
     pub peak: Option<u32>,
 }
 
+/// A new intended number of a pool.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct CountChange {
+    /// The pool.
+    pub key: PoolKey,
+    /// The new number.
+    pub count: u32,
+    /// Whether present upstreams are to be removed.
+    pub reduces: bool,
+}
+
 /// Decides on the numbers of upstreams.
 pub trait ScalingPolicy: Debug + Send {
-    /// Returns the pools whose intended number changes, with the new number.
-    fn decide(&self, input: ScalingInput<'_>) -> Vec<(PoolKey, u32)>;
+    /// Returns the changes of intended numbers.
+    fn decide(&self, input: ScalingInput<'_>) -> Vec<CountChange>;
 }
 
 /// Keeps the baseline, adds upstreams for demand above it, and removes only those again.
@@ -73,7 +84,7 @@
 pub struct KeepBaseline;
 
 impl ScalingPolicy for KeepBaseline {
-    fn decide(&self, input: ScalingInput<'_>) -> Vec<(PoolKey, u32)> {
+    fn decide(&self, input: ScalingInput<'_>) -> Vec<CountChange> {
         let mut plan = Plan::new(input);
         plan.drop_refused();
         let wanted = plan.baseline().max(input.needed);
@@ -94,11 +105,13 @@
 struct Plan<'a> {
     spec: &'a ScalingSpec,
     pools: Vec<PoolView>,
+    /// The pools from which upstreams are removed.
+    released: Vec<PoolKey>,
 }
 
 impl<'a> Plan<'a> {
     fn new(input: ScalingInput<'a>) -> Self {
-        Self { spec: input.spec, pools: input.pools.to_vec() }
+        Self { spec: input.spec, pools: input.pools.to_vec(), released: Vec::new() }
     }
 
     fn baseline(&self) -> u32 {
@@ -126,7 +139,7 @@
     }
 
     /// Drops the intended upstreams beyond the baseline that can't be had, so that others take their
-    /// place.
+    /// place. They may come after all, so this does not count as a reduction.
     fn drop_refused(&mut self) {
         for pool in &mut self.pools {
             if !pool.is_available {
@@ -197,13 +210,19 @@
             total -= removed;
             self.pools[index].count -= removed;
             self.pools[index].present -= removed;
+            self.released.push(self.pools[index].key);
         }
     }
 
-    /// Returns the pools whose intended number differs from that in `before`.
-    fn changes(&self, before: &[PoolView]) -> Vec<(PoolKey, u32)> {
+    /// Returns the changes against the numbers in `before`.
+    fn changes(&self, before: &[PoolView]) -> Vec<CountChange> {
         let pairs = self.pools.iter().zip(before);
         let changed = pairs.filter(|(pool, before)| pool.count != before.count);
-        changed.map(|(pool, _)| (pool.key, pool.count)).collect()
+        let change = |pool: &PoolView| CountChange {
+            key: pool.key,
+            count: pool.count,
+            reduces: self.released.contains(&pool.key),
+        };
+        changed.map(|(pool, _)| change(pool)).collect()
     }
 }
--- a/crates/core/tests/it/scaling.rs
+++ b/crates/core/tests/it/scaling.rs
@@ -3,7 +3,7 @@
 
 use std::sync::Arc;
 
-use chestnutdrift_core::directory::{Directory, RoutingConfig, ScalingSpec};
+use chestnutdrift_core::directory::{Directory, JobSpec, RoutingConfig, ScalingSpec};
 use chestnutdrift_core::gateway::board::{Item, ItemState, JobRun, LeaveNotice, Upstream};
 use chestnutdrift_core::gateway::policy::Policies;
 use chestnutdrift_core::gateway::scaling::{ItemWork, Scaling, Serving, needed_upstreams};
@@ -23,7 +23,7 @@
 /// The time between two runs of the controller.
 const STEP_MS: u64 = 50;
 
-/// The time after which the number of upstreams that stand is recorded, with a margin.
+/// The time after which the number of upstreams present is recorded, with a margin.
 const SETTLE_MS: u64 = 7_000;
 
 fn scaling_routing() -> Arc<RoutingConfig> {
@@ -48,6 +48,8 @@
     /// The orders that were sent, with the time.
     orders: Vec<(u64, CountOrder)>,
     upstreams: u64,
+    /// Whether orders stay in the queue.
+    holds_orders: bool,
 }
 
 impl Holder {
@@ -69,15 +71,16 @@
             provider: Box::new(|_| ProviderCallEnd::Accepted),
             orders: Vec::new(),
             upstreams: 0,
+            holds_orders: false,
         }
     }
 
-    /// Creates a holder that has recorded the engines that stand: `permanent` and `reclaimable` ones
+    /// Creates a holder that has recorded the engines present: `fixed` and `reclaimable` ones
     /// in each zone.
-    fn settled(permanent: u32, reclaimable: u32) -> Self {
+    fn settled(fixed: u32, reclaimable: u32) -> Self {
         let mut holder = Self::new(1, Directory::default());
         for (zone, _) in ZONES {
-            holder.add(zone, false, permanent);
+            holder.add(zone, false, fixed);
             holder.add(zone, true, reclaimable);
         }
         holder.run(SETTLE_MS);
@@ -120,6 +123,9 @@
             for (command, _) in std::mem::take(&mut self.board.proposals) {
                 self.board.group.as_mut().expect("a store").directory.apply(&command);
             }
+            if self.holds_orders {
+                continue;
+            }
             for request in std::mem::take(&mut self.board.provider.waiting) {
                 let ProviderRequest::SetUpstreamCount(order) = &request else { continue };
                 let end = (self.provider)(order);
@@ -132,7 +138,11 @@
 
     /// Adds a job of which some items run, evenly over the engines, and others wait.
     fn submit(&mut self, running: u32, waiting: u32) -> JobKey {
-        let spec = Arc::new(submitted_job("job", running + waiting));
+        self.submit_job(submitted_job("job", running + waiting), running, waiting)
+    }
+
+    fn submit_job(&mut self, spec: JobSpec, running: u32, waiting: u32) -> JobKey {
+        let spec = Arc::new(spec);
         let now = self.board.now.mono;
         let due = now + Millis(60_000);
         let job = JobRun { spec, due, give_up_at: Millis::MAX, open_items: Vec::new() };
@@ -155,6 +165,14 @@
         self.board.upstreams.values_mut().for_each(|upstream| upstream.in_flight = 0);
     }
 
+    /// Adds the engines that were ordered and are not present yet.
+    fn deliver(&mut self) {
+        for (_, order) in self.orders.clone() {
+            let present = self.keys(&order.zone, order.reclaimable).len() as u32;
+            self.add(&order.zone, order.reclaimable, order.count.saturating_sub(present));
+        }
+    }
+
     /// Returns the zone, kind and number of each order.
     fn contents(&self) -> Vec<(&str, bool, u32)> {
         let orders = self.orders.iter();
@@ -286,7 +304,7 @@
     holder.run(9_000);
     assert_eq!(holder.contents(), []);
     holder.run(3_000);
-    assert_eq!(holder.contents(), [("d", false, 8)], "the number that stood");
+    assert_eq!(holder.contents(), [("d", false, 8)], "the recorded number");
 }
 
 /// Guards against engines that are ordered too late for work that can't end by its due time.
@@ -303,3 +321,20 @@
     assert_eq!(needed(16, 8, 6_000), 4, "120 s of work, and new engines serve for 2 s");
     assert_eq!(needed(16, 8, 3_000), 2, "new engines would come too late");
 }
+
+/// Guards against a refused order that later takes away engines that have come after all.
+#[test]
+fn a_refused_order_never_reduces_what_is_present_later() {
+    let mut holder = Holder::settled(8, 0);
+    holder.provider = Box::new(|order| match (&*order.zone, order.reclaimable) {
+        ("a", true) => ProviderCallEnd::Unavailable,
+        _ => ProviderCallEnd::Accepted,
+    });
+    holder.submit(384, 64);
+    holder.run(4_500);
+    holder.add("a", true, 8);
+    holder.add("b", true, 8);
+    holder.run(15_000);
+    let orders = holder.contents();
+    assert!(orders.iter().all(|(zone, _, count)| *zone != "a" || *count >= 8), "{orders:?}");
+}
