fix(core): an accepted reduction is not repeated by a later holder

Cause: `reduces` stayed set in the directory after the order was accepted. Change: it is cleared once the provider has accepted the order, or on a new holder once no more upstreams are present. Upstreams that the provider still has to remove do not raise the baseline.

--- a/crates/core/src/gateway/scaling/controller.rs
+++ b/crates/core/src/gateway/scaling/controller.rs
@@ -87,7 +87,10 @@
             let recorded = &group.directory.upstream_targets;
             let is_recording = board.scaling.is_recording(recorded, now);
             let has_baseline = recorded.iter().any(|target| target.service == service.name);
-            if !is_recording && !record_baseline(board, &service.name) && has_baseline {
+            let records = is_recording
+                || record_baseline(board, &service.name)
+                || confirm_reductions(board, &service.name);
+            if !records && has_baseline {
                 self.decide(board, &service.name, spec);
             }
             orders::send_due(board, &service.name, spec.start_time);
@@ -196,7 +199,8 @@
         let is_settled = since.is_some_and(|since| now >= since + settle);
         let mut target = pool.target(known).cloned().unwrap_or_else(|| empty_target(pool));
         let is_ordered = target.count != target.baseline || pool.in_call.is_some();
-        if is_settled && !is_ordered && !target.reduces && pool.present > target.count {
+        let is_removing = target.reduces || pool.is_removing;
+        if is_settled && !is_ordered && !is_removing && pool.present > target.count {
             (target.baseline, target.count) = (pool.present, pool.present);
             targets.push(target);
         }
@@ -208,6 +212,32 @@
     is_due
 }
 
+/// Has reductions that took effect recorded as confirmed, so that no later holder repeats them;
+/// returns whether there are any.
+fn confirm_reductions(board: &mut Board, service: &str) -> bool {
+    let Some(group) = &board.group else { return false };
+    // A new holder may not know all upstreams yet.
+    let is_settled = board.now.mono >= board.scaling.last_growth + BASELINE_SETTLE_TIME;
+    let mut targets = Vec::new();
+    for pool in board.scaling.pools.values_mut().filter(|pool| *pool.service == *service) {
+        let target = pool.target(&group.directory.upstream_targets);
+        let Some(target) = target.filter(|target| target.reduces) else { continue };
+        let is_confirmed = match pool.accepted {
+            Some(accepted) => accepted == target.count,
+            None => is_settled && pool.in_call.is_none() && pool.present <= target.count,
+        };
+        if is_confirmed {
+            pool.is_removing = true;
+            targets.push(UpstreamTarget { reduces: false, ..target.clone() });
+        }
+    }
+    let is_due = !targets.is_empty();
+    if is_due {
+        record(board, targets, "reduction confirmed");
+    }
+    is_due
+}
+
 /// Estimates how many upstreams of a service the open items need.
 fn estimate(board: &Board, service: &ServiceSpec, spec: &ScalingSpec) -> u32 {
     let now = board.now.mono;
--- a/crates/core/src/gateway/scaling/pool.rs
+++ b/crates/core/src/gateway/scaling/pool.rs
@@ -37,6 +37,8 @@
     pub missing_since: Option<Millis>,
     /// Since when more are present than intended; `None` while that is not so.
     pub surplus_since: Option<Millis>,
+    /// Whether more are present than intended because the provider still has to remove some.
+    pub is_removing: bool,
     /// The number that the provider is known to have; `None` if that is not known.
     pub accepted: Option<u32>,
     /// Until when ordered upstreams may not serve yet.
@@ -65,6 +67,7 @@
             reclaimed_at: Millis(0),
             missing_since: None,
             surplus_since: None,
+            is_removing: false,
             accepted: None,
             starting_until: Millis(0),
             in_call: None,
@@ -110,6 +113,7 @@
         let since = |is_so: bool, since: Option<Millis>| is_so.then(|| since.unwrap_or(now));
         self.missing_since = since(self.present < intended, self.missing_since);
         self.surplus_since = since(self.present > intended, self.surplus_since);
+        self.is_removing &= self.surplus_since.is_some();
         if self.missing_since.is_none() {
             self.replacements = 0;
         }
--- a/crates/core/tests/it/scaling.rs
+++ b/crates/core/tests/it/scaling.rs
@@ -338,3 +338,23 @@
     let orders = holder.contents();
     assert!(orders.iter().all(|(zone, _, count)| *zone != "a" || *count >= 8), "{orders:?}");
 }
+
+/// Guards against a new holder that repeats a reduction which the provider has carried out.
+#[test]
+fn an_accepted_reduction_is_not_repeated_by_the_next_holder() {
+    let mut first = Holder::settled(8, 0);
+    first.submit(384, 64);
+    first.run(3_000);
+    first.deliver();
+    first.end_jobs();
+    first.run(40_000);
+    assert_eq!(first.contents().last(), Some(&("a", true, 0)));
+    let directory = &first.board.group.as_ref().expect("a store").directory;
+    let mut second = Holder::new(2, directory.clone());
+    for (zone, _) in ZONES {
+        second.add(zone, false, 8);
+    }
+    second.add("a", true, 3);
+    second.run(5_000);
+    assert_eq!(second.contents(), []);
+}
