fix(core): orders to add upstreams count the silent ones

Cause: the floor of an order was the number present when it was queued: too low for a silent zone, and old once the order is sent. Change: the floor counts all known upstreams that have not said they leave, and orders that wait are updated as upstreams join. A number below the accepted one is ordered only to reduce, or after a reclaim.

--- a/crates/core/src/gateway/scaling/controller.rs
+++ b/crates/core/src/gateway/scaling/controller.rs
@@ -74,6 +74,7 @@
             self.next_check = now;
         }
         if now < self.next_check {
+            orders::update_waiting(board);
             return;
         }
         self.next_check = now + CHECK_INTERVAL;
@@ -95,6 +96,7 @@
             }
             orders::send_due(board, &service.name, spec.start_time);
         }
+        orders::update_waiting(board);
         let targets = board.group.iter().flat_map(|group| &group.directory.upstream_targets);
         board.counters.upstreams_intended = targets.map(|target| u64::from(target.count)).sum();
     }
--- a/crates/core/src/gateway/scaling/orders.rs
+++ b/crates/core/src/gateway/scaling/orders.rs
@@ -1,6 +1,6 @@
 //! The orders for numbers of upstreams: when one is due, and what follows from its end.
 
-use super::pool::Pool;
+use super::pool::{Pool, count_upstreams};
 use crate::directory::UpstreamTarget;
 use crate::gateway::board::Board;
 use crate::gateway::provider::{CountOrder, ProviderCallEnd, ProviderRequest};
@@ -45,9 +45,8 @@
         if !is_due || pool.in_call.is_some() || now < pool.retry_at || !pool.is_available(now) {
             continue;
         }
-        // Only a decision to reduce may name fewer upstreams than there are.
-        let count = if target.reduces { target.count } else { target.count.max(pool.present) };
-        pool.in_call = Some(target.count);
+        let count = number_to_order(pool, &target);
+        pool.in_call = Some(count);
         pool.starting_until = now + start_time + ANNOUNCE_MARGIN;
         let detail = format!("ordered count={count} present={} replaces={replaces}", pool.present);
         let (name, reclaimable) = (pool.name(), target.reclaimable);
@@ -60,13 +59,42 @@
     }
 }
 
+/// Returns the number to order. Only a decision to reduce may name fewer upstreams than are known:
+/// those of a zone that can't be reached are silent, but run on.
+fn number_to_order(pool: &Pool, target: &UpstreamTarget) -> u32 {
+    if target.reduces { target.count } else { target.count.max(pool.known) }
+}
+
+/// Updates the numbers of the orders that wait, as upstreams may have joined since.
+pub(super) fn update_waiting(board: &mut Board) {
+    let mut waiting = std::mem::take(&mut board.provider.waiting);
+    for request in &mut waiting {
+        let ProviderRequest::SetUpstreamCount(order) = request else { continue };
+        let Some(key) = board.scaling.key_of(&order.service, &order.zone, order.reclaimable) else {
+            continue;
+        };
+        count_upstreams(board, &order.service);
+        let pool = &mut board.scaling.pools[key];
+        let targets = board.group.as_ref().map(|group| &group.directory.upstream_targets);
+        if let Some(target) = targets.and_then(|targets| pool.target(targets)) {
+            order.count = number_to_order(pool, target);
+            pool.in_call = Some(order.count);
+        }
+    }
+    board.provider.waiting = waiting;
+}
+
 /// Returns whether the provider has another number than the intended one, or may have it.
 ///
 /// After an unknown end, or on a new holder, the order is repeated unless the intended number is
 /// present: an absolute number may be ordered twice.
 fn is_change_due(pool: &Pool, target: &UpstreamTarget) -> bool {
     match pool.accepted {
-        Some(accepted) => accepted != target.count,
+        Some(accepted) if accepted > number_to_order(pool, target) => {
+            // The provider would bring reclaimed upstreams back.
+            target.reduces || pool.reclaimed_at > Millis(0)
+        }
+        Some(accepted) => accepted < target.count,
         None => pool.present < target.count || (target.reduces && pool.present > target.count),
     }
 }
--- a/crates/core/src/gateway/scaling/pool.rs
+++ b/crates/core/src/gateway/scaling/pool.rs
@@ -27,6 +27,8 @@
     pub reclaimable: bool,
     /// The number of live upstreams that do not leave.
     pub present: u32,
+    /// The number of known upstreams that have not said they leave, silent ones included.
+    pub known: u32,
     /// The greatest number that this host has seen.
     pub most_present: u32,
     /// The number of those that run nothing.
@@ -62,6 +64,7 @@
             zone: zone.into(),
             reclaimable,
             present: 0,
+            known: 0,
             most_present: 0,
             idle: 0,
             reclaimed_at: Millis(0),
@@ -158,12 +161,17 @@
         awaits
     }
 
-    /// Returns the pool of a kind, which is added where it is new; `None` if there are too many.
-    fn ensure(&mut self, service: &str, zone: &str, reclaimable: bool) -> Option<PoolKey> {
-        let is_it = |pool: &Pool| {
+    /// Returns the pool of a kind.
+    pub(super) fn key_of(&self, service: &str, zone: &str, reclaimable: bool) -> Option<PoolKey> {
+        let is_same_pool = |pool: &Pool| {
             *pool.service == *service && *pool.zone == *zone && pool.reclaimable == reclaimable
         };
-        if let Some((key, _)) = self.pools.iter().find(|(_, pool)| is_it(pool)) {
+        self.pools.iter().find(|(_, pool)| is_same_pool(pool)).map(|(key, _)| key)
+    }
+
+    /// Returns the pool of a kind, which is added where it is new; `None` if there are too many.
+    fn ensure(&mut self, service: &str, zone: &str, reclaimable: bool) -> Option<PoolKey> {
+        if let Some(key) = self.key_of(service, zone, reclaimable) {
             return Some(key);
         }
         let has_room = self.pools.len() < MAX_POOLS;
@@ -176,7 +184,7 @@
     let now = board.now.mono;
     let mut state = std::mem::take(&mut board.scaling);
     for pool in state.pools.values_mut().filter(|pool| *pool.service == *service) {
-        (pool.present, pool.idle) = (0, 0);
+        (pool.present, pool.known, pool.idle) = (0, 0, 0);
     }
     for upstream in board.upstreams.values() {
         let announced = &upstream.announced;
@@ -191,6 +199,7 @@
         if let Some(notice) = upstream.leave_notice.filter(|_| announced.reclaimable) {
             pool.reclaimed_at = pool.reclaimed_at.max(notice.until);
         }
+        pool.known += u32::from(upstream.accepts_requests());
         if is_present(upstream, now) {
             pool.present += 1;
             pool.idle += u32::from(upstream.in_flight == 0);
--- a/crates/core/tests/it/scaling.rs
+++ b/crates/core/tests/it/scaling.rs
@@ -358,3 +358,24 @@
     second.run(5_000);
     assert_eq!(second.contents(), []);
 }
+
+/// Guards against orders that take away engines which are only silent, or which have joined while
+/// the order waited.
+#[test]
+fn no_order_to_add_engines_goes_below_those_that_are_known() {
+    let mut holder = Holder::settled(8, 0);
+    holder.add("d", false, 2);
+    for key in holder.keys("d", false) {
+        holder.board.upstreams[key].silent = true;
+    }
+    holder.holds_orders = true;
+    holder.run(11_000);
+    let count = |holder: &Holder| match &holder.board.provider.waiting[..] {
+        [ProviderRequest::SetUpstreamCount(order)] if &*order.zone == "d" => order.count,
+        waiting => panic!("{waiting:?}"),
+    };
+    assert_eq!(count(&holder), 10);
+    holder.add("d", false, 3);
+    holder.run(500);
+    assert_eq!(count(&holder), 13);
+}
