fix(core): the end of a provider call is matched to its order

Cause: any end of a call for a pool ended the pool's present order. Change: ends with another number, and ends while an order for the pool still waits, are ignored; the accepted number is that of the order. Before: the end of an order for 3 closed the order for 8 After: the order for 8 stays open Conclusion: kept.

--- a/crates/core/src/gateway/scaling/orders.rs
+++ b/crates/core/src/gateway/scaling/orders.rs
@@ -117,13 +117,12 @@
             others.push((request, end));
             continue;
         };
-        let pools = board.scaling.pools.iter();
-        let is_it = |pool: &Pool| {
-            (&pool.service, &pool.zone, pool.reclaimable)
-                == (&order.service, &order.zone, order.reclaimable)
-        };
-        let key = pools.filter(|(_, pool)| is_it(pool)).map(|(key, _)| key).next();
-        if let Some(key) = key {
+        let key = board.scaling.key_of(&order.service, &order.zone, order.reclaimable);
+        let subject = ProviderRequest::SetUpstreamCount(order.clone()).subject();
+        // The calls for a pool are made one after another, so an order that waits has not ended.
+        let is_waiting = board.provider.waiting.iter().any(|other| other.subject() == subject);
+        let in_call = key.and_then(|key| board.scaling.pools[key].in_call);
+        if let Some(key) = key.filter(|_| in_call == Some(order.count) && !is_waiting) {
             handle_end(board, key, &order, &end);
         }
     }
@@ -133,13 +132,13 @@
 fn handle_end(board: &mut Board, key: PoolKey, order: &CountOrder, end: &ProviderCallEnd) {
     let now = board.now.mono;
     let pool = &mut board.scaling.pools[key];
-    let Some(count) = pool.in_call.take() else { return };
+    pool.in_call = None;
     let doublings = pool.failures.min(MAX_DOUBLINGS);
     let delay = |first: Millis| now + Millis(first.0 << doublings);
     pool.failures += 1;
     match end {
         ProviderCallEnd::Accepted => {
-            pool.accepted = Some(count);
+            pool.accepted = Some(order.count);
             pool.failures = 0;
             if pool.missing_since.is_some() {
                 pool.replacements += 1;
--- a/crates/core/tests/it/scaling.rs
+++ b/crates/core/tests/it/scaling.rs
@@ -379,3 +379,25 @@
     holder.run(500);
     assert_eq!(count(&holder), 13);
 }
+
+/// Guards against the end of an earlier call that is taken for that of the present order.
+#[test]
+fn the_end_of_another_call_leaves_the_order_open() {
+    let mut holder = Holder::settled(8, 0);
+    holder.submit(384, 64);
+    holder.holds_orders = true;
+    holder.run(3_000);
+    let Some(ProviderRequest::SetUpstreamCount(order)) = holder.board.provider.waiting.first()
+    else {
+        panic!("no order waits")
+    };
+    let earlier = ProviderRequest::SetUpstreamCount(CountOrder { count: 3, ..order.clone() });
+    holder.board.provider.ended.push((earlier, ProviderCallEnd::Accepted));
+    holder.run(500);
+    let pools = holder.board.scaling.pools.values();
+    let open = pools.filter(|pool| pool.in_call.is_some());
+    assert_eq!(
+        open.map(|pool| (pool.in_call, pool.accepted)).collect::<Vec<_>>(),
+        [(Some(8), None)]
+    );
+}
