fix(core): hosts pass on a notice that follows the statement to leave

Cause: `leaves_in` is not part of an announcement's content, so one that came after `leaving` was not reported as a change. Change: the first notice of an upstream is a change.

--- a/crates/core/src/gateway/controller/registry.rs
+++ b/crates/core/src/gateway/controller/registry.rs
@@ -233,7 +233,9 @@
         upstream.announced.leaving != leaving || upstream.announced.content() != kept.content();
     let detail = if leaving { "leaving" } else { "changed" };
     upstream.announced = Announcement { leaving, ..kept };
+    let had_notice = upstream.leave_notice.is_some();
     upstream.record_notice(now);
+    let differs = differs || (!had_notice && upstream.leave_notice.is_some());
     if let AnnouncementSource::Registry { gone: true, .. } = source
         && !upstream.gone
     {
--- a/crates/core/tests/it/leaving.rs
+++ b/crates/core/tests/it/leaving.rs
@@ -407,3 +407,18 @@
         assert_eq!(results.results.len(), 6);
     }
 }
+
+/// Guards against items that stay on an engine to its end because its notice came after the
+/// announcement that it leaves.
+#[test]
+fn a_notice_after_the_first_statement_reaches_other_hosts() {
+    let mut deployment = start(64);
+    let mut announced = announcement("desk-1", 1, 6);
+    announced.leaving = true;
+    announce(&mut deployment, announced.clone());
+    (announced.seq, announced.leaves_in) = (7, Some(Millis(20_000)));
+    announce(&mut deployment, announced);
+    let upstream = key(&deployment, ENTRY, "desk-1");
+    let notice = deployment.gateway(ENTRY).board().upstreams[upstream].leave_notice;
+    assert!(notice.is_some());
+}
