--- a/crates/core/src/gateway/scaling/controller.rs
+++ b/crates/core/src/gateway/scaling/controller.rs
@@ -288,7 +288,7 @@
             _ => continue,
         };
         let events = item.remaining_events(&job.spec, per_event).unwrap_or(0);
-        let remaining = Millis(u64::from(events) * interval_us / 1_000);
+        let remaining = Millis(u64::from(events).saturating_mul(interval_us) / 1_000);
         work.push(ItemWork { due: job.due, remaining, waits });
     }
     work
--- a/crates/core/src/gateway/scaling/demand.rs
+++ b/crates/core/src/gateway/scaling/demand.rs
@@ -62,13 +62,14 @@
     for item in items {
         let time = item.due.since(now);
         // An item that can't end by its due time occupies one slot until then, and longer.
-        work += if time == Millis(0) { item.remaining.0 } else { item.remaining.0.min(time.0) };
-        let capacity = upstreams * slots * time.0;
+        let added = if time == Millis(0) { item.remaining.0 } else { item.remaining.0.min(time.0) };
+        work = u64::saturating_add(work, added);
+        let capacity = upstreams.saturating_mul(slots).saturating_mul(time.0);
         if time <= start || work <= capacity {
             continue;
         }
-        let added = (work - capacity).div_ceil(slots * time.since(start).0);
-        needed = needed.max(upstreams + added);
+        let added = (work - capacity).div_ceil(slots.saturating_mul(time.since(start).0));
+        needed = needed.max(upstreams.saturating_add(added));
     }
     u32::try_from(needed).unwrap_or(u32::MAX)
 }
--- a/crates/core/tests/it/scaling.rs
+++ b/crates/core/tests/it/scaling.rs
@@ -401,3 +401,12 @@
         [(Some(8), None)]
     );
 }
+
+/// Guards against an overflow for limits that nobody expects.
+#[test]
+fn the_largest_numbers_do_not_overflow() {
+    let serving =
+        Serving { upstreams: u32::MAX, slots: u32::MAX, has_room: true, start_time: Millis(0) };
+    let item = ItemWork { due: Millis::MAX, remaining: Millis::MAX, waits: false };
+    assert_eq!(needed_upstreams(&mut [item, item], Millis(0), serving), 1);
+}
