perf(core): events don't scan all upstreams for departures

Cause: each event looked at all upstreams for a notice, and each check of the scaling looked for the pools of every upstream in a list of all pools. Change: the board keeps the time of the last announced departure, after which nothing is looked for; pools are looked up once a zone and kind.

--- a/crates/core/src/gateway/board.rs
+++ b/crates/core/src/gateway/board.rs
@@ -126,6 +126,8 @@
     /// Upstreams that have started again, under the same id, with another software version; not
     /// handled yet.
     pub upgraded_upstreams: Vec<UpstreamKey>,
+    /// When the last upstream that has announced its departure is gone.
+    pub last_departure: Millis,
     /// The revision of the registry; grows with each change of an upstream that other hosts need.
     pub revision: u64,
     /// Whether the registry changed since the last views were sent.
@@ -245,6 +247,7 @@
             upstreams: SlotMap::with_key(),
             upstream_index: BTreeMap::new(),
             upgraded_upstreams: Vec::new(),
+            last_departure: Millis(0),
             revision: 0,
             registry_changed: false,
             pending_announcements: Vec::new(),
--- a/crates/core/src/gateway/controller/items/leaving.rs
+++ b/crates/core/src/gateway/controller/items/leaving.rs
@@ -36,6 +36,9 @@
 /// or no time is left. Returns whether others may have to be stopped later.
 pub(super) fn move_from_leaving(board: &mut Board) -> bool {
     let now = board.now.mono;
+    if now >= board.last_departure {
+        return false;
+    }
     let is_leaving = |upstream: &Upstream| {
         upstream.in_flight > 0 && upstream.leave_notice.is_some_and(|notice| notice.until > now)
     };
--- a/crates/core/src/gateway/controller/registry.rs
+++ b/crates/core/src/gateway/controller/registry.rs
@@ -2,7 +2,8 @@
 //!
 //! Reads: `pending_calls` (announcements and leaves), `pending_announcements`, `pending_leaves`,
 //! upstreams that said in an answer that they leave, the clock.
-//! Writes: `pending_calls`, `upstreams`, `upstream_index`, `upgraded_upstreams`, `unconfirmed_leaves`, `revision`,
+//! Writes: `pending_calls`, `upstreams`, `upstream_index`, `upgraded_upstreams`, `last_departure`,
+//! `unconfirmed_leaves`, `revision`,
 //! `registry_changed`, `hosts` (the next hello), `actions`.
 //!
 //! Announcements under one name are ordered by the start time of the upstream's process and then by
@@ -16,7 +17,9 @@
 use super::Controller;
 use crate::error::{ErrorKind, Problem};
 use crate::gateway::action::{Action, Answer};
-use crate::gateway::board::{AnnouncementSource, Board, LeaveSource, SaidLeaving, Upstream};
+use crate::gateway::board::{
+    AnnouncementSource, Board, LeaveNotice, LeaveSource, SaidLeaving, Upstream,
+};
 use crate::gateway::event::{Announcement, Call, Event, IncomingCall};
 use crate::gateway::settings::Role;
 use crate::key::{HostId, RequestTag, UpstreamKey};
@@ -183,6 +186,7 @@
             upstream.left = left;
             upstream.leave_kept = left || upstream.announced.leaving;
         }
+        record_departure(board, upstream.leave_notice);
         let key = board.upstreams.insert(upstream);
         board.upstream_index.insert(id, key);
         report_change(board, key, "joined", source.host());
@@ -235,7 +239,10 @@
     upstream.announced = Announcement { leaving, ..kept };
     let had_notice = upstream.leave_notice.is_some();
     upstream.record_notice(now);
-    let differs = differs || (!had_notice && upstream.leave_notice.is_some());
+    let notice = upstream.leave_notice;
+    let differs = differs || (!had_notice && notice.is_some());
+    record_departure(board, notice);
+    let upstream = &mut board.upstreams[key];
     if let AnnouncementSource::Registry { gone: true, .. } = source
         && !upstream.gone
     {
@@ -247,6 +254,12 @@
     record_contact(board, key, source);
 }
 
+/// Records when an upstream is gone that has announced its departure.
+fn record_departure(board: &mut Board, notice: Option<LeaveNotice>) {
+    let until = notice.map_or(Millis(0), |notice| notice.until);
+    board.last_departure = board.last_departure.max(until);
+}
+
 /// Records that an upstream was heard from, or that another store host reports it as silent.
 fn record_contact(board: &mut Board, key: UpstreamKey, source: AnnouncementSource) {
     let now = board.now.mono;
--- a/crates/core/src/gateway/scaling/pool.rs
+++ b/crates/core/src/gateway/scaling/pool.rs
@@ -186,15 +186,19 @@
     for pool in state.pools.values_mut().filter(|pool| *pool.service == *service) {
         (pool.present, pool.known, pool.idle) = (0, 0, 0);
     }
+    let mut known: BTreeMap<(&str, bool), Option<PoolKey>> = BTreeMap::new();
     for upstream in board.upstreams.values() {
         let announced = &upstream.announced;
         if *announced.service != *service {
             continue;
         }
         // Both kinds of a zone are needed, since upstreams of either kind may be ordered there.
-        let other = state.ensure(service, &announced.zone, !announced.reclaimable);
-        let key = state.ensure(service, &announced.zone, announced.reclaimable);
-        let (Some(key), Some(_)) = (key, other) else { continue };
+        let key = *known.entry((&*announced.zone, announced.reclaimable)).or_insert_with(|| {
+            let other = state.ensure(service, &announced.zone, !announced.reclaimable);
+            let key = state.ensure(service, &announced.zone, announced.reclaimable);
+            key.filter(|_| other.is_some())
+        });
+        let Some(key) = key else { continue };
         let pool = &mut state.pools[key];
         if let Some(notice) = upstream.leave_notice.filter(|_| announced.reclaimable) {
             pool.reclaimed_at = pool.reclaimed_at.max(notice.until);
