docs(core): plain terms in the scaling modules

Cause: comments and logs used "stands", "dear" and "permanent". Change: "present", "expensive" and "non-reclaimable". Conclusion: no behaviour changes.

--- a/crates/core/src/directory/scaling.rs
+++ b/crates/core/src/directory/scaling.rs
@@ -1,4 +1,4 @@
-//! The scaling of a service: its limits and prices, and the numbers of upstreams that it stands with.
+//! The scaling of a service: its limits and prices, and the intended numbers of its upstreams.
 
 use std::collections::BTreeMap;
 
--- a/crates/core/src/gateway/scaling/controller.rs
+++ b/crates/core/src/gateway/scaling/controller.rs
@@ -5,7 +5,7 @@
 //! Writes: `scaling`, `provider` (requests), `proposals`, `counters`, `actions`.
 //!
 //! A number is recorded in the directory before it is ordered, so that the next holder orders the
-//! same. The numbers that the deployment stands with are recorded without an order once no further
+//! same. The numbers present without an order are recorded as the baseline once no further
 //! upstreams announce themselves.
 
 use std::collections::BTreeSet;
@@ -28,7 +28,7 @@
 /// announcement intervals.
 const BASELINE_SETTLE_TIME: Millis = Millis(5_000);
 
-/// How long more upstreams than the baseline must stand without an order before it is raised. A
+/// How long more upstreams than the baseline must be present without an order before it is raised. A
 /// rolling replacement has one more for a few seconds.
 const SURPLUS_SETTLE_TIME: Millis = Millis(20_000);
 
@@ -180,7 +180,7 @@
 /// Proposes intended numbers to the directory.
 fn record(board: &mut Board, targets: Vec<UpstreamTarget>, detail: &str) {
     for target in &targets {
-        let kind = if target.reclaimable { "reclaimable" } else { "permanent" };
+        let kind = if target.reclaimable { "reclaimable" } else { "non-reclaimable" };
         let subject = format!("{}/{}/{kind}", target.service, target.zone);
         let detail =
             format!("decided count={} baseline={} {detail}", target.count, target.baseline);
@@ -191,7 +191,7 @@
     board.another_round = true;
 }
 
-/// Has the numbers that stand without an order recorded as the baseline, once they have settled;
+/// Has the numbers present without an order recorded as the baseline, once they have settled;
 /// returns whether there are such numbers.
 fn record_baseline(board: &mut Board, service: &str) -> bool {
     let now = board.now.mono;
@@ -213,7 +213,7 @@
     }
     let is_due = !targets.is_empty();
     if is_due {
-        record(board, targets, "stands");
+        record(board, targets, "present");
     }
     is_due
 }
--- a/crates/core/src/gateway/scaling/decision.rs
+++ b/crates/core/src/gateway/scaling/decision.rs
@@ -178,7 +178,7 @@
         }
     }
 
-    /// Removes idle upstreams beyond the baseline, reclaimable and dear ones first, once every pool
+    /// Removes idle upstreams beyond the baseline, reclaimable and expensive ones first, once every pool
     /// has what it should and the demand has been low enough.
     fn release(&mut self, peak: u32) {
         let spec = self.spec;
@@ -195,7 +195,7 @@
         for index in order {
             let pool = &self.pools[index];
             let removed = pool.count.saturating_sub(pool.baseline);
-            // The lower number would also remove those that stand without an order.
+            // The lower number would also remove those that are present without an order.
             if removed == 0 || pool.present > pool.count || pool.idle < removed {
                 continue;
             }
--- a/crates/core/src/gateway/scaling/pool.rs
+++ b/crates/core/src/gateway/scaling/pool.rs
@@ -98,7 +98,7 @@
     /// Returns the name of the pool in the log.
     #[must_use]
     pub fn name(&self) -> Box<str> {
-        let kind = if self.reclaimable { "reclaimable" } else { "permanent" };
+        let kind = if self.reclaimable { "reclaimable" } else { "non-reclaimable" };
         format!("{}/{}/{kind}", self.service, self.zone).into()
     }
 
