--- a/crates/core/src/gateway/scaling/controller.rs
+++ b/crates/core/src/gateway/scaling/controller.rs
@@ -5,11 +5,13 @@
 //! Writes: `scaling`, `provider` (requests), `proposals`, `counters`, `actions`.
 //!
 //! A number is recorded in the directory before it is ordered, so that the next holder orders the
-//! same. The numbers that the deployment stands with are recorded without an order once no further
+//! same. The numbers present without an order are recorded as the baseline once no further
 //! upstreams announce themselves.
 
-use super::decision::{PoolView, ScalingInput, ScalingPolicy};
-use super::demand::{ItemWork, Serving, needed_upstreams};
+use std::collections::BTreeSet;
+
+use super::decision::{CountChange, PoolView, ScalingInput, ScalingPolicy};
+use super::demand::{ItemWork, Serving, is_tight, needed_upstreams};
 use super::orders;
 use super::pool::{Pool, ScalingState, count_upstreams};
 use crate::directory::{DirectoryCommand, ScalingSpec, ServiceSpec, UpstreamTarget};
@@ -26,7 +28,7 @@
 /// announcement intervals.
 const BASELINE_SETTLE_TIME: Millis = Millis(5_000);
 
-/// How long more upstreams than the baseline must stand without an order before it is raised. A
+/// How long more upstreams than the baseline must be present without an order before it is raised. A
 /// rolling replacement has one more for a few seconds.
 const SURPLUS_SETTLE_TIME: Millis = Millis(20_000);
 
@@ -74,6 +76,7 @@
             self.next_check = now;
         }
         if now < self.next_check {
+            orders::update_waiting(board);
             return;
         }
         self.next_check = now + CHECK_INTERVAL;
@@ -81,17 +84,22 @@
         for service in &routing.services {
             let Some(spec) = &service.scaling else { continue };
             count_upstreams(board, &service.name);
-            let needed = estimate(board, service, spec);
-            board.scaling.demand.entry(service.name.clone()).or_default().record(now, needed);
+            let (needed, items) = estimate(board, service, spec);
+            let demand = board.scaling.demand.entry(service.name.clone()).or_default();
+            demand.record(now, needed, items);
             let Some(group) = &board.group else { return };
             let recorded = &group.directory.upstream_targets;
             let is_recording = board.scaling.is_recording(recorded, now);
             let has_baseline = recorded.iter().any(|target| target.service == service.name);
-            if !is_recording && !record_baseline(board, &service.name) && has_baseline {
+            let records = is_recording
+                || record_baseline(board, &service.name)
+                || confirm_reductions(board, &service.name);
+            if !records && has_baseline {
                 self.decide(board, &service.name, spec);
             }
             orders::send_due(board, &service.name, spec.start_time);
         }
+        orders::update_waiting(board);
         let targets = board.group.iter().flat_map(|group| &group.directory.upstream_targets);
         board.counters.upstreams_intended = targets.map(|target| u64::from(target.count)).sum();
     }
@@ -128,25 +136,27 @@
         // The upstreams that were added last need time to take up the demand.
         let is_settled = now >= board.scaling.last_addition + spec.start_time;
         let needed = if is_settled { demand.sustained(now) } else { 0 };
-        let input = ScalingInput { spec, pools: &pools, needed, peak: demand.peak(now) };
+        let shared = if is_settled { demand.shared() } else { 0 };
+        let input = ScalingInput { spec, pools: &pools, needed, shared, peak: demand.peak(now) };
         let changes = self.policy.decide(input);
         if changes.is_empty() {
             return;
         }
-        let mut targets = Vec::new();
-        for (key, count) in changes {
+        let (mut targets, mut adds) = (Vec::new(), false);
+        for CountChange { key, count, reduces } in changes {
             let Some(pool) = board.scaling.pools.get(key) else { continue };
             let target = pool.target(&group.directory.upstream_targets);
             let mut target = target.cloned().unwrap_or_else(|| empty_target(pool));
-            target.reduces = count < target.count;
+            target.reduces = reduces;
+            adds |= count > target.count;
             target.changes += 1;
             target.count = count;
             targets.push(target);
         }
-        if targets.iter().any(|target| !target.reduces) {
+        if adds {
             board.scaling.last_addition = now;
         }
-        let detail = format!("needed={needed} peak={:?}", input.peak);
+        let detail = format!("needed={needed} shared={shared} peak={:?}", input.peak);
         record(board, targets, &detail);
     }
 }
@@ -170,7 +180,7 @@
 /// Proposes intended numbers to the directory.
 fn record(board: &mut Board, targets: Vec<UpstreamTarget>, detail: &str) {
     for target in &targets {
-        let kind = if target.reclaimable { "reclaimable" } else { "permanent" };
+        let kind = if target.reclaimable { "reclaimable" } else { "non-reclaimable" };
         let subject = format!("{}/{}/{kind}", target.service, target.zone);
         let detail =
             format!("decided count={} baseline={} {detail}", target.count, target.baseline);
@@ -181,7 +191,7 @@
     board.another_round = true;
 }
 
-/// Has the numbers that stand without an order recorded as the baseline, once they have settled;
+/// Has the numbers present without an order recorded as the baseline, once they have settled;
 /// returns whether there are such numbers.
 fn record_baseline(board: &mut Board, service: &str) -> bool {
     let now = board.now.mono;
@@ -195,20 +205,48 @@
         let is_settled = since.is_some_and(|since| now >= since + settle);
         let mut target = pool.target(known).cloned().unwrap_or_else(|| empty_target(pool));
         let is_ordered = target.count != target.baseline || pool.in_call.is_some();
-        if is_settled && !is_ordered && !target.reduces && pool.present > target.count {
+        let is_removing = target.reduces || pool.is_removing;
+        if is_settled && !is_ordered && !is_removing && pool.present > target.count {
             (target.baseline, target.count) = (pool.present, pool.present);
             targets.push(target);
         }
     }
     let is_due = !targets.is_empty();
     if is_due {
-        record(board, targets, "stands");
+        record(board, targets, "present");
+    }
+    is_due
+}
+
+/// Has reductions that took effect recorded as confirmed, so that no later holder repeats them;
+/// returns whether there are any.
+fn confirm_reductions(board: &mut Board, service: &str) -> bool {
+    let Some(group) = &board.group else { return false };
+    // A new holder may not know all upstreams yet.
+    let is_settled = board.now.mono >= board.scaling.last_growth + BASELINE_SETTLE_TIME;
+    let mut targets = Vec::new();
+    for pool in board.scaling.pools.values_mut().filter(|pool| *pool.service == *service) {
+        let target = pool.target(&group.directory.upstream_targets);
+        let Some(target) = target.filter(|target| target.reduces) else { continue };
+        let is_confirmed = match pool.accepted {
+            Some(accepted) => accepted == target.count,
+            None => is_settled && pool.in_call.is_none() && pool.present <= target.count,
+        };
+        if is_confirmed {
+            pool.is_removing = true;
+            targets.push(UpstreamTarget { reduces: false, ..target.clone() });
+        }
+    }
+    let is_due = !targets.is_empty();
+    if is_due {
+        record(board, targets, "reduction confirmed");
     }
     is_due
 }
 
-/// Estimates how many upstreams of a service the open items need.
-fn estimate(board: &Board, service: &ServiceSpec, spec: &ScalingSpec) -> u32 {
+/// Estimates how many upstreams of a service the open items need, and returns how many items are
+/// open while a job is tight.
+fn estimate(board: &Board, service: &ServiceSpec, spec: &ScalingSpec) -> (u32, u32) {
     let now = board.now.mono;
     let mut upstreams = 0;
     for (_, pool) in board.scaling.pools_of(&service.name) {
@@ -230,15 +268,18 @@
             is_usable && upstream.in_flight < upstream.announced.slots && !is_full(upstream.tokens);
     }
     let serving = Serving { upstreams, slots, has_room, start_time: spec.start_time };
-    needed_upstreams(&mut open_items(board, service), now, serving)
+    let (mut work, is_any_tight) = open_items(board, service);
+    let items = if is_any_tight { u32::try_from(work.len()).unwrap_or(u32::MAX) } else { 0 };
+    (needed_upstreams(&mut work, now, serving), items)
 }
 
-/// Returns the work of the open items that upstreams of a service may run.
-fn open_items(board: &Board, service: &ServiceSpec) -> Vec<ItemWork> {
+/// Returns the work of the open items that upstreams of a service may run, and whether a job of
+/// theirs is tight.
+fn open_items(board: &Board, service: &ServiceSpec) -> (Vec<ItemWork>, bool) {
     let now = board.now.mono;
     let per_event = service.engine.as_ref().map_or(1, |engine| engine.tokens_per_event);
     let usual_us = usual_interval_us(board, &service.name);
-    let mut work = Vec::new();
+    let (mut work, mut jobs) = (Vec::new(), BTreeSet::new());
     for item in board.items.values() {
         let Some(job) = board.jobs.get(item.job) else { continue };
         if !job.spec.services.contains(&service.name) {
@@ -255,17 +296,24 @@
             _ => continue,
         };
         let events = item.remaining_events(&job.spec, per_event).unwrap_or(0);
-        let remaining = Millis(u64::from(events) * interval_us / 1_000);
+        let remaining = Millis(u64::from(events).saturating_mul(interval_us) / 1_000);
         work.push(ItemWork { due: job.due, remaining, waits });
+        jobs.insert(item.job);
     }
-    work
+    let is_any_tight = jobs.iter().filter_map(|job| board.jobs.get(*job)).any(|job| {
+        let longest = job.spec.items.iter().map(|item| item.expected_tokens).max().unwrap_or(0);
+        let events = u64::from(longest.div_ceil(per_event.max(1)));
+        is_tight(Millis(events.saturating_mul(usual_us) / 1_000), job.spec.due_after)
+    });
+    (work, is_any_tight)
 }
 
 /// Returns the median interval between two events over the upstreams of a service.
 fn usual_interval_us(board: &Board, service: &str) -> u64 {
     let upstreams = board.upstreams.values();
     let of_service = upstreams.filter(|upstream| *upstream.announced.service == *service);
-    let measured = of_service.map(|upstream| upstream.health.event_interval_us);
+    let (learned, now) = (board.cfg.learned_capacity, board.now.mono);
+    let measured = of_service.map(|upstream| upstream.event_interval_us(learned, now));
     let mut measured: Vec<u64> = measured.filter(|us| *us > 0).collect();
     measured.sort_unstable();
     measured.get(measured.len() / 2).copied().unwrap_or(DEFAULT_EVENT_INTERVAL_US)
--- a/crates/core/src/gateway/scaling/decision.rs
+++ b/crates/core/src/gateway/scaling/decision.rs
@@ -7,9 +7,9 @@
 use crate::directory::ScalingSpec;
 use crate::key::PoolKey;
 
-/// The share of all upstreams, as one part in this many, that is added at least: an order costs as
-/// much as a reclaimable upstream does in some 20 s.
-const MIN_GROWTH_PARTS: u32 = 8;
+/// The share of all upstreams, as one part in this many, that is added at least for waiting work, and
+/// exactly for shared upstreams: an order costs as much as a reclaimable upstream does in some 20 s.
+const GROWTH_PARTS: u32 = 8;
 
 /// A pool as it is now.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -54,14 +54,27 @@
     pub pools: &'a [PoolView],
     /// How many upstreams have been needed for some time.
     pub needed: u32,
+    /// How many upstreams are needed so that few items share one.
+    pub shared: u32,
     /// The greatest need within the hold time, or `None` if it is not known yet.
     pub peak: Option<u32>,
 }
 
+/// A new intended number of a pool.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct CountChange {
+    /// The pool.
+    pub key: PoolKey,
+    /// The new number.
+    pub count: u32,
+    /// Whether present upstreams are to be removed.
+    pub reduces: bool,
+}
+
 /// Decides on the numbers of upstreams.
 pub trait ScalingPolicy: Debug + Send {
-    /// Returns the pools whose intended number changes, with the new number.
-    fn decide(&self, input: ScalingInput<'_>) -> Vec<(PoolKey, u32)>;
+    /// Returns the changes of intended numbers.
+    fn decide(&self, input: ScalingInput<'_>) -> Vec<CountChange>;
 }
 
 /// Keeps the baseline, adds upstreams for demand above it, and removes only those again.
@@ -73,15 +86,17 @@
 pub struct KeepBaseline;
 
 impl ScalingPolicy for KeepBaseline {
-    fn decide(&self, input: ScalingInput<'_>) -> Vec<(PoolKey, u32)> {
+    fn decide(&self, input: ScalingInput<'_>) -> Vec<CountChange> {
         let mut plan = Plan::new(input);
         plan.drop_refused();
         let wanted = plan.baseline().max(input.needed);
         let expected = plan.expected();
         if expected < wanted {
             let is_demand = input.needed > plan.baseline();
-            let least = if is_demand { expected / MIN_GROWTH_PARTS } else { 0 };
+            let least = if is_demand { expected / GROWTH_PARTS } else { 0 };
             plan.grow((wanted - expected).max(least));
+        } else if expected < input.shared {
+            plan.grow((expected / GROWTH_PARTS).max(1));
         } else if let Some(peak) = input.peak {
             plan.release(peak);
         }
@@ -94,11 +109,13 @@
 struct Plan<'a> {
     spec: &'a ScalingSpec,
     pools: Vec<PoolView>,
+    /// The pools from which upstreams are removed.
+    released: Vec<PoolKey>,
 }
 
 impl<'a> Plan<'a> {
     fn new(input: ScalingInput<'a>) -> Self {
-        Self { spec: input.spec, pools: input.pools.to_vec() }
+        Self { spec: input.spec, pools: input.pools.to_vec(), released: Vec::new() }
     }
 
     fn baseline(&self) -> u32 {
@@ -126,7 +143,7 @@
     }
 
     /// Drops the intended upstreams beyond the baseline that can't be had, so that others take their
-    /// place.
+    /// place. They may come after all, so this does not count as a reduction.
     fn drop_refused(&mut self) {
         for pool in &mut self.pools {
             if !pool.is_available {
@@ -161,7 +178,7 @@
         }
     }
 
-    /// Removes idle upstreams beyond the baseline, reclaimable and dear ones first, once every pool
+    /// Removes idle upstreams beyond the baseline, reclaimable and expensive ones first, once every pool
     /// has what it should and the demand has been low enough.
     fn release(&mut self, peak: u32) {
         let spec = self.spec;
@@ -178,7 +195,7 @@
         for index in order {
             let pool = &self.pools[index];
             let removed = pool.count.saturating_sub(pool.baseline);
-            // The lower number would also remove those that stand without an order.
+            // The lower number would also remove those that are present without an order.
             if removed == 0 || pool.present > pool.count || pool.idle < removed {
                 continue;
             }
@@ -197,13 +214,19 @@
             total -= removed;
             self.pools[index].count -= removed;
             self.pools[index].present -= removed;
+            self.released.push(self.pools[index].key);
         }
     }
 
-    /// Returns the pools whose intended number differs from that in `before`.
-    fn changes(&self, before: &[PoolView]) -> Vec<(PoolKey, u32)> {
+    /// Returns the changes against the numbers in `before`.
+    fn changes(&self, before: &[PoolView]) -> Vec<CountChange> {
         let pairs = self.pools.iter().zip(before);
         let changed = pairs.filter(|(pool, before)| pool.count != before.count);
-        changed.map(|(pool, _)| (pool.key, pool.count)).collect()
+        let change = |pool: &PoolView| CountChange {
+            key: pool.key,
+            count: pool.count,
+            reduces: self.released.contains(&pool.key),
+        };
+        changed.map(|(pool, _)| change(pool)).collect()
     }
 }
--- a/crates/core/src/gateway/scaling/pool.rs
+++ b/crates/core/src/gateway/scaling/pool.rs
@@ -27,6 +27,8 @@
     pub reclaimable: bool,
     /// The number of live upstreams that do not leave.
     pub present: u32,
+    /// The number of known upstreams that have not said they leave, silent ones included.
+    pub known: u32,
     /// The greatest number that this host has seen.
     pub most_present: u32,
     /// The number of those that run nothing.
@@ -37,6 +39,8 @@
     pub missing_since: Option<Millis>,
     /// Since when more are present than intended; `None` while that is not so.
     pub surplus_since: Option<Millis>,
+    /// Whether more are present than intended because the provider still has to remove some.
+    pub is_removing: bool,
     /// The number that the provider is known to have; `None` if that is not known.
     pub accepted: Option<u32>,
     /// Until when ordered upstreams may not serve yet.
@@ -60,11 +64,13 @@
             zone: zone.into(),
             reclaimable,
             present: 0,
+            known: 0,
             most_present: 0,
             idle: 0,
             reclaimed_at: Millis(0),
             missing_since: None,
             surplus_since: None,
+            is_removing: false,
             accepted: None,
             starting_until: Millis(0),
             in_call: None,
@@ -92,7 +98,7 @@
     /// Returns the name of the pool in the log.
     #[must_use]
     pub fn name(&self) -> Box<str> {
-        let kind = if self.reclaimable { "reclaimable" } else { "permanent" };
+        let kind = if self.reclaimable { "reclaimable" } else { "non-reclaimable" };
         format!("{}/{}/{kind}", self.service, self.zone).into()
     }
 
@@ -110,6 +116,7 @@
         let since = |is_so: bool, since: Option<Millis>| is_so.then(|| since.unwrap_or(now));
         self.missing_since = since(self.present < intended, self.missing_since);
         self.surplus_since = since(self.present > intended, self.surplus_since);
+        self.is_removing &= self.surplus_since.is_some();
         if self.missing_since.is_none() {
             self.replacements = 0;
         }
@@ -154,12 +161,17 @@
         awaits
     }
 
-    /// Returns the pool of a kind, which is added where it is new; `None` if there are too many.
-    fn ensure(&mut self, service: &str, zone: &str, reclaimable: bool) -> Option<PoolKey> {
-        let is_it = |pool: &Pool| {
+    /// Returns the pool of a kind.
+    pub(super) fn key_of(&self, service: &str, zone: &str, reclaimable: bool) -> Option<PoolKey> {
+        let is_same_pool = |pool: &Pool| {
             *pool.service == *service && *pool.zone == *zone && pool.reclaimable == reclaimable
         };
-        if let Some((key, _)) = self.pools.iter().find(|(_, pool)| is_it(pool)) {
+        self.pools.iter().find(|(_, pool)| is_same_pool(pool)).map(|(key, _)| key)
+    }
+
+    /// Returns the pool of a kind, which is added where it is new; `None` if there are too many.
+    fn ensure(&mut self, service: &str, zone: &str, reclaimable: bool) -> Option<PoolKey> {
+        if let Some(key) = self.key_of(service, zone, reclaimable) {
             return Some(key);
         }
         let has_room = self.pools.len() < MAX_POOLS;
@@ -172,21 +184,26 @@
     let now = board.now.mono;
     let mut state = std::mem::take(&mut board.scaling);
     for pool in state.pools.values_mut().filter(|pool| *pool.service == *service) {
-        (pool.present, pool.idle) = (0, 0);
+        (pool.present, pool.known, pool.idle) = (0, 0, 0);
     }
+    let mut known: BTreeMap<(&str, bool), Option<PoolKey>> = BTreeMap::new();
     for upstream in board.upstreams.values() {
         let announced = &upstream.announced;
         if *announced.service != *service {
             continue;
         }
         // Both kinds of a zone are needed, since upstreams of either kind may be ordered there.
-        let other = state.ensure(service, &announced.zone, !announced.reclaimable);
-        let key = state.ensure(service, &announced.zone, announced.reclaimable);
-        let (Some(key), Some(_)) = (key, other) else { continue };
+        let key = *known.entry((&*announced.zone, announced.reclaimable)).or_insert_with(|| {
+            let other = state.ensure(service, &announced.zone, !announced.reclaimable);
+            let key = state.ensure(service, &announced.zone, announced.reclaimable);
+            key.filter(|_| other.is_some())
+        });
+        let Some(key) = key else { continue };
         let pool = &mut state.pools[key];
         if let Some(notice) = upstream.leave_notice.filter(|_| announced.reclaimable) {
             pool.reclaimed_at = pool.reclaimed_at.max(notice.until);
         }
+        pool.known += u32::from(upstream.accepts_requests());
         if is_present(upstream, now) {
             pool.present += 1;
             pool.idle += u32::from(upstream.in_flight == 0);
