fix(core): stores refuse job calls that an uninformed host let through

Cause: a host without a routing configuration admitted job calls without a key, and the stores did not check them. Change: a store that answers refuses a job call without a workspace if its routing defines workspaces and has no public jobs for the host of the call. The host is sent only where it is needed, so that deployments without workspaces encode the same. Before: the new test got the results of a job accepted before there were workspaces. After: it gets 401; without workspaces the same call is answered. Conclusion: a call without a key depends on the store's configuration, not on the entry's.

--- a/crates/core/src/gateway/controller/access.rs
+++ b/crates/core/src/gateway/controller/access.rs
@@ -28,27 +28,46 @@
     routing.authorize(route, key).map_err(unauthorized)
 }
 
-/// Returns the name of the workspace of a job call, or `None` if it has none.
+/// What the store hosts need to know of the caller of an admitted job call.
+#[derive(Debug, Default)]
+pub(super) struct JobAccess {
+    /// The name of its workspace, or `None` if it has none.
+    pub workspace: Option<Box<str>>,
+    /// The host of the call, if a store host must check that it needs no key.
+    pub host: Option<Box<str>>,
+}
+
+/// Returns the access of a job call.
 ///
-/// A host without a routing configuration can't tell the workspace of a key. A call without a key
-/// reads only jobs without a workspace.
+/// A host without a routing configuration can't find the workspace of a key, nor whether a call
+/// without a key needs one: the store host that answers checks that.
 ///
 /// # Errors
 ///
 /// Returns the problem of a call that needs a key and has none that is known.
-pub(super) fn authorize_job_call(
-    board: &Board,
-    caller: &JobCaller,
-) -> Result<Option<Box<str>>, Problem> {
+pub(super) fn authorize_job_call(board: &Board, caller: &JobCaller) -> Result<JobAccess, Problem> {
+    let unchecked = JobAccess { workspace: None, host: Some(caller.host.clone()) };
     let Some(routing) = &board.routing else {
         let detail = "no routing configuration received yet";
-        return if caller.key.is_some() { Err(not_ready(detail)) } else { Ok(None) };
+        return if caller.key.is_some() { Err(not_ready(detail)) } else { Ok(unchecked) };
     };
-    if routing.has_workspaces() && !routing.has_public_jobs(&caller.host) {
+    if !routing.has_workspaces() {
+        return Ok(JobAccess::default());
+    }
+    if !routing.has_public_jobs(&caller.host) {
         check_contact(board)?;
     }
     let workspace = routing.authorize_job_call(&caller.host, caller.key.as_ref());
-    Ok(workspace.map_err(unauthorized)?.map(|workspace| workspace.name.clone()))
+    let Some(workspace) = workspace.map_err(unauthorized)? else { return Ok(unchecked) };
+    Ok(JobAccess { workspace: Some(workspace.name.clone()), host: None })
+}
+
+/// Returns whether a job call that another host admitted lacks a key under the routing configuration
+/// in force here. That host may have had none, or one from before there were workspaces.
+pub(super) fn lacks_key(board: &Board, workspace: Option<&str>, host: Option<&str>) -> bool {
+    let Some(routing) = &board.routing else { return false };
+    let is_public = || host.is_some_and(|host| routing.has_public_jobs(host));
+    routing.has_workspaces() && workspace.is_none() && !is_public()
 }
 
 /// Returns whether the routing configuration in force defines workspaces.
--- a/crates/core/src/gateway/controller/calls.rs
+++ b/crates/core/src/gateway/controller/calls.rs
@@ -10,7 +10,8 @@
 
 use std::sync::Arc;
 
-use super::{Controller, access};
+use super::Controller;
+use super::access::{self, JobAccess};
 use crate::error::{ErrorKind, Problem};
 use crate::gateway::action::{Answer, CapacityView, Counters, HostView, UpstreamView};
 use crate::gateway::board::{Board, DirectoryGroup, Upstream};
@@ -89,19 +90,19 @@
     else {
         return Ok(None);
     };
-    let workspace = access::authorize_job_call(board, caller)?;
+    let JobAccess { workspace, host } = access::authorize_job_call(board, caller)?;
     Ok(match call {
         Call::Results { job, after, wait, .. } => {
             let (job, after, wait) = (job.clone(), *after, *wait);
-            let request = StoreRequest::Results { job, after, wait, workspace };
+            let request = StoreRequest::Results { job, after, wait, workspace, host };
             Some((request, READ_TIMEOUT + wait))
         }
         Call::ItemBody { job, item, .. } => {
             let (job, item) = (job.clone(), item.clone());
-            Some((StoreRequest::ItemBody { job, item, workspace }, READ_TIMEOUT))
+            Some((StoreRequest::ItemBody { job, item, workspace, host }, READ_TIMEOUT))
         }
         Call::EndJob { job, .. } => {
-            Some((StoreRequest::EndJob { job: job.clone(), workspace }, END_JOB_TIMEOUT))
+            Some((StoreRequest::EndJob { job: job.clone(), workspace, host }, END_JOB_TIMEOUT))
         }
         _ => None,
     })
--- a/crates/core/src/gateway/controller/decisions.rs
+++ b/crates/core/src/gateway/controller/decisions.rs
@@ -14,8 +14,8 @@
 use std::sync::Arc;
 
 use self::job_memory::JobMemory;
-use super::Controller;
 use super::store_requests::nearest_replica;
+use super::{Controller, access};
 use crate::directory::{Directory, DirectoryCommand, Job, JobSpec};
 use crate::gateway::action::{ResultsEntry, ResultsPage};
 use crate::gateway::board::{Board, Origin, PendingDecision, ResultsReader};
@@ -57,11 +57,18 @@
 
 fn decide(board: &mut Board, origin: Origin, request: StoreRequest) {
     match request {
-        StoreRequest::Results { job, after, wait, workspace } => {
+        StoreRequest::Results { workspace, host, .. }
+        | StoreRequest::ItemBody { workspace, host, .. }
+        | StoreRequest::EndJob { workspace, host, .. }
+            if access::lacks_key(board, workspace.as_deref(), host.as_deref()) =>
+        {
+            board.reply(origin, StoreReply::Unauthorized);
+        }
+        StoreRequest::Results { job, after, wait, workspace, .. } => {
             let until = board.now.mono + wait;
             board.results_readers.push(ResultsReader { origin, job, workspace, after, until });
         }
-        StoreRequest::ItemBody { job, item, workspace } => {
+        StoreRequest::ItemBody { job, item, workspace, .. } => {
             let reply = item_body(board, &job, &item, workspace.as_deref());
             board.reply(origin, reply);
         }
@@ -108,7 +115,7 @@
                 propose(board, DirectoryCommand::SubmitJob { spec: Arc::clone(&spec), at }, origin);
             }
         }
-        StoreRequest::EndJob { job: id, workspace } => {
+        StoreRequest::EndJob { job: id, workspace, .. } => {
             match accessible_job(board, &id, workspace.as_deref()).map(|job| job.ended_at) {
                 None => board.reply(origin, StoreReply::Unknown),
                 Some(Some(_)) => board.reply(origin, StoreReply::Done),
--- a/crates/core/src/gateway/controller/store_requests.rs
+++ b/crates/core/src/gateway/controller/store_requests.rs
@@ -157,6 +157,9 @@
         StoreReply::JobIdTaken => {
             (problem(ErrorKind::IdTaken, "a job of another workspace has this id"), "id-taken")
         }
+        StoreReply::Unauthorized => {
+            (problem(ErrorKind::Unauthorized, "the request has no known key"), "unauthorized")
+        }
         StoreReply::NoMemory => (Answer::Problem(no_memory(pending.maybe_done)), "no-memory"),
         StoreReply::NotLeader { .. } | StoreReply::Undetermined => return,
     };
--- a/crates/core/src/gateway/message.rs
+++ b/crates/core/src/gateway/message.rs
@@ -204,6 +204,9 @@
         /// The workspace of the caller, or `None` if it has none.
         #[serde(default, skip_serializing_if = "Option::is_none")]
         workspace: Option<Box<str>>,
+        /// The host of the call, if the receiver must check that it needs no key.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        host: Option<Box<str>>,
     },
     /// Reads the request body of an item.
     ItemBody {
@@ -214,6 +217,9 @@
         /// The workspace of the caller, or `None` if it has none.
         #[serde(default, skip_serializing_if = "Option::is_none")]
         workspace: Option<Box<str>>,
+        /// The host of the call, if the receiver must check that it needs no key.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        host: Option<Box<str>>,
     },
     /// Ends a job.
     EndJob {
@@ -222,6 +228,9 @@
         /// The workspace of the caller, or `None` if it has none.
         #[serde(default, skip_serializing_if = "Option::is_none")]
         workspace: Option<Box<str>>,
+        /// The host of the call, if the receiver must check that it needs no key.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        host: Option<Box<str>>,
     },
     /// Retires a store host.
     Retire {
@@ -270,6 +279,10 @@
     ///
     /// A host of an earlier version drops this reply and times out.
     JobIdTaken,
+    /// The job call needs a key, and the host that admitted it did not know that.
+    ///
+    /// A host of an earlier version drops this reply and times out.
+    Unauthorized,
     /// The sender can't determine the answer at the moment; a requested change may have been
     /// made.
     #[serde(rename = "not_sure")]
@@ -326,6 +339,7 @@
             | Self::NotLeader { .. }
             | Self::NoMemory
             | Self::JobIdTaken
+            | Self::Unauthorized
             | Self::Undetermined => 0,
         }
     }
--- a/crates/core/tests/it/workspaces.rs
+++ b/crates/core/tests/it/workspaces.rs
@@ -278,6 +278,31 @@
     assert_eq!(not_run(results(&mut deployment, OTHER_ENTRY, None)), 401);
 }
 
+/// Guards against job calls without a key that pass through a host which has no configuration yet.
+#[test]
+fn a_host_without_a_configuration_lets_no_job_call_without_a_key_through() {
+    let mut deployment = started(41);
+    deployment.submit(ENTRY, job("job", 12, 1));
+    deployment.run(1_000);
+    for (version, status) in [(2, None), (3, Some(401))] {
+        if status.is_some() {
+            put(&mut deployment, with_workspaces(version, &["r-1"]));
+        }
+        deployment.kill(ENTRY);
+        deployment.start(ENTRY);
+        let read =
+            Call::Results { job: "job".into(), after: 0, wait: Millis(0), caller: caller(None) };
+        let tag = deployment.send_call(ENTRY, read);
+        assert!(deployment.gateway(ENTRY).board().routing.is_none());
+        deployment.run(1_500);
+        let answer = deployment.answers.get(&tag).cloned();
+        match status {
+            Some(status) => assert_eq!(not_run(answer), status),
+            None => assert!(matches!(answer, Some(Answer::Results(_))), "{answer:?}"),
+        }
+    }
+}
+
 /// Guards against a host that serves revoked keys for longer than the settings allow, or refuses
 /// requests that need no key.
 #[test_case(false; "open")]
@@ -354,8 +379,13 @@
 #[test]
 fn without_workspaces_nothing_is_encoded_that_was_not_before() {
     let config = Arc::unwrap_or_clone(routing(1));
-    let results =
-        StoreRequest::Results { job: "job".into(), after: 0, wait: Millis(0), workspace: None };
+    let results = StoreRequest::Results {
+        job: "job".into(),
+        after: 0,
+        wait: Millis(0),
+        workspace: None,
+        host: None,
+    };
     let mut buf = Vec::new();
     ciborium::into_writer(&(config, results), &mut buf).expect("an encoding");
     let text = String::from_utf8_lossy(&buf);
--- a/crates/daemon/tests/process/link_queue.rs
+++ b/crates/daemon/tests/process/link_queue.rs
@@ -198,7 +198,8 @@
 
 /// A message whose contents are `bytes` long, and shrink much when they are deflated.
 fn long_message(bytes: usize) -> Envelope {
-    let request = StoreRequest::EndJob { job: "a".repeat(bytes).into(), workspace: None };
+    let request =
+        StoreRequest::EndJob { job: "a".repeat(bytes).into(), workspace: None, host: None };
     let message = GatewayMessage::Request { boot_id: 1, key: 1, request };
     let message = Message::Gateway(Box::new(message));
     Envelope { from: HostId(1), stamp: Stamp::default(), message }
--- a/crates/wire/tests/frame.rs
+++ b/crates/wire/tests/frame.rs
@@ -24,7 +24,7 @@
     })
     .take(letters)
     .collect();
-    let request = StoreRequest::EndJob { job: job.into(), workspace: None };
+    let request = StoreRequest::EndJob { job: job.into(), workspace: None, host: None };
     let message = GatewayMessage::Request { boot_id: 1, key: 2, request };
     let stamp = Stamp::default();
     Envelope { from: HostId(1), stamp, message: Message::Gateway(Box::new(message)) }
@@ -63,8 +63,11 @@
     if let Message::Gateway(message) = &mut long.message
         && let GatewayMessage::Request { request, .. } = &mut **message
     {
-        *request =
-            StoreRequest::EndJob { job: "a".repeat(MAX_MESSAGE_BYTES).into(), workspace: None };
+        *request = StoreRequest::EndJob {
+            job: "a".repeat(MAX_MESSAGE_BYTES).into(),
+            workspace: None,
+            host: None,
+        };
     }
     let bytes = encode(&long).expect("bytes");
     assert!(bytes.len() < 1 << 20, "{} bytes", bytes.len());
