fix(core): names of workspaces are visible ASCII and inner spaces

Cause: a name with other characters was accepted, but the platform leaves a header with it out. Change: the check of a configuration refuses it; a local name in the same file is clearer. Before: the new test of a name that is not ASCII failed. After: it passes; an inner space stays valid. Conclusion: upstreams receive the name of each workspace.

--- a/crates/core/src/directory/workspace.rs
+++ b/crates/core/src/directory/workspace.rs
@@ -106,7 +106,7 @@
         /// The place of the workspace.
         index: usize,
     },
-    /// A name has characters that no header can carry, or spaces at its ends.
+    /// A name has characters other than visible ASCII and spaces, or spaces at its ends.
     InvalidName {
         /// The place of the workspace.
         index: usize,
@@ -153,7 +153,8 @@
             Self::NoName { index } => write!(f, "workspace {index}: it has no name"),
             Self::InvalidName { index } => write!(
                 f,
-                "workspace {index}: the name has control characters, or spaces at its ends"
+                "workspace {index}: the name has characters other than visible ASCII and spaces, \
+                 or spaces at its ends"
             ),
             Self::DuplicateName { index, name } => {
                 write!(f, "workspace {index} ({name}): another workspace has the same name")
@@ -181,7 +182,9 @@
             return Err(WorkspaceError::NoName { index });
         }
         let has_outer_space = workspace.name.trim().len() < workspace.name.len();
-        if has_outer_space || workspace.name.chars().any(char::is_control) {
+        // Platforms send the name in a header, and leave it out where they can't.
+        let is_sendable = |byte: u8| byte == b' ' || byte.is_ascii_graphic();
+        if has_outer_space || !workspace.name.bytes().all(is_sendable) {
             return Err(WorkspaceError::InvalidName { index });
         }
         if !names.insert(&workspace.name) {
@@ -242,8 +245,8 @@
     /// are public. The path of a job call names no route.
     #[must_use]
     pub fn has_public_jobs(&self, host: &str) -> bool {
-        let is_of_jobs = |route: &&Route| &*route.host == host && route.kind == RouteKind::Batch;
-        let mut routes = self.routes.iter().filter(is_of_jobs).peekable();
+        let takes_jobs = |route: &&Route| &*route.host == host && route.kind == RouteKind::Batch;
+        let mut routes = self.routes.iter().filter(takes_jobs).peekable();
         routes.peek().is_some() && routes.all(|route| route.public)
     }
 
--- a/crates/core/tests/it/workspaces.rs
+++ b/crates/core/tests/it/workspaces.rs
@@ -278,6 +278,16 @@
     assert_eq!(not_run(results(&mut deployment, OTHER_ENTRY, None)), 401);
 }
 
+/// Guards against a name that is accepted and then left out of the header for upstreams.
+#[test_case("b\u{e4}r", false; "not ascii")]
+#[test_case("a\tb", false; "a tab")]
+#[test_case("a b", true; "an inner space")]
+fn a_workspace_has_a_name_that_a_header_can_carry(name: &str, is_valid: bool) {
+    let mut config = with_workspaces(2, &["r-1"]);
+    config.workspaces[0].name = name.into();
+    assert_eq!(config.check().is_ok(), is_valid);
+}
+
 /// Guards against job calls without a key that pass through a host which has no configuration yet.
 #[test]
 fn a_host_without_a_configuration_lets_no_job_call_without_a_key_through() {
