fix(core): a stream is taken up only within its workspace

Cause: the records of streams named no workspace, so any caller could take up a stream by its id. Change: records, questions and replies name the workspace, and are encoded as before without one; a stream of another workspace counts as unknown, and a record does not replace another workspace's. Before: the new test saw a stream go on for another workspace. After: it is refused with 503, while the same workspace takes it up at the same time. Conclusion: stores of an earlier version give no origin to callers with a workspace.

--- a/crates/core/src/gateway/board/stream_origin.rs
+++ b/crates/core/src/gateway/board/stream_origin.rs
@@ -50,6 +50,9 @@
     /// The upstream, as the sender knows it; `None` from a host of an earlier version.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub instance: Option<InstanceId>,
+    /// The workspace of the caller, or `None` if it has none.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub workspace: Option<Box<str>>,
 }
 
 /// The origins that a store host remembers; a host that starts anew has none.
@@ -67,6 +70,8 @@
             return;
         }
         match self.streams.get_mut(&record.id) {
+            // The id is the caller's choice, so another workspace may use it too.
+            Some(known) if known.workspace != record.workspace => {}
             Some(known) if known.number >= record.number => {}
             Some(known) => *known = record,
             None => {
@@ -83,10 +88,13 @@
         }
     }
 
-    /// Returns the origin of a stream; `None` if it is not known here.
+    /// Returns the origin of a stream; `None` if it is not known here, or is another workspace's. A
+    /// stream without a workspace was begun before there were workspaces, or on a public route.
     #[must_use]
-    pub fn get(&self, id: &str) -> Option<&StreamOrigin> {
-        self.streams.get(id).map(|record| &record.origin)
+    pub fn get(&self, id: &str, workspace: Option<&str>) -> Option<&StreamOrigin> {
+        let record = self.streams.get(id)?;
+        let is_accessible = record.workspace.is_none() || record.workspace.as_deref() == workspace;
+        is_accessible.then_some(&record.origin)
     }
 }
 
--- a/crates/core/src/gateway/controller/forwarding/taken_up.rs
+++ b/crates/core/src/gateway/controller/forwarding/taken_up.rs
@@ -68,5 +68,6 @@
     let service = upstream.announced.service.clone();
     let origin = StreamOrigin { service, software: upstream.announced.software.clone() };
     let instance = Some(upstream.announced.instance());
-    board.new_streams.push(StreamRecord { id, number, origin, instance });
+    let workspace = request.workspace.clone();
+    board.new_streams.push(StreamRecord { id, number, origin, instance, workspace });
 }
--- a/crates/core/src/gateway/controller/streams.rs
+++ b/crates/core/src/gateway/controller/streams.rs
@@ -74,14 +74,16 @@
                 board.stream_origins.insert(record, board.now.mono);
             }
         }
-        GatewayMessage::FindStream { id } => {
-            let origin = board.stream_origins.get(id).cloned();
+        GatewayMessage::FindStream { id, workspace } => {
+            let origin = board.stream_origins.get(id, workspace.as_deref()).cloned();
             let upstreams = origin.as_ref().map(|origin| instances_of(board, origin));
-            board.send(from, GatewayMessage::StreamFound { id: id.clone(), origin, upstreams });
+            let (id, workspace) = (id.clone(), workspace.clone());
+            let reply = GatewayMessage::StreamFound { id, origin, upstreams, workspace };
+            board.send(from, reply);
         }
-        GatewayMessage::StreamFound { id, origin, upstreams } => {
+        GatewayMessage::StreamFound { id, origin, upstreams, workspace } => {
             let found = origin.clone().map(|origin| (origin, upstreams.clone()));
-            handle_found(board, from, id, found.as_ref());
+            handle_found(board, from, (id, workspace.as_deref()), found.as_ref());
         }
         _ => {}
     }
@@ -158,7 +160,9 @@
         end_search(board, key, None);
     }
     for key in new {
-        let Some(id) = board.requests[key].resumes.clone() else { continue };
+        let request = &board.requests[key];
+        let Some(id) = request.resumes.clone() else { continue };
+        let workspace = request.workspace.clone();
         let stores = stores_of(board, &id, ASKED);
         if stores.is_empty() {
             end_search(board, key, None);
@@ -168,17 +172,26 @@
         let search = StreamSearch { asked, until: Some(now + REPLY_TIMEOUT) };
         board.stream_searches.insert(key, search);
         for store in stores {
-            board.send(store, GatewayMessage::FindStream { id: id.clone() });
+            let (id, workspace) = (id.clone(), workspace.clone());
+            board.send(store, GatewayMessage::FindStream { id, workspace });
         }
     }
 }
 
-fn handle_found(board: &mut Board, from: HostId, id: &str, found: Option<&FoundOrigin>) {
+/// Handles the reply for the stream of an id, as the caller of a workspace asked for it.
+fn handle_found(
+    board: &mut Board,
+    from: HostId,
+    (id, workspace): (&str, Option<&str>),
+    found: Option<&FoundOrigin>,
+) {
     let mut ended = Vec::new();
     for (key, search) in &mut board.stream_searches {
         let request = board.requests.get(*key);
-        let is_meant = request.is_some_and(|request| request.resumes.as_deref() == Some(id));
-        if !is_meant || search.until.is_none() {
+        let has_asked = request.is_some_and(|request| {
+            request.resumes.as_deref() == Some(id) && request.workspace.as_deref() == workspace
+        });
+        if !has_asked || search.until.is_none() {
             continue;
         }
         search.asked.remove(&from);
--- a/crates/core/src/gateway/message.rs
+++ b/crates/core/src/gateway/message.rs
@@ -82,6 +82,9 @@
     FindStream {
         /// The id of the attempt that began it.
         id: Box<str>,
+        /// The workspace of the caller, or `None` if it has none.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        workspace: Option<Box<str>>,
     },
     /// Where a stream began. A host of an earlier version drops this message.
     StreamFound {
@@ -93,6 +96,9 @@
         /// version.
         #[serde(default, skip_serializing_if = "Option::is_none")]
         upstreams: Option<Vec<InstanceId>>,
+        /// The workspace that the question named.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        workspace: Option<Box<str>>,
     },
     /// Starts of requests, for the leader to count. A host of an earlier version drops this message.
     UsageStarts(UsageStarts),
--- a/crates/core/tests/it/workspaces.rs
+++ b/crates/core/tests/it/workspaces.rs
@@ -4,7 +4,7 @@
 use std::rc::Rc;
 use std::sync::Arc;
 
-use chestnutdrift_core::directory::{ApiKey, RoutingConfig, Workspace};
+use chestnutdrift_core::directory::{ApiKey, RouteKind, RoutingConfig, Workspace};
 use chestnutdrift_core::gateway::{
     Answer, Call, Event, Forward, ForwardEnd, GatewayMessage, JobCaller, RequestRate, StoreRequest,
     WorkspaceSettings,
@@ -51,11 +51,20 @@
 }
 
 fn request(deployment: &mut Deployment, host: &str, key: Option<&str>) -> RequestTag {
+    take_up(deployment, host, key, None)
+}
+
+fn take_up(
+    deployment: &mut Deployment,
+    host: &str,
+    key: Option<&str>,
+    resumes: Option<&str>,
+) -> RequestTag {
     let call = Call::Request {
         host: host.into(),
         path: "/desk/1".into(),
         fingerprint: Fingerprint::default(),
-        resumes: None,
+        resumes: resumes.map(Into::into),
         key: key.map(ApiKey::new),
     };
     let tag = deployment.send_call(ENTRY, call);
@@ -349,6 +358,28 @@
     }
 }
 
+/// Guards against a stream that another workspace takes up by its id.
+#[test]
+fn a_stream_is_taken_up_only_within_its_workspace() {
+    let mut deployment = serving();
+    let mut config = with_workspaces(3, &["r-1", "r-2"]);
+    config.routes[0].kind = RouteKind::Stream;
+    put(&mut deployment, config);
+    let begun = request(&mut deployment, "desk.example", Some("r-1"));
+    let forward = take_forward(&mut deployment, begun).expect("an upstream");
+    let end = ForwardEnd::Begun { status: 200 };
+    deployment.deliver(ENTRY, Event::ForwardEnded { attempt: forward.attempt, end });
+    deployment.run(100);
+    let stream = format!("call-{}", begun.0);
+    // Both searches are under way at the same time.
+    let tags = ["b-1", "r-2"]
+        .map(|key| take_up(&mut deployment, "desk.example", Some(key), Some(&stream)));
+    deployment.run(500);
+    let forwards = tags.map(|tag| take_forward(&mut deployment, tag).is_some());
+    assert_eq!(forwards, [false, true]);
+    assert_eq!(not_run(deployment.answers.get(&tags[0]).cloned()), 503);
+}
+
 /// Guards against permits that are granted by the route's priority instead of the workspace's.
 #[test]
 fn permits_are_asked_for_with_the_priority_of_the_workspace() {
