fix(core): waiting requests are sent by the priority of their workspace

Cause: waiting requests were advanced in arena order, whatever their priority. Change: where the configuration has workspaces, they are advanced by priority and time of arrival, and only those count as ahead in the check of the learned capacity, now wait_beyond_limit. Without workspaces the order is the arena's as before. Before: the new test saw a free slot go to the lower priority. After: it goes to the higher one. Conclusion: the order holds within an entry host; permits already followed the priority.

--- a/crates/core/src/gateway/controller/forwarding.rs
+++ b/crates/core/src/gateway/controller/forwarding.rs
@@ -77,7 +77,15 @@
         for opened in std::mem::take(&mut board.pending_calls) {
             handle_opened(board, opened);
         }
-        let keys: Vec<RequestKey> = board.requests.keys().collect();
+        let mut keys: Vec<RequestKey> = board.requests.keys().collect();
+        if access::has_workspaces(board) {
+            // The sort is stable: requests that don't wait come first, in the order of the arena.
+            keys.sort_by_cached_key(|key| {
+                let request = &board.requests[*key];
+                let waits = request.state == RequestState::Waiting;
+                waits.then_some((request.priority, request.opened))
+            });
+        }
         for key in keys {
             self.advance(board, key);
         }
--- a/crates/core/src/gateway/controller/forwarding/capacity_refusals.rs
+++ b/crates/core/src/gateway/controller/forwarding/capacity_refusals.rs
@@ -3,6 +3,7 @@
 use super::endings::{MAX_WAIT_DIVISOR, fail_after};
 use crate::gateway::board::{Board, Request, RequestState};
 use crate::gateway::capacity::median_us;
+use crate::gateway::controller::access;
 use crate::gateway::controller::candidates::usable;
 use crate::key::RequestKey;
 use crate::time::Millis;
@@ -13,7 +14,7 @@
 /// Refuses a request that no upstream can take now, if it could not be served in time either once
 /// the requests before it have ended. Returns whether it did.
 pub(super) fn refuse_over_capacity(board: &mut Board, key: RequestKey) -> bool {
-    let Some(wait) = hopeless_wait(board, key) else { return false };
+    let Some(wait) = wait_beyond_limit(board, key) else { return false };
     board.counters.over_capacity += 1;
     let request = &mut board.requests[key];
     request.last_failure = format!("over the learned capacity: expected_wait_ms={}", wait.0).into();
@@ -25,7 +26,7 @@
 ///
 /// An upstream with room, which is one with less than half of its slots taken or with a free slot
 /// within its learned limit, or one of unknown speed excludes a refusal.
-fn hopeless_wait(board: &Board, key: RequestKey) -> Option<Millis> {
+fn wait_beyond_limit(board: &Board, key: RequestKey) -> Option<Millis> {
     let (now, request) = (board.now.mono, &board.requests[key]);
     if !board.cfg.learned_capacity || request.attempts > 0 || request.held {
         return None;
@@ -42,10 +43,15 @@
     if ends_per_ks == 0 {
         return None;
     }
+    let has_workspaces = access::has_workspaces(board);
+    let place = |request: &Request| {
+        let priority = if has_workspaces { request.priority } else { 0 };
+        (priority, request.opened, request.tag)
+    };
     let is_ahead = |other: &&Request| {
         other.state == RequestState::Waiting
             && other.service == request.service
-            && (other.opened, other.tag) <= (request.opened, request.tag)
+            && place(other) <= place(request)
     };
     let ahead = board.requests.values().filter(is_ahead).count() as u64;
     let wait = Millis(ahead * 1_000_000 / ends_per_ks);
--- a/crates/core/tests/it/workspaces.rs
+++ b/crates/core/tests/it/workspaces.rs
@@ -380,6 +380,28 @@
     assert_eq!(not_run(deployment.answers.get(&tags[0]).cloned()), 503);
 }
 
+/// Guards against a free upstream that goes to the request that arrived first, whatever the
+/// priorities of the workspaces.
+#[test]
+fn waiting_requests_are_sent_by_the_priority_of_the_workspace() {
+    let mut deployment = serving();
+    let mut config = with_workspaces(3, &["r-1"]);
+    config.workspaces[1].priority = Some(1);
+    put(&mut deployment, config);
+    let mut running = Vec::new();
+    loop {
+        let tag = request(&mut deployment, "desk.example", Some("r-1"));
+        let Some(forward) = take_forward(&mut deployment, tag) else { break };
+        running.push(forward.attempt);
+    }
+    let urgent = request(&mut deployment, "desk.example", Some("b-1"));
+    assert!(take_forward(&mut deployment, urgent).is_none());
+    let end = ForwardEnd::Delivered { status: 200 };
+    deployment.deliver(ENTRY, Event::ForwardEnded { attempt: running[0], end });
+    deployment.run(5);
+    assert!(take_forward(&mut deployment, urgent).is_some());
+}
+
 /// Guards against permits that are granted by the route's priority instead of the workspace's.
 #[test]
 fn permits_are_asked_for_with_the_priority_of_the_workspace() {
