fix(core): a refused submission is not counted as an accepted job

Cause: the changes of a submission were marked although its id belongs to another workspace's job. Change: they are marked only if the command was not refused for that.

--- a/crates/core/src/gateway/controller/agreement.rs
+++ b/crates/core/src/gateway/controller/agreement.rs
@@ -156,7 +156,11 @@
     let pending = group.pending_commits.remove(&entry.index);
     let Command::Directory(command) = &entry.command else { return };
     let outcome = group.directory.apply(command);
-    mark_changes(board, group, command);
+    board.another_round = true;
+    // The refused submission changed nothing; the known job of its id is another workspace's.
+    if outcome != DirectoryOutcome::JobIdTaken {
+        mark_changes(board, group, command);
+    }
     let Some(PendingCommit { term, origin: Some(origin), .. }) = pending else { return };
     let reply = match outcome {
         _ if term != entry.term => StoreReply::Undetermined,
@@ -169,7 +173,6 @@
 
 /// Marks on the board, for the other controllers, what an applied command has changed.
 fn mark_changes(board: &mut Board, group: &mut DirectoryGroup, command: &DirectoryCommand) {
-    board.another_round = true;
     match command {
         DirectoryCommand::PutRouting(_) => board.received_routing = group.directory.routing.clone(),
         DirectoryCommand::SubmitJob { spec, .. } => {
--- a/crates/core/tests/it/workspaces.rs
+++ b/crates/core/tests/it/workspaces.rs
@@ -214,6 +214,9 @@
     let answers = tags.map(|tag| deployment.answers.get(&tag).cloned());
     let refused = answers.into_iter().filter(|answer| *answer != Some(Answer::Accepted));
     assert_eq!(refused.map(not_run).collect::<Vec<_>>(), [409]);
+    let leader = deployment.leader().expect("a leader");
+    let accepted = deployment.gateway(leader).board().counters.jobs;
+    assert_eq!(accepted, 1, "the refused submission was counted as accepted");
 }
 
 /// Guards against a job whose workspace is lost with its leader, its key or all disks but one, or whose
