fix(core): a repeated statement about a slow upstream stays in force

Cause: the first time of a store's statement was kept, so it was ignored after 10 s while still true. Change: each repetition renews it; the comments use the usual terms. Before: not run with the new test. After: the new test passes. Conclusion: a statement ends 10 s after its last repetition.

--- a/crates/core/src/gateway/capacity/slow_reports.rs
+++ b/crates/core/src/gateway/capacity/slow_reports.rs
@@ -11,7 +11,7 @@
 /// How long a report counts. Hosts send hellos every second.
 pub const REPORT_VALIDITY: Millis = Millis(4_000);
 
-/// How long a store's statement counts that is not taken back, as the store may have failed. Slow
+/// How long a store's statement counts that is not withdrawn, as the store may have failed. Slow
 /// periods last 8 s.
 const STATEMENT_VALIDITY: Millis = Millis(10_000);
 
@@ -37,7 +37,7 @@
     reporters: BTreeMap<HostId, Millis>,
     /// On a store host: whether its record says that the upstream is slow.
     stated: bool,
-    /// The store hosts whose records say so, and since when.
+    /// The store hosts whose records say so, and when they last did.
     stated_by: BTreeMap<HostId, Millis>,
 }
 
@@ -47,7 +47,7 @@
         self.seen = Some(now);
     }
 
-    /// Returns whether this host saw it slow a short time ago, so that its hellos tell.
+    /// Returns whether this host saw it slow a short time ago, so that its hellos report it.
     #[must_use]
     pub fn is_reported(&self, now: Millis) -> bool {
         self.seen.is_some_and(|seen| now.since(seen) < REPORT_VALIDITY)
@@ -85,7 +85,7 @@
     /// Applies the statement in a record of another store host.
     pub fn apply_statement(&mut self, from: HostId, slow: bool, now: Millis) {
         if slow {
-            self.stated_by.entry(from).or_insert(now);
+            self.stated_by.insert(from, now);
         } else {
             self.stated_by.remove(&from);
         }
--- a/crates/core/tests/it/capacity.rs
+++ b/crates/core/tests/it/capacity.rs
@@ -3,7 +3,7 @@
 mod item_replay;
 mod request_replay;
 
-use chestnutdrift_core::gateway::capacity::Observation;
+use chestnutdrift_core::gateway::capacity::{Observation, SlowReports};
 use chestnutdrift_core::gateway::policy::{
     EngineCandidate, ItemPlacement, LearnedPlacement, LongestFirst, WaitingItem,
 };
@@ -64,6 +64,17 @@
     assert_eq!(estimate.unit_time_us(now + Millis(3_000)), 47_000, "nothing is in flight");
 }
 
+/// Guards against a statement that is ignored while its store still repeats it.
+#[test]
+fn a_repeated_statement_counts_from_its_last_repetition() {
+    let mut reports = SlowReports::default();
+    for at in [0, 9_000] {
+        reports.apply_statement(HostId(1), true, Millis(at));
+    }
+    assert!(reports.is_stated_by_any(Millis(12_000)));
+    assert!(!reports.is_stated_by_any(Millis(19_500)));
+}
+
 fn replay_items(load: ItemLoad) -> [Figures; 3] {
     [Placement::Fewest, Placement::Today, Placement::Learned].map(|placement| {
         let mut all = Figures::default();
