perf(core): no search for slow reports without learned capacity

Cause: the deadline of the capacity controller was looked up in all upstreams after each event. Change: it returns early where learned capacity is off. Conclusion: the counts of waiting requests and the response times are still computed per request.

--- a/crates/core/src/gateway/controller/capacity.rs
+++ b/crates/core/src/gateway/controller/capacity.rs
@@ -4,7 +4,7 @@
 //! Writes: `upstreams` (slow reports), `revision`, `registry_changed`, `actions`.
 //!
 //! Entry hosts report slow upstreams in their hellos; a store host that has several reports says so in
-//! its records, and takes it back when the reports cease. Nothing is sent while no upstream is slow,
+//! its records, and withdraws it when the reports cease. Nothing is sent while no upstream is slow,
 //! nor without learned capacity.
 
 use super::Controller;
@@ -44,6 +44,9 @@
     }
 
     fn next_deadline(&self, board: &Board) -> Millis {
+        if !board.cfg.learned_capacity {
+            return Millis::MAX;
+        }
         let is_active = board.upstreams.values().any(|upstream| upstream.slow_reports.is_active());
         if is_active { self.check_at } else { Millis::MAX }
     }
