docs(core): comment lines of items, loads, capacity and speeds

Cause: lines of doc comments were broken or over-long, and some words unusual. Change: they are wrapped, and is_news is is_new.

--- a/crates/core/src/gateway/capacity.rs
+++ b/crates/core/src/gateway/capacity.rs
@@ -90,7 +90,8 @@
         }
     }
 
-    /// Records units of work done at the present number in flight. Failures are not recorded, since a quick one is no sign of speed.
+    /// Records units of work done at the present number in flight. Failures are not recorded, since a
+    /// quick one is no sign of speed.
     pub fn observe(&mut self, now: Millis, seen: Observation) {
         if seen.units == 0 {
             return;
--- a/crates/core/src/gateway/controller/candidates/speeds.rs
+++ b/crates/core/src/gateway/controller/candidates/speeds.rs
@@ -85,7 +85,7 @@
     usize::from(board.cfg.distance(&upstream.announced.zone)).min(DISTANCES - 1)
 }
 
-/// Lets the next hellos tell the stores of an upstream that this host sees to be slow.
+/// Lets the next hellos report to the stores an upstream that this host sees to be slow.
 pub(super) fn report_if_slow(board: &mut Board, key: UpstreamKey) {
     if !board.cfg.learned_capacity || board.cfg.role == Role::Store {
         return;
@@ -96,9 +96,9 @@
         return;
     }
     let reports = &mut board.upstreams[key].slow_reports;
-    let is_news = !reports.is_reported(now) && !reports.is_stated_by_any(now);
+    let is_new = !reports.is_reported(now) && !reports.is_stated_by_any(now);
     reports.record_seen(now);
-    if is_news {
+    if is_new {
         registry::hasten_hellos(board);
     }
 }
--- a/crates/core/src/gateway/controller/items.rs
+++ b/crates/core/src/gateway/controller/items.rs
@@ -5,10 +5,10 @@
 //! state), `counters`, `proposals`, `actions`.
 //!
 //! An item whose run breaks off resumes at another engine of the same software version after the last
-//! event received. An item on
-//! an engine that is much slower than the median is first stopped there and then resumes elsewhere.
-//! The same is done with an item on an engine that will be gone before the item ends.
-//! A complete text that needs a score waits for its reward call. The texts of long items are written to the log in parts, so that another leader can resume them.
+//! event received. An item on an engine that is much slower than the median is first stopped there
+//! and then resumes elsewhere. The same is done with an item on an engine that will be gone before
+//! the item ends. A complete text that needs a score waits for its reward call. The texts of long
+//! items are written to the log in parts, so that another leader can resume them.
 
 mod engines;
 mod leaving;
--- a/crates/core/src/gateway/controller/loads.rs
+++ b/crates/core/src/gateway/controller/loads.rs
@@ -4,9 +4,9 @@
 //! clock.
 //! Writes: `orders`, `upstreams` (load state), `counters`, `actions`.
 //!
-//! Only the host that holds the lease sends orders. A version goes first to the engines that are furthest behind, a few at a time, so that the others continue to
-//! run under weights that jobs still accept. A model that too few engines can run for its jobs goes
-//! before all others.
+//! Only the host that holds the lease sends orders. A version goes first to the engines that are
+//! furthest behind, a few at a time, so that the others continue to run under weights that jobs still
+//! accept. A model that too few engines can run for its jobs goes before all others.
 
 mod due;
 
