--- a/crates/core/tests/it/workspaces.rs
+++ b/crates/core/tests/it/workspaces.rs
@@ -4,7 +4,7 @@
 use std::rc::Rc;
 use std::sync::Arc;
 
-use chestnutdrift_core::directory::{ApiKey, RoutingConfig, Workspace};
+use chestnutdrift_core::directory::{ApiKey, RouteKind, RoutingConfig, Workspace};
 use chestnutdrift_core::gateway::{
     Answer, Call, Event, Forward, ForwardEnd, GatewayMessage, JobCaller, RequestRate, StoreRequest,
     WorkspaceSettings,
@@ -51,11 +51,20 @@
 }
 
 fn request(deployment: &mut Deployment, host: &str, key: Option<&str>) -> RequestTag {
+    take_up(deployment, host, key, None)
+}
+
+fn take_up(
+    deployment: &mut Deployment,
+    host: &str,
+    key: Option<&str>,
+    resumes: Option<&str>,
+) -> RequestTag {
     let call = Call::Request {
         host: host.into(),
         path: "/desk/1".into(),
         fingerprint: Fingerprint::default(),
-        resumes: None,
+        resumes: resumes.map(Into::into),
         key: key.map(ApiKey::new),
     };
     let tag = deployment.send_call(ENTRY, call);
@@ -205,6 +214,9 @@
     let answers = tags.map(|tag| deployment.answers.get(&tag).cloned());
     let refused = answers.into_iter().filter(|answer| *answer != Some(Answer::Accepted));
     assert_eq!(refused.map(not_run).collect::<Vec<_>>(), [409]);
+    let leader = deployment.leader().expect("a leader");
+    let accepted = deployment.gateway(leader).board().counters.jobs;
+    assert_eq!(accepted, 1, "the refused submission was counted as accepted");
 }
 
 /// Guards against a job whose workspace is lost with its leader, its key or all disks but one, or whose
@@ -278,6 +290,41 @@
     assert_eq!(not_run(results(&mut deployment, OTHER_ENTRY, None)), 401);
 }
 
+/// Guards against a name that is accepted and then left out of the header for upstreams.
+#[test_case("b\u{e4}r", false; "not ascii")]
+#[test_case("a\tb", false; "a tab")]
+#[test_case("a b", true; "an inner space")]
+fn a_workspace_has_a_name_that_a_header_can_carry(name: &str, is_valid: bool) {
+    let mut config = with_workspaces(2, &["r-1"]);
+    config.workspaces[0].name = name.into();
+    assert_eq!(config.check().is_ok(), is_valid);
+}
+
+/// Guards against job calls without a key that pass through a host which has no configuration yet.
+#[test]
+fn a_host_without_a_configuration_lets_no_job_call_without_a_key_through() {
+    let mut deployment = started(41);
+    deployment.submit(ENTRY, job("job", 12, 1));
+    deployment.run(1_000);
+    for (version, status) in [(2, None), (3, Some(401))] {
+        if status.is_some() {
+            put(&mut deployment, with_workspaces(version, &["r-1"]));
+        }
+        deployment.kill(ENTRY);
+        deployment.start(ENTRY);
+        let read =
+            Call::Results { job: "job".into(), after: 0, wait: Millis(0), caller: caller(None) };
+        let tag = deployment.send_call(ENTRY, read);
+        assert!(deployment.gateway(ENTRY).board().routing.is_none());
+        deployment.run(1_500);
+        let answer = deployment.answers.get(&tag).cloned();
+        match status {
+            Some(status) => assert_eq!(not_run(answer), status),
+            None => assert!(matches!(answer, Some(Answer::Results(_))), "{answer:?}"),
+        }
+    }
+}
+
 /// Guards against a host that serves revoked keys for longer than the settings allow, or refuses
 /// requests that need no key.
 #[test_case(false; "open")]
@@ -314,6 +361,50 @@
     }
 }
 
+/// Guards against a stream that another workspace takes up by its id.
+#[test]
+fn a_stream_is_taken_up_only_within_its_workspace() {
+    let mut deployment = serving();
+    let mut config = with_workspaces(3, &["r-1", "r-2"]);
+    config.routes[0].kind = RouteKind::Stream;
+    put(&mut deployment, config);
+    let begun = request(&mut deployment, "desk.example", Some("r-1"));
+    let forward = take_forward(&mut deployment, begun).expect("an upstream");
+    let end = ForwardEnd::Begun { status: 200 };
+    deployment.deliver(ENTRY, Event::ForwardEnded { attempt: forward.attempt, end });
+    deployment.run(100);
+    let stream = format!("call-{}", begun.0);
+    // Both searches are under way at the same time.
+    let tags = ["b-1", "r-2"]
+        .map(|key| take_up(&mut deployment, "desk.example", Some(key), Some(&stream)));
+    deployment.run(500);
+    let forwards = tags.map(|tag| take_forward(&mut deployment, tag).is_some());
+    assert_eq!(forwards, [false, true]);
+    assert_eq!(not_run(deployment.answers.get(&tags[0]).cloned()), 503);
+}
+
+/// Guards against a free upstream that goes to the request that arrived first, whatever the
+/// priorities of the workspaces.
+#[test]
+fn waiting_requests_are_sent_by_the_priority_of_the_workspace() {
+    let mut deployment = serving();
+    let mut config = with_workspaces(3, &["r-1"]);
+    config.workspaces[1].priority = Some(1);
+    put(&mut deployment, config);
+    let mut running = Vec::new();
+    loop {
+        let tag = request(&mut deployment, "desk.example", Some("r-1"));
+        let Some(forward) = take_forward(&mut deployment, tag) else { break };
+        running.push(forward.attempt);
+    }
+    let urgent = request(&mut deployment, "desk.example", Some("b-1"));
+    assert!(take_forward(&mut deployment, urgent).is_none());
+    let end = ForwardEnd::Delivered { status: 200 };
+    deployment.deliver(ENTRY, Event::ForwardEnded { attempt: running[0], end });
+    deployment.run(5);
+    assert!(take_forward(&mut deployment, urgent).is_some());
+}
+
 /// Guards against permits that are granted by the route's priority instead of the workspace's.
 #[test]
 fn permits_are_asked_for_with_the_priority_of_the_workspace() {
@@ -354,8 +445,13 @@
 #[test]
 fn without_workspaces_nothing_is_encoded_that_was_not_before() {
     let config = Arc::unwrap_or_clone(routing(1));
-    let results =
-        StoreRequest::Results { job: "job".into(), after: 0, wait: Millis(0), workspace: None };
+    let results = StoreRequest::Results {
+        job: "job".into(),
+        after: 0,
+        wait: Millis(0),
+        workspace: None,
+        host: None,
+    };
     let mut buf = Vec::new();
     ciborium::into_writer(&(config, results), &mut buf).expect("an encoding");
     let text = String::from_utf8_lossy(&buf);
