feat(core): review of a routing configuration, difference of two

Cause: a host names only the first error of a configuration, and says nothing of parts that are valid but can have no effect. A version that is not above the one in force is acknowledged and ignored. Change: RoutingConfig::errors lists all errors; check returns the first of them, as before. RoutingConfig::review adds warnings and the version, as typed findings with a severity. RoutingConfig::changes_since lists the changes by route, service, limit and workspace; keys are only counted.

--- a/crates/core/src/directory.rs
+++ b/crates/core/src/directory.rs
@@ -5,9 +5,11 @@
 //! [`DirectoryCommand`]s in the same order to its [`Directory`].
 
 mod command;
+mod difference;
 mod document;
 mod job;
 mod rebuild;
+mod review;
 mod reward_call;
 mod routing;
 mod scaling;
@@ -17,8 +19,10 @@
 mod workspace;
 
 pub use command::{DirectoryCommand, DirectoryOutcome};
+pub use difference::{Change, ChangeKind, Subject};
 pub use document::ConfigDocument;
 pub use job::{ItemOutcome, ItemResult, ItemSpec, Job, JobSpec, NewResult};
+pub use review::{Finding, RequestLimit, Severity};
 pub use reward_call::RewardCall;
 pub use routing::{
     EngineSpec, RequestLimits, Route, RouteKind, RoutingConfig, RoutingError, ServiceSpec, Target,
--- a/crates/core/src/directory/routing.rs
+++ b/crates/core/src/directory/routing.rs
@@ -214,34 +214,45 @@
     ///
     /// Returns the first error found.
     pub fn check(&self) -> Result<(), RoutingError> {
+        self.errors().into_iter().next().map_or(Ok(()), Err)
+    }
+
+    /// Returns all errors of the configuration.
+    #[must_use]
+    pub fn errors(&self) -> Vec<RoutingError> {
+        let mut errors = Vec::new();
         let services: BTreeSet<&str> = self.services.iter().map(|spec| &*spec.name).collect();
         for spec in &self.services {
             if spec.scaling.as_ref().is_some_and(|scaling| scaling.min > scaling.max) {
-                return Err(RoutingError::InvalidScaling { service: spec.name.clone() });
+                errors.push(RoutingError::InvalidScaling { service: spec.name.clone() });
             }
         }
         let mut seen = BTreeSet::new();
         for route in &self.routes {
             let name = || route.name.clone();
             if !seen.insert((&*route.host, &*route.prefix)) {
-                return Err(RoutingError::DuplicateRoute { route: name() });
+                errors.push(RoutingError::DuplicateRoute { route: name() });
             }
             if !route.prefix.starts_with('/') || !route.prefix.ends_with('/') {
-                return Err(RoutingError::InvalidPrefix { route: name() });
+                errors.push(RoutingError::InvalidPrefix { route: name() });
             }
             if route.timeout == Millis(0) {
-                return Err(RoutingError::ZeroTimeout { route: name() });
+                errors.push(RoutingError::ZeroTimeout { route: name() });
             }
-            let missing = route.targets.iter().find(|target| !services.contains(&*target.service));
-            if let Some(target) = missing {
+            for target in &route.targets {
+                if services.contains(&*target.service) {
+                    continue;
+                }
                 let service = target.service.clone();
-                return Err(RoutingError::UnknownService { route: name(), service });
+                errors.push(RoutingError::UnknownService { route: name(), service });
             }
             if route.targets.iter().all(|target| target.weight == 0) {
-                return Err(RoutingError::ZeroWeight { route: name() });
+                errors.push(RoutingError::ZeroWeight { route: name() });
             }
         }
-        workspace::check(&self.workspaces).map_err(RoutingError::InvalidWorkspace)
+        let of_workspaces = workspace::errors(&self.workspaces);
+        errors.extend(of_workspaces.into_iter().map(RoutingError::InvalidWorkspace));
+        errors
     }
 
     /// Returns the route of a host and path: the one with the longest matching prefix.
--- a/crates/core/src/directory/workspace.rs
+++ b/crates/core/src/directory/workspace.rs
@@ -171,37 +171,37 @@
     }
 }
 
-/// Checks that the workspaces of a configuration have names and keys of their own.
-pub(super) fn check(workspaces: &[Workspace]) -> Result<(), WorkspaceError> {
+/// Returns the workspaces' errors: those that lack a name or a key of their own.
+pub(super) fn errors(workspaces: &[Workspace]) -> Vec<WorkspaceError> {
+    let mut errors = Vec::new();
     let mut names = BTreeSet::new();
     let mut owners: BTreeMap<&ApiKey, usize> = BTreeMap::new();
     for (index, workspace) in workspaces.iter().enumerate() {
         let name = || workspace.name.clone();
-        if workspace.name.trim().is_empty() {
-            return Err(WorkspaceError::NoName { index });
-        }
         let has_outer_space = workspace.name.trim().len() < workspace.name.len();
-        if has_outer_space || workspace.name.chars().any(char::is_control) {
-            return Err(WorkspaceError::InvalidName { index });
-        }
-        if !names.insert(&workspace.name) {
-            return Err(WorkspaceError::DuplicateName { index, name: name() });
+        if workspace.name.trim().is_empty() {
+            errors.push(WorkspaceError::NoName { index });
+        } else if has_outer_space || workspace.name.chars().any(char::is_control) {
+            errors.push(WorkspaceError::InvalidName { index });
+        } else if !names.insert(&workspace.name) {
+            errors.push(WorkspaceError::DuplicateName { index, name: name() });
         }
         if workspace.keys.is_empty() {
-            return Err(WorkspaceError::NoKey { index, name: name() });
+            errors.push(WorkspaceError::NoKey { index, name: name() });
         }
         for (key, text) in workspace.keys.iter().enumerate() {
             if !text.is_valid() {
-                return Err(WorkspaceError::InvalidKey { index, name: name(), key });
+                errors.push(WorkspaceError::InvalidKey { index, name: name(), key });
+                continue;
             }
             let owner = *owners.entry(text).or_insert(index);
             if owner != index {
                 let other = workspaces[owner].name.clone();
-                return Err(WorkspaceError::SharedKey { index, name: name(), key, other });
+                errors.push(WorkspaceError::SharedKey { index, name: name(), key, other });
             }
         }
     }
-    Ok(())
+    errors
 }
 
 impl RoutingConfig {
--- a/crates/core/tests/it/main.rs
+++ b/crates/core/tests/it/main.rs
@@ -29,6 +29,7 @@
 mod provider_calls;
 mod recovery;
 mod registry;
+mod review;
 mod rewards;
 mod routing;
 mod samples;
