--- a/crates/core/tests/it/main.rs
+++ b/crates/core/tests/it/main.rs
@@ -30,6 +30,7 @@
 mod recovery;
 mod registry;
 mod retired_leader;
+mod review;
 mod rewards;
 mod routing;
 mod samples;
