fix(core): a restarted holder waits before its first call to the provider

Cause: a leader that is still named as the holder called the provider as soon as it was elected. A call of an earlier process of its host, with a lower fencing token, could arrive after it. Change: calls to the provider are sent 3.3 s after the election at the earliest, on every leader. Orders for weight versions keep their rule. Before: a_restarted_holder_waits_before_its_first_call failed. After: it passes; the 33 tests of usage, provider_calls and scaling pass. Conclusion: a restart costs a holder as long as a change of the holder, for the provider only.

--- a/crates/core/src/gateway/lease/holder.rs
+++ b/crates/core/src/gateway/lease/holder.rs
@@ -58,7 +58,15 @@
 /// Returns from when on this host may act as the holder, or may propose itself; `None` if it does not
 /// lead.
 fn acts_from(board: &Board) -> Option<Millis> {
+    if is_holder(board) { board.group.as_ref()?.replica.leader_since() } else { calls_from(board) }
+}
+
+/// Returns from when on nothing that was sent before this host began to lead can take effect; `None` if
+/// it does not lead.
+///
+/// Calls to the provider wait for it on every leader, because a process of this host that ran before
+/// may have sent some under an earlier fencing token. Engines check the token of an order themselves.
+pub fn calls_from(board: &Board) -> Option<Millis> {
     let since = board.group.as_ref()?.replica.leader_since()?;
-    let wait = board.cfg.times.order_lease + LEASE_MARGIN;
-    Some(if is_holder(board) { since } else { since + wait })
+    Some(since + board.cfg.times.order_lease + LEASE_MARGIN)
 }
--- a/crates/core/src/gateway/provider/calls.rs
+++ b/crates/core/src/gateway/provider/calls.rs
@@ -1,12 +1,13 @@
 //! Provider calls: sends the requests that wait, within the provider's rate, and returns their ends.
 //!
-//! Reads: ended calls, `holder_lease`, `cfg`, the clock.
+//! Reads: ended calls, `holder_lease`, `group` (leadership), `cfg`, the clock.
 //! Writes: `provider`, `counters`, `actions`.
 //!
 //! Each request gets one end. A request whose call failed comes back to the controller that made it,
 //! which puts it into the queue again with the same content; until its subject's backoff has passed, it
 //! waits there. While a call under an earlier fencing token has not ended, nothing is sent, so that the
-//! provider receives no token after a higher one.
+//! provider receives no token after a higher one. For the same reason a leader sends nothing until what
+//! an earlier process of its host may have sent can no longer arrive.
 
 use std::collections::BTreeMap;
 
@@ -16,6 +17,7 @@
 use crate::gateway::controller::Controller;
 use crate::gateway::event::Event;
 use crate::gateway::lease::HolderLease;
+use crate::gateway::lease::holder::calls_from;
 use crate::key::ProviderCallKey;
 use crate::time::Millis;
 use crate::timeline::EventKind;
@@ -87,16 +89,17 @@
         let next = reports.min().unwrap_or(Millis::MAX);
         let starts = board.provider.waiting.iter().filter_map(|request| {
             let subject = request.subject();
-            (!board.provider.is_running(&subject)).then(|| self.may_send_at(&subject))
+            (!board.provider.is_running(&subject)).then(|| self.may_send_at(board, &subject))
         });
         next.min(starts.min().unwrap_or(Millis::MAX))
     }
 }
 
 impl ProviderCalls {
-    fn may_send_at(&self, subject: &Subject) -> Millis {
+    fn may_send_at(&self, board: &Board, subject: &Subject) -> Millis {
         let backoff = self.backoffs.get(subject).copied().unwrap_or_default();
-        backoff.until.max(self.next_send)
+        let from = calls_from(board).unwrap_or_default();
+        backoff.until.max(self.next_send).max(from)
     }
 
     fn send_waiting(&mut self, board: &mut Board, lease: HolderLease) {
@@ -108,7 +111,7 @@
         let mut at = 0;
         while at < board.provider.waiting.len() && now >= self.next_send {
             let subject = board.provider.waiting[at].subject();
-            if board.provider.is_running(&subject) || now < self.may_send_at(&subject) {
+            if board.provider.is_running(&subject) || now < self.may_send_at(board, &subject) {
                 at += 1;
                 continue;
             }
--- a/crates/core/tests/it/usage.rs
+++ b/crates/core/tests/it/usage.rs
@@ -328,3 +328,33 @@
     let waited = deployment.now - lost_at;
     assert!((3_300..8_000).contains(&waited), "the next holder came after {waited} ms");
 }
+
+/// Guards against a call of a holder that has restarted, while one that its earlier process sent under a
+/// lower token may still arrive.
+#[test]
+fn a_restarted_holder_waits_before_its_first_call() {
+    let mut deployment = reporting(24);
+    deployment.run_with_requests(16_000);
+    deployment.provider.is_silent = true;
+    for _ in 0..20 {
+        deployment.run(10_000);
+        let (holder, stores) = (leader(&deployment), deployment.hosts());
+        stores.iter().for_each(|store| deployment.kill(*store));
+        stores.iter().for_each(|store| deployment.start(*store));
+        while deployment.leader().is_none() {
+            deployment.run(10);
+        }
+        if leader(&deployment) != holder {
+            continue;
+        }
+        while deployment.gateway(holder).board().provider.running.is_empty() {
+            deployment.run(10);
+        }
+        let board = deployment.gateway(holder).board();
+        let since = board.group.as_ref().and_then(|group| group.replica.leader_since());
+        let waited = board.now.mono.since(since.expect("it leads"));
+        assert!((3_300..5_000).contains(&waited.0), "the first call came after {waited:?}");
+        return;
+    }
+    panic!("no holder was elected again");
+}
