fix(core): starts of an entry with a lower boot id are counted

Cause: a boot id is the wall-clock time of the start. After the clock was stepped back, a restarted entry was taken for an older process, and its starts were dropped. Change: any other boot id is a new process; the one before it is remembered, to drop its stragglers. Before: an_entry_restarts_with_a_lower_boot_id failed, its first whole window was not counted in full. After: it passes. Conclusion: the order of boot ids no longer matters.

--- a/crates/core/src/gateway/usage/tally.rs
+++ b/crates/core/src/gateway/usage/tally.rs
@@ -24,27 +24,39 @@
     /// The number of starts by their time on this host's monotonic clock, which may lie before its
     /// zero.
     starts: BTreeMap<(i64, WorkspaceKey), u64>,
-    /// The boot id of each entry host, and the number of the next record that is lacking.
-    sources: BTreeMap<HostId, (u64, u64)>,
+    sources: BTreeMap<HostId, Source>,
     /// The time up to which starts are settled; `None` before the first window.
     settled_to: Option<i64>,
     /// The number of starts that came after their window was settled.
     pub(super) late: u64,
 }
 
+/// The process of an entry host whose records are counted.
+#[derive(Debug, Clone, Copy)]
+struct Source {
+    boot_id: u64,
+    /// The boot id of the process before it, whose delayed messages are dropped.
+    previous: Option<u64>,
+    /// The number of the next record that is lacking.
+    next_seq: u64,
+}
+
 impl Tally {
     /// Adds the records that are new, and returns the number of the next record.
     pub(super) fn add(&mut self, now: Millis, from: HostId, message: &UsageStarts) -> u64 {
-        let source = self.sources.entry(from).or_insert((message.boot_id, 0));
-        if message.boot_id < source.0 {
-            return source.1;
+        let boot_id = message.boot_id;
+        let new = Source { boot_id, previous: None, next_seq: 0 };
+        let source = self.sources.entry(from).or_insert(new);
+        if source.previous == Some(boot_id) {
+            return source.next_seq;
         }
-        if message.boot_id > source.0 {
-            *source = (message.boot_id, 0);
+        // Boot ids are not compared by size: the wall clock that they come from may be stepped back.
+        if source.boot_id != boot_id {
+            *source = Source { previous: Some(source.boot_id), ..new };
         }
-        let lacking = source.1;
-        source.1 = lacking.max(message.first_seq + message.records.len() as u64);
-        let next_seq = source.1;
+        let lacking = source.next_seq;
+        source.next_seq = lacking.max(message.first_seq + message.records.len() as u64);
+        let next_seq = source.next_seq;
         for (seq, (position, age, count)) in (message.first_seq..).zip(&message.records) {
             let is_new = seq >= lacking;
             let name = message.workspaces.get(*position as usize);
--- a/crates/core/tests/it/deployment/usage.rs
+++ b/crates/core/tests/it/deployment/usage.rs
@@ -39,8 +39,13 @@
 impl Deployment {
     /// Adds an entry host that records usage.
     pub(crate) fn add_usage_entry(&mut self, id: HostId) {
+        self.add_usage_entry_as(id, START_WALL_MS + self.now);
+    }
+
+    /// Adds the same as a process with a boot id.
+    pub(crate) fn add_usage_entry_as(&mut self, id: HostId, boot_id: u64) {
         let cfg = GatewaySettings::new(id, "entry", "zone-1", Role::Entry)
-            .instance_ids(1, START_WALL_MS + self.now)
+            .instance_ids(1, boot_id)
             .provider(settings());
         let board = Board::new(cfg, Now::default());
         let (started_at, next_hello) = (self.now, self.now);
--- a/crates/core/tests/it/usage.rs
+++ b/crates/core/tests/it/usage.rs
@@ -358,3 +358,22 @@
     }
     panic!("no holder was elected again");
 }
+
+/// Guards against starts that are lost because their entry has restarted with a wall clock that was
+/// stepped back, so that its new boot id is lower.
+#[test]
+fn an_entry_restarts_with_a_lower_boot_id() {
+    let mut deployment = reporting(25);
+    deployment.run_with_requests(17_000);
+    deployment.kill_usage_entry(ENTRIES[0]);
+    // Until the requests of the killed process have ended.
+    deployment.run(7_000);
+    deployment.add_usage_entry_as(ENTRIES[0], 1_000);
+    let from = Deployment::window_at(deployment.now) + 1;
+    deployment.run_with_requests(15_000);
+    deployment.run(15_000);
+    let reports = deployment.checked_reports();
+    for window in from..from + 2 {
+        assert_eq!(reports[&window], deployment.expected_counts(window), "window {window}");
+    }
+}
