fix(core): a former leader does not tick for usage that it can't settle

Cause: Settlement kept the deadline of an overdue window while the host did not lead. Change: it has no deadline while the host does not lead. Before: 2000 ticks within 2 s on an isolated leader. After: fewer than the 200 that an_isolated_leader_does_not_tick_all_the_time allows. Conclusion: the other users of the lease were not changed.

--- a/crates/core/src/gateway/usage/settlement.rs
+++ b/crates/core/src/gateway/usage/settlement.rs
@@ -86,7 +86,9 @@
     }
 
     fn next_deadline(&self, board: &Board) -> Millis {
-        self.term.as_ref().map_or(Millis::MAX, |term| term.next_deadline(board))
+        // A term is kept while the lease has lapsed, but nothing is done until the lease is back.
+        let term = self.term.as_ref().filter(|_| board.leads());
+        term.map_or(Millis::MAX, |term| term.next_deadline(board))
     }
 }
 
--- a/crates/core/tests/it/usage.rs
+++ b/crates/core/tests/it/usage.rs
@@ -6,7 +6,7 @@
 use chestnutdrift_core::HostId;
 use chestnutdrift_core::directory::{ApiKey, Directory, DirectoryCommand, UsageCounts, Workspace};
 use chestnutdrift_core::gateway::message::GatewayMessage;
-use chestnutdrift_core::gateway::{Answer, Call, ForwardEnd};
+use chestnutdrift_core::gateway::{Answer, Call, Event, ForwardEnd};
 use chestnutdrift_core::message::{Envelope, Message};
 use test_case::test_case;
 
@@ -377,3 +377,25 @@
         assert_eq!(reports[&window], deployment.expected_counts(window), "window {window}");
     }
 }
+
+/// Guards against a former leader that asks for a tick at every moment because its next window is overdue.
+#[test]
+fn an_isolated_leader_does_not_tick_all_the_time() {
+    let mut deployment = reporting(27);
+    deployment.run_with_requests(16_000);
+    let holder = leader(&deployment);
+    for other in deployment.hosts() {
+        if other != holder {
+            deployment.cut(holder, other, true);
+        }
+    }
+    deployment.run(12_000);
+    let count = Rc::new(Cell::new(0));
+    let counted = Rc::clone(&count);
+    deployment.on_event = Some(Box::new(move |host, event, _| {
+        let is_tick = host == holder && matches!(event, Event::Tick);
+        counted.set(counted.get() + u32::from(is_tick));
+    }));
+    deployment.run(2_000);
+    assert!(count.get() < 200, "{} ticks within 2 s", count.get());
+}
