fix(core): an acknowledgement of usage names the process it is for

Cause: UsageAck had no boot id; one for an earlier process moved records to the acknowledged ones. Change: it repeats the boot id of the message, and others are ignored. Before: without the check, an_acknowledgement_for_an_earlier_process_is_ignored failed with 240 instead of 260 starts in a window. After: it passes.

--- a/crates/core/src/gateway/usage/messages.rs
+++ b/crates/core/src/gateway/usage/messages.rs
@@ -29,6 +29,8 @@
 pub struct UsageAck {
     /// The fencing token of the leader.
     pub fence: u64,
+    /// The boot id in the message that it replies to; an earlier process numbered its records otherwise.
+    pub boot_id: u64,
     /// The number of the message that it replies to.
     pub number: u64,
     /// The number of the next record that the leader lacks.
--- a/crates/core/src/gateway/usage/recording.rs
+++ b/crates/core/src/gateway/usage/recording.rs
@@ -178,7 +178,7 @@
         // A host that leads anew names a token that no view may have told yet.
         board.leader = board.leader.max(Some((ack.fence, from)));
         let (number, sent_at) = self.last_sent;
-        if self.leader != Some((ack.fence, from)) {
+        if self.leader != Some((ack.fence, from)) || ack.boot_id != board.cfg.boot_id {
             return;
         }
         if ack.number == number && !self.is_acknowledged {
--- a/crates/core/src/gateway/usage/settlement.rs
+++ b/crates/core/src/gateway/usage/settlement.rs
@@ -156,7 +156,12 @@
                 let next_seq =
                     if is_meant { term.tally.add(board.now.mono, from, starts) } else { 0 };
                 board.counters.usage_late_starts = term.tally.late;
-                let ack = UsageAck { fence: term.fence, number: starts.number, next_seq };
+                let ack = UsageAck {
+                    fence: term.fence,
+                    boot_id: starts.boot_id,
+                    number: starts.number,
+                    next_seq,
+                };
                 board.send(from, GatewayMessage::UsageAck(ack));
             }
             _ => {}
--- a/crates/core/tests/it/deployment/usage.rs
+++ b/crates/core/tests/it/deployment/usage.rs
@@ -7,10 +7,12 @@
 
 use chestnutdrift_core::directory::UsageCounts;
 use chestnutdrift_core::gateway::board::{Attempt, Board, Purpose, Request, RequestState};
+use chestnutdrift_core::gateway::message::GatewayMessage;
 use chestnutdrift_core::gateway::usage::recording::{Recording, note_dispatch};
 use chestnutdrift_core::gateway::{Action, Controller, Event, ForwardEnd, GatewaySettings, Role};
 use chestnutdrift_core::key::RequestKey;
-use chestnutdrift_core::message::Envelope;
+use chestnutdrift_core::message::{Envelope, Message};
+use chestnutdrift_core::timeline::Stamp;
 use chestnutdrift_core::{AttemptKey, Fingerprint, HostId, Millis, Now, RequestTag};
 
 use super::provider::settings;
@@ -100,6 +102,13 @@
         self.schedule(now + millis, Scheduled::Entry(entry, ended));
     }
 
+    /// Lets a message of a store arrive at an entry.
+    pub(crate) fn deliver_to_entry(&mut self, id: HostId, from: HostId, message: GatewayMessage) {
+        let (stamp, message) = (Stamp::default(), Message::Gateway(Box::new(message)));
+        let envelope = Box::new(Envelope { from, stamp, message });
+        self.handle_entry(id, EntryEvent::Received(envelope));
+    }
+
     /// Kills an entry that records usage.
     pub(crate) fn kill_usage_entry(&mut self, id: HostId) {
         self.usage_entries.remove(&id);
--- a/crates/core/tests/it/usage.rs
+++ b/crates/core/tests/it/usage.rs
@@ -6,6 +6,7 @@
 use chestnutdrift_core::HostId;
 use chestnutdrift_core::directory::{ApiKey, Directory, DirectoryCommand, UsageCounts, Workspace};
 use chestnutdrift_core::gateway::message::GatewayMessage;
+use chestnutdrift_core::gateway::usage::UsageAck;
 use chestnutdrift_core::gateway::{Answer, Call, Event, ForwardEnd};
 use chestnutdrift_core::message::{Envelope, Message};
 use test_case::test_case;
@@ -399,3 +400,19 @@
     deployment.run(2_000);
     assert!(count.get() < 200, "{} ticks within 2 s", count.get());
 }
+
+/// Guards against records that are taken for acknowledged because a delayed acknowledgement for an
+/// earlier process of the entry has a higher number.
+#[test]
+fn an_acknowledgement_for_an_earlier_process_is_ignored() {
+    let mut deployment = reporting(26);
+    deployment.run_with_requests(16_000);
+    let leader = leader(&deployment);
+    let fence = deployment.gateway(leader).board().holder_lease.expect("a lease").fence;
+    deployment.cut(leader, ENTRIES[0], true);
+    deployment.run_with_requests(800);
+    let ack = UsageAck { fence, boot_id: 1, number: 1, next_seq: 1_000_000 };
+    deployment.deliver_to_entry(ENTRIES[0], leader, GatewayMessage::UsageAck(ack));
+    deployment.cut(leader, ENTRIES[0], false);
+    finish(&mut deployment, 10_000);
+}
