fix(core): records of usage expire without a leader

Cause: records expired only when a message was sent, and those not sent to a leader only there. Change: they expire each second; those never sent and those not acknowledged count as lost, and the limit holds for new ones too. Conclusion: the bound on names has no test.

--- a/crates/core/src/gateway/usage/recording.rs
+++ b/crates/core/src/gateway/usage/recording.rs
@@ -34,12 +34,16 @@
 /// The interval at which records are sent again that the leader has not acknowledged.
 const RESEND_INTERVAL: Millis = Millis(500);
 
+/// The interval at which records expire, also while no leader is known or all are acknowledged.
+const EXPIRY_INTERVAL: Millis = Millis(1_000);
+
 /// Records the starts of requests and sends them to the leader.
 #[derive(Debug, Default)]
 pub struct Recording {
     /// The fencing token and host of the leader that records are sent to.
     leader: Option<(u64, HostId)>,
     next_check: Millis,
+    next_expiry: Millis,
     /// The number of the last message, and when it was sent.
     last_sent: (u64, Millis),
     /// Whether the last message is acknowledged.
@@ -86,6 +90,11 @@
             self.next_check = now + CHECK_INTERVAL;
             record_running(board);
         }
+        if now >= self.next_expiry && !board.usage.is_empty() {
+            self.next_expiry = now + EXPIRY_INTERVAL;
+            board.usage.expire(now);
+            board.counters.usage_lost_starts = board.usage.lost;
+        }
         self.follow_leader(board);
         if self.send_at(board) <= now {
             self.send(board);
@@ -94,7 +103,8 @@
 
     fn next_deadline(&self, board: &Board) -> Millis {
         let check = if board.usage.dispatched.is_empty() { Millis::MAX } else { self.next_check };
-        check.min(self.send_at(board))
+        let expiry = if board.usage.is_empty() { Millis::MAX } else { self.next_expiry };
+        check.min(expiry).min(self.send_at(board))
     }
 }
 
--- a/crates/core/src/gateway/usage/starts.rs
+++ b/crates/core/src/gateway/usage/starts.rs
@@ -1,6 +1,6 @@
 //! The starts of requests that an entry host has observed, until the leader has them.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 use slotmap::SlotMap;
 
@@ -43,6 +43,12 @@
         key
     }
 
+    /// Drops all names but those of the given keys.
+    fn retain(&mut self, used: &BTreeSet<WorkspaceKey>) {
+        self.names.retain(|key, _| used.contains(&key));
+        self.index.retain(|_, key| used.contains(key));
+    }
+
     /// Returns the name of a key.
     #[must_use]
     pub fn name(&self, key: WorkspaceKey) -> &str {
@@ -146,9 +152,12 @@
         let oldest = Millis(now.0.saturating_sub(RETENTION.0));
         let from = (oldest, WorkspaceKey::default());
         self.acknowledged = self.acknowledged.split_off(&from);
-        self.new = self.new.split_off(&from);
+        let recent = self.new.split_off(&from);
+        let expired = std::mem::replace(&mut self.new, recent);
+        self.lost += expired.values().copied().map(u64::from).sum::<u64>();
         while self.unacknowledged.front().is_some_and(|record| record.at < oldest) {
-            self.pop_unacknowledged();
+            let Some(record) = self.pop_unacknowledged() else { break };
+            self.lost += u64::from(record.count);
         }
         // Records of very many workspaces are too many in coarse steps too.
         while self.len() > MAX_RECORDS && self.acknowledged.pop_first().is_some() {}
@@ -156,6 +165,23 @@
             let Some(record) = self.pop_unacknowledged() else { break };
             self.lost += u64::from(record.count);
         }
+        while self.len() > MAX_RECORDS {
+            let Some((_, count)) = self.new.pop_first() else { break };
+            self.lost += u64::from(count);
+        }
+        self.forget_names();
+    }
+
+    /// Drops the names that no record refers to, once there are more of them than records may have.
+    fn forget_names(&mut self) {
+        if self.names.names.len() <= MAX_RECORDS {
+            return;
+        }
+        let mut used: BTreeSet<WorkspaceKey> =
+            self.unacknowledged.iter().map(|record| record.workspace).collect();
+        used.extend(self.new.keys().chain(self.acknowledged.keys()).map(|(_, key)| *key));
+        used.extend(self.dispatched.values().map(|dispatched| dispatched.workspace));
+        self.names.retain(&used);
     }
 
     fn pop_unacknowledged(&mut self) -> Option<StartRecord> {
--- a/crates/core/tests/it/deployment/usage.rs
+++ b/crates/core/tests/it/deployment/usage.rs
@@ -109,6 +109,11 @@
         self.handle_entry(id, EntryEvent::Received(envelope));
     }
 
+    /// Returns the number of records of an entry.
+    pub(crate) fn usage_records(&self, id: HostId) -> usize {
+        self.usage_entries[&id].board.usage.len()
+    }
+
     /// Kills an entry that records usage.
     pub(crate) fn kill_usage_entry(&mut self, id: HostId) {
         self.usage_entries.remove(&id);
--- a/crates/core/tests/it/usage.rs
+++ b/crates/core/tests/it/usage.rs
@@ -416,3 +416,17 @@
     deployment.cut(leader, ENTRIES[0], false);
     finish(&mut deployment, 10_000);
 }
+
+/// Guards against records that pile up on an entry that has not heard of a leader.
+#[test]
+fn records_expire_without_a_leader() {
+    let (mut deployment, entry) = (reporting(28), HostId(203));
+    deployment.hosts().iter().for_each(|store| deployment.cut(entry, *store, true));
+    deployment.add_usage_entry(entry);
+    deployment.run_with_requests(26_000);
+    let records = deployment.usage_records(entry);
+    deployment.run_with_requests(20_000);
+    let later = deployment.usage_records(entry);
+    assert!(later <= records + records / 10, "{records} records, then {later}");
+    assert!(later > 0);
+}
