fix(core): starts at the edge of a window, and true time of two clocks

Cause: the step of a start could begin before the settled window, so that the start was dropped without being counted as late; and a new leader with one other clock began with the value between the two. Change: the step is clamped to the end of the last settled window; with no earlier estimate the value closest to the leader's own clock is taken. Before: not shown by a test. After: the tests of usage pass. Conclusion: both are small changes, checked by reading only.

--- a/crates/core/src/gateway/usage/tally.rs
+++ b/crates/core/src/gateway/usage/tally.rs
@@ -68,8 +68,10 @@
             }
             let step = if self.starts.len() < MAX_STEPS { STEP } else { COARSE_STEP };
             let workspace = self.names.key(name);
-            *self.starts.entry((at.div_euclid(step) * step, workspace)).or_default() +=
-                u64::from(*count);
+            // A step may begin in the window before, which is settled.
+            let begin = at.div_euclid(step) * step;
+            let begin = self.settled_to.map_or(begin, |settled| begin.max(settled));
+            *self.starts.entry((begin, workspace)).or_default() += u64::from(*count);
         }
         next_seq
     }
--- a/crates/core/src/gateway/usage/true_time.rs
+++ b/crates/core/src/gateway/usage/true_time.rs
@@ -83,10 +83,11 @@
     ///
     /// Of each host the reading with the shortest round trip counts. The median does not move while
     /// the clocks of a minority are wrong. Of an even number of clocks, it is the value between the two
-    /// in the middle that is closest to the one before, so that it does not follow one of two clocks
-    /// that is stepped.
+    /// in the middle that is closest to the one before, or at first to this host's clock, so that it does
+    /// not follow one of two clocks that is stepped.
     pub(super) fn base(&self, now: Now) -> i64 {
-        let mut bases = vec![signed(now.wall) - signed(now.mono)];
+        let own = signed(now.wall) - signed(now.mono);
+        let mut bases = vec![own];
         for readings in self.readings.values() {
             let best = readings.iter().min_by_key(|reading| reading.round_trip);
             bases.extend(best.map(|reading| reading.base));
@@ -97,7 +98,7 @@
             return bases[middle];
         }
         let (low, high) = (bases[middle - 1], bases[middle]);
-        self.last_base.unwrap_or(low.midpoint(high)).clamp(low, high)
+        self.last_base.unwrap_or(own).clamp(low, high)
     }
 }
 
