fix(daemon): no byte of a provider call is retransmitted after the next holder acts

Cause: bytes written before the lease ended could be retransmitted by the kernel later: in a partition, after the call was given up, or after the host was suspended. Change: unacknowledged bytes reset the connection after 2 s, closing it resets it, and a host that was suspended past the end of the lease ends the call when it resumes. Before: a_call_that_is_given_up_ends_with_a_reset failed. After: the 8 tests of platform/tests/provider.rs pass. The time-out and the suspension have no test. Conclusion: a provider may still answer slowly while its kernel has acknowledged the request.

--- a/crates/daemon/src/gateway/provider.rs
+++ b/crates/daemon/src/gateway/provider.rs
@@ -13,6 +13,7 @@
 use hyper::client::conn::http1;
 use hyper::{Request, StatusCode};
 use hyper_util::rt::TokioIo;
+use rustix::net::sockopt::{set_socket_linger, set_tcp_user_timeout};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 
@@ -23,6 +24,17 @@
 /// The time-out of a new connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(1_000);
 
+/// How long sent bytes may stay unacknowledged before the kernel resets the connection. Together with
+/// [`MAX_CLOCK_GAP`] it is shorter than the 3 s after which another host may call.
+const UNACKNOWLEDGED_TIMEOUT_MS: u32 = 2_000;
+
+/// The interval between two checks of the clock while a call is in progress.
+const CLOCK_CHECK_INTERVAL: Duration = Duration::from_millis(100);
+
+/// The longest time between two checks. A longer one means that the machine was suspended, during which
+/// the kernel's time-out for unacknowledged bytes did not run.
+const MAX_CLOCK_GAP: Millis = Millis(500);
+
 /// How long the body of an answer is read after its head has come; the status alone tells the end.
 const BODY_TIMEOUT: Duration = Duration::from_millis(200);
 
@@ -67,16 +79,45 @@
             Ok(Err(error)) => return unknown(format!("no connection: {error}")),
             Err(_) => return unknown(format!("no connection within {CONNECT_TIMEOUT:?}")),
         };
-        if let Err(error) = stream.set_nodelay(true) {
-            return unknown(error.to_string());
-        }
         if self.clock.time_until(call.valid_until).is_zero() {
             return ProviderCallEnd::Expired;
         }
+        if let Err(error) = limit_retransmission(&stream) {
+            return unknown(error.to_string());
+        }
         let stream = LeasedStream { stream, clock: self.clock, valid_until: call.valid_until };
-        match send(stream, request).await {
-            Ok(status) => end_of(status),
-            Err(detail) => unknown(detail),
+        tokio::select! {
+            biased;
+            sent = send(stream, request) => match sent {
+                Ok(status) => end_of(status),
+                Err(detail) => unknown(detail),
+            },
+            () = suspended_past(self.clock, call.valid_until) => {
+                unknown("the host was suspended past the end of the lease".into())
+            }
+        }
+    }
+}
+
+/// Makes the kernel drop bytes that the provider has not acknowledged: after a time-out, and at once when
+/// the connection is closed, also because the process was killed.
+///
+/// Otherwise they could be retransmitted, and arrive after a call of the next holder.
+fn limit_retransmission(stream: &TcpStream) -> io::Result<()> {
+    stream.set_nodelay(true)?;
+    set_tcp_user_timeout(stream, UNACKNOWLEDGED_TIMEOUT_MS)?;
+    set_socket_linger(stream, Some(Duration::ZERO))?;
+    Ok(())
+}
+
+/// Returns when the host has been suspended and the lease has expired meanwhile.
+async fn suspended_past(clock: Clock, valid_until: Millis) {
+    loop {
+        let checked_at = clock.now().mono;
+        tokio::time::sleep(CLOCK_CHECK_INTERVAL).await;
+        let now = clock.now().mono;
+        if now.since(checked_at) > MAX_CLOCK_GAP && now >= valid_until {
+            return;
         }
     }
 }
