fix(core): no ticks while a call under an earlier token holds up the others

Cause: ProviderCalls gave the time of the next call as its deadline, although none may be sent until calls under an earlier fencing token have ended. Change: only the overdue ends of calls are a deadline then, and while there is no lease. Conclusion: the delay of a call does not change.

--- a/crates/core/src/gateway/provider/calls.rs
+++ b/crates/core/src/gateway/provider/calls.rs
@@ -51,7 +51,7 @@
     until: Millis,
 }
 
-/// Sends calls to the provider.
+/// Limits the rate of calls, and delays subjects whose calls failed.
 #[derive(Debug)]
 pub struct ProviderCalls {
     /// When the next call may be sent.
@@ -87,6 +87,9 @@
         let running = board.provider.running.values();
         let reports = running.map(|call| call.sent + call.timeout + REPORT_MARGIN);
         let next = reports.min().unwrap_or(Millis::MAX);
+        if board.holder_lease.is_none_or(|lease| has_superseded(board, lease)) {
+            return next;
+        }
         let starts = board.provider.waiting.iter().filter_map(|request| {
             let subject = request.subject();
             (!board.provider.is_running(&subject)).then(|| self.may_send_at(board, &subject))
@@ -103,8 +106,7 @@
     }
 
     fn send_waiting(&mut self, board: &mut Board, lease: HolderLease) {
-        let is_superseded = |call: &RunningCall| call.fence != lease.fence;
-        if board.provider.running.values().any(is_superseded) {
+        if has_superseded(board, lease) {
             return;
         }
         let now = board.now.mono;
@@ -188,6 +190,11 @@
     }
 }
 
+/// Returns whether a call under another fencing token has not ended.
+fn has_superseded(board: &Board, lease: HolderLease) -> bool {
+    board.provider.running.values().any(|call| call.fence != lease.fence)
+}
+
 /// Returns the delay after a failed call, by the number of failures before it.
 fn delay_after(failures: u32) -> Millis {
     let factor = 1_u64.checked_shl(failures).unwrap_or(u64::MAX);
--- a/crates/core/tests/it/provider_calls.rs
+++ b/crates/core/tests/it/provider_calls.rs
@@ -95,6 +95,8 @@
     queue.push(2, 4);
     queue.lease(6);
     assert!(queue.run_until(30, 500).is_empty());
+    let next = queue.calls.next_deadline(&queue.board);
+    assert!(next > Millis(500), "a tick at {next:?}, although only an end can change anything");
     let ended = Event::ProviderCallEnded { call: first.call, end: ProviderCallEnd::Accepted };
     assert_eq!(queue.run(501, &ended)[0].fence, 6);
     queue.push(3, 4);
