docs(core): wording of provider, lease and usage; the settings of duties

Cause: comments that only restated a name, an unclear name, duties without an explanation. Change: reworded; is_meant is is_current_fence. No orders or calls change. Conclusion: none.

--- a/crates/core/src/gateway/lease/holder.rs
+++ b/crates/core/src/gateway/lease/holder.rs
@@ -65,7 +65,8 @@
 /// it does not lead.
 ///
 /// Calls to the provider wait for it on every leader, because a process of this host that ran before
-/// may have sent some under an earlier fencing token. Engines check the token of an order themselves.
+/// may have sent some under an earlier fencing token.
+#[must_use]
 pub fn calls_from(board: &Board) -> Option<Millis> {
     let since = board.group.as_ref()?.replica.leader_since()?;
     Some(since + board.cfg.times.order_lease + LEASE_MARGIN)
--- a/crates/core/src/gateway/provider.rs
+++ b/crates/core/src/gateway/provider.rs
@@ -15,7 +15,7 @@
 use crate::key::ProviderCallKey;
 use crate::time::Millis;
 
-/// The settings of the provider's interface.
+/// Limits and features of the provider's interface, from the settings file.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub struct ProviderSettings {
@@ -63,7 +63,7 @@
     SetUpstreamCount(CountOrder),
 }
 
-/// What a request to the provider is about. One call for it is in progress at a time.
+/// The resource that a request concerns. At most one call for it is in progress.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Subject {
     /// The usage of a window.
@@ -84,7 +84,7 @@
 }
 
 impl ProviderRequest {
-    /// Returns what the request is about.
+    /// Returns the resource that the request concerns.
     #[must_use]
     pub fn subject(&self) -> Subject {
         match self {
@@ -152,7 +152,7 @@
 /// A call to the provider that has not ended.
 #[derive(Debug, Clone)]
 pub struct RunningCall {
-    /// The content.
+    /// The request, which goes back to its controller with the end of the call.
     pub request: ProviderRequest,
     /// The fencing token under which it was sent.
     pub fence: u64,
--- a/crates/core/src/gateway/usage/recording.rs
+++ b/crates/core/src/gateway/usage/recording.rs
@@ -185,7 +185,7 @@
     }
 
     fn handle_ack(&mut self, board: &mut Board, from: HostId, ack: &UsageAck) {
-        // A host that leads anew names a token that no view may have told yet.
+        // A host that leads anew names a token that no view may have reported yet.
         board.leader = board.leader.max(Some((ack.fence, from)));
         let (number, sent_at) = self.last_sent;
         if self.leader != Some((ack.fence, from)) || ack.boot_id != board.cfg.boot_id {
--- a/crates/core/src/gateway/usage/settlement.rs
+++ b/crates/core/src/gateway/usage/settlement.rs
@@ -152,9 +152,9 @@
                 let Some(term) = self.term.as_mut().filter(|_| board.leads()) else { return };
                 // Records that were numbered for an earlier token say nothing about which ones the
                 // sender still has to send.
-                let is_meant = starts.fence == term.fence;
+                let is_current_fence = starts.fence == term.fence;
                 let next_seq =
-                    if is_meant { term.tally.add(board.now.mono, from, starts) } else { 0 };
+                    if is_current_fence { term.tally.add(board.now.mono, from, starts) } else { 0 };
                 board.counters.usage_late_starts = term.tally.late;
                 let ack = UsageAck {
                     fence: term.fence,
--- a/crates/daemon/src/gateway/settings/provider.rs
+++ b/crates/daemon/src/gateway/settings/provider.rs
@@ -10,6 +10,9 @@
 use super::millis;
 use crate::settings::{Section, SettingsError, parse_duration};
 
+/// The keys of the section. `duties` lists the singleton tasks that the deployment performs, by the
+/// names that `usage_duty` (default `usage`) and `scaling_duty` (default `scaling`) give to usage reports
+/// and orders for upstreams. A task that is not listed is disabled.
 const KEYS: [&str; 7] = [
     "address",
     "calls_per_second",
