--- a/crates/core/src/gateway/provider/calls.rs
+++ b/crates/core/src/gateway/provider/calls.rs
@@ -1,12 +1,13 @@
 //! Provider calls: sends the requests that wait, within the provider's rate, and returns their ends.
 //!
-//! Reads: ended calls, `holder_lease`, `cfg`, the clock.
+//! Reads: ended calls, `holder_lease`, `group` (leadership), `cfg`, the clock.
 //! Writes: `provider`, `counters`, `actions`.
 //!
 //! Each request gets one end. A request whose call failed comes back to the controller that made it,
 //! which puts it into the queue again with the same content; until its subject's backoff has passed, it
 //! waits there. While a call under an earlier fencing token has not ended, nothing is sent, so that the
-//! provider receives no token after a higher one.
+//! provider receives no token after a higher one. For the same reason a leader sends nothing until what
+//! an earlier process of its host may have sent can no longer arrive.
 
 use std::collections::BTreeMap;
 
@@ -16,6 +17,7 @@
 use crate::gateway::controller::Controller;
 use crate::gateway::event::Event;
 use crate::gateway::lease::HolderLease;
+use crate::gateway::lease::holder::calls_from;
 use crate::key::ProviderCallKey;
 use crate::time::Millis;
 use crate::timeline::EventKind;
@@ -49,7 +51,7 @@
     until: Millis,
 }
 
-/// Sends calls to the provider.
+/// Limits the rate of calls, and delays subjects whose calls failed.
 #[derive(Debug)]
 pub struct ProviderCalls {
     /// When the next call may be sent.
@@ -85,30 +87,33 @@
         let running = board.provider.running.values();
         let reports = running.map(|call| call.sent + call.timeout + REPORT_MARGIN);
         let next = reports.min().unwrap_or(Millis::MAX);
+        if board.holder_lease.is_none_or(|lease| has_superseded(board, lease)) {
+            return next;
+        }
         let starts = board.provider.waiting.iter().filter_map(|request| {
             let subject = request.subject();
-            (!board.provider.is_running(&subject)).then(|| self.may_send_at(&subject))
+            (!board.provider.is_running(&subject)).then(|| self.may_send_at(board, &subject))
         });
         next.min(starts.min().unwrap_or(Millis::MAX))
     }
 }
 
 impl ProviderCalls {
-    fn may_send_at(&self, subject: &Subject) -> Millis {
+    fn may_send_at(&self, board: &Board, subject: &Subject) -> Millis {
         let backoff = self.backoffs.get(subject).copied().unwrap_or_default();
-        backoff.until.max(self.next_send)
+        let from = calls_from(board).unwrap_or_default();
+        backoff.until.max(self.next_send).max(from)
     }
 
     fn send_waiting(&mut self, board: &mut Board, lease: HolderLease) {
-        let is_superseded = |call: &RunningCall| call.fence != lease.fence;
-        if board.provider.running.values().any(is_superseded) {
+        if has_superseded(board, lease) {
             return;
         }
         let now = board.now.mono;
         let mut at = 0;
         while at < board.provider.waiting.len() && now >= self.next_send {
             let subject = board.provider.waiting[at].subject();
-            if board.provider.is_running(&subject) || now < self.may_send_at(&subject) {
+            if board.provider.is_running(&subject) || now < self.may_send_at(board, &subject) {
                 at += 1;
                 continue;
             }
@@ -185,6 +190,11 @@
     }
 }
 
+/// Returns whether a call under another fencing token has not ended.
+fn has_superseded(board: &Board, lease: HolderLease) -> bool {
+    board.provider.running.values().any(|call| call.fence != lease.fence)
+}
+
 /// Returns the delay after a failed call, by the number of failures before it.
 fn delay_after(failures: u32) -> Millis {
     let factor = 1_u64.checked_shl(failures).unwrap_or(u64::MAX);
--- a/crates/core/src/gateway/usage/settlement.rs
+++ b/crates/core/src/gateway/usage/settlement.rs
@@ -86,7 +86,9 @@
     }
 
     fn next_deadline(&self, board: &Board) -> Millis {
-        self.term.as_ref().map_or(Millis::MAX, |term| term.next_deadline(board))
+        // A term is kept while the lease has lapsed, but nothing is done until the lease is back.
+        let term = self.term.as_ref().filter(|_| board.leads());
+        term.map_or(Millis::MAX, |term| term.next_deadline(board))
     }
 }
 
@@ -150,11 +152,16 @@
                 let Some(term) = self.term.as_mut().filter(|_| board.leads()) else { return };
                 // Records that were numbered for an earlier token say nothing about which ones the
                 // sender still has to send.
-                let is_meant = starts.fence == term.fence;
+                let is_current_fence = starts.fence == term.fence;
                 let next_seq =
-                    if is_meant { term.tally.add(board.now.mono, from, starts) } else { 0 };
+                    if is_current_fence { term.tally.add(board.now.mono, from, starts) } else { 0 };
                 board.counters.usage_late_starts = term.tally.late;
-                let ack = UsageAck { fence: term.fence, number: starts.number, next_seq };
+                let ack = UsageAck {
+                    fence: term.fence,
+                    boot_id: starts.boot_id,
+                    number: starts.number,
+                    next_seq,
+                };
                 board.send(from, GatewayMessage::UsageAck(ack));
             }
             _ => {}
--- a/crates/core/tests/it/deployment/usage.rs
+++ b/crates/core/tests/it/deployment/usage.rs
@@ -7,10 +7,12 @@
 
 use chestnutdrift_core::directory::UsageCounts;
 use chestnutdrift_core::gateway::board::{Attempt, Board, Purpose, Request, RequestState};
+use chestnutdrift_core::gateway::message::GatewayMessage;
 use chestnutdrift_core::gateway::usage::recording::{Recording, note_dispatch};
 use chestnutdrift_core::gateway::{Action, Controller, Event, ForwardEnd, GatewaySettings, Role};
 use chestnutdrift_core::key::RequestKey;
-use chestnutdrift_core::message::Envelope;
+use chestnutdrift_core::message::{Envelope, Message};
+use chestnutdrift_core::timeline::Stamp;
 use chestnutdrift_core::{AttemptKey, Fingerprint, HostId, Millis, Now, RequestTag};
 
 use super::provider::settings;
@@ -39,8 +41,13 @@
 impl Deployment {
     /// Adds an entry host that records usage.
     pub(crate) fn add_usage_entry(&mut self, id: HostId) {
+        self.add_usage_entry_as(id, START_WALL_MS + self.now);
+    }
+
+    /// Adds the same as a process with a boot id.
+    pub(crate) fn add_usage_entry_as(&mut self, id: HostId, boot_id: u64) {
         let cfg = GatewaySettings::new(id, "entry", "zone-1", Role::Entry)
-            .instance_ids(1, START_WALL_MS + self.now)
+            .instance_ids(1, boot_id)
             .provider(settings());
         let board = Board::new(cfg, Now::default());
         let (started_at, next_hello) = (self.now, self.now);
@@ -95,6 +102,18 @@
         self.schedule(now + millis, Scheduled::Entry(entry, ended));
     }
 
+    /// Lets a message of a store arrive at an entry.
+    pub(crate) fn deliver_to_entry(&mut self, id: HostId, from: HostId, message: GatewayMessage) {
+        let (stamp, message) = (Stamp::default(), Message::Gateway(Box::new(message)));
+        let envelope = Box::new(Envelope { from, stamp, message });
+        self.handle_entry(id, EntryEvent::Received(envelope));
+    }
+
+    /// Returns the number of records of an entry.
+    pub(crate) fn usage_records(&self, id: HostId) -> usize {
+        self.usage_entries[&id].board.usage.len()
+    }
+
     /// Kills an entry that records usage.
     pub(crate) fn kill_usage_entry(&mut self, id: HostId) {
         self.usage_entries.remove(&id);
--- a/crates/core/tests/it/usage.rs
+++ b/crates/core/tests/it/usage.rs
@@ -6,7 +6,8 @@
 use chestnutdrift_core::HostId;
 use chestnutdrift_core::directory::{ApiKey, Directory, DirectoryCommand, UsageCounts, Workspace};
 use chestnutdrift_core::gateway::message::GatewayMessage;
-use chestnutdrift_core::gateway::{Answer, Call, ForwardEnd};
+use chestnutdrift_core::gateway::usage::UsageAck;
+use chestnutdrift_core::gateway::{Answer, Call, Event, ForwardEnd};
 use chestnutdrift_core::message::{Envelope, Message};
 use test_case::test_case;
 
@@ -328,3 +329,104 @@
     let waited = deployment.now - lost_at;
     assert!((3_300..8_000).contains(&waited), "the next holder came after {waited} ms");
 }
+
+/// Guards against a call of a holder that has restarted, while one that its earlier process sent under a
+/// lower token may still arrive.
+#[test]
+fn a_restarted_holder_waits_before_its_first_call() {
+    let mut deployment = reporting(24);
+    deployment.run_with_requests(16_000);
+    deployment.provider.is_silent = true;
+    for _ in 0..20 {
+        deployment.run(10_000);
+        let (holder, stores) = (leader(&deployment), deployment.hosts());
+        stores.iter().for_each(|store| deployment.kill(*store));
+        stores.iter().for_each(|store| deployment.start(*store));
+        while deployment.leader().is_none() {
+            deployment.run(10);
+        }
+        if leader(&deployment) != holder {
+            continue;
+        }
+        while deployment.gateway(holder).board().provider.running.is_empty() {
+            deployment.run(10);
+        }
+        let board = deployment.gateway(holder).board();
+        let since = board.group.as_ref().and_then(|group| group.replica.leader_since());
+        let waited = board.now.mono.since(since.expect("it leads"));
+        assert!((3_300..5_000).contains(&waited.0), "the first call came after {waited:?}");
+        return;
+    }
+    panic!("no holder was elected again");
+}
+
+/// Guards against starts that are lost because their entry has restarted with a wall clock that was
+/// stepped back, so that its new boot id is lower.
+#[test]
+fn an_entry_restarts_with_a_lower_boot_id() {
+    let mut deployment = reporting(25);
+    deployment.run_with_requests(17_000);
+    deployment.kill_usage_entry(ENTRIES[0]);
+    // Until the requests of the killed process have ended.
+    deployment.run(7_000);
+    deployment.add_usage_entry_as(ENTRIES[0], 1_000);
+    let from = Deployment::window_at(deployment.now) + 1;
+    deployment.run_with_requests(15_000);
+    deployment.run(15_000);
+    let reports = deployment.checked_reports();
+    for window in from..from + 2 {
+        assert_eq!(reports[&window], deployment.expected_counts(window), "window {window}");
+    }
+}
+
+/// Guards against a former leader that asks for a tick at every moment because its next window is overdue.
+#[test]
+fn an_isolated_leader_does_not_tick_all_the_time() {
+    let mut deployment = reporting(27);
+    deployment.run_with_requests(16_000);
+    let holder = leader(&deployment);
+    for other in deployment.hosts() {
+        if other != holder {
+            deployment.cut(holder, other, true);
+        }
+    }
+    deployment.run(12_000);
+    let count = Rc::new(Cell::new(0));
+    let counted = Rc::clone(&count);
+    deployment.on_event = Some(Box::new(move |host, event, _| {
+        let is_tick = host == holder && matches!(event, Event::Tick);
+        counted.set(counted.get() + u32::from(is_tick));
+    }));
+    deployment.run(2_000);
+    assert!(count.get() < 200, "{} ticks within 2 s", count.get());
+}
+
+/// Guards against records that are taken for acknowledged because a delayed acknowledgement for an
+/// earlier process of the entry has a higher number.
+#[test]
+fn an_acknowledgement_for_an_earlier_process_is_ignored() {
+    let mut deployment = reporting(26);
+    deployment.run_with_requests(16_000);
+    let leader = leader(&deployment);
+    let fence = deployment.gateway(leader).board().holder_lease.expect("a lease").fence;
+    deployment.cut(leader, ENTRIES[0], true);
+    deployment.run_with_requests(800);
+    let ack = UsageAck { fence, boot_id: 1, number: 1, next_seq: 1_000_000 };
+    deployment.deliver_to_entry(ENTRIES[0], leader, GatewayMessage::UsageAck(ack));
+    deployment.cut(leader, ENTRIES[0], false);
+    finish(&mut deployment, 10_000);
+}
+
+/// Guards against records that pile up on an entry that has not heard of a leader.
+#[test]
+fn records_expire_without_a_leader() {
+    let (mut deployment, entry) = (reporting(28), HostId(203));
+    deployment.hosts().iter().for_each(|store| deployment.cut(entry, *store, true));
+    deployment.add_usage_entry(entry);
+    deployment.run_with_requests(26_000);
+    let records = deployment.usage_records(entry);
+    deployment.run_with_requests(20_000);
+    let later = deployment.usage_records(entry);
+    assert!(later <= records + records / 10, "{records} records, then {later}");
+    assert!(later > 0);
+}
