--- a/crates/core/src/gateway/controller/loads/due.rs
+++ b/crates/core/src/gateway/controller/loads/due.rs
@@ -73,6 +73,15 @@
     (able * MIN_ABLE_DIVISOR < count).then_some((wanted, able))
 }
 
+/// Returns the number of a service's engines without any order for upstreams, or `None` if none is
+/// recorded.
+fn baseline(board: &Board, service: &ServiceSpec) -> Option<usize> {
+    let targets = board.group.as_ref()?.directory.upstream_targets.iter();
+    let of_service = targets.filter(|target| target.service == service.name);
+    let sum: u32 = of_service.map(|target| target.baseline).sum();
+    usize::try_from(sum).ok().filter(|sum| *sum > 0)
+}
+
 /// Returns the loads of a service that are to be ordered now, at most one per engine: first those
 /// for models that too few engines can run for their jobs, then those of the engines furthest
 /// behind, and among these the ones with the fewest requests in flight.
@@ -108,7 +117,9 @@
     due.sort_by_key(|due| (due.able, Reverse(due.behind), due.in_flight, due.key));
     let mut ordered = BTreeSet::new();
     due.retain(|due| ordered.insert(due.key));
-    let max_loading = ((count + LOADING_DIVISOR / 2) / LOADING_DIVISOR).max(1);
+    // The weight store is made for the engines that are there without orders for more.
+    let supported = baseline(board, service).map_or(count, |baseline| baseline.min(count));
+    let max_loading = ((supported + LOADING_DIVISOR / 2) / LOADING_DIVISOR).max(1);
     due.truncate(max_loading.saturating_sub(busy));
     due
 }
