feat(core): waiting requests are served by the priority of their workspace

Change: where a workspace has a priority, waiting requests are tried by priority and arrival. Refused submissions mark no change. The header with the key is marked as sensitive on arrival. Before: without priorities of workspaces the order is as it was. Conclusion: the cost of a lookup grows with the number of keys; it is not measured.

--- a/crates/core/src/gateway/controller/access.rs
+++ b/crates/core/src/gateway/controller/access.rs
@@ -56,6 +56,12 @@
     board.routing.as_ref().is_some_and(|routing| routing.has_workspaces())
 }
 
+/// Returns whether a workspace of the configuration in force has a priority of its own.
+pub(super) fn has_priorities(board: &Board) -> bool {
+    let Some(routing) = &board.routing else { return false };
+    routing.workspaces.iter().any(|workspace| workspace.priority.is_some())
+}
+
 fn unauthorized(error: AccessError) -> Problem {
     Problem::not_run(ErrorKind::Unauthorized, error.to_string())
 }
--- a/crates/core/src/gateway/controller/agreement.rs
+++ b/crates/core/src/gateway/controller/agreement.rs
@@ -156,7 +156,9 @@
     let pending = group.pending_commits.remove(&entry.index);
     let Command::Directory(command) = &entry.command else { return };
     let outcome = group.directory.apply(command);
-    mark_changes(board, group, command);
+    if outcome != DirectoryOutcome::JobIdTaken {
+        mark_changes(board, group, command);
+    }
     let Some(PendingCommit { term, origin: Some(origin), .. }) = pending else { return };
     let reply = match outcome {
         _ if term != entry.term => StoreReply::Undetermined,
--- a/crates/core/src/gateway/controller/forwarding.rs
+++ b/crates/core/src/gateway/controller/forwarding.rs
@@ -70,8 +70,7 @@
         for opened in std::mem::take(&mut board.pending_calls) {
             handle_opened(board, opened);
         }
-        let keys: Vec<RequestKey> = board.requests.keys().collect();
-        for key in keys {
+        for key in queue_order(board) {
             self.advance(board, key);
         }
     }
@@ -92,6 +91,21 @@
     }
 }
 
+/// Returns the requests in the order in which they may take free upstreams.
+///
+/// Without priorities of workspaces that is any order; with them, the highest priority comes first,
+/// and of one priority the request that arrived first.
+fn queue_order(board: &Board) -> Vec<RequestKey> {
+    let mut keys: Vec<RequestKey> = board.requests.keys().collect();
+    if access::has_priorities(board) {
+        keys.sort_by_key(|key| {
+            let request = &board.requests[*key];
+            (request.priority, request.opened)
+        });
+    }
+    keys
+}
+
 /// Returns when a running request may move to another upstream, or [`Millis::MAX`] if it may not.
 fn move_at(request: &Request, attempt: &Attempt) -> Millis {
     if !has_attempts_left(request) || !request.route.kind.allows_retry() {
--- a/crates/core/tests/it/workspaces.rs
+++ b/crates/core/tests/it/workspaces.rs
@@ -336,6 +336,32 @@
     assert!(!asked.is_empty() && asked.iter().all(|priority| *priority == 3), "{asked:?}");
 }
 
+/// Guards against a waiting request that takes the free slot before one of a higher priority.
+#[test]
+fn the_free_upstream_goes_to_the_workspace_of_the_highest_priority() {
+    let mut deployment = serving();
+    let mut config = with_workspaces(3, &["r-1"]);
+    (config.routes[0].latency_objective, config.routes[0].priority) = (Millis(4_000), 5);
+    config.routes[0].timeout = Millis(30_000);
+    put(&mut deployment, config);
+    let mut running = Vec::new();
+    let waiting = loop {
+        let tag = request(&mut deployment, "desk.example", Some("b-1"));
+        match take_forward(&mut deployment, tag) {
+            Some(forward) => running.push(forward),
+            None => break tag,
+        }
+        assert!(running.len() < 1_000, "the upstream never fills");
+    };
+    let urgent = request(&mut deployment, "desk.example", Some("r-1"));
+    let attempt = running[0].attempt;
+    let end = ForwardEnd::Delivered { status: 200 };
+    deployment.deliver(ENTRY, Event::ForwardEnded { attempt, end });
+    deployment.run(5);
+    assert!(take_forward(&mut deployment, urgent).is_some());
+    assert!(take_forward(&mut deployment, waiting).is_none());
+}
+
 /// Guards against a key in the output of `Debug`, which logs and failing tests print.
 #[test]
 fn a_key_is_in_no_debug_output() {
--- a/crates/daemon/src/gateway/server.rs
+++ b/crates/daemon/src/gateway/server.rs
@@ -13,10 +13,10 @@
 use chestnutdrift_core::gateway::{Answer, Event, ForwardEnd, IncomingCall};
 use chestnutdrift_core::{AttemptKey, ErrorKind, Problem, RequestTag};
 use hyper::body::Incoming;
-use hyper::header::{CONNECTION, HeaderValue};
+use hyper::header::{AUTHORIZATION, CONNECTION, HeaderValue};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
-use hyper::{Request, Response, Version};
+use hyper::{HeaderMap, Request, Response, Version};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use rustix::net::sockopt::set_socket_linger;
 use tokio::net::{TcpListener, TcpStream};
@@ -228,7 +228,8 @@
         listener: Listener,
         request: Request<Incoming>,
     ) -> Result<Response<ResponseBody>, Problem> {
-        let (head, body) = request.into_parts();
+        let (mut head, body) = request.into_parts();
+        hide_keys(&mut head.headers);
         let mut reserved = self.bodies.reservation();
         let max_bytes = self.state.max_body_bytes.load(Ordering::Relaxed);
         let admit = |bytes| reserved.extend_to(bytes);
@@ -397,6 +398,15 @@
     }
 }
 
+/// Marks the headers that may carry a key, so that the output of `Debug` does not show them.
+fn hide_keys(headers: &mut HeaderMap) {
+    for (name, value) in headers.iter_mut() {
+        if name == AUTHORIZATION {
+            value.set_sensitive(true);
+        }
+    }
+}
+
 fn encode_response(server: &Server, answer: &Answer) -> Response<ResponseBody> {
     match answer {
         Answer::Counters(counters) => full_response(metrics::encode_page(counters, &server.pool)),
