--- a/crates/core/tests/it/workspaces.rs
+++ b/crates/core/tests/it/workspaces.rs
@@ -4,7 +4,7 @@
 use std::rc::Rc;
 use std::sync::Arc;
 
-use chestnutdrift_core::directory::{ApiKey, RoutingConfig, Workspace};
+use chestnutdrift_core::directory::{ApiKey, RouteKind, RoutingConfig, Workspace};
 use chestnutdrift_core::gateway::{
     Answer, Call, Event, Forward, ForwardEnd, GatewayMessage, JobCaller, RequestRate, StoreRequest,
     WorkspaceSettings,
@@ -160,6 +160,30 @@
     assert_eq!((second.strips_key, second.workspace.as_deref()), (true, Some("red")));
 }
 
+/// Guards against a revocation that ends a stream under way, or a request that still waits for an
+/// upstream.
+#[test]
+fn a_revocation_ends_no_stream_and_no_waiting_request() {
+    let mut deployment = started(41);
+    let mut config = with_workspaces(2, &["r-1"]);
+    config.routes[0].kind = RouteKind::Stream;
+    (config.routes[0].timeout, config.routes[0].latency_objective) =
+        (Millis(60_000), Millis(60_000));
+    put(&mut deployment, config.clone());
+    let waiting = request(&mut deployment, "desk.example", Some("r-1"));
+    (config.version, config.workspaces[0].keys) = (3, vec![ApiKey::new("r-2")]);
+    put(&mut deployment, config.clone());
+    deployment.announce_desk(STORES[0], 1, 1, 1);
+    deployment.run(SPREAD_MS);
+    let stream = take_forward(&mut deployment, waiting).expect("an upstream");
+    assert_eq!((stream.streamed, stream.workspace.as_deref()), (true, Some("red")));
+    let end = ForwardEnd::Begun { status: 200 };
+    deployment.deliver(ENTRY, Event::ForwardEnded { attempt: stream.attempt, end });
+    (config.version, config.workspaces[0].keys) = (4, vec![ApiKey::new("r-3")]);
+    put(&mut deployment, config);
+    assert!(!deployment.answers.contains_key(&waiting), "{:?}", deployment.answers.get(&waiting));
+}
+
 /// Guards against a job that other workspaces read, change or notice, and against one that callers of
 /// its own workspace can't reach at other hosts.
 #[test]
