--- a/crates/core/src/gateway/controller/forwarding.rs
+++ b/crates/core/src/gateway/controller/forwarding.rs
@@ -77,16 +77,7 @@
         for opened in std::mem::take(&mut board.pending_calls) {
             handle_opened(board, opened);
         }
-        let mut keys: Vec<RequestKey> = board.requests.keys().collect();
-        if access::has_workspaces(board) {
-            // The sort is stable: requests that don't wait come first, in the order of the arena.
-            keys.sort_by_cached_key(|key| {
-                let request = &board.requests[*key];
-                let waits = request.state == RequestState::Waiting;
-                waits.then_some((request.priority, request.opened))
-            });
-        }
-        for key in keys {
+        for key in queue_order(board) {
             self.advance(board, key);
         }
     }
@@ -107,6 +98,23 @@
     }
 }
 
+/// Returns the requests in the order in which they may take free upstreams.
+///
+/// Without workspaces that is any order; with them, the waiting request of the highest priority comes
+/// first, and of one priority the one that arrived first.
+fn queue_order(board: &Board) -> Vec<RequestKey> {
+    let mut keys: Vec<RequestKey> = board.requests.keys().collect();
+    if access::has_workspaces(board) {
+        // The sort is stable: requests that don't wait come first, in the order of the arena.
+        keys.sort_by_cached_key(|key| {
+            let request = &board.requests[*key];
+            let waits = request.state == RequestState::Waiting;
+            waits.then_some((request.priority, request.opened))
+        });
+    }
+    keys
+}
+
 /// Returns when a running request may move to another upstream, or [`Millis::MAX`] if it may not.
 fn move_at(request: &Request, attempt: &Attempt) -> Millis {
     if !has_attempts_left(request) || !request.route.kind.allows_retry() {
--- a/crates/core/tests/it/workspaces.rs
+++ b/crates/core/tests/it/workspaces.rs
@@ -169,6 +169,30 @@
     assert_eq!((second.strips_key, second.workspace.as_deref()), (true, Some("red")));
 }
 
+/// Guards against a revocation that ends a stream under way, or a request that still waits for an
+/// upstream.
+#[test]
+fn a_revocation_ends_no_stream_and_no_waiting_request() {
+    let mut deployment = started(41);
+    let mut config = with_workspaces(2, &["r-1"]);
+    config.routes[0].kind = RouteKind::Stream;
+    (config.routes[0].timeout, config.routes[0].latency_objective) =
+        (Millis(60_000), Millis(60_000));
+    put(&mut deployment, config.clone());
+    let waiting = request(&mut deployment, "desk.example", Some("r-1"));
+    (config.version, config.workspaces[0].keys) = (3, vec![ApiKey::new("r-2")]);
+    put(&mut deployment, config.clone());
+    deployment.announce_desk(STORES[0], 1, 1, 1);
+    deployment.run(SPREAD_MS);
+    let stream = take_forward(&mut deployment, waiting).expect("an upstream");
+    assert_eq!((stream.streamed, stream.workspace.as_deref()), (true, Some("red")));
+    let end = ForwardEnd::Begun { status: 200 };
+    deployment.deliver(ENTRY, Event::ForwardEnded { attempt: stream.attempt, end });
+    (config.version, config.workspaces[0].keys) = (4, vec![ApiKey::new("r-3")]);
+    put(&mut deployment, config);
+    assert!(!deployment.answers.contains_key(&waiting), "{:?}", deployment.answers.get(&waiting));
+}
+
 /// Guards against a job that other workspaces read, change or notice, and against one that callers of
 /// its own workspace can't reach at other hosts.
 #[test]
@@ -428,6 +452,32 @@
     assert!(!asked.is_empty() && asked.iter().all(|priority| *priority == 3), "{asked:?}");
 }
 
+/// Guards against a waiting request that takes the free slot before one of a higher priority.
+#[test]
+fn the_free_upstream_goes_to_the_workspace_of_the_highest_priority() {
+    let mut deployment = serving();
+    let mut config = with_workspaces(3, &["r-1"]);
+    (config.routes[0].latency_objective, config.routes[0].priority) = (Millis(4_000), 5);
+    config.routes[0].timeout = Millis(30_000);
+    put(&mut deployment, config);
+    let mut running = Vec::new();
+    let waiting = loop {
+        let tag = request(&mut deployment, "desk.example", Some("b-1"));
+        match take_forward(&mut deployment, tag) {
+            Some(forward) => running.push(forward),
+            None => break tag,
+        }
+        assert!(running.len() < 1_000, "the upstream never fills");
+    };
+    let urgent = request(&mut deployment, "desk.example", Some("r-1"));
+    let attempt = running[0].attempt;
+    let end = ForwardEnd::Delivered { status: 200 };
+    deployment.deliver(ENTRY, Event::ForwardEnded { attempt, end });
+    deployment.run(5);
+    assert!(take_forward(&mut deployment, urgent).is_some());
+    assert!(take_forward(&mut deployment, waiting).is_none());
+}
+
 /// Guards against a key in the output of `Debug`, which logs and failing tests print.
 #[test]
 fn a_key_is_in_no_debug_output() {
