--- a/crates/core/tests/it/main.rs
+++ b/crates/core/tests/it/main.rs
@@ -34,6 +34,7 @@
 mod rewards;
 mod routing;
 mod samples;
+mod scaled_loads;
 mod scaling;
 mod scripts;
 mod silent_replica;
