--- a/crates/core/src/gateway/capacity/slow_reports.rs
+++ b/crates/core/src/gateway/capacity/slow_reports.rs
@@ -1,4 +1,4 @@
-//! What hosts tell each other about upstreams that are clearly slower than their peers.
+//! Reports between hosts of upstreams that are clearly slower than their peers.
 //!
 //! An entry host sees only its own few requests, so it reports a slow upstream to its stores. A store
 //! that has reports of several hosts says so in the record of the upstream, until the reports cease.
