perf(core): medians of engines and reports on slow upstreams are looked at when needed

Change: a pass over waiting items computes a service's median on first use; a store remembers whether it keeps reports.

--- a/crates/core/src/gateway/controller/capacity.rs
+++ b/crates/core/src/gateway/controller/capacity.rs
@@ -24,6 +24,8 @@
 #[derive(Debug, Default)]
 pub(super) struct Capacity {
     check_at: Millis,
+    /// Whether reports of an upstream are kept, as of the last check or message.
+    has_reports: bool,
 }
 
 impl Controller for Capacity {
@@ -34,21 +36,20 @@
         if let Some(Event::Received(envelope)) = event {
             handle_message(board, envelope);
             if has_slow_upstreams(envelope) {
+                self.has_reports = true;
                 self.check_at = board.now.mono;
             }
         }
-        if board.cfg.role == Role::Store && board.now.mono >= self.check_at {
+        let is_due = self.has_reports && board.now.mono >= self.check_at;
+        if board.cfg.role == Role::Store && is_due {
             self.check_at = board.now.mono + CHECK_INTERVAL;
-            update_statements(board);
+            self.has_reports = update_statements(board);
         }
     }
 
     fn next_deadline(&self, board: &Board) -> Millis {
-        if !board.cfg.learned_capacity {
-            return Millis::MAX;
-        }
-        let is_active = board.upstreams.values().any(|upstream| upstream.slow_reports.is_active());
-        if is_active { self.check_at } else { Millis::MAX }
+        let is_checked = self.has_reports && board.cfg.role == Role::Store;
+        if is_checked { self.check_at } else { Millis::MAX }
     }
 }
 
@@ -86,7 +87,8 @@
     }
 }
 
-fn update_statements(board: &mut Board) {
+/// Updates the statements of this store host, and returns whether reports or statements are left.
+fn update_statements(board: &mut Board) -> bool {
     let (now, subscribers) = (board.now.mono, board.subscribers().len());
     let mut changed = Vec::new();
     for (key, upstream) in &mut board.upstreams {
@@ -98,4 +100,5 @@
         let slow = board.upstreams[key].slow_reports.is_stated();
         report_change(board, key, if slow { "slow" } else { "no longer slow" }, None);
     }
+    board.upstreams.values().any(|upstream| upstream.slow_reports.is_active())
 }
--- a/crates/core/src/gateway/controller/items/engines.rs
+++ b/crates/core/src/gateway/controller/items/engines.rs
@@ -33,8 +33,6 @@
     key: UpstreamKey,
     /// The size of its memory, in tokens.
     memory_tokens: u64,
-    /// The median event interval of the engines of its service, in microseconds; zero where unknown.
-    median_interval_us: u64,
 }
 
 /// The engines that have a free slot during one pass over the waiting items.
@@ -45,13 +43,15 @@
 pub(super) struct FreeEngines {
     all: Vec<FreeEngine>,
     by_job: BTreeMap<JobKey, Vec<FreeEngine>>,
+    /// The median event interval of the engines of each service that was needed so far, in
+    /// microseconds; zero where unknown.
+    medians_us: BTreeMap<Box<str>, u64>,
 }
 
 impl FreeEngines {
     /// Selects the engines that have a free slot and may be given items within their limits.
     pub(super) fn new(board: &Board) -> Self {
         let mut all = Vec::new();
-        let mut medians: BTreeMap<&str, u64> = BTreeMap::new();
         for (key, upstream) in &board.upstreams {
             if !has_free_slot(board, upstream) || !upstream.accepts_requests() {
                 continue;
@@ -63,12 +63,9 @@
             let service = routing.service(&upstream.announced.service);
             let engine = service.and_then(|service| service.engine.as_ref());
             let memory_tokens = engine.map_or(u64::MAX, |engine| engine.memory_tokens);
-            let service = &*upstream.announced.service;
-            let median_interval_us =
-                *medians.entry(service).or_insert_with(|| median_interval_us(board, service));
-            all.push(FreeEngine { key, memory_tokens, median_interval_us });
+            all.push(FreeEngine { key, memory_tokens });
         }
-        Self { all, by_job: BTreeMap::new() }
+        Self { all, by_job: BTreeMap::new(), medians_us: BTreeMap::new() }
     }
 
     /// Returns whether no engine has a free slot.
@@ -123,6 +120,12 @@
             if !has_memory || !can_continue(item, spec, upstream) {
                 continue;
             }
+            let service = &upstream.announced.service;
+            let median = self.medians_us.get(service).copied();
+            let median_interval_us = median.unwrap_or_else(|| median_interval_us(board, service));
+            if median.is_none() {
+                self.medians_us.insert(service.clone(), median_interval_us);
+            }
             engines.push(EngineCandidate {
                 key: engine.key,
                 distance: board.cfg.distance(&upstream.announced.zone),
@@ -130,7 +133,7 @@
                 slots: upstream.item_slots(learned, now),
                 tokens: upstream.tokens,
                 event_interval_us: upstream.event_interval_us(learned, now),
-                median_interval_us: engine.median_interval_us,
+                median_interval_us,
                 observed: upstream.item_capacity.age(now),
             });
         }
