perf(core): the leader looks at all engines only when an item or an order waits

Change: a pass over items begins with the items; waiting orders are updated each 100 ms, with one count for each service.

--- a/crates/core/src/gateway/controller/items.rs
+++ b/crates/core/src/gateway/controller/items.rs
@@ -269,17 +269,20 @@
 
     /// Places waiting items on the engines with a free slot.
     ///
-    /// The engines come first because this runs for each event: without a free slot at any upstream
-    /// the items need not be looked at.
+    /// This runs for each event, so the engines are looked at only if an item waits.
     fn place_waiting(&mut self, board: &mut Board) {
         if board.now.mono < self.next_pass || !board.leads() {
             return;
         }
+        let now = board.now.mono;
+        let is_waiting = |item: &Item| matches!(item.state, ItemState::Waiting(at) if at <= now);
+        if !board.items.values().any(is_waiting) {
+            return;
+        }
         let mut free = FreeEngines::new(board);
         if free.is_empty() {
             return;
         }
-        let now = board.now.mono;
         let mut waiting = Vec::new();
         for (key, item) in &board.items {
             let ItemState::Waiting(at) = item.state else { continue };
--- a/crates/core/src/gateway/scaling/controller.rs
+++ b/crates/core/src/gateway/scaling/controller.rs
@@ -24,6 +24,9 @@
 /// The interval between two checks.
 const CHECK_INTERVAL: Millis = Millis(250);
 
+/// The interval between two counts of upstreams for orders that wait; each looks at all upstreams.
+const UPDATE_INTERVAL: Millis = Millis(100);
+
 /// How long no further upstream must have announced itself before the baseline is recorded: some
 /// announcement intervals.
 const BASELINE_SETTLE_TIME: Millis = Millis(5_000);
@@ -46,13 +49,14 @@
 pub struct Scaling {
     policy: Box<dyn ScalingPolicy>,
     next_check: Millis,
+    next_update: Millis,
 }
 
 impl Scaling {
     /// Creates the controller with the policy that decides on the numbers.
     #[must_use]
     pub fn new(policy: Box<dyn ScalingPolicy>) -> Self {
-        Self { policy, next_check: Millis(0) }
+        Self { policy, next_check: Millis(0), next_update: Millis(0) }
     }
 }
 
@@ -76,7 +80,10 @@
             self.next_check = now;
         }
         if now < self.next_check {
-            orders::update_waiting(board);
+            if now >= self.next_update {
+                self.next_update = now + UPDATE_INTERVAL;
+                orders::update_waiting(board);
+            }
             return;
         }
         self.next_check = now + CHECK_INTERVAL;
--- a/crates/core/src/gateway/scaling/orders.rs
+++ b/crates/core/src/gateway/scaling/orders.rs
@@ -1,5 +1,7 @@
 //! The orders for numbers of upstreams: when one is due, and what follows from its end.
 
+use std::collections::BTreeSet;
+
 use super::pool::{Pool, count_upstreams};
 use crate::directory::UpstreamTarget;
 use crate::gateway::board::Board;
@@ -68,12 +70,15 @@
 /// Updates the numbers of the orders that wait, as upstreams may have joined since.
 pub(super) fn update_waiting(board: &mut Board) {
     let mut waiting = std::mem::take(&mut board.provider.waiting);
+    let mut counted: BTreeSet<Box<str>> = BTreeSet::new();
     for request in &mut waiting {
         let ProviderRequest::SetUpstreamCount(order) = request else { continue };
         let Some(key) = board.scaling.key_of(&order.service, &order.zone, order.reclaimable) else {
             continue;
         };
-        count_upstreams(board, &order.service);
+        if counted.insert(order.service.clone()) {
+            count_upstreams(board, &order.service);
+        }
         let pool = &mut board.scaling.pools[key];
         let targets = board.group.as_ref().map(|group| &group.directory.upstream_targets);
         if let Some(target) = targets.and_then(|targets| pool.target(targets)) {
