--- a/crates/core/src/gateway/board.rs
+++ b/crates/core/src/gateway/board.rs
@@ -65,7 +65,8 @@
 pub use suspects::{CRASH_RETENTION, QUARANTINE_CRASHES, Suspects, incarnation};
 pub use text::{Orphan, ReusableText, TextCache, is_same_item};
 pub use upstream::{
-    ENDED_RETENTION, LeaveNotice, LeaveSource, SaidLeaving, Upstream, UpstreamHealth,
+    DEFAULT_EVENT_INTERVAL_US, ENDED_RETENTION, LeaveNotice, LeaveSource, SaidLeaving, Upstream,
+    UpstreamHealth,
 };
 
 /// The purpose of an attempt.
--- a/crates/core/src/gateway/board/upstream.rs
+++ b/crates/core/src/gateway/board/upstream.rs
@@ -22,6 +22,9 @@
 /// Maximum number of times that further failures in a row double the avoidance time.
 const MAX_AVOID_DOUBLINGS: u32 = 4;
 
+/// The interval between two events of an item where none is measured, in microseconds.
+pub const DEFAULT_EVENT_INTERVAL_US: u64 = 50_000;
+
 /// Weight of a new response time in its moving average, in percent.
 const RESPONSE_TIME_WEIGHT_PERCENT: u64 = 20;
 
--- a/crates/core/src/gateway/controller/calls.rs
+++ b/crates/core/src/gateway/controller/calls.rs
@@ -49,13 +49,23 @@
 
 fn handle_opened(board: &mut Board, opened: &IncomingCall) {
     let IncomingCall { tag, trace, .. } = opened;
+    let access = opened.call.job_caller().map(|caller| access::authorize_job_call(board, caller));
+    let JobAccess { workspace, host } = match access.transpose() {
+        Ok(access) => access.unwrap_or_default(),
+        Err(problem) => return board.reject(*tag, trace, problem),
+    };
     let (request, timeout) = match &opened.call {
-        Call::Results { .. } | Call::ItemBody { .. } | Call::EndJob { .. } => {
-            match job_request(board, &opened.call) {
-                Ok(Some(request)) => request,
-                Ok(None) => return,
-                Err(problem) => return board.reject(*tag, trace, problem),
-            }
+        Call::Results { job, after, wait, .. } => {
+            let (job, after, wait) = (job.clone(), *after, *wait);
+            let request = StoreRequest::Results { job, after, wait, workspace, host };
+            (request, READ_TIMEOUT + wait)
+        }
+        Call::ItemBody { job, item, .. } => {
+            let (job, item) = (job.clone(), item.clone());
+            (StoreRequest::ItemBody { job, item, workspace, host }, READ_TIMEOUT)
+        }
+        Call::EndJob { job, .. } => {
+            (StoreRequest::EndJob { job: job.clone(), workspace, host }, END_JOB_TIMEOUT)
         }
         Call::PutRouting(routing) => {
             (StoreRequest::PutRouting(Arc::clone(routing)), OPERATOR_TIMEOUT)
@@ -82,32 +92,6 @@
     board.request_from_store(*tag, trace.clone(), request, deadline);
 }
 
-/// Returns the store request of a call that reads or ends a job, and its time limit.
-fn job_request(board: &Board, call: &Call) -> Result<Option<(StoreRequest, Millis)>, Problem> {
-    let (Call::Results { caller, .. }
-    | Call::ItemBody { caller, .. }
-    | Call::EndJob { caller, .. }) = call
-    else {
-        return Ok(None);
-    };
-    let JobAccess { workspace, host } = access::authorize_job_call(board, caller)?;
-    Ok(match call {
-        Call::Results { job, after, wait, .. } => {
-            let (job, after, wait) = (job.clone(), *after, *wait);
-            let request = StoreRequest::Results { job, after, wait, workspace, host };
-            Some((request, READ_TIMEOUT + wait))
-        }
-        Call::ItemBody { job, item, .. } => {
-            let (job, item) = (job.clone(), item.clone());
-            Some((StoreRequest::ItemBody { job, item, workspace, host }, READ_TIMEOUT))
-        }
-        Call::EndJob { job, .. } => {
-            Some((StoreRequest::EndJob { job: job.clone(), workspace, host }, END_JOB_TIMEOUT))
-        }
-        _ => None,
-    })
-}
-
 fn answer_query(board: &mut Board, tag: RequestTag, query: Query) {
     let answer = match query {
         Query::Ready => Answer::Ready(board.ready),
--- a/crates/core/src/gateway/controller/capacity.rs
+++ b/crates/core/src/gateway/controller/capacity.rs
@@ -24,7 +24,7 @@
 #[derive(Debug, Default)]
 pub(super) struct Capacity {
     check_at: Millis,
-    /// Whether reports of an upstream are kept, as of the last check or message.
+    /// Whether reports of an upstream are kept, as of the last check or message; never on an entry host.
     has_reports: bool,
 }
 
@@ -33,28 +33,27 @@
         if !board.cfg.learned_capacity {
             return;
         }
-        if let Some(Event::Received(envelope)) = event {
-            handle_message(board, envelope);
-            if has_slow_upstreams(envelope) {
-                self.has_reports = true;
-                self.check_at = board.now.mono;
-            }
+        if let Some(Event::Received(envelope)) = event
+            && handle_message(board, envelope)
+        {
+            self.has_reports = true;
+            self.check_at = board.now.mono;
         }
-        let is_due = self.has_reports && board.now.mono >= self.check_at;
-        if board.cfg.role == Role::Store && is_due {
+        if self.has_reports && board.now.mono >= self.check_at {
             self.check_at = board.now.mono + CHECK_INTERVAL;
             self.has_reports = update_statements(board);
         }
     }
 
-    fn next_deadline(&self, board: &Board) -> Millis {
-        let is_checked = self.has_reports && board.cfg.role == Role::Store;
-        if is_checked { self.check_at } else { Millis::MAX }
+    fn next_deadline(&self, _board: &Board) -> Millis {
+        if self.has_reports { self.check_at } else { Millis::MAX }
     }
 }
 
-fn handle_message(board: &mut Board, envelope: &Envelope) {
-    let Message::Gateway(message) = &envelope.message else { return };
+/// Records what a message of another host says about slow upstreams, and returns whether it has
+/// reports for this store host.
+fn handle_message(board: &mut Board, envelope: &Envelope) -> bool {
+    let Message::Gateway(message) = &envelope.message else { return false };
     match &**message {
         GatewayMessage::Hello(hello) if board.cfg.role == Role::Store => {
             let now = board.now.mono;
@@ -65,17 +64,16 @@
                     upstream.slow_reports.add(envelope.from, now);
                 }
             }
+            !hello.slow_upstreams.is_empty()
+        }
+        GatewayMessage::View(view) => {
+            apply_statements(board, envelope.from, &view.upstreams);
+            false
         }
-        GatewayMessage::View(view) => apply_statements(board, envelope.from, &view.upstreams),
-        _ => {}
+        _ => false,
     }
 }
 
-fn has_slow_upstreams(envelope: &Envelope) -> bool {
-    let Message::Gateway(message) = &envelope.message else { return false };
-    matches!(&**message, GatewayMessage::Hello(hello) if !hello.slow_upstreams.is_empty())
-}
-
 fn apply_statements(board: &mut Board, from: HostId, records: &[UpstreamRecord]) {
     let now = board.now.mono;
     for record in records {
--- a/crates/core/src/gateway/controller/items/leaving.rs
+++ b/crates/core/src/gateway/controller/items/leaving.rs
@@ -5,7 +5,7 @@
 
 use super::engines::FreeEngines;
 use crate::gateway::action::Action;
-use crate::gateway::board::{Board, Item, ItemState, Upstream};
+use crate::gateway::board::{Board, DEFAULT_EVENT_INTERVAL_US, Item, ItemState, Upstream};
 use crate::gateway::policy::EngineCandidate;
 use crate::key::{AttemptKey, ItemKey, JobKey, UpstreamKey};
 use crate::time::Millis;
@@ -18,9 +18,6 @@
 /// slower with the items that move, and so do those of the same machine.
 const ESTIMATE_PERCENT: u64 = 125;
 
-/// The interval between two events of an item where none is measured, in microseconds.
-const DEFAULT_EVENT_INTERVAL_US: u64 = 50_000;
-
 /// An item on an upstream that will be gone.
 #[derive(Debug, Clone, Copy)]
 struct Move {
--- a/crates/core/src/gateway/event.rs
+++ b/crates/core/src/gateway/event.rs
@@ -228,6 +228,19 @@
     pub key: Option<ApiKey>,
 }
 
+impl Call {
+    /// Returns the caller of a call that reads or ends a job; `None` for any other call.
+    #[must_use]
+    pub fn job_caller(&self) -> Option<&JobCaller> {
+        match self {
+            Self::Results { caller, .. }
+            | Self::ItemBody { caller, .. }
+            | Self::EndJob { caller, .. } => Some(caller),
+            _ => None,
+        }
+    }
+}
+
 /// The state that can be read from one host.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
--- a/crates/core/src/gateway/scaling/controller.rs
+++ b/crates/core/src/gateway/scaling/controller.rs
@@ -13,9 +13,9 @@
 use super::decision::{CountChange, PoolView, ScalingInput, ScalingPolicy};
 use super::demand::{ItemWork, Serving, is_tight, needed_upstreams};
 use super::orders;
-use super::pool::{Pool, ScalingState, count_upstreams};
+use super::pool::{Pool, ScalingState, count_upstreams, pool_name};
 use crate::directory::{DirectoryCommand, ScalingSpec, ServiceSpec, UpstreamTarget};
-use crate::gateway::board::{Board, ItemState};
+use crate::gateway::board::{Board, DEFAULT_EVENT_INTERVAL_US, ItemState};
 use crate::gateway::controller::Controller;
 use crate::gateway::event::Event;
 use crate::time::Millis;
@@ -41,9 +41,6 @@
 /// The share of an engine's memory beyond which it has no room for another item, in percent.
 const FULL_MEMORY_PERCENT: u64 = 85;
 
-/// The interval between two events of an item where none is measured, in microseconds.
-const DEFAULT_EVENT_INTERVAL_US: u64 = 50_000;
-
 /// Orders the numbers of upstreams.
 #[derive(Debug)]
 pub struct Scaling {
@@ -187,8 +184,7 @@
 /// Proposes intended numbers to the directory.
 fn record(board: &mut Board, targets: Vec<UpstreamTarget>, detail: &str) {
     for target in &targets {
-        let kind = if target.reclaimable { "reclaimable" } else { "non-reclaimable" };
-        let subject = format!("{}/{}/{kind}", target.service, target.zone);
+        let subject = pool_name(&target.service, &target.zone, target.reclaimable);
         let detail =
             format!("decided count={} baseline={} {detail}", target.count, target.baseline);
         board.note(EventKind::Scaling, subject, detail);
--- a/crates/core/src/gateway/scaling/pool.rs
+++ b/crates/core/src/gateway/scaling/pool.rs
@@ -98,8 +98,7 @@
     /// Returns the name of the pool in the log.
     #[must_use]
     pub fn name(&self) -> Box<str> {
-        let kind = if self.reclaimable { "reclaimable" } else { "non-reclaimable" };
-        format!("{}/{}/{kind}", self.service, self.zone).into()
+        pool_name(&self.service, &self.zone, self.reclaimable)
     }
 
     /// Returns the target of the pool, out of those in the directory.
@@ -123,6 +122,12 @@
     }
 }
 
+/// Returns the name in the log of the pool of a kind.
+pub(super) fn pool_name(service: &str, zone: &str, reclaimable: bool) -> Box<str> {
+    let kind = if reclaimable { "reclaimable" } else { "non-reclaimable" };
+    format!("{service}/{zone}/{kind}").into()
+}
+
 /// What the host that orders upstreams knows; empty on the others.
 #[derive(Debug, Clone, Default)]
 pub struct ScalingState {
