--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -6,6 +6,7 @@
 mod deployment;
 mod http;
 mod leave;
+mod limits;
 mod orders;
 mod path;
 mod trainer;
@@ -33,6 +34,7 @@
     let temp = Path::new(temp);
     let verdict = match case.as_str() {
         "leave" => leave::play(&log, temp, trouble),
+        "limits" => limits::play(&log, temp, trouble),
         "orders" => orders::play(&log, temp, trouble),
         _ => Verdict::CouldNotRun,
     };
