--- a/review/standin-2/deployment.rs
+++ b/review/standin-2/deployment.rs
@@ -217,19 +217,6 @@
         }
     }
 
-    /// Sends a signal, such as `-STOP`, to the process of a machine.
-    pub fn signal(&self, name: &str, signal: &str) {
-        self.log.note(format!("{name} gets SIG{}", signal.trim_start_matches('-')));
-        let Some(child) = self.processes.get(name) else { return };
-        let _ = Command::new("kill").args([signal, &child.id().to_string()]).status();
-    }
-
-    /// Returns whether the process of a machine has ended.
-    pub fn has_ended(&mut self, name: &str) -> bool {
-        let Some(child) = self.processes.get_mut(name) else { return true };
-        matches!(child.try_wait(), Ok(Some(_)))
-    }
-
     /// Makes an operator's call to the stores in turn until one answers 2xx; `false` if none does in time.
     pub fn operator_call(&self, method: &str, path: &str, body: &str, timeout: Duration) -> bool {
         let until = Instant::now() + timeout;
@@ -266,13 +253,6 @@
         }
         false
     }
-
-    /// Returns whether a line of the log of a machine's last process contains all parts.
-    pub fn has_logged(&self, name: &str, parts: &[&str]) -> bool {
-        let number = self.starts.get(name).copied().unwrap_or(0);
-        let log = fs::read_to_string(self.folder.join(format!("{name}.{number}.log")));
-        log.unwrap_or_default().lines().any(|line| parts.iter().all(|part| line.contains(part)))
-    }
 }
 
 impl Drop for Deployment {
--- a/review/standin-2/leave.rs
+++ b/review/standin-2/leave.rs
@@ -9,7 +9,7 @@
 use crate::Verdict;
 use crate::deployment::{Deployment, Log};
 use crate::trainer::{Job, config};
-use crate::worker::{Worker, announce};
+use crate::worker::{WeightStore, Worker, announce};
 
 const DRAIN: Duration = Duration::from_millis(2_500);
 
@@ -22,14 +22,22 @@
 pub fn play(log: &Log, temp: &Path, trouble: bool) -> Verdict {
     let mut deployment = Deployment::new(log.clone(), temp, 3, 3);
     deployment.start_all();
+    let weights = WeightStore::open();
     let (stores, fronts) = (deployment.names("store"), deployment.names("entry"));
     let controls: Vec<_> = stores.iter().map(|name| deployment.control(name)).collect();
     let doors: Vec<_> = fronts.iter().map(|name| deployment.front(name)).collect();
     let mut workers = Vec::new();
     for (number, zone) in ["zone-a", "zone-b", "zone-c"].into_iter().cycle().take(6).enumerate() {
-        workers.push(Worker::start(log, &format!("i-engine{number}"), "engines", zone, 12));
+        workers.push(Worker::start(
+            log,
+            &weights,
+            &format!("i-engine{number}"),
+            "engines",
+            zone,
+            12,
+        ));
     }
-    workers.push(Worker::start(log, "i-desk0", "desk", "zone-a", 6));
+    workers.push(Worker::start(log, &weights, "i-desk0", "desk", "zone-a", 6));
     let second = Duration::from_secs(1);
     if !deployment.operator_call("PUT", "/api/config", &config(5), 20 * second) {
         return Verdict::CouldNotRun;
--- a/review/standin-2/limits.rs
+++ b/review/standin-2/limits.rs
@@ -10,7 +10,7 @@
 use crate::deployment::{Deployment, Log};
 use crate::http::{Message, read_message};
 use crate::trainer::{HOST, config};
-use crate::worker::{Worker, announce};
+use crate::worker::{WeightStore, Worker, announce};
 
 const CONFIG: Duration = Duration::from_millis(2_500);
 
@@ -31,12 +31,14 @@
 pub fn play(log: &Log, temp: &Path, trouble: bool) -> Verdict {
     let mut deployment = Deployment::new(log.clone(), temp, 3, 3);
     deployment.start_all();
+    let weights = WeightStore::open();
     let controls: Vec<_> =
         deployment.names("store").iter().map(|name| deployment.control(name)).collect();
     let doors: Vec<_> =
         deployment.names("entry").iter().map(|name| deployment.front(name)).collect();
     let zones = ["zone-a", "zone-b", "zone-c"];
-    let start = |(number, zone)| Worker::start(log, &format!("i-desk{number}"), "desk", zone, 6);
+    let start =
+        |(number, zone)| Worker::start(log, &weights, &format!("i-desk{number}"), "desk", zone, 6);
     let workers: Vec<_> = zones.into_iter().enumerate().map(start).collect();
     let second = Duration::from_secs(1);
     let wide = config(5).replace("\"maxHeaderBytes\":16384", "\"maxHeaderBytes\":65536");
--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -9,6 +9,7 @@
 mod limits;
 mod orders;
 mod path;
+mod scale;
 mod trainer;
 mod worker;
 
@@ -35,6 +36,7 @@
     let verdict = match case.as_str() {
         "leave" => leave::play(&log, temp, trouble),
         "limits" => limits::play(&log, temp, trouble),
+        "scale" => scale::play(&log, temp, trouble),
         "orders" => orders::play(&log, temp, trouble),
         _ => Verdict::CouldNotRun,
     };
--- a/review/standin-2/orders.rs
+++ b/review/standin-2/orders.rs
@@ -10,7 +10,7 @@
 use crate::deployment::{Deployment, Log};
 use crate::path::Path;
 use crate::trainer::{Job, config};
-use crate::worker::{Arrival, MODEL, Worker, announce};
+use crate::worker::{Arrival, MODEL, WeightStore, Worker, announce};
 
 /// How long after the order its sender is killed, and how long after that it starts again.
 const KILL_DELAY: Duration = Duration::from_millis(50);
@@ -25,19 +25,21 @@
 pub fn play(log: &Log, temp: &FilePath, trouble: bool) -> Verdict {
     let mut deployment = Deployment::new(log.clone(), temp, 3, 3);
     deployment.start_all();
+    let weights = WeightStore::open();
     let stores = deployment.names("store");
     let controls: Vec<_> = stores.iter().map(|name| deployment.control(name)).collect();
     let doors: Vec<_> =
         deployment.names("entry").iter().map(|name| deployment.front(name)).collect();
     let (mut workers, mut paths) = (Vec::new(), Vec::new());
     for (number, zone) in ["zone-a", "zone-b", "zone-c"].into_iter().cycle().take(6).enumerate() {
-        let worker = Worker::start(log, &format!("i-engine{number}"), "engines", zone, 12);
+        let worker =
+            Worker::start(log, &weights, &format!("i-engine{number}"), "engines", zone, 12);
         let path = Path::open(worker.address);
         *worker.announced.lock().expect("address") = path.address;
         workers.push(worker);
         paths.push(path);
     }
-    workers.push(Worker::start(log, "i-desk0", "desk", "zone-a", 6));
+    workers.push(Worker::start(log, &weights, "i-desk0", "desk", "zone-a", 6));
     let second = Duration::from_secs(1);
     if !deployment.operator_call("PUT", "/api/config", &config(5), 20 * second) {
         return Verdict::CouldNotRun;
--- a/review/standin-2/worker.rs
+++ b/review/standin-2/worker.rs
@@ -12,9 +12,55 @@
 /// The name of the model.
 pub const MODEL: &str = "drafts";
 
-/// How long a change of version takes.
+/// How long a change of version takes while few workers load.
 const LOAD_TIME: Duration = Duration::from_millis(900);
 
+/// The number of workers that load in this time; more share what the weights' store can send.
+const FAST_LOADS: u32 = 2;
+
+/// The weights' store, which sends weights to the workers that load.
+#[derive(Default)]
+pub struct WeightStore {
+    /// What each load still needs, as the time that it takes at full speed.
+    loads: Mutex<Vec<(String, u64, Duration)>>,
+}
+
+impl WeightStore {
+    pub fn open() -> Arc<Self> {
+        let store = Arc::new(Self::default());
+        let serving = Arc::clone(&store);
+        std::thread::spawn(move || {
+            let mut last = Instant::now();
+            loop {
+                std::thread::sleep(Duration::from_millis(5));
+                let elapsed = last.elapsed();
+                last = Instant::now();
+                let mut loads = serving.loads.lock().expect("loads");
+                let count = u32::try_from(loads.len()).unwrap_or(u32::MAX);
+                let step = elapsed * FAST_LOADS / count.max(FAST_LOADS);
+                loads.iter_mut().for_each(|load| load.2 = load.2.saturating_sub(step));
+            }
+        });
+        store
+    }
+
+    fn begin(&self, worker: &str, version: u64) {
+        let load = (worker.to_string(), version, LOAD_TIME);
+        self.loads.lock().expect("loads").push(load);
+    }
+
+    /// Removes the load of a worker if it is complete, and returns its version.
+    fn finish(&self, worker: &str) -> Option<u64> {
+        let mut loads = self.loads.lock().expect("loads");
+        let done = loads.iter().position(|load| load.0 == worker && load.2.is_zero())?;
+        Some(loads.remove(done).1)
+    }
+
+    fn is_loading(&self, worker: &str) -> bool {
+        self.loads.lock().expect("loads").iter().any(|load| load.0 == worker)
+    }
+}
+
 /// A request that reached a worker.
 #[derive(Debug, Clone)]
 pub struct Arrival {
@@ -52,8 +98,9 @@
     pub draining: AtomicBool,
     seq: AtomicU64,
     version: AtomicU64,
-    /// When the load in progress ends.
-    loaded_at: Mutex<Instant>,
+    weights: Arc<WeightStore>,
+    /// The number of requests in progress.
+    running: AtomicU64,
     orders: AtomicU64,
     arrivals: Mutex<Vec<Arrival>>,
     log: Log,
@@ -63,6 +110,7 @@
     /// Starts a worker on a free loopback port.
     pub fn start(
         log: &Log,
+        weights: &Arc<WeightStore>,
         id: &str,
         service: &'static str,
         zone: &'static str,
@@ -85,7 +133,8 @@
             draining: AtomicBool::new(false),
             seq: AtomicU64::new(0),
             version: AtomicU64::new(1),
-            loaded_at: Mutex::new(Instant::now()),
+            weights: Arc::clone(weights),
+            running: AtomicU64::new(0),
             orders: AtomicU64::new(0),
             arrivals: Mutex::default(),
             log: log.clone(),
@@ -99,7 +148,12 @@
         self.arrivals.lock().expect("arrivals").clone()
     }
 
+    pub fn running(&self) -> u64 {
+        self.running.load(Ordering::SeqCst)
+    }
+
     pub fn version(&self) -> u64 {
+        self.is_loading();
         self.version.load(Ordering::SeqCst)
     }
 
@@ -156,7 +210,8 @@
         let model_version = request.header("Chestnutdrift-Expect-Version");
         let is_other_version =
             model_version.is_some_and(|version| version != self.version().to_string());
-        if is_other || is_other_version {
+        let waits_for_load = is_other_version && self.is_loading();
+        if is_other || (is_other_version && !waits_for_load) {
             headers.push(("Chestnutdrift-Not-Executed".into(), "1".into()));
             arrive(421);
             return http::respond(stream, 421, &headers, b"");
@@ -197,7 +252,10 @@
                     std::thread::sleep(pace.step);
                     return http::respond(stream, 200, &headers, b"booked");
                 }
-                self.stream_text(request, stream, headers, &pace).is_some()
+                self.running.fetch_add(1, Ordering::SeqCst);
+                let streamed = self.stream_text(request, stream, headers, &pace);
+                self.running.fetch_sub(1, Ordering::SeqCst);
+                streamed.is_some()
             }
         }
     }
@@ -220,13 +278,15 @@
             return 200;
         }
         self.orders.fetch_add(1, Ordering::SeqCst);
-        *self.loaded_at.lock().expect("load") = Instant::now() + LOAD_TIME;
-        self.version.store(version, Ordering::SeqCst);
+        self.weights.begin(&self.id, version);
         202
     }
 
     fn is_loading(&self) -> bool {
-        Instant::now() < *self.loaded_at.lock().expect("load")
+        if let Some(version) = self.weights.finish(&self.id) {
+            self.version.store(version, Ordering::SeqCst);
+        }
+        self.weights.is_loading(&self.id)
     }
 
     fn stream_text(
