--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -10,6 +10,7 @@
 mod orders;
 mod path;
 mod scale;
+mod streams;
 mod trainer;
 mod worker;
 
@@ -36,6 +37,7 @@
     let verdict = match case.as_str() {
         "leave" => leave::play(&log, temp, trouble),
         "limits" => limits::play(&log, temp, trouble),
+        "streams" => streams::play(&log, temp, trouble),
         "scale" => scale::play(&log, temp, trouble),
         "orders" => orders::play(&log, temp, trouble),
         _ => Verdict::CouldNotRun,
--- a/review/standin-2/worker.rs
+++ b/review/standin-2/worker.rs
@@ -1,7 +1,7 @@
 //! Workers: model engines and plain services, as the platform's pages describe them.
 
 use std::io::Write;
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
@@ -96,6 +96,9 @@
     pub pace: Mutex<Pace>,
     pub leaving: AtomicBool,
     pub draining: AtomicBool,
+    /// Streams that began before this number of them are broken off in the middle of an event.
+    pub broken_before: AtomicU64,
+    streams: AtomicU64,
     seq: AtomicU64,
     version: AtomicU64,
     weights: Arc<WeightStore>,
@@ -131,6 +134,8 @@
             pace: Mutex::new(pace),
             leaving: AtomicBool::new(false),
             draining: AtomicBool::new(false),
+            broken_before: AtomicU64::new(0),
+            streams: AtomicU64::new(0),
             seq: AtomicU64::new(0),
             version: AtomicU64::new(1),
             weights: Arc::clone(weights),
@@ -148,6 +153,11 @@
         self.arrivals.lock().expect("arrivals").clone()
     }
 
+    /// Breaks off the streams that are in progress.
+    pub fn break_streams(&self) {
+        self.broken_before.store(self.streams.load(Ordering::SeqCst), Ordering::SeqCst);
+    }
+
     pub fn running(&self) -> u64 {
         self.running.load(Ordering::SeqCst)
     }
@@ -305,10 +315,17 @@
             head.push_str(&format!("{name}: {value}\r\n"));
         }
         head.push_str("\r\n");
+        let number = self.streams.fetch_add(1, Ordering::SeqCst);
         stream.write_all(head.as_bytes()).ok()?;
         for event in after + 1..=pace.events {
             std::thread::sleep(pace.step);
             let text = format!("id: {event}\ndata: {item} {event}\n\n");
+            if number < self.broken_before.load(Ordering::SeqCst) {
+                let part = &text[..text.len() / 2];
+                let _ = stream.write_all(format!("{:x}\r\n{part}\r\n", part.len()).as_bytes());
+                let _ = stream.shutdown(Shutdown::Both);
+                return None;
+            }
             let chunk = format!("{:x}\r\n{text}\r\n", text.len());
             stream.write_all(chunk.as_bytes()).ok()?;
         }
