--- a/review/standin-2/orders.rs
+++ b/review/standin-2/orders.rs
@@ -3,6 +3,7 @@
 
 use std::path::Path as FilePath;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::thread::sleep;
 use std::time::{Duration, Instant};
 
@@ -61,7 +62,7 @@
     first.end(log, &doors);
     for worker in &workers[..6] {
         let mut pace = worker.pace.lock().expect("pace");
-        (pace.events, pace.step) = (27, Duration::from_millis(60));
+        (pace.events, pace.step) = (27, Duration::from_millis(100));
     }
     if !name_version(&deployment, 3) || !step(1, 60).submit(log, &doors, 10 * second) {
         return Verdict::CouldNotRun;
@@ -72,15 +73,18 @@
         // One of the six engines is cut off from all machines.
         let (cut, id) = (&paths[last], &workers[last].id);
         cut.cut();
+        workers[last].is_cut_off.store(true, Ordering::SeqCst);
         log.note(format!("{id} is cut off from all machines"));
         let Some(sent) = wait_order(cut, 12) else { return Verdict::CouldNotRun };
         let holder = stores.iter().find(|store| cut.held_since(&format!("{store}\"")).is_some());
         let Some(holder) = holder.cloned() else { return Verdict::CouldNotRun };
         log.note(format!("{holder} sends an order into the cut"));
         let (healing, log) = (Arc::clone(cut), log.clone());
+        let worker = Arc::clone(&workers[last]);
         let healer = std::thread::spawn(move || {
             sleep((sent + HEAL_DELAY).saturating_duration_since(Instant::now()));
             healing.heal();
+            worker.is_cut_off.store(false, Ordering::SeqCst);
             log.note("the cut has healed");
             log.now()
         });
@@ -123,7 +127,11 @@
 /// Waits until all engines but one have got the order for version 3, and returns the number of that one.
 fn wait_last(workers: &[Arc<Worker>], seconds: u64) -> Option<usize> {
     for _ in 0..seconds * 200 {
-        let mut due = (0..workers.len()).filter(|number| workers[*number].version() < 3);
+        let is_due = |number: &usize| {
+            let arrivals = workers[*number].arrivals();
+            !arrivals.iter().any(|a| a.path == "/api/order" && a.body.contains("\"version\":3"))
+        };
+        let mut due = (0..workers.len()).filter(is_due);
         if let (Some(last), None) = (due.next(), due.next()) {
             return Some(last);
         }
--- a/review/standin-2/worker.rs
+++ b/review/standin-2/worker.rs
@@ -96,6 +96,8 @@
     pub pace: Mutex<Pace>,
     pub leaving: AtomicBool,
     pub draining: AtomicBool,
+    /// Whether a partition keeps its heartbeats from the machines.
+    pub is_cut_off: AtomicBool,
     /// Streams that began before this number of them are broken off in the middle of an event.
     pub broken_before: AtomicU64,
     streams: AtomicU64,
@@ -134,6 +136,7 @@
             pace: Mutex::new(pace),
             leaving: AtomicBool::new(false),
             draining: AtomicBool::new(false),
+            is_cut_off: AtomicBool::new(false),
             broken_before: AtomicU64::new(0),
             streams: AtomicU64::new(0),
             seq: AtomicU64::new(0),
@@ -343,7 +346,9 @@
         std::thread::spawn(move || {
             while !worker.leaving.load(Ordering::SeqCst) {
                 let beat = worker.heartbeat();
-                worker.tell(&stores, "PUT", &beat);
+                if !worker.is_cut_off.load(Ordering::SeqCst) {
+                    worker.tell(&stores, "PUT", &beat);
+                }
                 std::thread::sleep(INTERVAL);
             }
         });
