feat(core): the state of a host's links to the upstreams in the log

The log of an entry host that can't reach any upstream looked like that of a host whose upstreams all fail: one line for each attempt, none on the host's own links.

Change: each new connection of an entry host to an upstream is reported to the core, which keeps the upstreams that failed since the last connection that was opened. Gauges links_lost and upstreams_unreachable, and the state unreachable of the list of upstreams. Nothing is decided by it yet.

--- a/crates/core/src/gateway/action.rs
+++ b/crates/core/src/gateway/action.rs
@@ -292,7 +292,7 @@
     pub address: Box<str>,
     /// The availability zone.
     pub zone: Box<str>,
-    /// `ready`, `leaving`, `avoided` or `silent`.
+    /// `ready`, `leaving`, `ended`, `unreachable`, `avoided` or `silent`.
     pub state: Box<str>,
     /// Requests of the answering host in flight there.
     pub in_flight: u32,
@@ -395,6 +395,10 @@
     pub upstreams_leaving: u64,
     /// Upstreams that have named a limit, and are not gone.
     pub upstreams_limited: u64,
+    /// Upstreams to which the last connection of this host failed, and that are not gone.
+    pub upstreams_unreachable: u64,
+    /// Whether connections to several upstreams failed, and none was opened since.
+    pub links_lost: bool,
     /// Requests for permits to send requests to upstreams with a limit.
     pub quota_requests: u64,
     /// Permits granted by this host, those for its own sends included.
--- a/crates/core/src/gateway/board.rs
+++ b/crates/core/src/gateway/board.rs
@@ -9,6 +9,7 @@
 mod memory;
 mod order;
 mod quota;
+mod reach;
 mod recent_successes;
 mod request;
 mod reward_queue;
@@ -55,6 +56,7 @@
 pub use memory::ProcessMemory;
 pub use order::{LoadState, PendingOrder};
 pub use quota::{Ledger, MAX_RETURN_TIME, PERMIT_VALIDITY, Permits, QuotaClaim, QuotaWait};
+pub use reach::{LinkState, Reach};
 pub use recent_successes::RecentSuccesses;
 pub use request::{Request, RequestState};
 pub use reward_queue::RewardQueue;
@@ -160,6 +162,8 @@
     pub requests: SlotMap<RequestKey, Request>,
     /// The requests by exchange.
     pub request_index: BTreeMap<RequestTag, RequestKey>,
+    /// Whether this host can open connections to the upstreams over its own links.
+    pub reach: Reach,
     /// The requests under which upstreams ended.
     pub suspects: Suspects,
     /// The requests that succeeded here a short time ago.
@@ -263,6 +267,7 @@
             pending_calls: VecDeque::new(),
             requests: SlotMap::with_key(),
             request_index: BTreeMap::new(),
+            reach: Reach::default(),
             suspects: Suspects::default(),
             recent_successes: RecentSuccesses::default(),
             suspects_changed: false,
--- /dev/null
+++ b/crates/core/src/gateway/board/reach.rs
@@ -0,0 +1,83 @@
+//! Whether this host can open connections to the upstreams over its own links.
+
+use crate::key::UpstreamKey;
+use crate::time::Millis;
+
+/// The number of upstreams to which connections fail before the links count as lost; a single one may
+/// have failed itself.
+const MIN_FAILED_UPSTREAMS: usize = 2;
+
+/// The most failed upstreams that are remembered.
+const MAX_FAILED_UPSTREAMS: usize = 16;
+
+/// The state of a host's links to the upstreams.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum LinkState {
+    /// The last connection was opened, or none was tried.
+    #[default]
+    Sound,
+    /// Connections fail, to too few upstreams to tell whose fault it is.
+    Doubted,
+    /// Connections to several upstreams fail, and none was opened in between.
+    Lost,
+}
+
+/// What connections tell about this host's links to the upstreams.
+#[derive(Debug, Clone, Default)]
+pub struct Reach {
+    state: LinkState,
+    /// The upstreams to which connections failed since the last one that was opened.
+    failed: Vec<UpstreamKey>,
+    last_opened: Option<Millis>,
+    /// When the state last left [`LinkState::Sound`].
+    failing_since: Millis,
+}
+
+impl Reach {
+    /// Returns the state of the links.
+    #[must_use]
+    pub fn state(&self) -> LinkState {
+        self.state
+    }
+
+    /// Returns the upstreams to which connections failed since the last one that was opened.
+    #[must_use]
+    pub fn failed(&self) -> &[UpstreamKey] {
+        &self.failed
+    }
+
+    /// Returns when the last connection was opened; `None` before the first one.
+    #[must_use]
+    pub fn last_opened(&self) -> Option<Millis> {
+        self.last_opened
+    }
+
+    /// Returns when the first connection failed since the links were last sound.
+    #[must_use]
+    pub fn failing_since(&self) -> Millis {
+        self.failing_since
+    }
+
+    /// Records that a connection was opened, and returns the state before.
+    pub fn record_opened(&mut self, now: Millis) -> LinkState {
+        self.failed.clear();
+        self.last_opened = Some(now);
+        std::mem::take(&mut self.state)
+    }
+
+    /// Records that a connection to an upstream failed, and returns the state before.
+    pub fn record_failed(&mut self, upstream: UpstreamKey, now: Millis) -> LinkState {
+        let before = self.state;
+        if before == LinkState::Sound {
+            self.failing_since = now;
+            self.state = LinkState::Doubted;
+        }
+        if !self.failed.contains(&upstream) && self.failed.len() < MAX_FAILED_UPSTREAMS {
+            self.failed.push(upstream);
+        }
+        if self.failed.len() >= MIN_FAILED_UPSTREAMS {
+            self.state = LinkState::Lost;
+        }
+        before
+    }
+}
--- a/crates/core/src/gateway/board/upstream.rs
+++ b/crates/core/src/gateway/board/upstream.rs
@@ -89,6 +89,8 @@
     pub said_leaving: Option<SaidLeaving>,
     /// Its announced departure at a fixed time; `None` before the announcement.
     pub leave_notice: Option<LeaveNotice>,
+    /// Whether this host's last connection to it failed.
+    pub unreachable: bool,
     /// The limit that it has named in an answer; `None` before the first one.
     pub limit: Option<UpstreamLimit>,
     /// The permits of this host to send it requests while it has a limit.
@@ -137,6 +139,7 @@
             leave_kept: false,
             said_leaving: None,
             leave_notice: None,
+            unreachable: false,
             limit: None,
             permits: Permits::default(),
             ledger: Ledger::default(),
--- a/crates/core/src/gateway/controller.rs
+++ b/crates/core/src/gateway/controller.rs
@@ -22,6 +22,7 @@
 mod memory;
 mod outbox;
 mod quotas;
+mod reach;
 mod registry;
 mod rewards;
 mod routing;
@@ -83,6 +84,7 @@
     match role {
         Role::Entry => {
             controllers.push(Box::new(Recording::default()));
+            controllers.push(Box::new(reach::ReachTracking));
             controllers.push(Box::new(forwarding::Forwarding::new(choice)));
         }
         Role::Store => controllers.push(Box::new(rewards::Rewards::new(choice))),
--- a/crates/core/src/gateway/controller/calls.rs
+++ b/crates/core/src/gateway/controller/calls.rs
@@ -14,7 +14,7 @@
 use super::access::{self, JobAccess};
 use crate::error::{ErrorKind, Problem};
 use crate::gateway::action::{Answer, CapacityView, Counters, HostView, UpstreamView};
-use crate::gateway::board::{Board, DirectoryGroup, Upstream};
+use crate::gateway::board::{Board, DirectoryGroup, LinkState, Upstream};
 use crate::gateway::event::{Call, Event, IncomingCall, Query};
 use crate::gateway::message::StoreRequest;
 use crate::key::{HostId, RequestTag};
@@ -105,6 +105,10 @@
             counters.upstreams_leaving = board.upstreams.values().filter(leaving).count() as u64;
             let limited = |upstream: &&Upstream| upstream.rate_limit().is_some() && !upstream.gone;
             counters.upstreams_limited = board.upstreams.values().filter(limited).count() as u64;
+            let unreachable = |upstream: &&Upstream| upstream.unreachable && !upstream.gone;
+            counters.upstreams_unreachable =
+                board.upstreams.values().filter(unreachable).count() as u64;
+            counters.links_lost = board.reach.state() == LinkState::Lost;
             count_capacity(board, &mut counters);
             counters.routing_version = board.routing.as_ref().map_or(0, |r| r.version);
             Answer::Counters(Box::new(counters))
@@ -183,6 +187,8 @@
             "leaving"
         } else if upstream.ended_until(board.now.mono).is_some() {
             "ended"
+        } else if upstream.unreachable {
+            "unreachable"
         } else if upstream.is_avoided(board.now.mono) {
             "avoided"
         } else if upstream.silent {
--- a/crates/core/src/gateway/event.rs
+++ b/crates/core/src/gateway/event.rs
@@ -45,6 +45,14 @@
         /// How it ended.
         end: ForwardEnd,
     },
+    /// A new connection to an upstream over this host's own links was opened, or failed although the
+    /// upstream may run.
+    DirectConnection {
+        /// The upstream.
+        upstream: UpstreamKey,
+        /// Whether it was opened.
+        opened: bool,
+    },
     /// The end of an attempt is known after its request has ended: an answer was delivered while it
     /// still arrived, or the attempt was dropped without an outcome.
     LateEnd {
--- a/crates/daemon/src/gateway/metrics.rs
+++ b/crates/daemon/src/gateway/metrics.rs
@@ -287,6 +287,8 @@
         ("upstreams", counters.upstreams),
         ("upstreams_leaving", counters.upstreams_leaving),
         ("upstreams_limited", counters.upstreams_limited),
+        ("upstreams_unreachable", counters.upstreams_unreachable),
+        ("links_lost", u64::from(counters.links_lost)),
         ("quota_requests", counters.quota_requests),
         ("permits_granted", counters.permits_granted),
         ("over_limit", counters.over_limit),
--- a/crates/daemon/src/gateway/pool.rs
+++ b/crates/daemon/src/gateway/pool.rs
@@ -9,7 +9,7 @@
 
 use bytes::Bytes;
 use chestnutdrift_core::UpstreamKey;
-use chestnutdrift_core::gateway::UpstreamAddress;
+use chestnutdrift_core::gateway::{Event, UpstreamAddress};
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
@@ -19,6 +19,7 @@
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
 
+use super::input::{Input, InputSender};
 use crate::http::has_known_coding;
 
 /// The keep-alive time assumed for an upstream that announces none.
@@ -104,9 +105,26 @@
     /// Until when connections to closed upstreams are not kept.
     closed: Arc<Mutex<BTreeMap<UpstreamKey, Instant>>>,
     opened: Arc<AtomicU64>,
+    /// Where the ends of new connections are reported; `None` if nobody asks.
+    reports: Option<InputSender>,
 }
 
 impl Pool {
+    /// Sets where the ends of new connections are reported; the default is nowhere.
+    #[must_use]
+    pub fn reports(mut self, reports: impl Into<Option<InputSender>>) -> Self {
+        self.reports = reports.into();
+        self
+    }
+
+    fn report(&self, upstream: &UpstreamAddress, opened: bool) {
+        let Some(reports) = &self.reports else { return };
+        let event = Event::DirectConnection { upstream: upstream.key, opened };
+        if reports.send(Input::Event(event)).is_err() {
+            log::debug!(event = "report-lost"; "the control thread has ended");
+        }
+    }
+
     /// Returns the number of connections opened so far.
     #[must_use]
     pub fn opened(&self) -> u64 {
@@ -142,7 +160,9 @@
                 Err(error) => return Err(SendError::Broken(error.to_string().into())),
             }
         }
-        let mut connection = self.connect(upstream, connect_timeout).await?;
+        let connected = self.connect(upstream, connect_timeout).await;
+        self.report(upstream, connected.is_ok());
+        let mut connection = connected?;
         connection.carried.push(request_id);
         match connection.sender.send_request(with_full_body(request)).await {
             Ok(response) => with_known_coding(response, connection),
@@ -205,6 +225,7 @@
     pub async fn is_refused(&self, upstream: &UpstreamAddress, timeout: Duration) -> bool {
         let Ok(address) = upstream.address.parse::<SocketAddr>() else { return false };
         let connected = tokio::time::timeout(timeout, TcpStream::connect(address)).await;
+        self.report(upstream, matches!(connected, Ok(Ok(_))));
         matches!(connected, Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused)
     }
 
--- a/crates/daemon/src/gateway/start.rs
+++ b/crates/daemon/src/gateway/start.rs
@@ -7,7 +7,7 @@
 
 use anyhow::Context;
 use chestnutdrift_core::HostId;
-use chestnutdrift_core::gateway::{Event, Gateway};
+use chestnutdrift_core::gateway::{Event, Gateway, Role};
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use signal_hook::iterator::Signals;
 use tokio::sync::Semaphore;
@@ -56,7 +56,8 @@
     memory::log_use("restored");
     let runtime = link::socket_runtime("traffic")?;
     runtime.spawn(watch_file(watch, inputs.clone()));
-    let (pool, state) = (Pool::default(), Arc::new(ServerState::default()));
+    let reports = (file.gateway.role == Role::Entry).then(|| inputs.clone());
+    let (pool, state) = (Pool::default().reports(reports), Arc::new(ServerState::default()));
     let gateway_inputs = inputs.clone();
     let deliver = Arc::new(move |envelope| {
         gateway_inputs.try_send(Input::Event(Event::Received(envelope))).is_ok()
