--- a/crates/core/tests/it/main.rs
+++ b/crates/core/tests/it/main.rs
@@ -41,6 +41,7 @@
 mod sole_survivor;
 mod stalled_disk;
 mod start_of_all;
+mod stranded_entries;
 mod tables;
 mod taken_up_streams;
 mod text_cache;
