fix(core): requests of a host without links to the upstreams fail

Cause: a host has no way to an upstream but its own links, and learns nothing from one failed connection for the next.

Change: store hosts relay connections. A relay carries bytes over a WebSocket at the address for links and reads none of them, so that all decisions stay with the host that took the request.

Excluded: a host that only chooses or refuses sooner. No upstream can be reached from it, whatever it knows.

--- a/crates/core/src/gateway.rs
+++ b/crates/core/src/gateway.rs
@@ -37,7 +37,7 @@
 
 pub use action::{
     Action, Answer, CapacityView, Counters, Forward, HostView, Order, ResultsEntry, ResultsPage,
-    RewardRequest, RunItem, UpstreamAddress, UpstreamView, WorkspaceView,
+    RewardRequest, RunItem, UpstreamAddress, UpstreamPath, UpstreamView, WorkspaceView,
 };
 pub use board::Board;
 pub use capacity::CapacityEstimate;
--- a/crates/core/src/gateway/action.rs
+++ b/crates/core/src/gateway/action.rs
@@ -51,6 +51,11 @@
     Order(Order),
     /// Sends a call to the infrastructure provider.
     CallProvider(ProviderCall),
+    /// Opens a connection to an upstream over this host's own links and keeps it for later requests.
+    Probe {
+        /// The upstream.
+        upstream: UpstreamAddress,
+    },
     /// Closes the idle connections to an upstream, and each of the others when its answer ends.
     CloseUpstream {
         /// The upstream.
@@ -95,6 +100,26 @@
     pub address: Box<str>,
     /// Whether it has named a limit, so that an answer without one is reported too.
     pub limited: bool,
+    /// How a new connection is opened.
+    #[serde(default)]
+    pub path: UpstreamPath,
+}
+
+/// How a host opens connections to an upstream.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub struct UpstreamPath {
+    /// Whether this host's own links are used; otherwise connections are relayed.
+    pub direct: bool,
+    /// The hosts that relay connections, in the order in which they are asked. Where own links are used,
+    /// they are asked whether an upstream that refuses connections here refuses them too.
+    pub relays: Vec<HostId>,
+}
+
+impl Default for UpstreamPath {
+    fn default() -> Self {
+        Self { direct: true, relays: Vec::new() }
+    }
 }
 
 /// A request to send to an upstream.
@@ -215,6 +240,11 @@
         /// Whether the host may be removed.
         complete: bool,
     },
+    /// The address to which the connection is relayed.
+    RelayTo {
+        /// The IP address and port of the upstream.
+        address: Box<str>,
+    },
     /// Whether the host takes requests.
     Ready(bool),
     /// The counters of the host.
@@ -399,6 +429,12 @@
     pub upstreams_unreachable: u64,
     /// Whether connections to several upstreams failed, and none was opened since.
     pub links_lost: bool,
+    /// Attempts whose connections were relayed by another host.
+    pub forwards_relayed: u64,
+    /// Connections to upstreams that this host relays for others at the moment.
+    pub relayed_connections: u64,
+    /// Connections that this host refused to relay.
+    pub relays_refused: u64,
     /// Requests for permits to send requests to upstreams with a limit.
     pub quota_requests: u64,
     /// Permits granted by this host, those for its own sends included.
--- a/crates/core/src/gateway/board.rs
+++ b/crates/core/src/gateway/board.rs
@@ -95,6 +95,8 @@
     pub started: Millis,
     /// Number of tokens that it reserves in the upstream's memory.
     pub tokens: u64,
+    /// Whether another host relays its connection.
+    pub relayed: bool,
 }
 
 /// All state of a gateway.
@@ -164,6 +166,8 @@
     pub request_index: BTreeMap<RequestTag, RequestKey>,
     /// Whether this host can open connections to the upstreams over its own links.
     pub reach: Reach,
+    /// The connections to upstreams that this host relays for others.
+    pub relayed: BTreeSet<RequestTag>,
     /// The requests under which upstreams ended.
     pub suspects: Suspects,
     /// The requests that succeeded here a short time ago.
@@ -268,6 +272,7 @@
             requests: SlotMap::with_key(),
             request_index: BTreeMap::new(),
             reach: Reach::default(),
+            relayed: BTreeSet::new(),
             suspects: Suspects::default(),
             recent_successes: RecentSuccesses::default(),
             suspects_changed: false,
@@ -475,7 +480,9 @@
             number = incarnation(&upstream.announced.id, upstream.announced.started_at);
         }
         let started = self.now.mono;
-        self.attempts.insert(Attempt { purpose, upstream, incarnation: number, started, tokens })
+        let attempt =
+            Attempt { purpose, upstream, incarnation: number, started, tokens, relayed: false };
+        self.attempts.insert(attempt)
     }
 
     /// Adds an order to the upstream that has admitted it.
--- a/crates/core/src/gateway/board/host.rs
+++ b/crates/core/src/gateway/board/host.rs
@@ -49,6 +49,8 @@
     pub misses_contacts: bool,
     /// Whether it answers messages on upstreams that leave.
     pub keeps_leaves: bool,
+    /// Whether it relays connections to upstreams.
+    pub relays: bool,
     /// Whether its replica of the directory keeps up with the leader.
     pub holds_directory: bool,
     /// When the last hello to it was sent.
@@ -90,6 +92,7 @@
             known_roster: 0,
             misses_contacts: false,
             keeps_leaves: false,
+            relays: false,
             holds_directory: false,
             last_hello_sent: Millis(0),
             next_hello: Millis(0),
--- a/crates/core/src/gateway/board/reach.rs
+++ b/crates/core/src/gateway/board/reach.rs
@@ -10,6 +10,9 @@
 /// The most failed upstreams that are remembered.
 const MAX_FAILED_UPSTREAMS: usize = 16;
 
+/// The number of connections in a row that must be opened before lost links count as sound.
+const OPENED_TO_RECOVER: u32 = 2;
+
 /// The state of a host's links to the upstreams.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub enum LinkState {
@@ -25,9 +28,14 @@
 /// What connections tell about this host's links to the upstreams.
 #[derive(Debug, Clone, Default)]
 pub struct Reach {
+    /// When the next connection is tried without a request.
+    pub next_probe: Millis,
+    /// The service of the upstream to which a connection failed last.
+    pub failed_service: Box<str>,
     state: LinkState,
     /// The upstreams to which connections failed since the last one that was opened.
     failed: Vec<UpstreamKey>,
+    opened_in_a_row: u32,
     last_opened: Option<Millis>,
     /// When the state last left [`LinkState::Sound`].
     failing_since: Millis,
@@ -60,16 +68,24 @@
 
     /// Records that a connection was opened, and returns the state before.
     pub fn record_opened(&mut self, now: Millis) -> LinkState {
-        self.failed.clear();
+        let before = self.state;
         self.last_opened = Some(now);
-        std::mem::take(&mut self.state)
+        self.opened_in_a_row += 1;
+        self.next_probe = now;
+        if before != LinkState::Lost || self.opened_in_a_row >= OPENED_TO_RECOVER {
+            self.state = LinkState::Sound;
+            self.failed.clear();
+        }
+        before
     }
 
     /// Records that a connection to an upstream failed, and returns the state before.
     pub fn record_failed(&mut self, upstream: UpstreamKey, now: Millis) -> LinkState {
         let before = self.state;
+        self.opened_in_a_row = 0;
         if before == LinkState::Sound {
             self.failing_since = now;
+            self.next_probe = now;
             self.state = LinkState::Doubted;
         }
         if !self.failed.contains(&upstream) && self.failed.len() < MAX_FAILED_UPSTREAMS {
--- a/crates/core/src/gateway/board/request.rs
+++ b/crates/core/src/gateway/board/request.rs
@@ -56,6 +56,8 @@
     pub attempts: u32,
     /// The upstreams tried so far.
     pub tried: Vec<UpstreamKey>,
+    /// Whether no connection could be opened for one of its attempts.
+    pub unsent: bool,
     /// Whether an upstream may have run it.
     pub maybe_ran: bool,
     /// Whether the shell holds a failure that an upstream answered with.
--- a/crates/core/src/gateway/board/upstream.rs
+++ b/crates/core/src/gateway/board/upstream.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeSet;
 
-use crate::gateway::action::UpstreamAddress;
+use crate::gateway::action::{UpstreamAddress, UpstreamPath};
 use crate::gateway::board::{
     Attempt, Ledger, LoadState, Permits, Purpose, StatedLimit, UpstreamLimit,
 };
@@ -223,7 +223,13 @@
     #[must_use]
     pub fn address(&self, key: UpstreamKey) -> UpstreamAddress {
         let (id, address) = (self.announced.id.clone(), self.announced.address.clone());
-        UpstreamAddress { key, id, address, limited: self.rate_limit().is_some() }
+        UpstreamAddress {
+            key,
+            id,
+            address,
+            limited: self.rate_limit().is_some(),
+            path: UpstreamPath::default(),
+        }
     }
 
     /// Takes over the time at which the upstream is gone from its latest announcement.
--- a/crates/core/src/gateway/controller.rs
+++ b/crates/core/src/gateway/controller.rs
@@ -24,6 +24,7 @@
 mod quotas;
 mod reach;
 mod registry;
+mod relays;
 mod rewards;
 mod routing;
 mod store_requests;
@@ -87,7 +88,10 @@
             controllers.push(Box::new(reach::ReachTracking));
             controllers.push(Box::new(forwarding::Forwarding::new(choice)));
         }
-        Role::Store => controllers.push(Box::new(rewards::Rewards::new(choice))),
+        Role::Store => {
+            controllers.push(Box::new(relays::Relays));
+            controllers.push(Box::new(rewards::Rewards::new(choice)));
+        }
     }
     if role == Role::Entry {
         controllers.push(Box::new(quotas::Quotas::default()));
--- a/crates/core/src/gateway/controller/calls.rs
+++ b/crates/core/src/gateway/controller/calls.rs
@@ -5,7 +5,7 @@
 //! Writes: `pending_calls`, `store_requests`, `actions`.
 //!
 //! Requests to be routed stay in `pending_calls` for the forwarding controller; announcements and
-//! leaves of upstreams stay there for the registry. Queries are answered here; the lifecycle
+//! leaves of upstreams stay there for the registry. Connections to relay are for the relays controller. Queries are answered here; the lifecycle
 //! controller sets the readiness that they report.
 
 use std::sync::Arc;
@@ -83,6 +83,7 @@
             (StoreRequest::RetireStatus { host: host.clone() }, OPERATOR_TIMEOUT)
         }
         Call::Query(query) => return answer_query(board, *tag, *query),
+        Call::Relay { .. } => return,
         Call::Request { .. } | Call::Announce(_) | Call::Leave { .. } => {
             board.pending_calls.push_back(opened.clone());
             return;
@@ -108,6 +109,7 @@
             let unreachable = |upstream: &&Upstream| upstream.unreachable && !upstream.gone;
             counters.upstreams_unreachable =
                 board.upstreams.values().filter(unreachable).count() as u64;
+            counters.relayed_connections = board.relayed.len() as u64;
             counters.links_lost = board.reach.state() == LinkState::Lost;
             count_capacity(board, &mut counters);
             counters.routing_version = board.routing.as_ref().map_or(0, |r| r.version);
--- a/crates/core/src/gateway/controller/candidates.rs
+++ b/crates/core/src/gateway/controller/candidates.rs
@@ -112,9 +112,9 @@
             let detail = format!("another upstream answers at {address}");
             board.note(EventKind::UpstreamLeft, id, detail);
         }
-        ForwardEnd::Held { .. }
+        ForwardEnd::NotSent { .. }
+        | ForwardEnd::Held { .. }
         | ForwardEnd::NotRun { .. }
-        | ForwardEnd::NotSent { .. }
         | ForwardEnd::ConnectRefused { .. }
         | ForwardEnd::Broken { .. }
         | ForwardEnd::UpstreamEnded { .. } => upstream.health.record_failure(now),
@@ -123,8 +123,8 @@
 }
 
 /// Records that a request was taken away from an upstream after the given time without an answer.
-pub(super) fn record_move(board: &mut Board, key: UpstreamKey, took: Millis) {
-    let now = board.now.mono;
+pub(super) fn record_move(board: &mut Board, attempt: &Attempt, took: Millis) {
+    let (now, key) = (board.now.mono, attempt.upstream);
     let Some(upstream) = board.upstreams.get_mut(key) else { return };
     upstream.health.record_failure(now);
     upstream.record_response(now, took);
--- a/crates/core/src/gateway/controller/forwarding.rs
+++ b/crates/core/src/gateway/controller/forwarding.rs
@@ -1,7 +1,7 @@
 //! Forwarding: routes requests, chooses upstreams, and retries or ends requests after a failure.
 //!
 //! Reads: opened requests, ended attempts, decoded jobs, callers that are gone, `routing`,
-//! `upstreams`, `draining`, the clock.
+//! `upstreams`, `reach`, `hosts`, `draining`, the clock.
 //! Writes: `requests`, `request_index`, `attempts`, `upstreams` (health), `suspects`,
 //! `suspects_changed`, `quota_waits`, `new_streams`, `stream_searches`, `store_requests`, `usage`,
 //! `counters`, `actions`.
@@ -9,12 +9,14 @@
 mod capacity_refusals;
 mod endings;
 mod over_limit;
+mod paths;
 mod submissions;
 mod taken_up;
 
 use self::capacity_refusals::refuse_over_capacity;
 use self::endings::{deliver_held, fail, fail_after_max_wait, is_quarantined, refuse};
 use self::over_limit::{ask_for_permit, refuse_over_limit};
+use self::paths::{has_relays, is_stranded, path, record_unsent};
 use self::submissions::handle_job_read;
 use self::taken_up::{is_continuable, may_continue, record_stream, refuse_uncontinuable};
 use super::calls::not_ready;
@@ -24,7 +26,7 @@
 use super::{Controller, access};
 use crate::directory::{Route, RouteKind, RoutingConfig};
 use crate::error::{ErrorKind, Problem};
-use crate::gateway::action::{Action, Forward};
+use crate::gateway::action::{Action, Forward, UpstreamAddress};
 use crate::gateway::board::{Attempt, Board, Purpose, Request, RequestState, StreamSearch};
 use crate::gateway::event::{Call, Event, ForwardEnd, IncomingCall};
 use crate::gateway::policy::UpstreamChoice;
@@ -87,7 +89,7 @@
         let due = |request: &Request| match request.state {
             RequestState::Waiting => request.until.min(now + UPSTREAM_POLL_INTERVAL),
             RequestState::Running(attempt) => {
-                let at = board.attempts.get(attempt).map(|a| move_at(request, a));
+                let at = board.attempts.get(attempt).map(|a| move_at(board, request, a));
                 let next = at.unwrap_or(Millis::MAX);
                 // Once the request may move, upstreams are checked for it at this interval.
                 request.until.min(if next > now { next } else { now + UPSTREAM_POLL_INTERVAL })
@@ -116,10 +118,13 @@
 }
 
 /// Returns when a running request may move to another upstream, or [`Millis::MAX`] if it may not.
-fn move_at(request: &Request, attempt: &Attempt) -> Millis {
+fn move_at(board: &Board, request: &Request, attempt: &Attempt) -> Millis {
     if !has_attempts_left(request) || !request.route.kind.allows_retry() {
         return Millis::MAX;
     }
+    if is_stranded(board, attempt) {
+        return attempt.started;
+    }
     attempt.started + Millis(request.route.latency_objective.0 * MAX_OBJECTIVES_PER_ATTEMPT)
 }
 
@@ -183,6 +188,7 @@
         state,
         attempts: 0,
         tried: Vec::new(),
+        unsent: false,
         maybe_ran: false,
         held: false,
         last_failure: Box::default(),
@@ -242,6 +248,7 @@
     let took = board.now.mono.since(attempt.started);
     candidates::record_end(board, &attempt, end);
     suspects::record_end(board, request_key, &attempt, end);
+    let has_relays = has_relays(board);
     let Some(request) = board.requests.get_mut(request_key) else { return };
     request.state = RequestState::Waiting;
     match end {
@@ -270,6 +277,7 @@
         }
         ForwardEnd::NotSent { detail } => {
             request.last_failure = format!("request not sent: {detail}").into();
+            record_unsent(request, &attempt, has_relays);
         }
         ForwardEnd::ConnectRefused { detail } => {
             request.last_failure = format!("upstream ended: {detail}").into();
@@ -318,12 +326,12 @@
             }
             RequestState::Running(attempt) => {
                 let Some(running) = board.attempts.get(attempt).copied() else { return };
-                if now < move_at(request, &running) || is_quarantined(board, request) {
+                if now < move_at(board, request, &running) || is_quarantined(board, request) {
                     return;
                 }
                 let Some(next) = self.choose(board, key) else { return };
                 cancel_attempt(board, attempt);
-                candidates::record_move(board, running.upstream, now.since(running.started));
+                candidates::record_move(board, &running, now.since(running.started));
                 let request = &mut board.requests[key];
                 request.maybe_ran = true;
                 request.last_failure = "upstream too slow; request moved to another one".into();
@@ -371,13 +379,16 @@
 
 fn start_attempt(board: &mut Board, key: RequestKey, upstream_key: UpstreamKey) {
     let Some(admission) = board.admit(upstream_key) else { return };
+    let unsent = board.requests.get(key).is_some_and(|request| request.unsent);
+    let path = path(board, unsent);
     let attempt = board.begin_attempt(Purpose::Request(key), admission, 0);
+    board.attempts[attempt].relayed = !path.direct;
     let now = board.now.mono;
     note_dispatch(board, key, attempt);
     let routing = board.routing.as_deref().map_or(0, |routing: &RoutingConfig| routing.version);
     let has_workspaces = access::has_workspaces(board);
     let upstream = &board.upstreams[upstream_key];
-    let address = upstream.address(upstream_key);
+    let address = UpstreamAddress { path, ..upstream.address(upstream_key) };
     let request = &mut board.requests[key];
     request.attempts += 1;
     request.tried.push(upstream_key);
@@ -413,6 +424,10 @@
     if let Some(workspace) = &request.workspace {
         detail.push_str(&format!(" workspace={workspace}"));
     }
+    if !forward.upstream.path.direct {
+        board.counters.forwards_relayed += 1;
+        detail.push_str(&format!(" relays={:?}", forward.upstream.path.relays));
+    }
     let trace = request.trace.clone();
     record_stream(board, key, upstream_key);
     board.counters.forwards += 1;
--- a/crates/core/src/gateway/controller/membership.rs
+++ b/crates/core/src/gateway/controller/membership.rs
@@ -172,6 +172,7 @@
     host.holds_directory = view.holds_directory;
     host.misses_contacts = view.misses_contacts;
     host.keeps_leaves = view.keeps_leaves;
+    host.relays = view.relays;
     if let Some(roster) = &view.roster {
         let stores = roster.zones.values().flatten().copied().collect();
         host.reported_stores = (roster.digest(), stores);
--- a/crates/core/src/gateway/controller/views.rs
+++ b/crates/core/src/gateway/controller/views.rs
@@ -147,6 +147,7 @@
         holds_directory: holds_directory(board),
         misses_contacts: misses_contacts(board),
         keeps_leaves: true,
+        relays: board.draining.is_none(),
         routing,
         revision: (board.cfg.boot_id, board.revision),
         since: Some(host.sent_revision),
--- a/crates/core/src/gateway/event.rs
+++ b/crates/core/src/gateway/event.rs
@@ -222,6 +222,11 @@
         /// The name of the host.
         host: Box<str>,
     },
+    /// Relays a connection of another host to an upstream; [`Event::CallerGone`] ends it.
+    Relay {
+        /// The instance id of the upstream.
+        upstream: Box<str>,
+    },
     /// Reads state of this host.
     Query(Query),
 }
--- a/crates/core/src/gateway/message/membership.rs
+++ b/crates/core/src/gateway/message/membership.rs
@@ -130,6 +130,9 @@
     /// Whether the sender answers [`super::GatewayMessage::Leaves`]; not so a host of an earlier version.
     #[serde(skip_serializing_if = "std::ops::Not::not")]
     pub keeps_leaves: bool,
+    /// Whether the sender relays connections to upstreams; not so a host of an earlier version.
+    #[serde(skip_serializing_if = "std::ops::Not::not")]
+    pub relays: bool,
     /// A newer routing configuration; `None` where the receiver needs none.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub routing: Option<Arc<RoutingConfig>>,
--- a/crates/core/tests/it/deployment.rs
+++ b/crates/core/tests/it/deployment.rs
@@ -25,7 +25,7 @@
 use chestnutdrift_core::key::SyncToken;
 use chestnutdrift_core::message::Envelope;
 use chestnutdrift_core::timeline::TimelineEvent;
-use chestnutdrift_core::{HostId, Millis, Now, RequestTag};
+use chestnutdrift_core::{HostId, Millis, Now, RequestTag, UpstreamKey};
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 
@@ -101,6 +101,8 @@
     pub(crate) events_per_item: Option<u64>,
     pub(crate) answers: BTreeMap<RequestTag, Answer>,
     pub(crate) forwards: Vec<(HostId, chestnutdrift_core::gateway::Forward)>,
+    /// The connections that hosts opened without a request, with the time.
+    pub(crate) probes: Vec<(u64, HostId, UpstreamKey)>,
     pub(crate) timeline: Vec<TimelineEvent>,
     /// The reward calls that hosts sent.
     pub(crate) rewards: Vec<SentReward>,
@@ -200,6 +202,7 @@
             events_per_item: None,
             answers: BTreeMap::new(),
             forwards: Vec::new(),
+            probes: Vec::new(),
             timeline: Vec::new(),
             rewards: Vec::new(),
             scorer: None,
@@ -458,6 +461,7 @@
                 self.deliver(id, Event::JobRead { tag, job: Ok(job) });
             }
             Action::Forward(forward) => self.forwards.push((id, forward)),
+            Action::Probe { upstream } => self.probes.push((self.now, id, upstream.key)),
             Action::RunItem(run) => {
                 self.run_workspaces.insert(run.job.workspace.clone());
                 self.schedule(self.now + 3, Scheduled::Run(id, boot_id, run));
--- a/crates/core/tests/it/deployment/usage.rs
+++ b/crates/core/tests/it/deployment/usage.rs
@@ -88,6 +88,7 @@
             state: RequestState::Waiting,
             attempts: 0,
             tried: Vec::new(),
+            unsent: false,
             maybe_ran: false,
             held: false,
             last_failure: Box::default(),
@@ -200,6 +201,7 @@
         upstream: chestnutdrift_core::UpstreamKey::default(),
         incarnation: 0,
         started: board.now.mono,
+        relayed: false,
         tokens: 0,
     });
     note_dispatch(board, request, attempt);
--- a/crates/daemon/src/gateway/control.rs
+++ b/crates/daemon/src/gateway/control.rs
@@ -38,6 +38,9 @@
 /// The interval between sweeps of idle upstream connections.
 const SWEEP_INTERVAL: Millis = Millis(1_000);
 
+/// The time limit of a connection that is opened without a request.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(300);
+
 /// An instruction from the control thread to an exchange.
 #[derive(Debug)]
 pub enum Directive {
@@ -210,6 +213,12 @@
             Action::CallProvider(call) => {
                 self.outputs.runtime.spawn(self.outputs.provider.clone().run(call));
             }
+            Action::Probe { upstream } => {
+                let pool = self.outputs.pool.clone();
+                self.outputs.runtime.spawn(async move {
+                    pool.probe(&upstream, PROBE_TIMEOUT).await;
+                });
+            }
             Action::CloseUpstream { upstream } => self.outputs.pool.close_upstream(&upstream),
             Action::Send { to, envelope } => self.outputs.links.send(to, envelope),
             Action::Persist { token, records } => {
--- a/crates/daemon/src/gateway/pool.rs
+++ b/crates/daemon/src/gateway/pool.rs
@@ -1,26 +1,24 @@
 //! A pool of connections to upstreams, which stay open between requests.
 
+mod connect;
+
 use std::collections::{BTreeMap, VecDeque};
-use std::io::ErrorKind;
-use std::net::SocketAddr;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use chestnutdrift_core::UpstreamKey;
-use chestnutdrift_core::gateway::{Event, UpstreamAddress};
+use chestnutdrift_core::gateway::UpstreamAddress;
 use http_body_util::Full;
 use hyper::body::Incoming;
-use hyper::client::conn::http1::{self, SendRequest};
+use hyper::client::conn::http1::SendRequest;
 use hyper::{Request, Response};
-use hyper_util::rt::TokioIo;
-use rustix::net::sockopt::set_tcp_user_timeout;
-use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
 
-use super::input::{Input, InputSender};
+use super::input::InputSender;
 use crate::http::has_known_coding;
+use crate::link::SharedPort;
 
 /// The keep-alive time assumed for an upstream that announces none.
 const DEFAULT_KEEP_ALIVE: Duration = Duration::from_secs(4);
@@ -63,6 +61,20 @@
     sender: SendRequest<Full<Bytes>>,
     task: AbortHandle,
     carried: CarriedIds,
+    /// Whether the host that relays it stops; `None` over own links.
+    relay_leaving: Option<Arc<AtomicBool>>,
+}
+
+impl Connection {
+    fn is_relayed(&self) -> bool {
+        self.relay_leaving.is_some()
+    }
+
+    /// Returns whether another request may follow.
+    fn is_kept(&self) -> bool {
+        let leaves = |leaving: &Arc<AtomicBool>| leaving.load(Ordering::Relaxed);
+        !self.sender.is_closed() && !self.relay_leaving.as_ref().is_some_and(leaves)
+    }
 }
 
 /// The ids of the last requests that a connection has carried.
@@ -107,6 +119,8 @@
     opened: Arc<AtomicU64>,
     /// Where the ends of new connections are reported; `None` if nobody asks.
     reports: Option<InputSender>,
+    /// The addresses of the hosts that relay connections; `None` without any.
+    relays: Option<SharedPort>,
 }
 
 impl Pool {
@@ -117,12 +131,11 @@
         self
     }
 
-    fn report(&self, upstream: &UpstreamAddress, opened: bool) {
-        let Some(reports) = &self.reports else { return };
-        let event = Event::DirectConnection { upstream: upstream.key, opened };
-        if reports.send(Input::Event(event)).is_err() {
-            log::debug!(event = "report-lost"; "the control thread has ended");
-        }
+    /// Sets the addresses of the hosts that relay connections; the default is none.
+    #[must_use]
+    pub fn relays(mut self, relays: SharedPort) -> Self {
+        self.relays = Some(relays);
+        self
     }
 
     /// Returns the number of connections opened so far.
@@ -152,7 +165,7 @@
         request_id: Option<&str>,
         connect_timeout: Duration,
     ) -> Result<(Response<Incoming>, Connection), SendError> {
-        while let Some(mut connection) = self.take_idle(&upstream.id, request_id) {
+        while let Some(mut connection) = self.take_idle(upstream, request_id) {
             connection.carried.push(request_id);
             match connection.sender.send_request(with_full_body(request)).await {
                 Ok(response) => return with_known_coding(response, connection),
@@ -160,9 +173,7 @@
                 Err(error) => return Err(SendError::Broken(error.to_string().into())),
             }
         }
-        let connected = self.connect(upstream, connect_timeout).await;
-        self.report(upstream, connected.is_ok());
-        let mut connection = connected?;
+        let mut connection = self.connect(upstream, connect_timeout).await?;
         connection.carried.push(request_id);
         match connection.sender.send_request(with_full_body(request)).await {
             Ok(response) => with_known_coding(response, connection),
@@ -179,7 +190,7 @@
         connection: Connection,
         keep_alive_secs: Option<u64>,
     ) {
-        if connection.sender.is_closed() || self.is_closed(upstream.key) {
+        if !connection.is_kept() || self.is_closed(upstream.key) {
             return;
         }
         let idle = keep_alive_secs
@@ -215,63 +226,29 @@
         }
         let Ok(mut idle_by_upstream) = self.idle.lock() else { return };
         for list in idle_by_upstream.values_mut() {
-            list.retain(|idle| idle.expires_at > now && !idle.connection.sender.is_closed());
+            list.retain(|idle| idle.expires_at > now && idle.connection.is_kept());
         }
         idle_by_upstream.retain(|_, list| !list.is_empty());
     }
 
-    /// Returns whether an upstream's address refuses connections, as it does when no process listens
-    /// there.
-    pub async fn is_refused(&self, upstream: &UpstreamAddress, timeout: Duration) -> bool {
-        let Ok(address) = upstream.address.parse::<SocketAddr>() else { return false };
-        let connected = tokio::time::timeout(timeout, TcpStream::connect(address)).await;
-        self.report(upstream, matches!(connected, Ok(Ok(_))));
-        matches!(connected, Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused)
-    }
-
-    /// Takes the newest usable connection to an upstream that has not carried the request before.
-    fn take_idle(&self, upstream_id: &str, request_id: Option<&str>) -> Option<Connection> {
-        let now = Instant::now();
-        let mut idle_by_upstream = self.idle.lock().ok()?;
-        let list = idle_by_upstream.get_mut(upstream_id)?;
-        list.retain(|idle| idle.expires_at > now && idle.connection.sender.is_ready());
-        let newest = list.iter().rposition(|idle| !idle.connection.carried.contains(request_id))?;
-        Some(list.remove(newest).connection)
-    }
-
-    async fn connect(
+    /// Takes the newest usable connection over the upstream's path that has not carried the request.
+    fn take_idle(
         &self,
         upstream: &UpstreamAddress,
-        connect_timeout: Duration,
-    ) -> Result<Connection, SendError> {
-        let not_sent = |detail: String| SendError::NotSent(detail.into());
-        let address: SocketAddr = upstream
-            .address
-            .parse()
-            .map_err(|_| not_sent(format!("{:?} is not an address", upstream.address)))?;
-        let stream = match tokio::time::timeout(connect_timeout, TcpStream::connect(address)).await
-        {
-            Ok(Ok(stream)) => stream,
-            Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused => {
-                return Err(SendError::Refused(error.to_string().into()));
-            }
-            Ok(Err(error)) => return Err(not_sent(error.to_string())),
-            Err(_) => return Err(not_sent(format!("no connection within {connect_timeout:?}"))),
-        };
-        let options = stream.set_nodelay(true).and_then(|()| {
-            set_tcp_user_timeout(&stream, TCP_USER_TIMEOUT_MS).map_err(std::io::Error::from)
-        });
-        options.map_err(|error| not_sent(error.to_string()))?;
-        self.opened.fetch_add(1, Ordering::Relaxed);
-        let mut builder = http1::Builder::new();
-        let handshake = builder.max_buf_size(MAX_HEAD_BYTES).handshake(TokioIo::new(stream)).await;
-        let (sender, connection) = handshake.map_err(|error| not_sent(error.to_string()))?;
-        let task = tokio::spawn(async move {
-            if let Err(error) = connection.await {
-                log::debug!(event = "upstream-connection"; "{error}");
-            }
+        request_id: Option<&str>,
+    ) -> Option<Connection> {
+        let now = Instant::now();
+        let mut idle_by_upstream = self.idle.lock().ok()?;
+        let list = idle_by_upstream.get_mut(&upstream.id)?;
+        list.retain(|idle| {
+            let connection = &idle.connection;
+            idle.expires_at > now && connection.is_kept() && connection.sender.is_ready()
         });
-        Ok(Connection { sender, task: task.abort_handle(), carried: CarriedIds::default() })
+        let newest = list.iter().rposition(|IdleConnection { connection, .. }| {
+            connection.is_relayed() != upstream.path.direct
+                && !connection.carried.contains(request_id)
+        })?;
+        Some(list.remove(newest).connection)
     }
 }
 
--- a/crates/daemon/src/gateway/server.rs
+++ b/crates/daemon/src/gateway/server.rs
@@ -51,7 +51,7 @@
     max_head_bytes: AtomicU64,
     max_body_bytes: AtomicU64,
     idle_timeout_ms: AtomicU64,
-    draining: AtomicBool,
+    draining: watch::Sender<bool>,
     close_idle: watch::Sender<bool>,
 }
 
@@ -61,7 +61,7 @@
             max_head_bytes: AtomicU64::new(DEFAULT_MAX_HEAD_BYTES),
             max_body_bytes: AtomicU64::new(DEFAULT_MAX_BODY_BYTES),
             idle_timeout_ms: AtomicU64::new(DEFAULT_IDLE_TIMEOUT_MS),
-            draining: AtomicBool::new(false),
+            draining: watch::channel(false).0,
             close_idle: watch::channel(false).0,
         }
     }
@@ -83,7 +83,13 @@
 
     /// Makes every later answer close its connection.
     pub fn drain(&self) {
-        self.draining.store(true, Ordering::Relaxed);
+        self.draining.send_replace(true);
+    }
+
+    /// Returns what tells whether the host stops.
+    #[must_use]
+    pub fn watch_draining(&self) -> watch::Receiver<bool> {
+        self.draining.subscribe()
     }
 
     /// Closes the connections that have no request in progress.
@@ -217,7 +223,7 @@
             Err(problem) => full_response(self.protocol.encode_answer(&Answer::Problem(problem))),
         };
         metrics::observe_answer(listener, started.elapsed());
-        if self.state.draining.load(Ordering::Relaxed) {
+        if *self.state.draining.borrow() {
             response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
         }
         response
--- a/crates/daemon/src/gateway/start.rs
+++ b/crates/daemon/src/gateway/start.rs
@@ -20,12 +20,13 @@
 use super::pool::Pool;
 use super::protocol::Protocol;
 use super::provider::ProviderClient;
+use super::relay::RelayServer;
 use super::rewards::RewardCalls;
 use super::server::{Server, ServerState};
 use super::settings::GatewaySettingsFile;
 use crate::clock::{self, Clock};
 use crate::disk::{DiskReport, RestoredData};
-use crate::link::{self, Links, SharedPort};
+use crate::link::{self, LinkHandlers, Links, RelayService, SharedPort};
 use crate::memory;
 
 /// The interval between checks whether the settings file has changed.
@@ -57,14 +58,9 @@
     let runtime = link::socket_runtime("traffic")?;
     runtime.spawn(watch_file(watch, inputs.clone()));
     let reports = (file.gateway.role == Role::Entry).then(|| inputs.clone());
-    let (pool, state) = (Pool::default().reports(reports), Arc::new(ServerState::default()));
-    let gateway_inputs = inputs.clone();
-    let deliver = Arc::new(move |envelope| {
-        gateway_inputs.try_send(Input::Event(Event::Received(envelope))).is_ok()
-    });
-    let addresses = Box::new(SharedPort(file.link_address.port()));
-    let links =
-        Links::start(Arc::clone(&runtime), file.link_address, addresses, deliver, memory_limit)?;
+    let link_port = SharedPort(file.link_address.port());
+    let pool = Pool::default().reports(reports).relays(link_port);
+    let state = Arc::new(ServerState::default());
     let connections = Arc::new(Semaphore::new(file.max_connections));
     let streams = Arc::new(Semaphore::new(file.max_connections));
     let server = Arc::new(Server {
@@ -77,6 +73,16 @@
         streams: Arc::clone(&streams),
         next_tag: AtomicU64::new(1),
     });
+    let gateway_inputs = inputs.clone();
+    let deliver = Arc::new(move |envelope| {
+        gateway_inputs.try_send(Input::Event(Event::Received(envelope))).is_ok()
+    });
+    let addresses = Box::new(link_port);
+    let relays = (file.gateway.role == Role::Store)
+        .then(|| Arc::new(RelayServer { server: Arc::clone(&server) }) as Arc<dyn RelayService>);
+    let handlers = LinkHandlers::from(deliver).relays(relays);
+    let links =
+        Links::start(Arc::clone(&runtime), file.link_address, addresses, handlers, memory_limit)?;
     for (listener, address) in &file.listeners {
         server.listen(&runtime, *listener, *address)?;
     }
--- a/crates/daemon/src/link.rs
+++ b/crates/daemon/src/link.rs
@@ -21,8 +21,9 @@
 use chestnutdrift_core::HostId;
 use chestnutdrift_core::message::Envelope;
 use chestnutdrift_wire::frame::{Encoder, MAX_MESSAGE_BYTES};
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, TcpStream};
 use tokio::runtime::Runtime;
+use tokio_tungstenite::WebSocketStream;
 use tokio_tungstenite::tungstenite::protocol::WebSocketConfig;
 
 use self::queue::{LinkBudgets, LinkQueue, QueueError};
@@ -102,6 +103,37 @@
 /// Handles a received message; returns `false` if there is no room for it, and it is dropped.
 pub type MessageHandler = Arc<dyn Fn(Envelope) -> bool + Send + Sync>;
 
+/// The header by which a WebSocket handshake asks for a relayed connection to the upstream that it names.
+pub const RELAY_HEADER: &str = "chestnutdrift-relay-to";
+
+/// Relays connections to upstreams for other hosts.
+pub trait RelayService: Debug + Send + Sync {
+    /// Serves a WebSocket on which another host asks for a connection to an upstream.
+    fn serve(&self, socket: WebSocketStream<TcpStream>, upstream_id: Box<str>);
+}
+
+/// What a host does with the links and relayed connections that others open to it.
+#[derive(Clone)]
+pub struct LinkHandlers {
+    deliver: MessageHandler,
+    relays: Option<Arc<dyn RelayService>>,
+}
+
+impl<F: Fn(Envelope) -> bool + Send + Sync + 'static> From<Arc<F>> for LinkHandlers {
+    fn from(deliver: Arc<F>) -> Self {
+        Self { deliver, relays: None }
+    }
+}
+
+impl LinkHandlers {
+    /// Sets the service that relays connections; the default is none.
+    #[must_use]
+    pub fn relays(mut self, relays: impl Into<Option<Arc<dyn RelayService>>>) -> Self {
+        self.relays = relays.into();
+        self
+    }
+}
+
 /// The links of a host.
 #[derive(Debug)]
 pub struct Links {
@@ -126,14 +158,14 @@
         runtime: Arc<Runtime>,
         address: SocketAddr,
         addresses: Box<dyn AddressResolver>,
-        deliver: MessageHandler,
+        handlers: impl Into<LinkHandlers>,
         memory_limit: Option<u64>,
     ) -> anyhow::Result<Self> {
         let listener = runtime
             .block_on(TcpListener::bind(address))
             .with_context(|| format!("{address} can't be bound"))?;
         let max_bytes = max_received_bytes(memory_limit);
-        runtime.spawn(inbound::accept(listener, deliver, max_bytes));
+        runtime.spawn(inbound::accept(listener, handlers.into(), max_bytes));
         Ok(Self {
             runtime,
             addresses,
@@ -206,7 +238,7 @@
     share.map_or(MAX_MESSAGE_BYTES, |share| share.min(MAX_MESSAGE_BYTES))
 }
 
-fn websocket_config(max_message_bytes: usize) -> WebSocketConfig {
+pub(crate) fn websocket_config(max_message_bytes: usize) -> WebSocketConfig {
     WebSocketConfig::default()
         .read_buffer_size(READ_BUFFER_BYTES)
         .write_buffer_size(0)
