fix(core): lost links of one host are held against the upstreams everywhere

What callers saw: where links refuse connections, 503 at once for seconds at the partitioned hosts (all upstreams ended), and fewer upstreams at all others.

Cause: a host took a refused connection for the end of the upstream's process, and the end of an attempt before it for a crash under the request, and told all hosts. Failures to connect and moves of requests counted against upstreams the same way. A process takes the loss of its own path for the state of what lies behind it.

Change: before an upstream counts as ended, a store that relays is asked whether it is refused too. Failures over own links are kept apart and don't count for relayed attempts; requests moved while links fail add nothing to learned capacity.

--- a/crates/core/src/gateway/board/upstream.rs
+++ b/crates/core/src/gateway/board/upstream.rs
@@ -118,6 +118,8 @@
     pub tokens: u64,
     /// Its recent performance.
     pub health: UpstreamHealth,
+    /// The recent failures of connections to it over this host's own links.
+    pub link_health: UpstreamHealth,
     /// What it does with requests, as this host observes it.
     pub request_capacity: CapacityEstimate,
     /// What it does with items, as this host observes it.
@@ -153,6 +155,7 @@
             in_flight: 0,
             tokens: 0,
             health: UpstreamHealth::default(),
+            link_health: UpstreamHealth::default(),
             request_capacity: CapacityEstimate::default(),
             item_capacity: CapacityEstimate::default(),
             slow_reports: SlowReports::default(),
@@ -299,6 +302,12 @@
     /// Returns whether the upstream is avoided at the given time.
     #[must_use]
     pub fn is_avoided(&self, now: Millis) -> bool {
+        now < self.link_health.avoid_until || self.is_avoided_over_relays(now)
+    }
+
+    /// Returns whether the upstream is avoided at the given time by relayed connections too.
+    #[must_use]
+    pub fn is_avoided_over_relays(&self, now: Millis) -> bool {
         now < self.health.avoid_until
     }
 
--- a/crates/core/src/gateway/controller/candidates.rs
+++ b/crates/core/src/gateway/controller/candidates.rs
@@ -8,7 +8,7 @@
 use self::speeds::Speeds;
 use super::registry;
 use crate::directory::Route;
-use crate::gateway::board::{Attempt, Board, Upstream};
+use crate::gateway::board::{Attempt, Board, LinkState, Upstream};
 use crate::gateway::event::ForwardEnd;
 use crate::gateway::policy::UpstreamCandidate;
 use crate::key::UpstreamKey;
@@ -36,11 +36,12 @@
 }
 
 /// Returns the upstreams of a service that accept requests, have not ended, and may be sent one more
-/// within their limits.
+/// within their limits, over a relayed connection or over own links.
 pub(super) fn candidates(
     board: &Board,
     service: &str,
     is_tried: impl Fn(UpstreamKey) -> bool,
+    relayed: bool,
 ) -> Vec<UpstreamCandidate> {
     let now = board.now.mono;
     let contacts = board.live_contacts();
@@ -61,7 +62,11 @@
             },
             slow: speeds.as_ref().is_some_and(|speeds| speeds.is_slow(key)),
             tried: is_tried(key),
-            avoided: upstream.is_avoided(now),
+            avoided: if relayed {
+                upstream.is_avoided_over_relays(now)
+            } else {
+                upstream.is_avoided(now)
+            },
             silent: registry::is_silent(board, &contacts, upstream),
         });
     }
@@ -112,6 +117,7 @@
             let detail = format!("another upstream answers at {address}");
             board.note(EventKind::UpstreamLeft, id, detail);
         }
+        ForwardEnd::NotSent { .. } if !attempt.relayed => upstream.link_health.record_failure(now),
         ForwardEnd::NotSent { .. }
         | ForwardEnd::Held { .. }
         | ForwardEnd::NotRun { .. }
@@ -123,8 +129,13 @@
 }
 
 /// Records that a request was taken away from an upstream after the given time without an answer.
+///
+/// Nothing is held against it while connections over this host's own links fail.
 pub(super) fn record_move(board: &mut Board, attempt: &Attempt, took: Millis) {
     let (now, key) = (board.now.mono, attempt.upstream);
+    if board.reach.state() != LinkState::Sound && !attempt.relayed {
+        return;
+    }
     let Some(upstream) = board.upstreams.get_mut(key) else { return };
     upstream.health.record_failure(now);
     upstream.record_response(now, took);
--- a/crates/core/src/gateway/controller/forwarding.rs
+++ b/crates/core/src/gateway/controller/forwarding.rs
@@ -16,7 +16,7 @@
 use self::capacity_refusals::refuse_over_capacity;
 use self::endings::{deliver_held, fail, fail_after_max_wait, is_quarantined, refuse};
 use self::over_limit::{ask_for_permit, refuse_over_limit};
-use self::paths::{has_relays, is_stranded, path, record_unsent};
+use self::paths::{has_relays, is_relayed, is_stranded, path, record_unsent};
 use self::submissions::handle_job_read;
 use self::taken_up::{is_continuable, may_continue, record_stream, refuse_uncontinuable};
 use super::calls::not_ready;
@@ -365,7 +365,8 @@
             _ => None,
         };
         let is_tried = |key| request.tried.contains(&key);
-        let mut candidates = candidates(board, &request.service, is_tried);
+        let relayed = is_relayed(board, request.unsent);
+        let mut candidates = candidates(board, &request.service, is_tried, relayed);
         candidates.retain(|candidate| {
             Some(candidate.key) != running && may_continue(board, request, candidate.key)
         });
--- a/crates/core/src/gateway/controller/reach.rs
+++ b/crates/core/src/gateway/controller/reach.rs
@@ -2,7 +2,7 @@
 //! probes them while it can't.
 //!
 //! Reads: the ends of connections, `upstreams`, the clock.
-//! Writes: `reach`, `upstreams` (unreachable), `actions`.
+//! Writes: `reach`, `upstreams` (unreachable, failures of links), `actions`.
 
 use rand::Rng;
 
@@ -45,7 +45,9 @@
     let now = board.now.mono;
     if let Some(upstream) = board.upstreams.get_mut(key) {
         upstream.unreachable = !opened;
-        if !opened {
+        if opened {
+            upstream.link_health.record_answer();
+        } else {
             board.reach.failed_service.clone_from(&upstream.announced.service);
         }
     }
--- a/crates/core/src/gateway/controller/rewards.rs
+++ b/crates/core/src/gateway/controller/rewards.rs
@@ -117,7 +117,7 @@
 
 /// Returns the candidates of a service with the part of their slots that reward calls may take.
 fn with_share_of_slots(board: &Board, service: &str) -> Vec<UpstreamCandidate> {
-    let mut candidates = candidates(board, service, |_| false);
+    let mut candidates = candidates(board, service, |_| false, false);
     for candidate in &mut candidates {
         candidate.slots = (candidate.slots / SLOT_DIVISOR).max(1);
     }
--- a/crates/core/tests/it/stranded_entries.rs
+++ b/crates/core/tests/it/stranded_entries.rs
@@ -162,6 +162,18 @@
     assert!(take_forward(&mut deployment, tag).expect("an attempt").upstream.path.direct);
 }
 
+/// Guards against upstreams that are avoided, here or elsewhere, for the lost links of one host.
+#[test]
+fn lost_links_of_a_host_are_held_against_no_upstream() {
+    let deployment = start_stranded(56);
+    let upstreams = |id| deployment.gateway(id).board().upstreams.values();
+    let now = deployment.gateway(ENTRY).board().now.mono;
+    assert_eq!(upstreams(ENTRY).filter(|upstream| upstream.is_avoided_over_relays(now)).count(), 0);
+    for id in deployment.hosts() {
+        assert!(upstreams(id).all(|upstream| upstream.ended_at.is_none()), "{id:?}");
+    }
+}
+
 /// Guards against more attempts than the route allows where relays fail too, and against an error that
 /// does not say that nothing ran.
 #[test]
--- a/crates/daemon/src/gateway/pool/connect.rs
+++ b/crates/daemon/src/gateway/pool/connect.rs
@@ -32,13 +32,29 @@
 impl Pool {
     /// Returns whether an upstream's address refuses connections, as it does when no process listens
     /// there.
+    ///
+    /// Another host has the last word, where there is one: own links may refuse connections too.
     pub async fn is_refused(&self, upstream: &UpstreamAddress, timeout: Duration) -> bool {
         if !upstream.path.direct {
             return matches!(self.relay(upstream, timeout).await, Relayed::Refused);
         }
-        let connected = connect_directly(upstream, timeout).await;
-        self.report(upstream, connected.is_ok());
-        matches!(connected, Err(SendError::Refused(_)))
+        match connect_directly(upstream, timeout).await {
+            Ok(_) => {
+                self.report(upstream, true);
+                false
+            }
+            Err(SendError::Refused(_)) => match self.relay(upstream, timeout).await {
+                Relayed::Refused | Relayed::Unavailable(_) => true,
+                Relayed::Connected(_) | Relayed::Unreachable => {
+                    self.report(upstream, false);
+                    false
+                }
+            },
+            Err(_) => {
+                self.report(upstream, false);
+                false
+            }
+        }
     }
 
     /// Opens a connection over this host's own links and keeps it for later requests.
@@ -69,6 +85,17 @@
                 self.report(upstream, true);
                 self.handshake(stream, None).await
             }
+            Err(SendError::Refused(detail)) => match self.relay(upstream, timeout).await {
+                Relayed::Refused | Relayed::Unavailable(_) => Err(SendError::Refused(detail)),
+                Relayed::Unreachable => {
+                    self.report(upstream, false);
+                    Err(SendError::NotSent(detail))
+                }
+                Relayed::Connected(stream) => {
+                    self.report(upstream, false);
+                    self.handshake_relayed(*stream).await
+                }
+            },
             Err(error) => {
                 self.report(upstream, false);
                 Err(error)
