fix(daemon): a relayed connection to an upstream has the options of a direct one

Keep-alive probes with a time-out of 2 s would have ended a relayed request at an upstream that stands still for longer, which a direct one survives. They stay on the connection between hosts, where they tell each end of the other's.

--- a/crates/daemon/src/gateway/relay.rs
+++ b/crates/daemon/src/gateway/relay.rs
@@ -64,10 +64,16 @@
     }
 }
 
-/// Sets the options of a connection between hosts.
-fn set_link_options(stream: &TcpStream) -> std::io::Result<()> {
+/// Sets the options of a connection to an upstream: those of a direct one.
+fn set_upstream_options(stream: &TcpStream) -> std::io::Result<()> {
     stream.set_nodelay(true)?;
     sockopt::set_tcp_user_timeout(stream, UNACKNOWLEDGED_TIMEOUT_MS)?;
+    Ok(())
+}
+
+/// Sets the options of a connection between hosts, so that the end of one of them is noticed by the other.
+fn set_link_options(stream: &TcpStream) -> std::io::Result<()> {
+    set_upstream_options(stream)?;
     sockopt::set_socket_keepalive(stream, true)?;
     sockopt::set_tcp_keepidle(stream, KEEP_ALIVE_INTERVAL)?;
     sockopt::set_tcp_keepintvl(stream, KEEP_ALIVE_INTERVAL)?;
--- a/crates/daemon/src/gateway/relay/server.rs
+++ b/crates/daemon/src/gateway/relay/server.rs
@@ -103,7 +103,7 @@
         }
         Ok(Err(_)) | Err(_) => return Err(Signal::Unreachable),
     };
-    super::set_link_options(&upstream).map_err(|_| Signal::Unreachable)?;
+    super::set_upstream_options(&upstream).map_err(|_| Signal::Unreachable)?;
     Ok(upstream)
 }
 
