fix(daemon): a keep-alive time near 2^64 costs the caller its answer

Cause: the time is added to the clock, which overflows and ends the task that serves the caller. Evidence: 'overflow when adding duration to instant' in the log of the test. The process went on.

Change: a connection stays idle for 5 minutes at most.

--- a/crates/daemon/src/gateway/pool.rs
+++ b/crates/daemon/src/gateway/pool.rs
@@ -23,6 +23,9 @@
 /// The keep-alive time assumed for an upstream that announces none.
 const DEFAULT_KEEP_ALIVE: Duration = Duration::from_secs(4);
 
+/// The longest time that a connection may stay idle, whatever its upstream announces.
+const MAX_KEEP_ALIVE: Duration = Duration::from_secs(300);
+
 /// How much earlier than the upstream the pool closes an idle connection, so that no request is
 /// sent on a connection that the upstream closes at that moment.
 const IDLE_MARGIN: Duration = Duration::from_millis(700);
@@ -195,6 +198,7 @@
         }
         let idle = keep_alive_secs
             .map_or(DEFAULT_KEEP_ALIVE, Duration::from_secs)
+            .min(MAX_KEEP_ALIVE)
             .saturating_sub(IDLE_MARGIN);
         let expires_at = Instant::now() + idle;
         let Ok(mut idle_by_upstream) = self.idle.lock() else { return };
