fix(daemon): a host whose disk was full at its first start never starts again

Cause: the identity is written in place, so a failed write leaves an empty file or a part of it.

Change: it is written to another file and renamed.

A disk that is really full was not tried; the test writes the files that it leaves.

--- a/crates/daemon/src/disk/folder.rs
+++ b/crates/daemon/src/disk/folder.rs
@@ -16,6 +16,7 @@
 use crate::memory::{self, HOLDERS};
 
 const IDENTITY_FILE: &str = "identity.json";
+const NEW_IDENTITY_FILE: &str = "identity.json.new";
 const JOURNAL_FILE: &str = "journal";
 const NEW_JOURNAL_FILE: &str = "journal.new";
 
@@ -137,25 +138,43 @@
 
 fn load_identity(path: &Path, host: &str) -> anyhow::Result<Identity> {
     let name = path.join(IDENTITY_FILE);
+    let has_journal = path.join(JOURNAL_FILE).exists();
     if !name.exists() {
-        if path.join(JOURNAL_FILE).exists() {
+        if has_journal {
             bail!("{} has a journal but no {IDENTITY_FILE}", path.display());
         }
-        let identity = Identity { host: host.into(), incarnation: clock::wall().0 };
-        let mut file = File::create(&name)?;
-        file.write_all(&serde_json::to_vec(&identity)?)?;
-        file.sync_all()?;
-        sync_folder(path)?;
-        return Ok(identity);
+        return create_identity(path, host);
     }
-    let identity: Identity = serde_json::from_slice(&fs::read(&name)?)
-        .with_context(|| format!("{} can't be read", name.display()))?;
+    let identity: Identity = match serde_json::from_slice(&fs::read(&name)?) {
+        Ok(identity) => identity,
+        // The journal is created after the identity, so there is no state yet.
+        Err(error) if error.is_eof() && !has_journal => {
+            log::warn!(event = "identity-incomplete"; "the identity was not written; a new one is");
+            return create_identity(path, host);
+        }
+        Err(error) => {
+            return Err(error).with_context(|| format!("{} can't be read", name.display()));
+        }
+    };
     if &*identity.host != host {
         bail!("{} belongs to host {}, not to {host}", path.display(), identity.host);
     }
     Ok(identity)
 }
 
+/// Writes a new identity to another file first, so that a full disk leaves no part of it.
+fn create_identity(path: &Path, host: &str) -> anyhow::Result<Identity> {
+    let (new, name) = (path.join(NEW_IDENTITY_FILE), path.join(IDENTITY_FILE));
+    let identity = Identity { host: host.into(), incarnation: clock::wall().0 };
+    let mut file = File::create(&new)?;
+    file.write_all(&serde_json::to_vec(&identity)?)
+        .with_context(|| format!("{} can't be written", new.display()))?;
+    file.sync_all()?;
+    fs::rename(&new, &name)?;
+    sync_folder(path)?;
+    Ok(identity)
+}
+
 fn sync_folder(path: &Path) -> anyhow::Result<()> {
     File::open(path)?.sync_all().with_context(|| format!("{} can't be synced", path.display()))
 }
--- a/crates/daemon/tests/process/disk.rs
+++ b/crates/daemon/tests/process/disk.rs
@@ -111,6 +111,36 @@
     assert!(DataFolder::open(&path, "host-1").is_err());
 }
 
+/// Guards against hosts that never start again because their disk was full at their first start.
+#[test]
+fn a_folder_whose_identity_was_not_written_is_used_as_a_new_one() {
+    let identity = "{\"host\":\"host-1\",\"incarnation\":7}";
+    for length in [0, 1, identity.len() - 1] {
+        for name in ["identity.json", "identity.json.new"] {
+            let folder = TestFolder::new();
+            let path = folder.0.join("data");
+            std::fs::create_dir_all(&path).unwrap();
+            std::fs::write(path.join(name), &identity[..length]).unwrap();
+            let (_, first, found) = DataFolder::open(&path, "host-1").unwrap();
+            assert!(found.is_empty() && first.incarnation != 7, "{name} of {length} bytes");
+            let (_, again, _) = DataFolder::open(&path, "host-1").unwrap();
+            assert_eq!(again, first);
+        }
+    }
+}
+
+/// Guards against records that are taken for those of another state of the host.
+#[test]
+fn a_folder_with_records_and_a_damaged_identity_is_refused() {
+    let folder = TestFolder::new();
+    let path = folder.0.join("data");
+    let (mut disk, ..) = DataFolder::open(&path, "host-1").unwrap();
+    disk.write(&records()).unwrap();
+    std::fs::write(path.join("identity.json"), "").unwrap();
+    let error = DataFolder::open(&path, "host-1").unwrap_err();
+    assert!(format!("{error:#}").contains("identity.json can't be read"), "{error:#}");
+}
+
 /// Returns the number of batches in a journal; each begins with a header of eight bytes, of which the
 /// first four are the length of the rest.
 fn batch_count(mut journal: &[u8]) -> usize {
