fix(daemon): changed limits do not reach open connections

Change: the stream under the library measures heads against the limit in force; its timer follows the idle time-out in force.

--- a/crates/daemon/src/gateway.rs
+++ b/crates/daemon/src/gateway.rs
@@ -9,6 +9,7 @@
 //! but on no particular message.
 
 pub mod bodies;
+mod connection_limits;
 pub mod control;
 mod deadline;
 pub mod events;
--- a/crates/daemon/src/gateway/server.rs
+++ b/crates/daemon/src/gateway/server.rs
@@ -17,13 +17,15 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{HeaderMap, Request, Response, Version};
-use hyper_util::rt::{TokioIo, TokioTimer};
+use hyper_util::rt::TokioIo;
 use rustix::net::sockopt::set_socket_linger;
+use tokio::io::AsyncWriteExt;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::runtime::Runtime;
 use tokio::sync::{Semaphore, mpsc, watch};
 
 use super::bodies::BodyMemory;
+use super::connection_limits::{HeadLimited, HeadMeter, IdleTimer, NOMINAL_HEAD_TIMEOUT};
 use super::control::{Directive, MAX_QUEUED_DIRECTIVES};
 use super::deadline::{self, DeadlineWatch};
 use super::forward::{self, Outcome, ReceivedRequest, UpstreamResponse};
@@ -43,14 +45,22 @@
 const DEFAULT_MAX_BODY_BYTES: u64 = 4 * 1024 * 1024;
 
 /// How long a connection may stay idle until a routing configuration sets the limit.
-const DEFAULT_IDLE_TIMEOUT_MS: u64 = 15_000;
+const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(15);
+
+/// The largest head, in bytes, for which the buffer of an open connection has room, whatever the limit was
+/// when it was opened.
+const BUFFERED_HEAD_BYTES: u64 = 128 * 1024;
+
+/// The answer to a request whose head is too long.
+const HEAD_TOO_LONG: &[u8] = b"HTTP/1.1 431 Request Header Fields Too Large\r\n\
+    connection: close\r\ncontent-length: 0\r\n\r\n";
 
 /// The state that the listeners and the control thread share.
 #[derive(Debug)]
 pub struct ServerState {
     max_head_bytes: AtomicU64,
     max_body_bytes: AtomicU64,
-    idle_timeout_ms: AtomicU64,
+    idle_timeout: watch::Sender<Duration>,
     draining: watch::Sender<bool>,
     close_idle: watch::Sender<bool>,
 }
@@ -60,7 +70,7 @@
         Self {
             max_head_bytes: AtomicU64::new(DEFAULT_MAX_HEAD_BYTES),
             max_body_bytes: AtomicU64::new(DEFAULT_MAX_BODY_BYTES),
-            idle_timeout_ms: AtomicU64::new(DEFAULT_IDLE_TIMEOUT_MS),
+            idle_timeout: watch::channel(DEFAULT_IDLE_TIMEOUT).0,
             draining: watch::channel(false).0,
             close_idle: watch::channel(false).0,
         }
@@ -68,17 +78,29 @@
 }
 
 impl ServerState {
-    /// Sets the limits of requests; connections that are already open keep their idle time-out.
+    /// Sets the limits of requests, on open connections too.
     pub fn set_limits(&self, limits: RequestLimits) {
         self.max_head_bytes.store(limits.head_bytes, Ordering::Relaxed);
         self.max_body_bytes.store(limits.body_bytes, Ordering::Relaxed);
-        self.idle_timeout_ms.store(limits.idle_timeout.0, Ordering::Relaxed);
+        self.idle_timeout.send_replace(Duration::from_millis(limits.idle_timeout.0));
     }
 
     /// Returns how long a connection, or a body that is being read, may stay idle.
     #[must_use]
     pub fn idle_timeout(&self) -> Duration {
-        Duration::from_millis(self.idle_timeout_ms.load(Ordering::Relaxed))
+        *self.idle_timeout.borrow()
+    }
+
+    /// Returns what tells how long a connection may stay idle.
+    #[must_use]
+    pub fn watch_idle_timeout(&self) -> watch::Receiver<Duration> {
+        self.idle_timeout.subscribe()
+    }
+
+    /// Returns the largest request head, in bytes.
+    #[must_use]
+    pub fn max_head_bytes(&self) -> u64 {
+        self.max_head_bytes.load(Ordering::Relaxed).max(MIN_BUFFER_BYTES as u64)
     }
 
     /// Makes every later answer close its connection.
@@ -147,9 +169,12 @@
         log::debug!(event = "nodelay"; "{error}");
     }
     let mut close_requested = server.state.close_idle.subscribe();
-    let idle_timeout = server.state.idle_timeout();
-    let head = server.state.max_head_bytes.load(Ordering::Relaxed);
-    let buffer = usize::try_from(head).unwrap_or(usize::MAX).max(MIN_BUFFER_BYTES);
+    let buffered_head_bytes = server.state.max_head_bytes().max(BUFFERED_HEAD_BYTES);
+    let buffer = usize::try_from(buffered_head_bytes).unwrap_or(usize::MAX);
+    let timer = IdleTimer { state: Arc::clone(&server.state) };
+    let meter = Arc::new(HeadMeter::new(Arc::clone(&server.state)));
+    let stream = HeadLimited { stream, meter: Arc::clone(&meter) };
+    let heads = Arc::clone(&meter);
     let ends_with_connection = Arc::new(AtomicBool::new(false));
     let unframed = Arc::clone(&ends_with_connection);
     let (answering, mut answer) = watch::channel(None);
@@ -157,8 +182,14 @@
         let server = Arc::clone(&server);
         unframed.store(request.version() < Version::HTTP_11, Ordering::Relaxed);
         let answering = answering.clone();
+        let heads = Arc::clone(&heads);
+        heads.end_head();
         async move {
             let mut response = server.handle_request(listener, request).await;
+            if server.state.max_head_bytes() > buffered_head_bytes {
+                response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+            }
+            heads.begin_head();
             answering.send_replace(response.extensions_mut().remove::<DeadlineWatch>());
             Ok::<_, Infallible>(response)
         }
@@ -167,8 +198,8 @@
     // bounds idle connections and slow senders alike.
     let mut connection = http1::Builder::new()
         .max_buf_size(buffer)
-        .timer(TokioTimer::new())
-        .header_read_timeout(idle_timeout)
+        .timer(timer)
+        .header_read_timeout(NOMINAL_HEAD_TIMEOUT)
         .serve_connection(TokioIo::new(stream), service);
     let mut overrun = pin!(deadline::overrun(&mut answer));
     let mut closing = false;
@@ -191,8 +222,13 @@
         }
         ConnectionEnd::AnswerOverrun => true,
     };
+    let mut stream = connection.into_parts().io.into_inner().stream;
     if must_reset {
-        reset(&connection.into_parts().io.into_inner());
+        reset(&stream);
+    } else if meter.is_exceeded() {
+        // The caller may have closed its end.
+        let _ = stream.write_all(HEAD_TOO_LONG).await;
+        let _ = stream.shutdown().await;
     }
 }
 
