fix(core): a late order of the process before a restart follows a newer one

Change: a new process waits until the system retransmits nothing of the one before. Connections of store hosts drop unacknowledged bytes when they end.

--- a/crates/core/src/gateway/lease/holder.rs
+++ b/crates/core/src/gateway/lease/holder.rs
@@ -5,7 +5,8 @@
 //!
 //! Only one host performs them: the leader, under its lease, once the directory names it as the holder
 //! by the command `SetOrderer`. A leader that is not yet the holder waits until what the previous one
-//! sent can no longer take effect; a host that leads again after a restart is still the holder.
+//! sent can no longer take effect. A host that leads again after a restart is still the holder, and waits
+//! until nothing of the process before is in transit.
 
 use super::HolderLease;
 use crate::directory::DirectoryCommand;
@@ -18,6 +19,10 @@
 /// the previous holder sent may still be in transit.
 const LEASE_MARGIN: Millis = Millis(300);
 
+/// How long after a process has ended its orders may still arrive: the system drops bytes that are not
+/// acknowledged within this time.
+const TRANSIT_TIME: Millis = Millis(2_000);
+
 /// Writes the lease of this host on the board.
 #[derive(Debug, Default)]
 pub struct Holder {
@@ -58,7 +63,12 @@
 /// Returns from when on this host may act as the holder, or may propose itself; `None` if it does not
 /// lead.
 fn acts_from(board: &Board) -> Option<Millis> {
-    if is_holder(board) { board.group.as_ref()?.replica.leader_since() } else { calls_from(board) }
+    if !is_holder(board) {
+        return calls_from(board);
+    }
+    // The monotonic clock begins with the process.
+    let previous_process = TRANSIT_TIME + LEASE_MARGIN;
+    Some(board.group.as_ref()?.replica.leader_since()?.max(previous_process))
 }
 
 /// Returns from when on nothing that was sent before this host began to lead can take effect; `None` if
--- a/crates/daemon/src/gateway/pool.rs
+++ b/crates/daemon/src/gateway/pool.rs
@@ -124,6 +124,8 @@
     reports: Option<InputSender>,
     /// The addresses of the hosts that relay connections; `None` without any.
     relays: Option<SharedPort>,
+    /// Whether closing a connection drops the bytes that its upstream has not acknowledged.
+    drops_unacknowledged: bool,
 }
 
 impl Pool {
@@ -141,6 +143,16 @@
         self
     }
 
+    /// Sets whether the end of a connection, also by the end of the process, drops the bytes that the
+    /// upstream has not acknowledged; the default is no.
+    ///
+    /// Otherwise the system could still retransmit an order of this process after one of its successor.
+    #[must_use]
+    pub fn drops_unacknowledged(mut self, drops: bool) -> Self {
+        self.drops_unacknowledged = drops;
+        self
+    }
+
     /// Returns the number of connections opened so far.
     #[must_use]
     pub fn opened(&self) -> u64 {
--- a/crates/daemon/src/gateway/pool/connect.rs
+++ b/crates/daemon/src/gateway/pool/connect.rs
@@ -1,6 +1,6 @@
 //! New connections to upstreams: over this host's own links, or relayed by another host.
 
-use std::io::{Error, ErrorKind};
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -9,7 +9,7 @@
 use chestnutdrift_core::gateway::{Event, UpstreamAddress};
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
-use rustix::net::sockopt::set_tcp_user_timeout;
+use rustix::net::sockopt::{set_socket_linger, set_tcp_user_timeout};
 use tokio::io::{AsyncRead, AsyncWrite};
 use tokio::net::TcpStream;
 
@@ -38,7 +38,7 @@
         if !upstream.path.direct {
             return matches!(self.relay(upstream, timeout).await, Relayed::Refused);
         }
-        match connect_directly(upstream, timeout).await {
+        match self.connect_directly(upstream, timeout).await {
             Ok(_) => {
                 self.report(upstream, true);
                 false
@@ -59,7 +59,7 @@
 
     /// Opens a connection over this host's own links and keeps it for later requests.
     pub async fn probe(&self, upstream: &UpstreamAddress, timeout: Duration) {
-        let connected = connect_directly(upstream, timeout).await;
+        let connected = self.connect_directly(upstream, timeout).await;
         self.report(upstream, connected.is_ok());
         let Ok(stream) = connected else { return };
         if let Ok(connection) = self.handshake(stream, None).await {
@@ -80,7 +80,7 @@
                 Relayed::Unavailable(detail) => Err(SendError::NotSent(detail)),
             };
         }
-        match connect_directly(upstream, timeout).await {
+        match self.connect_directly(upstream, timeout).await {
             Ok(stream) => {
                 self.report(upstream, true);
                 self.handshake(stream, None).await
@@ -155,31 +155,38 @@
             log::debug!(event = "report-lost"; "the control thread has ended");
         }
     }
+
+    async fn connect_directly(
+        &self,
+        upstream: &UpstreamAddress,
+        timeout: Duration,
+    ) -> Result<TcpStream, SendError> {
+        let address: SocketAddr = upstream
+            .address
+            .parse()
+            .map_err(|_| not_sent(&format!("{:?} is not an address", upstream.address)))?;
+        let stream = match tokio::time::timeout(timeout, TcpStream::connect(address)).await {
+            Ok(Ok(stream)) => stream,
+            Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused => {
+                return Err(SendError::Refused(error.to_string().into()));
+            }
+            Ok(Err(error)) => return Err(not_sent(&error)),
+            Err(_) => return Err(not_sent(&format!("no connection within {timeout:?}"))),
+        };
+        self.set_options(&stream).map_err(|error| not_sent(&error))?;
+        Ok(stream)
+    }
+
+    fn set_options(&self, stream: &TcpStream) -> std::io::Result<()> {
+        stream.set_nodelay(true)?;
+        set_tcp_user_timeout(stream, TCP_USER_TIMEOUT_MS)?;
+        if self.drops_unacknowledged {
+            set_socket_linger(stream, Some(Duration::ZERO))?;
+        }
+        Ok(())
+    }
 }
 
 fn not_sent(error: &dyn std::fmt::Display) -> SendError {
     SendError::NotSent(error.to_string().into())
 }
-
-async fn connect_directly(
-    upstream: &UpstreamAddress,
-    timeout: Duration,
-) -> Result<TcpStream, SendError> {
-    let address: SocketAddr = upstream
-        .address
-        .parse()
-        .map_err(|_| not_sent(&format!("{:?} is not an address", upstream.address)))?;
-    let stream = match tokio::time::timeout(timeout, TcpStream::connect(address)).await {
-        Ok(Ok(stream)) => stream,
-        Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused => {
-            return Err(SendError::Refused(error.to_string().into()));
-        }
-        Ok(Err(error)) => return Err(not_sent(&error)),
-        Err(_) => return Err(not_sent(&format!("no connection within {timeout:?}"))),
-    };
-    let options = stream
-        .set_nodelay(true)
-        .and_then(|()| set_tcp_user_timeout(&stream, TCP_USER_TIMEOUT_MS).map_err(Error::from));
-    options.map_err(|error| not_sent(&error))?;
-    Ok(stream)
-}
--- a/crates/daemon/src/gateway/start.rs
+++ b/crates/daemon/src/gateway/start.rs
@@ -59,7 +59,9 @@
     runtime.spawn(watch_file(watch, inputs.clone()));
     let reports = (file.gateway.role == Role::Entry).then(|| inputs.clone());
     let link_port = SharedPort(file.link_address.port());
+    let orders_upstreams = file.gateway.role == Role::Store;
     let pool = Pool::default().reports(reports).relays(link_port);
+    let pool = pool.drops_unacknowledged(orders_upstreams);
     let state = Arc::new(ServerState::default());
     let connections = Arc::new(Semaphore::new(file.max_connections));
     let streams = Arc::new(Semaphore::new(file.max_connections));
