--- a/crates/core/src/gateway/controller/calls.rs
+++ b/crates/core/src/gateway/controller/calls.rs
@@ -5,8 +5,8 @@
 //! Writes: `pending_calls`, `store_requests`, `actions`.
 //!
 //! Requests to be routed stay in `pending_calls` for the forwarding controller; announcements and
-//! leaves of upstreams stay there for the registry. Connections to relay are for the relays controller. Queries are answered here; the lifecycle
-//! controller sets the readiness that they report.
+//! leaves of upstreams stay there for the registry. The relays controller handles connections to
+//! relay. Queries are answered here; the lifecycle controller sets the readiness that they report.
 
 use std::sync::Arc;
 
--- a/crates/daemon/src/gateway/server.rs
+++ b/crates/daemon/src/gateway/server.rs
@@ -16,7 +16,7 @@
 use hyper::header::{AUTHORIZATION, CONNECTION, HeaderValue};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
-use hyper::{HeaderMap, Request, Response, Version};
+use hyper::{HeaderMap, Request, Response, StatusCode, Version};
 use hyper_util::rt::TokioIo;
 use rustix::net::sockopt::set_socket_linger;
 use tokio::io::AsyncWriteExt;
@@ -189,7 +189,12 @@
             if server.state.max_head_bytes() > buffered_head_bytes {
                 response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
             }
-            heads.begin_head();
+            // The rest of a body that was not read in full is no head.
+            let is_read = response.status() != StatusCode::PAYLOAD_TOO_LARGE
+                && response.status() != StatusCode::REQUEST_TIMEOUT;
+            if is_read {
+                heads.begin_head();
+            }
             answering.send_replace(response.extensions_mut().remove::<DeadlineWatch>());
             Ok::<_, Infallible>(response)
         }
