refactor(daemon): one way to open a connection over the path of an upstream

Opening a connection and asking whether an upstream refuses one took the same decision in two copies, and the result of a relay had an enum beside its error. Both use one function now. The options of upstream connections and the guard that reports a caller's end stand once; stores are looked up for a relay only when an attempt was not sent. Behaviour is unchanged.

--- a/crates/core/src/gateway/controller/forwarding.rs
+++ b/crates/core/src/gateway/controller/forwarding.rs
@@ -248,7 +248,7 @@
     let took = board.now.mono.since(attempt.started);
     candidates::record_end(board, &attempt, end);
     suspects::record_end(board, request_key, &attempt, end);
-    let has_relays = has_relays(board);
+    let can_be_relayed = matches!(end, ForwardEnd::NotSent { .. }) && has_relays(board);
     let Some(request) = board.requests.get_mut(request_key) else { return };
     request.state = RequestState::Waiting;
     match end {
@@ -277,7 +277,7 @@
         }
         ForwardEnd::NotSent { detail } => {
             request.last_failure = format!("request not sent: {detail}").into();
-            record_unsent(request, &attempt, has_relays);
+            record_unsent(request, &attempt, can_be_relayed);
         }
         ForwardEnd::ConnectRefused { detail } => {
             request.last_failure = format!("upstream ended: {detail}").into();
--- a/crates/core/src/gateway/controller/forwarding/paths.rs
+++ b/crates/core/src/gateway/controller/forwarding/paths.rs
@@ -44,8 +44,8 @@
 /// Records that no connection could be opened for an attempt of a request.
 ///
 /// The first one over own links doesn't count as one of the request's attempts if a relay can follow.
-pub(super) fn record_unsent(request: &mut Request, attempt: &Attempt, has_relays: bool) {
-    if has_relays && !attempt.relayed && !request.unsent {
+pub(super) fn record_unsent(request: &mut Request, attempt: &Attempt, can_be_relayed: bool) {
+    if can_be_relayed && !attempt.relayed && !request.unsent {
         request.attempts = request.attempts.saturating_sub(1);
     }
     request.unsent = true;
--- a/crates/daemon/src/gateway/pool.rs
+++ b/crates/daemon/src/gateway/pool.rs
@@ -16,6 +16,7 @@
 use hyper::{Request, Response};
 use tokio::task::AbortHandle;
 
+pub(super) use self::connect::set_upstream_options;
 use super::input::InputSender;
 use crate::http::has_known_coding;
 use crate::link::SharedPort;
--- a/crates/daemon/src/gateway/pool/connect.rs
+++ b/crates/daemon/src/gateway/pool/connect.rs
@@ -18,43 +18,17 @@
 use crate::gateway::relay::{self, RelayError, RelayedStream};
 use crate::link::AddressResolver;
 
-/// The result of asking other hosts for a relayed connection.
-enum Relayed {
-    Connected(Box<RelayedStream>),
-    /// The upstream did not accept a connection of another host either.
-    Unreachable,
-    /// The upstream's address refused a connection of another host.
-    Refused,
-    /// No other host could tell.
-    Unavailable(Box<str>),
+/// A connection that was opened.
+enum Opened {
+    Direct(TcpStream),
+    Relayed(Box<RelayedStream>),
 }
 
 impl Pool {
     /// Returns whether an upstream's address refuses connections, as it does when no process listens
     /// there.
-    ///
-    /// Another host has the last word, where there is one: own links may refuse connections too.
     pub async fn is_refused(&self, upstream: &UpstreamAddress, timeout: Duration) -> bool {
-        if !upstream.path.direct {
-            return matches!(self.relay(upstream, timeout).await, Relayed::Refused);
-        }
-        match self.connect_directly(upstream, timeout).await {
-            Ok(_) => {
-                self.report(upstream, true);
-                false
-            }
-            Err(SendError::Refused(_)) => match self.relay(upstream, timeout).await {
-                Relayed::Refused | Relayed::Unavailable(_) => true,
-                Relayed::Connected(_) | Relayed::Unreachable => {
-                    self.report(upstream, false);
-                    false
-                }
-            },
-            Err(_) => {
-                self.report(upstream, false);
-                false
-            }
-        }
+        matches!(self.open(upstream, timeout).await, Err(SendError::Refused(_)))
     }
 
     /// Opens a connection over this host's own links and keeps it for later requests.
@@ -72,59 +46,65 @@
         upstream: &UpstreamAddress,
         timeout: Duration,
     ) -> Result<Connection, SendError> {
+        match self.open(upstream, timeout).await? {
+            Opened::Direct(stream) => self.handshake(stream, None).await,
+            Opened::Relayed(stream) => {
+                let leaving = stream.leaving();
+                self.handshake(*stream, Some(leaving)).await
+            }
+        }
+    }
+
+    /// Opens a connection over the upstream's path.
+    ///
+    /// Where own links refuse it, another host has the last word on whether the upstream does.
+    async fn open(
+        &self,
+        upstream: &UpstreamAddress,
+        timeout: Duration,
+    ) -> Result<Opened, SendError> {
         if !upstream.path.direct {
             return match self.relay(upstream, timeout).await {
-                Relayed::Connected(stream) => self.handshake_relayed(*stream).await,
-                Relayed::Refused => Err(SendError::Refused("relayed connection refused".into())),
-                Relayed::Unreachable => Err(SendError::NotSent("no relayed connection".into())),
-                Relayed::Unavailable(detail) => Err(SendError::NotSent(detail)),
+                Ok(stream) => Ok(Opened::Relayed(stream)),
+                Err(RelayError::Refused) => Err(SendError::Refused("refused over a relay".into())),
+                Err(RelayError::Unreachable) => Err(not_sent(&"not reached over a relay")),
+                Err(RelayError::Unavailable(detail)) => Err(SendError::NotSent(detail)),
             };
         }
-        match self.connect_directly(upstream, timeout).await {
-            Ok(stream) => {
-                self.report(upstream, true);
-                self.handshake(stream, None).await
-            }
+        let opened = match self.connect_directly(upstream, timeout).await {
+            Ok(stream) => Ok(Opened::Direct(stream)),
             Err(SendError::Refused(detail)) => match self.relay(upstream, timeout).await {
-                Relayed::Refused | Relayed::Unavailable(_) => Err(SendError::Refused(detail)),
-                Relayed::Unreachable => {
-                    self.report(upstream, false);
-                    Err(SendError::NotSent(detail))
-                }
-                Relayed::Connected(stream) => {
-                    self.report(upstream, false);
-                    self.handshake_relayed(*stream).await
+                Ok(stream) => Ok(Opened::Relayed(stream)),
+                Err(RelayError::Unreachable) => Err(SendError::NotSent(detail)),
+                Err(RelayError::Refused | RelayError::Unavailable(_)) => {
+                    return Err(SendError::Refused(detail));
                 }
             },
-            Err(error) => {
-                self.report(upstream, false);
-                Err(error)
-            }
-        }
+            Err(error) => Err(error),
+        };
+        self.report(upstream, matches!(opened, Ok(Opened::Direct(_))));
+        opened
     }
 
     /// Asks the hosts of the upstream's path in turn, until one has an answer.
-    async fn relay(&self, upstream: &UpstreamAddress, timeout: Duration) -> Relayed {
+    async fn relay(
+        &self,
+        upstream: &UpstreamAddress,
+        timeout: Duration,
+    ) -> Result<Box<RelayedStream>, RelayError> {
         let mut unavailable = "no other host relays connections".into();
         for host in &upstream.path.relays {
             let address = self.relays.as_ref().and_then(|relays| relays.resolve(*host));
             let Some(address) = address else { continue };
             match relay::connect(address, &upstream.id, timeout).await {
-                Ok(stream) => return Relayed::Connected(Box::new(stream)),
-                Err(RelayError::Refused) => return Relayed::Refused,
-                Err(RelayError::Unreachable) => return Relayed::Unreachable,
                 Err(RelayError::Unavailable(detail)) => {
                     log::debug!(event = "relay-unavailable"; "{detail}");
                     unavailable = detail;
                 }
+                answer => return answer.map(Box::new),
             }
         }
-        Relayed::Unavailable(unavailable)
-    }
-
-    async fn handshake_relayed(&self, stream: RelayedStream) -> Result<Connection, SendError> {
-        let leaving = stream.leaving();
-        self.handshake(stream, Some(leaving)).await
+        Err(RelayError::Unavailable(unavailable))
     }
 
     async fn handshake<S>(
@@ -178,8 +158,7 @@
     }
 
     fn set_options(&self, stream: &TcpStream) -> std::io::Result<()> {
-        stream.set_nodelay(true)?;
-        set_tcp_user_timeout(stream, TCP_USER_TIMEOUT_MS)?;
+        set_upstream_options(stream)?;
         if self.drops_unacknowledged {
             set_socket_linger(stream, Some(Duration::ZERO))?;
         }
@@ -187,6 +166,13 @@
     }
 }
 
+/// Sets the options of a connection to an upstream, relayed or not.
+pub(in crate::gateway) fn set_upstream_options(stream: &TcpStream) -> std::io::Result<()> {
+    stream.set_nodelay(true)?;
+    set_tcp_user_timeout(stream, TCP_USER_TIMEOUT_MS)?;
+    Ok(())
+}
+
 fn not_sent(error: &dyn std::fmt::Display) -> SendError {
     SendError::NotSent(error.to_string().into())
 }
--- a/crates/daemon/src/gateway/relay.rs
+++ b/crates/daemon/src/gateway/relay.rs
@@ -20,9 +20,7 @@
 use rustix::net::sockopt;
 use tokio::net::TcpStream;
 
-/// How long sent bytes, or keep-alive probes, may stay unacknowledged before the system closes a
-/// connection.
-const UNACKNOWLEDGED_TIMEOUT_MS: u32 = 2_000;
+use super::pool::set_upstream_options;
 
 /// After which silence the system probes a connection between hosts, and the interval between probes.
 const KEEP_ALIVE_INTERVAL: Duration = Duration::from_secs(1);
@@ -64,14 +62,9 @@
     }
 }
 
-/// Sets the options of a connection to an upstream: those of a direct one.
-fn set_upstream_options(stream: &TcpStream) -> std::io::Result<()> {
-    stream.set_nodelay(true)?;
-    sockopt::set_tcp_user_timeout(stream, UNACKNOWLEDGED_TIMEOUT_MS)?;
-    Ok(())
-}
-
 /// Sets the options of a connection between hosts, so that the end of one of them is noticed by the other.
+///
+/// The time-out for unacknowledged bytes also decides when keep-alive probes give up.
 fn set_link_options(stream: &TcpStream) -> std::io::Result<()> {
     set_upstream_options(stream)?;
     sockopt::set_socket_keepalive(stream, true)?;
--- a/crates/daemon/src/gateway/relay/server.rs
+++ b/crates/daemon/src/gateway/relay/server.rs
@@ -7,7 +7,7 @@
 
 use bytes::Bytes;
 use chestnutdrift_core::RequestTag;
-use chestnutdrift_core::gateway::{Answer, Call, Event, IncomingCall};
+use chestnutdrift_core::gateway::{Answer, Call, IncomingCall};
 use futures_util::stream::{SplitSink, SplitStream};
 use futures_util::{SinkExt, StreamExt};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -19,8 +19,9 @@
 
 use super::Signal;
 use crate::gateway::control::{Directive, MAX_QUEUED_DIRECTIVES};
-use crate::gateway::input::{Input, InputSender};
-use crate::gateway::server::Server;
+use crate::gateway::input::Input;
+use crate::gateway::pool::set_upstream_options;
+use crate::gateway::server::{DisconnectGuard, Server};
 use crate::link::RelayService;
 
 /// How long the upstream may take to accept a connection.
@@ -44,24 +45,9 @@
     }
 }
 
-/// Tells the gateway that a relayed connection has ended.
-struct EndGuard {
-    inputs: InputSender,
-    tag: RequestTag,
-}
-
-impl Drop for EndGuard {
-    fn drop(&mut self) {
-        let event = Event::CallerGone { tag: self.tag };
-        if self.inputs.send(Input::Event(event)).is_err() {
-            log::debug!(event = "report-lost"; "the control thread has ended");
-        }
-    }
-}
-
 async fn run(server: Arc<Server>, mut socket: Socket, upstream_id: Box<str>) {
     let tag = RequestTag(server.next_tag.fetch_add(1, Ordering::Relaxed));
-    let guard = EndGuard { inputs: server.inputs.clone(), tag };
+    let guard = DisconnectGuard { inputs: server.inputs.clone(), tag, armed: true };
     // The process waits for this permit before it ends.
     let permit = Arc::clone(&server.streams).try_acquire_owned();
     let opened = match relay_address(&server, tag, upstream_id).await {
@@ -103,7 +89,7 @@
         }
         Ok(Err(_)) | Err(_) => return Err(Signal::Unreachable),
     };
-    super::set_upstream_options(&upstream).map_err(|_| Signal::Unreachable)?;
+    set_upstream_options(&upstream).map_err(|_| Signal::Unreachable)?;
     Ok(upstream)
 }
 
--- a/crates/daemon/src/gateway/server.rs
+++ b/crates/daemon/src/gateway/server.rs
@@ -333,10 +333,10 @@
 
 /// Reports `CallerGone` to the gateway if it is dropped while armed: the caller's connection has
 /// ended before its answer began.
-struct DisconnectGuard {
-    inputs: InputSender,
-    tag: RequestTag,
-    armed: bool,
+pub(super) struct DisconnectGuard {
+    pub(super) inputs: InputSender,
+    pub(super) tag: RequestTag,
+    pub(super) armed: bool,
 }
 
 impl Drop for DisconnectGuard {
