--- a/crates/core/src/gateway/action.rs
+++ b/crates/core/src/gateway/action.rs
@@ -55,6 +55,8 @@
     Probe {
         /// The upstream.
         upstream: UpstreamAddress,
+        /// The time-out for opening the connection.
+        connect: Millis,
     },
     /// Closes the idle connections to an upstream, and each of the others when its answer ends.
     CloseUpstream {
--- a/crates/core/src/gateway/controller/reach.rs
+++ b/crates/core/src/gateway/controller/reach.rs
@@ -7,7 +7,7 @@
 use rand::Rng;
 
 use super::Controller;
-use super::candidates;
+use super::candidates::{self, CONNECT_TIMEOUT};
 use crate::gateway::action::Action;
 use crate::gateway::board::{Board, LinkState};
 use crate::gateway::event::Event;
@@ -87,5 +87,5 @@
     }
     let key = targets[board.rng.random_range(0..targets.len())];
     let upstream = board.upstreams[key].address(key);
-    board.actions.push(Action::Probe { upstream });
+    board.actions.push(Action::Probe { upstream, connect: CONNECT_TIMEOUT });
 }
--- a/crates/core/tests/it/deployment.rs
+++ b/crates/core/tests/it/deployment.rs
@@ -461,7 +461,7 @@
                 self.deliver(id, Event::JobRead { tag, job: Ok(job) });
             }
             Action::Forward(forward) => self.forwards.push((id, forward)),
-            Action::Probe { upstream } => self.probes.push((self.now, id, upstream.key)),
+            Action::Probe { upstream, .. } => self.probes.push((self.now, id, upstream.key)),
             Action::RunItem(run) => {
                 self.run_workspaces.insert(run.job.workspace.clone());
                 self.schedule(self.now + 3, Scheduled::Run(id, boot_id, run));
--- a/crates/daemon/src/gateway/control.rs
+++ b/crates/daemon/src/gateway/control.rs
@@ -38,9 +38,6 @@
 /// The interval between sweeps of idle upstream connections.
 const SWEEP_INTERVAL: Millis = Millis(1_000);
 
-/// The time limit of a connection that is opened without a request.
-const PROBE_TIMEOUT: Duration = Duration::from_millis(300);
-
 /// An instruction from the control thread to an exchange.
 #[derive(Debug)]
 pub enum Directive {
@@ -213,10 +210,10 @@
             Action::CallProvider(call) => {
                 self.outputs.runtime.spawn(self.outputs.provider.clone().run(call));
             }
-            Action::Probe { upstream } => {
+            Action::Probe { upstream, connect } => {
                 let pool = self.outputs.pool.clone();
                 self.outputs.runtime.spawn(async move {
-                    pool.probe(&upstream, PROBE_TIMEOUT).await;
+                    pool.probe(&upstream, Duration::from_millis(connect.0)).await;
                 });
             }
             Action::CloseUpstream { upstream } => self.outputs.pool.close_upstream(&upstream),
