fix(core): an acknowledged leave was lost when all stores were killed

Cause: the registry was in memory only. An acknowledgement meant that two more stores had the leave in memory. Nothing on the disks, and nothing that the entries tell, said it again. The log of the restarted stores has `UpstreamJoined ... joined` for the heartbeat. Excluded: the entries keep their record (they send nothing there), and the leader acts on its own registry; the boards of the simulated hosts show both.

A leave is acknowledged when it is on one disk more than may be lost at once; after 600 ms on one, if another host knows it. Entries that run on tell a restarted store what it lacks. A restarted store lets announcements of unknown ids wait for the records of its contacts, 600 ms at most. Announced departures and statements in answers are in the same record. Earlier versions ignore the file and the new fields; their confirmations count as memory, as before.

--- a/crates/core/src/gateway.rs
+++ b/crates/core/src/gateway.rs
@@ -26,6 +26,7 @@
 pub mod capacity;
 pub mod controller;
 pub mod event;
+pub mod facts;
 pub mod lease;
 pub mod message;
 pub mod policy;
@@ -46,6 +47,7 @@
     Announcement, Call, Event, ForwardEnd, IncomingCall, ItemEnd, ItemRunReport, JobBody,
     JobCaller, LateEnd, OrderEnd, Query,
 };
+pub use facts::{Fact, FactBatch};
 pub use lease::HolderLease;
 pub use message::{GatewayMessage, StoreReply, StoreRequest};
 pub use policy::Policies;
--- a/crates/core/src/gateway/action.rs
+++ b/crates/core/src/gateway/action.rs
@@ -8,6 +8,7 @@
 use crate::agreement::Record;
 use crate::directory::{ConfigDocument, ItemOutcome, JobSpec, RewardCall};
 use crate::error::Problem;
+use crate::gateway::facts::FactBatch;
 use crate::gateway::provider::ProviderCall;
 use crate::gateway::settings::Role;
 use crate::key::{AttemptKey, Fingerprint, HostId, OrderKey, RequestTag, SyncToken, UpstreamKey};
@@ -76,6 +77,9 @@
         token: SyncToken,
         /// The records, in the order in which they are written.
         records: Vec<Record>,
+        /// The facts, which are kept apart from the records.
+        #[serde(default, skip_serializing_if = "FactBatch::is_empty")]
+        facts: FactBatch,
     },
     /// Writes a timeline event as a log line.
     Note(TimelineEvent),
--- a/crates/core/src/gateway/board.rs
+++ b/crates/core/src/gateway/board.rs
@@ -2,6 +2,7 @@
 
 mod admission;
 mod announcement_source;
+mod fact_log;
 mod group;
 mod host;
 mod item;
@@ -49,6 +50,7 @@
 
 pub use admission::Admission;
 pub use announcement_source::AnnouncementSource;
+pub use fact_log::{FactLog, FactPosition};
 pub use group::{DirectoryGroup, PendingCommit, PendingSync};
 pub use host::{HOST_SILENCE_TIMEOUT, Host};
 pub use item::{Item, ItemState, JobRun};
@@ -67,8 +69,8 @@
 pub use suspects::{CRASH_RETENTION, QUARANTINE_CRASHES, Suspects, incarnation};
 pub use text::{Orphan, ReusableText, TextCache, is_same_item};
 pub use upstream::{
-    DEFAULT_EVENT_INTERVAL_US, ENDED_RETENTION, LeaveNotice, LeaveSource, SaidLeaving, Upstream,
-    UpstreamHealth,
+    DEFAULT_EVENT_INTERVAL_US, DEPARTURE_RETENTION, Departure, ENDED_RETENTION, LeaveNotice,
+    LeaveSource, SaidLeaving, Upstream, UpstreamHealth,
 };
 
 /// The purpose of an attempt.
@@ -128,6 +130,9 @@
     pub upstreams: SlotMap<UpstreamKey, Upstream>,
     /// The upstreams by instance id.
     pub upstream_index: BTreeMap<Box<str>, UpstreamKey>,
+    /// The instances that were in the registry of the process before this one, by id, and have not
+    /// announced themselves since: they may be told to leave, and get no work.
+    pub unheard: BTreeMap<Box<str>, Announcement>,
     /// Upstreams that have started again, under the same id, with another software version; not
     /// handled yet.
     pub upgraded_upstreams: Vec<UpstreamKey>,
@@ -191,6 +196,8 @@
     pub pending_decisions: Vec<PendingDecision>,
     /// Reads of results that wait for the first result.
     pub results_readers: Vec<ResultsReader>,
+    /// The facts that this store host writes to its disk beside the log.
+    pub facts: FactLog,
     /// The directory group; `None` on entry hosts.
     pub group: Option<DirectoryGroup>,
     /// Commands to propose to the directory group's replicated log, with the sender that waits for
@@ -255,6 +262,7 @@
             voters: (0, Vec::new()),
             upstreams: SlotMap::with_key(),
             upstream_index: BTreeMap::new(),
+            unheard: BTreeMap::new(),
             upgraded_upstreams: Vec::new(),
             last_departure: Millis(0),
             revision: 0,
@@ -284,6 +292,7 @@
             replies: Vec::new(),
             pending_decisions: Vec::new(),
             results_readers: Vec::new(),
+            facts: FactLog::default(),
             group,
             proposals: Vec::new(),
             changed_jobs: BTreeSet::new(),
--- a/crates/core/src/gateway/board/announcement_source.rs
+++ b/crates/core/src/gateway/board/announcement_source.rs
@@ -1,6 +1,7 @@
 //! Where an announcement of an upstream came from.
 
 use crate::key::HostId;
+use crate::time::Millis;
 
 /// The source of an announcement.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -19,6 +20,9 @@
         left: bool,
         /// Whether the upstream has said in an answer that it leaves.
         said_leaving: bool,
+        /// The wall time at which its departure became known; `None` if it doesn't leave, and from a
+        /// host of an earlier version.
+        departed_at: Option<Millis>,
     },
 }
 
@@ -31,4 +35,13 @@
             Self::Registry { host, .. } => Some(host),
         }
     }
+
+    /// Returns the wall time at which the departure of the upstream became known to another host.
+    #[must_use]
+    pub fn departed_at(self) -> Option<Millis> {
+        match self {
+            Self::Upstream => None,
+            Self::Registry { departed_at, .. } => departed_at,
+        }
+    }
 }
--- a/crates/core/src/gateway/board/upstream.rs
+++ b/crates/core/src/gateway/board/upstream.rs
@@ -11,7 +11,7 @@
 use crate::gateway::message::UpstreamRecord;
 use crate::gateway::rate::RequestRate;
 use crate::key::{HostId, UpstreamKey};
-use crate::time::Millis;
+use crate::time::{Millis, Now};
 
 /// How long an upstream is avoided after the first failure in a row, in milliseconds.
 const INITIAL_AVOID_MS: u64 = 250;
@@ -19,6 +19,9 @@
 /// How long an instance counts as ended; its announcements do not shorten it, as they may be delayed.
 pub const ENDED_RETENTION: Millis = Millis(5_000);
 
+/// How long after its departure an instance is kept in mind at most; no announcement is that late.
+pub const DEPARTURE_RETENTION: Millis = Millis(600_000);
+
 /// Maximum number of times that further failures in a row double the avoidance time.
 const MAX_AVOID_DOUBLINGS: u32 = 4;
 
@@ -73,6 +76,21 @@
     pub until: Millis,
 }
 
+/// What is known of the departure of an upstream, which outlasts the processes that know it.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Departure {
+    /// Whether its announcements, or a call of its own, say that it leaves.
+    pub leaving: bool,
+    /// Whether it has told a store host by a call that is no announcement.
+    pub left: bool,
+    /// Whether it has said so in an answer.
+    pub said_leaving: bool,
+    /// Whether it has left for good.
+    pub gone: bool,
+    /// Whether it has announced when it is gone.
+    pub has_notice: bool,
+}
+
 /// An upstream, as this host sees it.
 #[derive(Debug, Clone)]
 pub struct Upstream {
@@ -83,8 +101,13 @@
     /// Whether it has told a store host that it leaves, by a call that is no announcement. Only another
     /// instance ends this, since announcements of this one may be delayed.
     pub left: bool,
-    /// Whether another store host knows that it leaves.
+    /// Whether enough store hosts have written down that it leaves.
     pub leave_kept: bool,
+    /// What this store host has written down, or is writing down, of its departure; `None` if nothing is
+    /// written down of this instance.
+    pub saved_departure: Option<Departure>,
+    /// The wall time at which its departure became known; `None` before.
+    pub departed_at: Option<Millis>,
     /// Its statement in an answer that it leaves; `None` before the first one.
     pub said_leaving: Option<SaidLeaving>,
     /// Its announced departure at a fixed time; `None` before the announcement.
@@ -139,6 +162,8 @@
             gone: false,
             left: false,
             leave_kept: false,
+            saved_departure: None,
+            departed_at: None,
             said_leaving: None,
             leave_notice: None,
             unreachable: false,
@@ -250,11 +275,23 @@
         }
     }
 
+    /// Returns what is known of its departure.
+    #[must_use]
+    pub fn departure(&self) -> Departure {
+        Departure {
+            leaving: self.announced.leaving,
+            left: self.left,
+            said_leaving: self.said_leaving.is_some(),
+            gone: self.gone,
+            has_notice: self.leave_notice.is_some(),
+        }
+    }
+
     /// Returns the record of the upstream for other hosts.
     #[must_use]
-    pub fn record(&self, now: Millis) -> UpstreamRecord {
+    pub fn record(&self, now: Now) -> UpstreamRecord {
         let mut announced = self.announced.clone();
-        announced.leaves_in = self.leave_notice.map(|notice| notice.until.since(now));
+        announced.leaves_in = self.leave_notice.map(|notice| notice.until.since(now.mono));
         UpstreamRecord {
             announced,
             silent: self.silent,
@@ -263,6 +300,7 @@
             said_leaving: self.said_leaving.is_some(),
             limit: self.limit.map(|limit| limit.statement()),
             slow: self.slow_reports.is_stated(),
+            departed_ago: self.departed_at.map(|at| now.wall.since(at)),
         }
     }
 
--- a/crates/core/src/gateway/controller.rs
+++ b/crates/core/src/gateway/controller.rs
@@ -11,6 +11,7 @@
 mod capacity;
 mod contacts;
 mod decisions;
+mod facts;
 mod forwarding;
 mod items;
 mod jobs;
@@ -25,6 +26,7 @@
 mod reach;
 mod registry;
 mod relays;
+mod reminders;
 mod rewards;
 mod routing;
 mod store_requests;
@@ -74,8 +76,12 @@
     controllers.push(Box::new(calls::Calls));
     controllers.push(Box::new(registry::Registry::default()));
     controllers.push(Box::new(capacity::Capacity::default()));
-    if role == Role::Store {
-        controllers.push(Box::new(leaves::Leaves::default()));
+    match role {
+        Role::Entry => controllers.push(Box::new(reminders::Reminders::default())),
+        Role::Store => {
+            controllers.push(Box::new(facts::Facts::default()));
+            controllers.push(Box::new(leaves::Leaves::default()));
+        }
     }
     controllers.push(Box::new(limits::Limits));
     controllers.push(Box::new(routing::RoutingInForce));
--- a/crates/core/src/gateway/controller/lifecycle.rs
+++ b/crates/core/src/gateway/controller/lifecycle.rs
@@ -6,7 +6,7 @@
 
 use super::Controller;
 use crate::gateway::action::Action;
-use crate::gateway::board::Board;
+use crate::gateway::board::{Board, Upstream};
 use crate::gateway::event::Event;
 use crate::gateway::settings::Role;
 use crate::time::Millis;
@@ -67,7 +67,12 @@
 }
 
 fn is_ready(board: &Board) -> bool {
-    board.draining.is_none() && board.routing.is_some() && !board.upstreams.is_empty()
+    // A restarted store host tells of upstreams that had left before the others have announced themselves.
+    let has_upstreams = || {
+        let mut upstreams = board.upstreams.values();
+        if board.ready { upstreams.len() > 0 } else { upstreams.any(Upstream::accepts_requests) }
+    };
+    board.draining.is_none() && board.routing.is_some() && has_upstreams()
 }
 
 fn begin_drain(board: &mut Board) {
--- a/crates/core/src/gateway/controller/membership.rs
+++ b/crates/core/src/gateway/controller/membership.rs
@@ -193,6 +193,7 @@
 fn receive_records(board: &mut Board, from: HostId, records: &[UpstreamRecord]) {
     for record in records {
         let UpstreamRecord { announced, silent, gone, left, said_leaving, limit, .. } = record;
+        let departed_at = record.departed_ago.map(|ago| board.now.wall.since(ago));
         if let Some(stated) = *limit {
             let (id, started_at) = (announced.id.clone(), announced.started_at);
             board.pending_limits.push(LimitRecord { id, started_at, stated });
@@ -203,6 +204,7 @@
             gone: *gone,
             left: *left,
             said_leaving: *said_leaving,
+            departed_at,
         };
         board.pending_announcements.push((announced.clone(), source));
     }
--- a/crates/core/src/gateway/controller/outbox.rs
+++ b/crates/core/src/gateway/controller/outbox.rs
@@ -1,6 +1,6 @@
 //! Outbox: passes records to the disk and group messages to the links, in a safe order.
 //!
-//! Reads and writes: `group`. Writes: `actions`.
+//! Reads and writes: `group`, `facts`. Writes: `actions`.
 //!
 //! A vote or an acknowledgement is sent only after the records that it refers to are synced.
 
@@ -21,13 +21,16 @@
     fn run(&mut self, board: &mut Board, _event: Option<&Event>) {
         let Some(mut group) = board.group.take() else { return };
         let records = std::mem::take(&mut group.outbox.records);
-        if !records.is_empty() {
+        if !records.is_empty() || board.facts.has_batch() {
             let token = SyncToken(group.last_token.0 + 1);
             group.last_token = token;
-            let last_index = group.replica.log().last_index();
-            let entry_bytes = records.iter().map(entry_bytes).sum();
-            group.pending_syncs.push_back(PendingSync { token, last_index, entry_bytes });
-            board.actions.push(Action::Persist { token, records });
+            let facts = board.facts.take_batch(token);
+            if !records.is_empty() {
+                let last_index = group.replica.log().last_index();
+                let entry_bytes = records.iter().map(entry_bytes).sum();
+                group.pending_syncs.push_back(PendingSync { token, last_index, entry_bytes });
+            }
+            board.actions.push(Action::Persist { token, records, facts });
         }
         let epoch = group.replica.epoch();
         for (to, message) in std::mem::take(&mut group.outbox.immediate) {
--- a/crates/core/src/gateway/controller/registry.rs
+++ b/crates/core/src/gateway/controller/registry.rs
@@ -18,7 +18,8 @@
 use crate::error::{ErrorKind, Problem};
 use crate::gateway::action::{Action, Answer};
 use crate::gateway::board::{
-    AnnouncementSource, Board, LeaveNotice, LeaveSource, SaidLeaving, Upstream,
+    AnnouncementSource, Board, DEPARTURE_RETENTION, Departure, Host, LeaveNotice, LeaveSource,
+    SaidLeaving, Upstream,
 };
 use crate::gateway::event::{Announcement, Call, Event, IncomingCall};
 use crate::gateway::settings::Role;
@@ -36,6 +37,13 @@
 /// How long after an upstream's statement that it leaves this host tells the store hosts.
 const LEAVE_REPORT_DELAY: Millis = Millis(200);
 
+/// How long after its start a store host waits for the views of the others before it trusts the first
+/// announcement of an upstream, which waits one second for an answer.
+const FIRST_VIEWS_TIMEOUT: Millis = Millis(600);
+
+/// The most announcements that wait for these views; beyond it, they are handled at once.
+const MAX_EARLY: usize = 8_192;
+
 /// The interval between two checks for silent upstreams.
 const SWEEP_INTERVAL: Millis = Millis(500);
 
@@ -43,6 +51,8 @@
 #[derive(Debug, Default)]
 pub(super) struct Registry {
     sweep_at: Millis,
+    /// Announcements of unknown upstreams that came before the views of other store hosts.
+    early: Vec<IncomingCall>,
 }
 
 impl Controller for Registry {
@@ -50,7 +60,7 @@
         if let Some(Event::UpstreamLeaving { upstream, answer }) = event {
             mark_leaving(board, *upstream, LeaveSource::Answer, answer);
         }
-        handle_calls(board);
+        self.handle_calls(board);
         for (announced, source) in std::mem::take(&mut board.pending_announcements) {
             if let AnnouncementSource::Registry { host, said_leaving: true, .. } = source {
                 board.pending_leaves.push((announced.id.clone(), announced.started_at, host));
@@ -65,13 +75,52 @@
     }
 
     fn next_deadline(&self, board: &Board) -> Millis {
+        let views_due = if self.early.is_empty() { Millis::MAX } else { FIRST_VIEWS_TIMEOUT };
         if board.upstreams.is_empty() || board.cfg.role == Role::Entry {
-            return Millis::MAX;
+            return views_due;
         }
-        self.sweep_at
+        self.sweep_at.min(views_due)
     }
 }
 
+impl Registry {
+    /// Returns whether a call is the announcement of an upstream of which views that have not come yet
+    /// may say that it has left.
+    fn is_early(&self, board: &Board, call: &Call) -> bool {
+        let Call::Announce(announced) = call else { return false };
+        !board.upstream_index.contains_key(&announced.id)
+            && self.early.len() < MAX_EARLY
+            && awaits_first_views(board)
+    }
+
+    fn handle_calls(&mut self, board: &mut Board) {
+        if !self.early.is_empty() && !awaits_first_views(board) {
+            board.pending_calls.extend(self.early.drain(..));
+        }
+        let mut calls = std::mem::take(&mut board.pending_calls);
+        for call in std::mem::take(&mut calls) {
+            if self.is_early(board, &call.call) {
+                self.early.push(call);
+            } else {
+                calls.push_back(call);
+            }
+        }
+        board.pending_calls = calls;
+        handle_calls(board);
+    }
+}
+
+/// Returns whether another store host has not told this one, which has restarted, what it knows.
+fn awaits_first_views(board: &Board) -> bool {
+    if board.cfg.role == Role::Entry || board.cfg.first_start {
+        return false;
+    }
+    let is_missing = |host: &Host| {
+        host.role == Role::Store && host.contact_since.is_some() && host.known_revision == (0, 0)
+    };
+    board.now.mono < FIRST_VIEWS_TIMEOUT && board.hosts.values().any(is_missing)
+}
+
 fn handle_calls(board: &mut Board) {
     let mut remaining = std::collections::VecDeque::new();
     for IncomingCall { tag, trace, wait_limit, call } in std::mem::take(&mut board.pending_calls) {
@@ -177,14 +226,19 @@
 fn handle_announcement(board: &mut Board, announced: Announcement, source: AnnouncementSource) {
     let now = board.now.mono;
     let Some(key) = board.upstream_index.get(&announced.id).copied() else {
-        if matches!(source, AnnouncementSource::Registry { gone: true, .. }) {
+        let is_gone = matches!(source, AnnouncementSource::Registry { gone: true, .. });
+        let departed_at = source.departed_at();
+        let age = departed_at.map_or(Millis(0), |at| board.now.wall.since(at));
+        // A store host keeps it to recognise announcements that are late.
+        board.unheard.remove(&announced.id);
+        if (is_gone && board.cfg.role == Role::Entry) || age > DEPARTURE_RETENTION {
             return;
         }
         let id = announced.id.clone();
         let mut upstream = Upstream::new(announced, now);
+        (upstream.gone, upstream.departed_at) = (is_gone, departed_at);
         if let AnnouncementSource::Registry { left, .. } = source {
             upstream.left = left;
-            upstream.leave_kept = left || upstream.announced.leaving;
         }
         record_departure(board, upstream.leave_notice);
         let key = board.upstreams.insert(upstream);
@@ -195,13 +249,10 @@
     };
     let old = board.upstreams[key].announced.order();
     let new = announced.order();
-    if let AnnouncementSource::Registry { host, left, .. } = source
+    if let AnnouncementSource::Registry { host, left: true, .. } = source
         && new.0 == old.0
     {
-        board.upstreams[key].leave_kept |= left || announced.leaving;
-        if left {
-            record_left(board, key, Some(host));
-        }
+        record_left(board, key, Some(host));
     }
     if new < old {
         return;
@@ -295,6 +346,14 @@
     let upstream = &mut board.upstreams[key];
     upstream.revision = board.revision;
     upstream.learned_from = learned_from;
+    let departure = upstream.departure();
+    if departure != Departure::default() && upstream.departed_at.is_none() {
+        upstream.departed_at = Some(board.now.wall);
+    }
+    if Some(departure) != upstream.saved_departure && board.cfg.role == Role::Store {
+        upstream.saved_departure = Some(departure);
+        board.facts.mark_changed(key);
+    }
     let announced = &upstream.announced;
     let mut detail = format!(
         "{change} service={} address={} zone={} born={} seq={} versions={:?} software={}",
--- a/crates/core/src/gateway/controller/views.rs
+++ b/crates/core/src/gateway/controller/views.rs
@@ -173,7 +173,7 @@
         if upstream.revision <= host.sent_revision || is_its_own {
             continue;
         }
-        records.push(upstream.record(board.now.mono));
+        records.push(upstream.record(board.now));
     }
     records
 }
--- a/crates/core/src/gateway/event.rs
+++ b/crates/core/src/gateway/event.rs
@@ -8,6 +8,7 @@
 use crate::directory::{ApiKey, ItemSpec, ItemText, RoutingConfig};
 use crate::error::Problem;
 use crate::gateway::board::InstanceId;
+use crate::gateway::facts::Fact;
 use crate::gateway::provider::ProviderCallEnd;
 use crate::gateway::rate::RequestRate;
 use crate::key::{
@@ -24,6 +25,8 @@
     Tick,
     /// The records on the disk, reported before any other event; empty on a host without a disk.
     Restored(Vec<Record>),
+    /// The facts on the disk, in the order in which they were written; reported next.
+    RestoredFacts(Vec<Fact>),
     /// A call has arrived.
     Opened(IncomingCall),
     /// The caller of an exchange has disconnected.
--- a/crates/core/src/gateway/message.rs
+++ b/crates/core/src/gateway/message.rs
@@ -73,6 +73,9 @@
     LeavesKept {
         /// The number.
         number: u64,
+        /// Whether it has them on its disk; not so a host of an earlier version.
+        #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+        on_disk: bool,
     },
     /// Streams of callers that the sender has sent to upstreams, for the receiver to remember.
     ///
--- a/crates/core/src/gateway/message/membership.rs
+++ b/crates/core/src/gateway/message/membership.rs
@@ -12,6 +12,7 @@
 use crate::gateway::event::Announcement;
 use crate::gateway::settings::Role;
 use crate::key::HostId;
+use crate::time::Millis;
 
 /// The message that announces a host to a store host, repeated while the host is alive.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -147,6 +148,14 @@
     pub upstreams: Vec<UpstreamRecord>,
 }
 
+impl UpstreamRecord {
+    /// Returns whether the upstream leaves or has left.
+    #[must_use]
+    pub fn departs(&self) -> bool {
+        self.gone || self.left || self.said_leaving || self.announced.leaving
+    }
+}
+
 /// An upstream in the registry of a store host.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -173,4 +182,8 @@
     /// earlier version ignores this.
     #[serde(default, skip_serializing_if = "std::ops::Not::not")]
     pub slow: bool,
+    /// How long ago its departure became known; `None` if it doesn't leave, and from a host of an earlier
+    /// version.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub departed_ago: Option<Millis>,
 }
--- a/crates/core/tests/it/deployment.rs
+++ b/crates/core/tests/it/deployment.rs
@@ -19,8 +19,8 @@
 
 use chestnutdrift_core::agreement::Record;
 use chestnutdrift_core::gateway::{
-    Action, Answer, Call, Event, Gateway, GatewaySettings, JobBody, Order, Policies, ProviderCall,
-    ProviderSettings, Role, RunItem, WorkspaceSettings,
+    Action, Answer, Call, Event, Fact, FactBatch, Gateway, GatewaySettings, JobBody, Order,
+    Policies, ProviderCall, ProviderSettings, Role, RunItem, WorkspaceSettings,
 };
 use chestnutdrift_core::key::SyncToken;
 use chestnutdrift_core::message::Envelope;
@@ -64,11 +64,30 @@
     started_at: u64,
     incarnation: u64,
     disk: Vec<Record>,
+    facts: Vec<Fact>,
+    /// The facts that a kill loses, as they are not synced yet.
+    unsynced_facts: Vec<(SyncToken, FactBatch)>,
     queued_events: Vec<Event>,
     is_frozen: bool,
     tick: u64,
 }
 
+impl Node {
+    /// Writes the facts of the batches up to a token to the disk.
+    fn write_facts(&mut self, up_to: SyncToken) {
+        for (token, batch) in std::mem::take(&mut self.unsynced_facts) {
+            if token > up_to {
+                self.unsynced_facts.push((token, batch));
+                continue;
+            }
+            if batch.replaces {
+                self.facts.clear();
+            }
+            self.facts.extend(batch.facts);
+        }
+    }
+}
+
 /// The size of a simulated deployment.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct Size {
@@ -250,6 +269,8 @@
             started_at: 0,
             incarnation: 0,
             disk: Vec::new(),
+            facts: Vec::new(),
+            unsynced_facts: Vec::new(),
             queued_events: Vec::new(),
             is_frozen: false,
             tick: 0,
@@ -277,6 +298,7 @@
         node.started_at = now;
         node.is_frozen = false;
         node.queued_events.clear();
+        node.unsynced_facts.clear();
         if node.disk.is_empty() || node.incarnation == 0 {
             node.incarnation = boot_id;
         }
@@ -294,8 +316,9 @@
             .learned_capacity(self.policies.0);
         let clock = Now::new(Millis(0), Millis(START_WALL_MS + now));
         node.gateway = Some(Gateway::with_policies(cfg, clock, (self.policies.1)()));
-        let records = node.disk.clone();
+        let (records, facts) = (node.disk.clone(), node.facts.clone());
         self.handle(id, &Event::Restored(records));
+        self.handle(id, &Event::RestoredFacts(facts));
     }
 
     /// Sends a stop event to a host.
@@ -420,6 +443,9 @@
         if node.is_frozen {
             return;
         }
+        if let Event::Synced(token) = event {
+            node.write_facts(*token);
+        }
         let Some(gateway) = &mut node.gateway else { return };
         let ahead = self.wall_offsets.get(&id).copied().unwrap_or_default();
         let wall = Millis((START_WALL_MS + now).saturating_add_signed(ahead));
@@ -442,9 +468,10 @@
     fn perform(&mut self, id: HostId, boot_id: u64, action: Action) {
         match action {
             Action::Send { to, envelope } => self.send(id, to, envelope),
-            Action::Persist { token, records } => {
+            Action::Persist { token, records, facts } => {
                 let node = self.nodes.get_mut(&id).expect("a known host");
                 node.disk.extend(records);
+                node.unsynced_facts.push((token, facts));
                 if let Some(waiting) = self.stalled_disks.get_mut(&id) {
                     *waiting = Some(token);
                     return;
--- a/crates/core/tests/it/deployment/faults.rs
+++ b/crates/core/tests/it/deployment/faults.rs
@@ -24,9 +24,22 @@
         let node = self.nodes.get_mut(&id).expect("a known host");
         assert!(node.gateway.is_none(), "{id:?} is running");
         node.disk.clear();
+        node.facts.clear();
         node.incarnation = 0;
     }
 
+    /// Erases the facts on the disk of a stopped host, as if it had run an earlier version.
+    pub(crate) fn lose_facts(&mut self, id: HostId) {
+        let node = self.nodes.get_mut(&id).expect("a known host");
+        assert!(node.gateway.is_none(), "{id:?} is running");
+        node.facts.clear();
+    }
+
+    /// Returns the number of facts on the disk of a host.
+    pub(crate) fn facts_on_disk(&self, id: HostId) -> usize {
+        self.nodes[&id].facts.len()
+    }
+
     /// Suspends a host until [`Deployment::thaw`]; its clocks continue.
     pub(crate) fn freeze(&mut self, id: HostId) {
         self.nodes.get_mut(&id).expect("a known host").is_frozen = true;
--- a/crates/core/tests/it/main.rs
+++ b/crates/core/tests/it/main.rs
@@ -18,6 +18,7 @@
 mod item_queue;
 mod job_memory;
 mod joined_texts;
+mod lasting_leaves;
 mod leaving;
 mod lifecycle;
 mod limits;
--- a/crates/daemon/src/control.rs
+++ b/crates/daemon/src/control.rs
@@ -151,7 +151,7 @@
             Action::Send { to, envelope } => self.outputs.links.send(to, envelope),
             Action::Persist { token, records } => {
                 let Some(disk) = &self.outputs.disk else { return };
-                let _ = disk.send(DiskJob { token, records });
+                let _ = disk.send(DiskJob::new(token, records));
             }
             Action::Order { order, address, task, fence, valid_until, timeout } => {
                 let clock = self.clock;
--- a/crates/daemon/src/disk.rs
+++ b/crates/daemon/src/disk.rs
@@ -5,9 +5,13 @@
 //! could report records as durable that are not on the disk. A full disk is an exception: the part
 //! that was written is cut off, and the records are written again once there is room. They are
 //! reported as durable only after that.
+//!
+//! Facts, which need no agreement, are kept in a file beside the journal. A damaged part of it is left
+//! out, since other hosts know them too.
 
 mod codec;
 mod compactor;
+mod fact_file;
 mod folder;
 mod queue;
 mod reader;
@@ -20,6 +24,7 @@
 
 use anyhow::Context;
 use chestnutdrift_core::agreement::Record;
+use chestnutdrift_core::gateway::{Fact, FactBatch};
 use chestnutdrift_core::key::SyncToken;
 use crossbeam::channel::Sender;
 use crossbeam::select;
@@ -28,6 +33,7 @@
 
 pub use codec::{decode_batches, encode_batch};
 pub use compactor::JournalCompactor;
+pub use fact_file::FactFile;
 pub use folder::{DataFolder, Disk, Identity};
 pub use queue::DiskQueue;
 
@@ -50,6 +56,22 @@
     pub token: SyncToken,
     /// The records, in order.
     pub records: Vec<Record>,
+    /// The facts, which are kept in a file of their own.
+    pub facts: FactBatch,
+}
+
+impl DiskJob {
+    /// Creates a batch without facts.
+    #[must_use]
+    pub fn new(token: SyncToken, records: Vec<Record>) -> Self {
+        Self { token, records, facts: FactBatch::default() }
+    }
+
+    /// Sets the facts of the batch (default: none).
+    #[must_use]
+    pub fn facts(self, facts: FactBatch) -> Self {
+        Self { facts, ..self }
+    }
 }
 
 /// What the disk thread reports.
@@ -68,6 +90,8 @@
     pub incarnation: u64,
     /// The records, in order.
     pub records: Vec<Record>,
+    /// The facts, in order.
+    pub facts: Vec<Fact>,
     /// The thread that owns the folder; `None` without a disk.
     pub thread: Option<DiskThread>,
     /// The queue of that thread; `None` without a disk.
@@ -89,13 +113,15 @@
     ) -> anyhow::Result<Self> {
         let Some(path) = path else {
             let incarnation = clock::wall().0;
-            return Ok(Self { incarnation, records: Vec::new(), thread: None, jobs: None });
+            let (records, facts) = (Vec::new(), Vec::new());
+            return Ok(Self { incarnation, records, facts, thread: None, jobs: None });
         };
-        let (folder, identity, records) = DataFolder::open(path, host)?;
+        let (mut folder, identity, records) = DataFolder::open(path, host)?;
+        let facts = folder.take_facts();
         memory::log_use("journal-read");
         let (thread, jobs) = DiskThread::start(folder, inputs.clone(), to_input)?;
         let incarnation = identity.incarnation;
-        Ok(Self { incarnation, records, thread: Some(thread), jobs: Some(jobs) })
+        Ok(Self { incarnation, records, facts, thread: Some(thread), jobs: Some(jobs) })
     }
 }
 
@@ -177,6 +203,7 @@
         let mut bytes = first.bytes();
         let mut token = first.token;
         let mut records = first.records;
+        let mut facts = first.facts;
         for _ in 0..MAX_JOINED_BATCHES {
             if bytes >= MAX_JOINED_BYTES {
                 break;
@@ -185,8 +212,9 @@
             bytes += job.bytes();
             token = job.token;
             records.extend(job.records);
+            facts.append(job.facts);
         }
-        let written = write(&mut disk, &records);
+        let written = write_all(&mut disk, &records, &facts);
         jobs.release(bytes);
         if let Err(error) = written {
             // Closes the queue first: the receiver of the report may wait for room in it.
@@ -204,11 +232,22 @@
     }
 }
 
-/// Writes records; waits for room while the disk is full.
-fn write(disk: &mut impl Disk, records: &[Record]) -> anyhow::Result<()> {
+/// Writes records and facts, as far as there are any.
+fn write_all(disk: &mut impl Disk, records: &[Record], facts: &FactBatch) -> anyhow::Result<()> {
+    if !records.is_empty() {
+        retry_while_full(|| disk.write(records))?;
+    }
+    if !facts.is_empty() {
+        retry_while_full(|| disk.write_facts(facts))?;
+    }
+    Ok(())
+}
+
+/// Writes to the disk; waits for room while it is full.
+fn retry_while_full(mut write: impl FnMut() -> anyhow::Result<()>) -> anyhow::Result<()> {
     let mut full_since = None;
     loop {
-        match disk.write(records) {
+        match write() {
             Err(error) if is_full(&error) => {
                 if full_since.is_none() {
                     log::error!(event = "disk-full"; "records wait for free space: {error:#}");
--- a/crates/daemon/src/disk/codec.rs
+++ b/crates/daemon/src/disk/codec.rs
@@ -28,7 +28,7 @@
 }
 
 impl Header {
-    fn new(length: u64, sum: u32) -> anyhow::Result<Self> {
+    pub(super) fn new(length: u64, sum: u32) -> anyhow::Result<Self> {
         let length = u32::try_from(length).context("a batch of records is longer than 4 GB")?;
         Ok(Self { length, sum })
     }
@@ -38,7 +38,7 @@
         Self { length: u32::from_le_bytes([a, b, c, d]), sum: u32::from_le_bytes([e, f, g, h]) }
     }
 
-    fn encode(self) -> [u8; HEADER_BYTES] {
+    pub(super) fn encode(self) -> [u8; HEADER_BYTES] {
         let [a, b, c, d] = self.length.to_le_bytes();
         let [e, f, g, h] = self.sum.to_le_bytes();
         [a, b, c, d, e, f, g, h]
--- a/crates/daemon/src/disk/folder.rs
+++ b/crates/daemon/src/disk/folder.rs
@@ -8,8 +8,10 @@
 
 use anyhow::{Context, bail};
 use chestnutdrift_core::agreement::Record;
+use chestnutdrift_core::gateway::{Fact, FactBatch};
 use serde::{Deserialize, Serialize};
 
+use super::fact_file::FactFile;
 use super::reader::JournalReader;
 use super::{JournalCompactor, codec};
 use crate::clock;
@@ -29,6 +31,13 @@
     /// Returns an error if any part failed. If the disk is full, the same records may be written
     /// again; after any other error no record on this disk may be reported as durable any more.
     fn write(&mut self, records: &[Record]) -> anyhow::Result<()>;
+
+    /// Writes facts and returns once they are synced.
+    ///
+    /// # Errors
+    ///
+    /// As [`Disk::write`].
+    fn write_facts(&mut self, facts: &FactBatch) -> anyhow::Result<()>;
 }
 
 /// The owner of a data folder.
@@ -51,6 +60,9 @@
     /// Whether the last write failed; the next one then repeats its records.
     failed: bool,
     compactor: JournalCompactor,
+    facts: FactFile,
+    /// The facts that were read when the folder was opened.
+    restored_facts: Vec<Fact>,
 }
 
 impl DataFolder {
@@ -83,10 +95,19 @@
         sync_folder(path)?;
         let mut compactor = JournalCompactor::default();
         records.iter().for_each(|record| compactor.apply(record));
-        let folder = Self { path: path.into(), journal, length, failed: false, compactor };
+        let (facts, restored_facts) = FactFile::open(path)?;
+        let path = path.into();
+        let folder =
+            Self { path, journal, length, failed: false, compactor, facts, restored_facts };
         Ok((folder, identity, records))
     }
 
+    /// Returns the facts that were read when the folder was opened; none the next time.
+    #[must_use]
+    pub fn take_facts(&mut self) -> Vec<Fact> {
+        std::mem::take(&mut self.restored_facts)
+    }
+
     /// Writes the records that are still needed to a new journal and replaces the old one by it.
     fn compact(&mut self) -> anyhow::Result<()> {
         let new = self.path.join(NEW_JOURNAL_FILE);
@@ -134,6 +155,10 @@
         self.failed = false;
         Ok(())
     }
+
+    fn write_facts(&mut self, facts: &FactBatch) -> anyhow::Result<()> {
+        self.facts.write(facts)
+    }
 }
 
 fn load_identity(path: &Path, host: &str) -> anyhow::Result<Identity> {
@@ -175,6 +200,6 @@
     Ok(identity)
 }
 
-fn sync_folder(path: &Path) -> anyhow::Result<()> {
+pub(super) fn sync_folder(path: &Path) -> anyhow::Result<()> {
     File::open(path)?.sync_all().with_context(|| format!("{} can't be synced", path.display()))
 }
--- a/crates/daemon/src/disk/queue.rs
+++ b/crates/daemon/src/disk/queue.rs
@@ -67,10 +67,10 @@
 }
 
 impl DiskJob {
-    /// Returns the approximate size of the records, in bytes.
+    /// Returns the approximate size of the records and facts, in bytes.
     #[must_use]
     pub fn bytes(&self) -> usize {
-        self.records.iter().map(record_bytes).sum()
+        self.records.iter().map(record_bytes).sum::<usize>() + self.facts.bytes()
     }
 }
 
--- a/crates/daemon/src/gateway/control.rs
+++ b/crates/daemon/src/gateway/control.rs
@@ -218,9 +218,9 @@
             }
             Action::CloseUpstream { upstream } => self.outputs.pool.close_upstream(&upstream),
             Action::Send { to, envelope } => self.outputs.links.send(to, envelope),
-            Action::Persist { token, records } => {
+            Action::Persist { token, records, facts } => {
                 let Some(disk) = &self.outputs.disk else { return };
-                if disk.send(DiskJob { token, records }).is_err() {
+                if disk.send(DiskJob::new(token, records).facts(facts)).is_err() {
                     log::error!(event = "disk-gone"; "the disk thread has ended");
                 }
             }
--- a/crates/daemon/src/gateway/start.rs
+++ b/crates/daemon/src/gateway/start.rs
@@ -53,7 +53,8 @@
     let boot_id = clock::wall().0;
     let cfg = file.gateway.clone().instance_ids(restored.incarnation, boot_id);
     let mut gateway = Gateway::new(cfg, clock.now());
-    let restore_actions = gateway.handle(clock.now(), &Event::Restored(restored.records));
+    let mut restore_actions = gateway.handle(clock.now(), &Event::Restored(restored.records));
+    restore_actions.extend(gateway.handle(clock.now(), &Event::RestoredFacts(restored.facts)));
     memory::log_use("restored");
     let runtime = link::socket_runtime("traffic")?;
     runtime.spawn(watch_file(watch, inputs.clone()));
--- a/crates/daemon/tests/process/disk.rs
+++ b/crates/daemon/tests/process/disk.rs
@@ -6,6 +6,7 @@
 use chestnutdrift_core::agreement::GroupState;
 use chestnutdrift_core::agreement::{Command, Entry, GroupId, Record, Snapshot};
 use chestnutdrift_core::fleet::FleetState;
+use chestnutdrift_core::gateway::FactBatch;
 use chestnutdrift_core::key::SyncToken;
 use chestnutdrift_daemon::disk::{
     DataFolder, Disk, DiskJob, DiskReport, DiskThread, JournalCompactor, decode_batches,
@@ -225,6 +226,10 @@
         self.left -= 1;
         Ok(())
     }
+
+    fn write_facts(&mut self, _facts: &FactBatch) -> anyhow::Result<()> {
+        self.write(&[])
+    }
 }
 
 #[test]
@@ -232,10 +237,10 @@
     let (reports, events) = channel::unbounded();
     let (thread, jobs) =
         DiskThread::start(FailingDisk { left: 1 }, reports, |report| report).unwrap();
-    jobs.send(DiskJob { token: SyncToken(1), records: records() }).unwrap();
+    jobs.send(DiskJob::new(SyncToken(1), records())).unwrap();
     let first = events.recv_timeout(WAIT_TIMEOUT).unwrap();
     assert_eq!(first, DiskReport::Synced(SyncToken(1)));
-    jobs.send(DiskJob { token: SyncToken(2), records: records() }).unwrap();
+    jobs.send(DiskJob::new(SyncToken(2), records())).unwrap();
     let second = events.recv_timeout(WAIT_TIMEOUT).unwrap();
     assert!(matches!(second, DiskReport::Failed(_)), "{second:?}");
     thread.close();
@@ -260,6 +265,10 @@
         assert_eq!(self.written, records, "a batch is written twice");
         Ok(())
     }
+
+    fn write_facts(&mut self, facts: &FactBatch) -> anyhow::Result<()> {
+        panic!("{facts:?} were not sent");
+    }
 }
 
 #[test]
@@ -267,7 +276,7 @@
     let (reports, events) = channel::unbounded();
     let disk = FullDisk { refusals: 2, written: Vec::new() };
     let (thread, jobs) = DiskThread::start(disk, reports, |report| report).unwrap();
-    jobs.send(DiskJob { token: SyncToken(1), records: records() }).unwrap();
+    jobs.send(DiskJob::new(SyncToken(1), records())).unwrap();
     let early = events.recv_timeout(Duration::from_millis(100));
     assert!(early.is_err(), "{early:?} while the disk is full");
     assert_eq!(events.recv_timeout(WAIT_TIMEOUT).unwrap(), DiskReport::Synced(SyncToken(1)));
@@ -283,6 +292,10 @@
     fn write(&mut self, _records: &[Record]) -> anyhow::Result<()> {
         Ok(())
     }
+
+    fn write_facts(&mut self, _facts: &FactBatch) -> anyhow::Result<()> {
+        Ok(())
+    }
 }
 
 /// Guards against a control thread that waits for room in the queue of the disk, while the disk thread
@@ -297,7 +310,7 @@
     let (sent, all_sent) = channel::bounded(1);
     let control = std::thread::spawn(move || {
         for token in 1..=BATCHES {
-            jobs.send(DiskJob { token: SyncToken(token), records: records() }).unwrap();
+            jobs.send(DiskJob::new(SyncToken(token), records())).unwrap();
         }
         sent.send(()).unwrap();
         jobs
--- a/crates/daemon/tests/process/main.rs
+++ b/crates/daemon/tests/process/main.rs
@@ -4,6 +4,7 @@
 mod booking;
 mod chat;
 mod disk;
+mod fact_file;
 mod fixture;
 mod gateway_settings;
 mod input_queue;
