fix(core): an upstream could not leave after a restart of all stores

What callers saw: after all store hosts were killed, an upstream that leaves without another announcement got 503 from each of them until it gave up and exited; entries went on sending it requests until its connections failed.

Cause: a store rejects a leave of an id that it doesn't know, and a restarted one knows only what has announced itself since.

Change: stores keep the instances that exist among their facts. A restored one gets no work before it announces itself, but it can leave.

--- a/crates/core/src/gateway/controller/registry.rs
+++ b/crates/core/src/gateway/controller/registry.rs
@@ -134,6 +134,12 @@
                 handle_leave(board, &id);
                 acknowledge(board, tag, &id);
             }
+            Call::Leave { id } if board.unheard.contains_key(&id) => {
+                let announced = board.unheard.remove(&id);
+                announced.into_iter().for_each(|announced| insert_unheard(board, announced));
+                handle_leave(board, &id);
+                acknowledge(board, tag, &id);
+            }
             Call::Leave { id } => {
                 let detail = "this host does not know the upstream; another one may";
                 board.reject(tag, &id, Problem::not_run(ErrorKind::NotReady, detail));
@@ -144,6 +150,13 @@
     board.pending_calls = remaining;
 }
 
+/// Adds an instance that has not announced itself since this process started.
+fn insert_unheard(board: &mut Board, announced: Announcement) {
+    let id = announced.id.clone();
+    let key = board.upstreams.insert(Upstream::new(announced, board.now.mono));
+    board.upstream_index.insert(id, key);
+}
+
 /// Answers an upstream. One that leaves gets its answer once other store hosts know it.
 fn acknowledge(board: &mut Board, tag: RequestTag, id: &str) {
     let key = board.upstream_index.get(id).copied();
--- a/crates/core/tests/it/lasting_leaves.rs
+++ b/crates/core/tests/it/lasting_leaves.rs
@@ -316,3 +316,26 @@
         assert!(!upstreams.contains_key("desk-1"), "{host:?} still knows it");
     }
 }
+
+/// Guards against a leave that every store host refuses after all of them were killed, as none of them
+/// knows the upstream, which sends no more heartbeats.
+#[test]
+fn a_leave_was_refused_after_a_restart_of_all_stores() {
+    for (seed, leave_to) in (220..).zip(STORES) {
+        for after_ms in [0, 20, 3_000] {
+            let case = format!("leave to {leave_to:?}, {after_ms} ms after the restart");
+            let mut deployment = start(seed);
+            kill(&mut deployment, &STORES);
+            deployment.run(700);
+            restart(&mut deployment, &STORES);
+            deployment.run(after_ms);
+            // Two of three store hosts count as live a little later.
+            let acknowledged = (0..3).any(|_| leave(&mut deployment, leave_to));
+            assert!(acknowledged, "{case}");
+            deployment.run(2_500);
+            late_heartbeat(&mut deployment, STORES[2]);
+            deployment.run(CONTACT_MS);
+            assert_left(&mut deployment, &case);
+        }
+    }
+}
