fix(core): an instance that was replaced came back after a restart of all stores

What callers saw: an upstream starts again under its id, all store hosts are killed and come back, and a delayed heartbeat of the instance before makes it the one that gets work, with its address and versions, until the new one's next announcement.

Cause: as for the leaves, the registry was in memory only, and any announcement of an unknown id is a new instance.

Change: an announcement that is older than a restored instance under the same id is dropped.

--- a/crates/core/src/gateway/controller/registry.rs
+++ b/crates/core/src/gateway/controller/registry.rs
@@ -243,6 +243,10 @@
         let departed_at = source.departed_at();
         let age = departed_at.map_or(Millis(0), |at| board.now.wall.since(at));
         // A store host keeps it to recognise announcements that are late.
+        let restored = board.unheard.get(&announced.id).map(|restored| restored.started_at);
+        if restored.is_some_and(|started_at| announced.started_at < started_at) {
+            return;
+        }
         board.unheard.remove(&announced.id);
         if (is_gone && board.cfg.role == Role::Entry) || age > DEPARTURE_RETENTION {
             return;
--- a/crates/core/tests/it/lasting_leaves.rs
+++ b/crates/core/tests/it/lasting_leaves.rs
@@ -339,3 +339,28 @@
         }
     }
 }
+
+/// Guards against a delayed heartbeat of an instance that another one had replaced under its id before
+/// all store hosts were killed, and against work for one that has not announced itself since.
+#[test]
+fn an_earlier_instance_came_back_after_a_restart_of_all_stores() {
+    for heartbeat_to in STORES {
+        let mut deployment = start(224);
+        deployment.send_call(STORES[0], Call::Announce(announcement("desk-1", 2, 1)));
+        deployment.run(1_500);
+        kill(&mut deployment, &STORES);
+        deployment.run(700);
+        restart(&mut deployment, &STORES);
+        deployment.run(1_500);
+        late_heartbeat(&mut deployment, heartbeat_to);
+        deployment.run(1_500);
+        let is_known = |store: &HostId| {
+            deployment.gateway(*store).board().upstream_index.contains_key("desk-1")
+        };
+        assert!(!STORES.iter().any(is_known), "heartbeat to {heartbeat_to:?}");
+        deployment.send_call(STORES[1], Call::Announce(announcement("desk-1", 2, 2)));
+        deployment.run(1_500);
+        let [restarted, _] = forwards(&mut deployment, ENTRIES[0], ["desk-1", "desk-2"]);
+        assert!(restarted > 0, "heartbeat to {heartbeat_to:?}");
+    }
+}
