fix(core): after a release a single slow answer was the measure of all upstreams

What callers saw: with learned capacity, the 99th percentile of requests to upstreams of which some are slow was worse after a release of all of them than without learned capacity.

Cause: of new instances nothing is known, and an unknown one counts as the median of the known. A host with few requests knows one of ten; if that one is slow, so is the median, and the host stays with it.

Change: the median stands for unknown upstreams once half of the service's are known; before that an unknown one counts as not answered yet and is tried.

--- a/crates/core/src/gateway/controller/candidates/speeds.rs
+++ b/crates/core/src/gateway/controller/candidates/speeds.rs
@@ -15,6 +15,10 @@
 /// its peers is forgotten, so that an upstream that was slow once is tried again.
 const FORGET_HALF_LIFE: Millis = Millis(4_000);
 
+/// The part of the upstreams of a service, in percent, whose response times must be known before the median
+/// stands for the others: a single slow one would be the median of all that is known.
+const MIN_KNOWN_PERCENT: usize = 50;
+
 /// If more than this part of the upstreams of a service is slow, in percent, none is: their response
 /// times just vary.
 const MAX_SLOW_PERCENT: usize = 34;
@@ -24,6 +28,8 @@
 pub(super) struct Speeds {
     /// The median response time by distance, in microseconds; zero where unknown.
     medians_us: [u64; DISTANCES],
+    /// Whether the medians stand for upstreams of which nothing is known.
+    are_medians_known: bool,
     /// The upstreams that this host has lately seen to be slow; none if they are too many.
     seen_slow: Vec<UpstreamKey>,
     /// These, and those that stores say are slow; none if they are too many.
@@ -59,7 +65,8 @@
             if is_exceptional { slow } else { Vec::new() }
         };
         let (seen_slow, slow) = (exceptions(seen_slow, known), exceptions(slow, peers.len()));
-        Self { medians_us, seen_slow, slow }
+        let are_medians_known = known * 100 >= peers.len() * MIN_KNOWN_PERCENT;
+        Self { medians_us, are_medians_known, seen_slow, slow }
     }
 
     /// Returns whether an upstream is clearly slower than its peers.
@@ -67,13 +74,15 @@
         self.slow.contains(&key)
     }
 
-    /// Returns the expected response time, which returns to the median as the last one ages.
+    /// Returns the expected response time, which returns to the median as the last one ages; zero if
+    /// nothing is known.
     pub(super) fn response_time_us(&self, board: &Board, upstream: &Upstream) -> u64 {
         let (now, estimate) = (board.now.mono, &upstream.request_capacity);
         let median_us = self.medians_us[distance(board, upstream)];
         let own_us = upstream.health.response_time_us;
         let Some(age) = estimate.age(now).filter(|_| median_us > 0) else {
-            return own_us.max(median_us);
+            let is_unknown = own_us == 0 && !self.are_medians_known;
+            return if is_unknown { 0 } else { own_us.max(median_us) };
         };
         let halvings = u32::try_from(age.0 / FORGET_HALF_LIFE.0).unwrap_or(u32::MAX);
         let difference = own_us.abs_diff(median_us).checked_shr(halvings).unwrap_or(0);
