fix(core): no upstream counted as slow while many were

Cause: under load many upstreams are slower than the median for a while, and with more than 34 % over the limit none counted as slow, the slowest included.

Change: the slowest 34 % count as slow.

--- a/crates/core/src/gateway/controller/candidates/speeds.rs
+++ b/crates/core/src/gateway/controller/candidates/speeds.rs
@@ -1,5 +1,7 @@
 //! How fast the upstreams of a service answer requests, compared with each other.
 
+use std::cmp::Reverse;
+
 use super::usable;
 use crate::gateway::board::{Board, Upstream};
 use crate::gateway::capacity::{self, MAX_SLOW_UPSTREAMS, REPORT_VALIDITY, SLOW_ANSWER_PERCENT};
@@ -19,8 +21,8 @@
 /// stands for the others: a single slow one would be the median of all that is known.
 const MIN_KNOWN_PERCENT: usize = 50;
 
-/// If more than this part of the upstreams of a service is slow, in percent, none is: their response
-/// times just vary.
+/// At most this part of the upstreams of a service counts as slow, in percent, the slowest ones: under a high
+/// load many are slower than the median for a while, and the others could not take the requests of all.
 const MAX_SLOW_PERCENT: usize = 34;
 
 /// The response times of the upstreams of a service.
@@ -30,9 +32,9 @@
     medians_us: [u64; DISTANCES],
     /// Whether the medians stand for upstreams of which nothing is known.
     are_medians_known: bool,
-    /// The upstreams that this host has lately seen to be slow; none if they are too many.
+    /// The upstreams that this host has lately seen to be slow, without those beyond the limit.
     seen_slow: Vec<UpstreamKey>,
-    /// These, and those that stores say are slow; none if they are too many.
+    /// These, and those that stores say are slow, without those beyond the limit.
     slow: Vec<UpstreamKey>,
 }
 
@@ -60,11 +62,14 @@
                 slow.push(*key);
             }
         }
-        let exceptions = |slow: Vec<UpstreamKey>, count: usize| {
-            let is_exceptional = slow.len() <= (count * MAX_SLOW_PERCENT / 100).max(1);
-            if is_exceptional { slow } else { Vec::new() }
+        let slowest = |mut slow: Vec<UpstreamKey>, count: usize| {
+            let unit_time_us =
+                |key: &UpstreamKey| board.upstreams[*key].request_capacity.unit_time_us(now);
+            slow.sort_by_key(|key| Reverse(unit_time_us(key)));
+            slow.truncate((count * MAX_SLOW_PERCENT / 100).max(1));
+            slow
         };
-        let (seen_slow, slow) = (exceptions(seen_slow, known), exceptions(slow, peers.len()));
+        let (seen_slow, slow) = (slowest(seen_slow, known), slowest(slow, peers.len()));
         let are_medians_known = known * 100 >= peers.len() * MIN_KNOWN_PERCENT;
         Self { medians_us, are_medians_known, seen_slow, slow }
     }
