fix(core): streams could not be taken up after all stores were killed

Cause: the software version that began a stream was in the memory of three stores only, and a stream of which nobody knows the version is refused.

Change: a stream is a kind of fact; the stores that are told write it to their disks. The retention counts by the wall clock. Batches that this version can read whole are decoded without the detour that leaves out unknown facts.

--- a/crates/core/src/gateway/board.rs
+++ b/crates/core/src/gateway/board.rs
@@ -50,7 +50,7 @@
 
 pub use admission::Admission;
 pub use announcement_source::AnnouncementSource;
-pub use fact_log::{FactLog, FactPosition};
+pub use fact_log::{Changes, FactLog, FactPosition};
 pub use group::{DirectoryGroup, PendingCommit, PendingSync};
 pub use host::{HOST_SILENCE_TIMEOUT, Host};
 pub use item::{Item, ItemState, JobRun};
--- a/crates/core/src/gateway/board/fact_log.rs
+++ b/crates/core/src/gateway/board/fact_log.rs
@@ -1,22 +1,35 @@
 //! The facts that this host has to write to its disk, and how far they are written.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeSet, VecDeque};
 
+use super::StreamRecord;
 use crate::gateway::facts::FactBatch;
 use crate::key::{SyncToken, UpstreamKey};
 
+/// The most streams that wait for the disk; beyond it, the oldest are not written.
+const MAX_WAITING_STREAMS: usize = 4_096;
+
 /// The position of a change among all changes of facts since the start of the process.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord)]
 pub struct FactPosition(u64);
 
+/// What has changed and is not being written yet.
+#[derive(Debug, Default)]
+pub struct Changes {
+    /// The upstreams of which facts have changed.
+    pub upstreams: BTreeSet<UpstreamKey>,
+    /// The streams that became known.
+    pub streams: VecDeque<StreamRecord>,
+}
+
 /// The facts of this host on their way to the disk.
 ///
-/// One batch at a time is written. What changes meanwhile is gathered by upstream, so that a disk that
-/// stalls holds up one batch and one key for each upstream at most.
+/// One batch at a time is written. What changes meanwhile is gathered, so that a disk that stalls holds up
+/// one batch, one key for each upstream, and a bounded number of streams.
 #[derive(Debug, Default)]
 pub struct FactLog {
     outbox: FactBatch,
-    changed: BTreeSet<UpstreamKey>,
+    changed: Changes,
     last: FactPosition,
     /// The batch that is being written, and the last change in it.
     in_flight: Option<(Option<SyncToken>, FactPosition)>,
@@ -25,9 +38,18 @@
 
 impl FactLog {
     /// Records that the facts on an upstream have changed.
-    pub fn mark_changed(&mut self, upstream: UpstreamKey) {
+    pub fn mark_upstream(&mut self, upstream: UpstreamKey) {
         self.last.0 += 1;
-        self.changed.insert(upstream);
+        self.changed.upstreams.insert(upstream);
+    }
+
+    /// Records that a stream became known.
+    pub fn mark_stream(&mut self, stream: StreamRecord) {
+        self.last.0 += 1;
+        if self.changed.streams.len() >= MAX_WAITING_STREAMS {
+            self.changed.streams.pop_front();
+        }
+        self.changed.streams.push_back(stream);
     }
 
     /// Returns the position of the last change.
@@ -42,18 +64,20 @@
         self.synced >= position
     }
 
-    /// Returns the upstreams whose facts have to be written now; `None` while a batch is being written.
+    /// Returns what has to be written now; `None` while a batch is being written, and where nothing has
+    /// changed.
     ///
     /// [`FactLog::send`] follows.
-    pub fn take_changed(&mut self) -> Option<BTreeSet<UpstreamKey>> {
-        if self.in_flight.is_some() || self.changed.is_empty() {
+    pub fn take_changed(&mut self) -> Option<Changes> {
+        let Changes { upstreams, streams } = &self.changed;
+        if self.in_flight.is_some() || (upstreams.is_empty() && streams.is_empty()) {
             return None;
         }
         self.in_flight = Some((None, self.last));
         Some(std::mem::take(&mut self.changed))
     }
 
-    /// Hands over the facts on the upstreams that were taken last; there may be none.
+    /// Hands over the facts on what was taken last; there may be none.
     pub fn send(&mut self, batch: FactBatch) {
         if !batch.is_empty() {
             self.outbox = batch;
--- a/crates/core/src/gateway/board/stream_origin.rs
+++ b/crates/core/src/gateway/board/stream_origin.rs
@@ -55,27 +55,28 @@
     pub workspace: Option<Box<str>>,
 }
 
-/// The origins that a store host remembers; a host that starts anew has none.
+/// The origins that a store host remembers.
 #[derive(Debug, Clone, Default)]
 pub struct StreamOrigins {
     streams: BTreeMap<Box<str>, StreamRecord>,
+    /// The ids, with the wall times at which they became known.
     order: VecDeque<(Millis, Box<str>)>,
 }
 
 impl StreamOrigins {
-    /// Remembers a stream.
-    pub fn insert(&mut self, record: StreamRecord, now: Millis) {
+    /// Remembers a stream that became known at the wall time `at`, and returns whether that is news.
+    pub fn insert(&mut self, record: StreamRecord, at: Millis, now: Millis) -> bool {
         let StreamOrigin { service, software } = &record.origin;
         if [&record.id, service, software].iter().any(|name| name.len() > MAX_NAME_BYTES) {
-            return;
+            return false;
         }
         match self.streams.get_mut(&record.id) {
             // The id is the caller's choice, so another workspace may use it too.
-            Some(known) if known.workspace != record.workspace => {}
-            Some(known) if known.number >= record.number => {}
+            Some(known) if known.workspace != record.workspace => return false,
+            Some(known) if known.number >= record.number => return false,
             Some(known) => *known = record,
             None => {
-                self.order.push_back((now, record.id.clone()));
+                self.order.push_back((at, record.id.clone()));
                 self.streams.insert(record.id.clone(), record);
             }
         }
@@ -86,6 +87,12 @@
             let Some((_, id)) = self.order.pop_front() else { break };
             self.streams.remove(&id);
         }
+        true
+    }
+
+    /// Returns the streams with the wall times at which they became known, oldest first.
+    pub fn iter(&self) -> impl Iterator<Item = (Millis, &StreamRecord)> {
+        self.order.iter().filter_map(|(at, id)| Some((*at, self.streams.get(id)?)))
     }
 
     /// Returns the origin of a stream; `None` if it is not known here, or is another workspace's. A
--- a/crates/core/src/gateway/controller/facts.rs
+++ b/crates/core/src/gateway/controller/facts.rs
@@ -1,8 +1,8 @@
 //! Facts: writes what must outlast all processes to the disk, and restores it.
 //!
 //! Reads: restored facts, synced batches, `facts` (what changed), the clock.
-//! Writes: `facts`, `upstreams` and `upstream_index` (restored departures), `unheard`, `revision`,
-//! `registry_changed`, `actions`.
+//! Writes: `facts`, `upstreams` and `upstream_index` (restored departures), `unheard`, `stream_origins`,
+//! `revision`, `registry_changed`, `actions`.
 //!
 //! An instance that left is restored to the registry, so that announcements which are late don't bring
 //! it back. One that had not left gets no work before it announces itself, but it may leave.
@@ -18,9 +18,9 @@
 use crate::time::{Millis, Now};
 use crate::timeline::EventKind;
 
-/// The most facts that are kept on the disk. Beyond it, instances that have not left are dropped first,
-/// then the ones that changed first.
-const MAX_FACTS: usize = 16_384;
+/// The most facts on upstreams that are kept on the disk. Beyond it, instances that have not left are
+/// dropped first, then the ones that changed first.
+const MAX_UPSTREAM_FACTS: usize = 16_384;
 
 /// The number of facts on the disk from which they are replaced by those that still matter, in addition
 /// to twice the number of those.
@@ -50,10 +50,12 @@
         }
         let Some(changed) = board.facts.take_changed() else { return };
         let mut facts = Vec::new();
-        for key in changed {
+        for key in changed.upstreams {
             let Some(upstream) = board.upstreams.get(key) else { continue };
             facts.push(fact(upstream, board.now));
         }
+        let at = board.now.wall;
+        facts.extend(changed.streams.into_iter().map(|record| Fact::Stream { at, record }));
         self.written += facts.len();
         let batch = if !facts.is_empty() && self.written >= self.replace_at {
             self.replace(board)
@@ -68,14 +70,21 @@
     fn restore(&mut self, board: &mut Board, facts: &[Fact]) {
         let mut newest: BTreeMap<&str, (Millis, &UpstreamRecord)> = BTreeMap::new();
         for fact in facts {
-            let Fact::Upstream { at, record } = fact;
-            let known = newest.entry(&record.announced.id).or_insert((*at, record));
+            let (at, record) = match fact {
+                Fact::Upstream { at, record } => (*at, record),
+                Fact::Stream { at, record } => {
+                    board.stream_origins.insert(record.clone(), *at, board.now.wall);
+                    continue;
+                }
+            };
+            let known = newest.entry(&record.announced.id).or_insert((at, record));
             if record.announced.order() >= known.1.announced.order() {
-                *known = (*at, record);
+                *known = (at, record);
             }
         }
+        let streams = board.stream_origins.iter().count();
         self.written = facts.len();
-        self.replace_at = 2 * newest.len() + MIN_REPLACED;
+        self.replace_at = 2 * (newest.len() + streams) + MIN_REPLACED;
         let mut departed = 0;
         for (id, (at, record)) in newest {
             if board.upstream_index.contains_key(id) {
@@ -89,7 +98,9 @@
             }
         }
         let unheard = board.unheard.len();
-        let detail = format!("facts={} departed={departed} unheard={unheard}", facts.len());
+        let read = facts.len();
+        let detail =
+            format!("facts={read} departed={departed} unheard={unheard} streams={streams}");
         board.note(EventKind::Started, "facts restored", detail);
     }
 
@@ -103,14 +114,16 @@
             }
         }
         known.sort_unstable_by_key(|(departs, revision, _)| (*departs, *revision));
-        let dropped = known.len().saturating_sub(MAX_FACTS);
+        let dropped = known.len().saturating_sub(MAX_UPSTREAM_FACTS);
         let kept = known.into_iter().skip(dropped);
         let mut facts: Vec<Fact> = kept.map(|(_, _, upstream)| fact(upstream, board.now)).collect();
-        let room = MAX_FACTS - facts.len();
+        let room = MAX_UPSTREAM_FACTS - facts.len();
         for announced in board.unheard.values().take(room) {
             let upstream = Upstream::new(announced.clone(), board.now.mono);
             facts.push(fact(&upstream, board.now));
         }
+        let streams = board.stream_origins.iter();
+        facts.extend(streams.map(|(at, record)| Fact::Stream { at, record: record.clone() }));
         let detail = format!("written={} kept={} dropped={dropped}", self.written, facts.len());
         board.note(EventKind::Dependency, "facts replaced", detail);
         self.written = facts.len();
--- a/crates/core/src/gateway/controller/registry.rs
+++ b/crates/core/src/gateway/controller/registry.rs
@@ -369,7 +369,7 @@
     }
     if Some(departure) != upstream.saved_departure && board.cfg.role == Role::Store {
         upstream.saved_departure = Some(departure);
-        board.facts.mark_changed(key);
+        board.facts.mark_upstream(key);
     }
     let announced = &upstream.announced;
     let mut detail = format!(
--- a/crates/core/src/gateway/controller/streams.rs
+++ b/crates/core/src/gateway/controller/streams.rs
@@ -1,12 +1,12 @@
 //! Streams: lets a stream that a caller takes up go on only at the software version that began it.
 //!
 //! Reads: messages of other hosts, `requests`, `stream_origins`, `upstreams`, `hosts`, the clock.
-//! Writes: `new_streams`, `stream_origins`, `stream_searches`, `requests` (state, origin and instances), `actions`.
+//! Writes: `new_streams`, `stream_origins`, `facts`, `stream_searches`, `requests` (state, origin and instances), `actions`.
 //!
 //! An entry host tells a few stores when it sends a request for a stream to an upstream, which is before
 //! the first event comes back. The stores are drawn by a hash of the stream's id, so that any other entry
-//! finds them, also after all entries have started anew. They keep the records in memory: a stream that
-//! no store knows any more is refused as not run.
+//! finds them, also after all entries have started anew. They write the records to their disks: a stream
+//! that no store knows any more is refused as not run.
 
 use std::collections::BTreeMap;
 
@@ -71,7 +71,10 @@
         GatewayMessage::Streams(records) => {
             for record in records {
                 let record = with_known_software(board, record.clone());
-                board.stream_origins.insert(record, board.now.mono);
+                let wall = board.now.wall;
+                if board.stream_origins.insert(record.clone(), wall, wall) {
+                    board.facts.mark_stream(record);
+                }
             }
         }
         GatewayMessage::FindStream { id, workspace } => {
--- a/crates/core/src/gateway/facts.rs
+++ b/crates/core/src/gateway/facts.rs
@@ -7,6 +7,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::board::StreamRecord;
 use super::message::UpstreamRecord;
 use crate::time::Millis;
 
@@ -24,6 +25,13 @@
         /// The upstream.
         record: UpstreamRecord,
     },
+    /// A stream of a caller has begun, or was sent to another upstream before its first event.
+    Stream {
+        /// The wall time at which that became known.
+        at: Millis,
+        /// The stream.
+        record: StreamRecord,
+    },
 }
 
 /// Facts to be written to the disk together.
--- a/crates/daemon/src/disk/fact_file.rs
+++ b/crates/daemon/src/disk/fact_file.rs
@@ -105,14 +105,19 @@
 /// Decodes batches; returns their facts and the number of bytes before the first damaged batch.
 fn decode(bytes: &[u8]) -> (Vec<Fact>, usize) {
     let (mut facts, mut used, mut unknown) = (Vec::new(), 0, 0);
-    while let Some((batch, length)) = decode_batch(&bytes[used..]) {
-        used += length;
-        for value in batch {
-            match value.deserialized() {
-                Ok(fact) => facts.push(fact),
-                Err(_) => unknown += 1,
+    while let Some(body) = first_body(&bytes[used..]) {
+        if let Ok(mut batch) = ciborium::from_reader(body) {
+            facts.append(&mut batch);
+        } else {
+            let Ok(values) = ciborium::from_reader::<Vec<Value>, _>(body) else { break };
+            for value in values {
+                match value.deserialized() {
+                    Ok(fact) => facts.push(fact),
+                    Err(_) => unknown += 1,
+                }
             }
         }
+        used += HEADER_BYTES + body.len();
     }
     if unknown > 0 {
         log::warn!(event = "facts-unknown", facts = unknown; "facts of another version are left out");
@@ -120,14 +125,11 @@
     (facts, used)
 }
 
-/// Decodes the first batch; returns its facts and its length in bytes.
-fn decode_batch(bytes: &[u8]) -> Option<(Vec<Value>, usize)> {
+/// Returns the encoded facts of the first batch; `None` if it is incomplete or damaged.
+fn first_body(bytes: &[u8]) -> Option<&[u8]> {
     let (header, rest) = bytes.split_first_chunk()?;
     let header = Header::decode(*header);
     let body = rest.get(..header.length as usize)?;
-    if body.is_empty() || crc32fast::hash(body) != header.sum {
-        return None;
-    }
-    let batch = ciborium::from_reader(body).ok()?;
-    Some((batch, HEADER_BYTES + body.len()))
+    let is_intact = !body.is_empty() && crc32fast::hash(body) == header.sum;
+    is_intact.then_some(body)
 }
