--- a/crates/core/src/gateway/controller/facts.rs
+++ b/crates/core/src/gateway/controller/facts.rs
@@ -67,6 +67,7 @@
 }
 
 impl Facts {
+    /// Restores the state that the facts on the disk tell of.
     fn restore(&mut self, board: &mut Board, facts: &[Fact]) {
         let mut newest: BTreeMap<&str, (Millis, &UpstreamRecord)> = BTreeMap::new();
         for fact in facts {
--- a/crates/core/src/gateway/controller/registry.rs
+++ b/crates/core/src/gateway/controller/registry.rs
@@ -1,10 +1,10 @@
 //! Registry: tracks the upstreams that announce themselves, to this host or to another store host.
 //!
-//! Reads: `pending_calls` (announcements and leaves), `pending_announcements`, `pending_leaves`,
+//! Reads: `pending_calls` (announcements and leaves), `pending_announcements`, `pending_leaves`, `unheard`,
 //! upstreams that said in an answer that they leave, the clock.
-//! Writes: `pending_calls`, `upstreams`, `upstream_index`, `upgraded_upstreams`, `last_departure`,
-//! `unconfirmed_leaves`, `revision`,
-//! `registry_changed`, `hosts` (the next hello), `actions`.
+//! Writes: `pending_calls`, `upstreams`, `upstream_index`, `unheard`, `upgraded_upstreams`,
+//! `last_departure`, `unconfirmed_leaves`, `facts`, `revision`, `registry_changed`, `hosts` (the next
+//! hello), `actions`.
 //!
 //! Announcements under one name are ordered by the start time of the upstream's process and then by
 //! their number, so that a delayed one changes nothing. An upstream may send one announcement to
@@ -12,7 +12,8 @@
 //! number, and every host keeps the same one of them. A leave has no number: it ends the instance,
 //! whatever its announcements say that arrive later, here or at another host. A silent upstream is
 //! not yet gone: it may be cut off from the store hosts only, so requests merely prefer other
-//! upstreams.
+//! upstreams. A store host that has restarted waits for the views of the others before it takes an
+//! unknown instance for a new one.
 
 use super::Controller;
 use crate::error::{ErrorKind, Problem};
@@ -60,7 +61,8 @@
         if let Some(Event::UpstreamLeaving { upstream, answer }) = event {
             mark_leaving(board, *upstream, LeaveSource::Answer, answer);
         }
-        self.handle_calls(board);
+        self.hold_early_announcements(board);
+        handle_calls(board);
         for (announced, source) in std::mem::take(&mut board.pending_announcements) {
             if let AnnouncementSource::Registry { host, said_leaving: true, .. } = source {
                 board.pending_leaves.push((announced.id.clone(), announced.started_at, host));
@@ -93,20 +95,18 @@
             && awaits_first_views(board)
     }
 
-    fn handle_calls(&mut self, board: &mut Board) {
+    /// Takes such announcements out of the calls, and puts them back once the views have come.
+    fn hold_early_announcements(&mut self, board: &mut Board) {
         if !self.early.is_empty() && !awaits_first_views(board) {
             board.pending_calls.extend(self.early.drain(..));
         }
-        let mut calls = std::mem::take(&mut board.pending_calls);
-        for call in std::mem::take(&mut calls) {
+        for call in std::mem::take(&mut board.pending_calls) {
             if self.is_early(board, &call.call) {
                 self.early.push(call);
-            } else {
-                calls.push_back(call);
+                continue;
             }
+            board.pending_calls.push_back(call);
         }
-        board.pending_calls = calls;
-        handle_calls(board);
     }
 }
 
