--- a/crates/core/src/gateway/board.rs
+++ b/crates/core/src/gateway/board.rs
@@ -2,6 +2,7 @@
 
 mod admission;
 mod announcement_source;
+mod attempt;
 mod fact_log;
 mod group;
 mod host;
@@ -50,6 +51,7 @@
 
 pub use admission::Admission;
 pub use announcement_source::AnnouncementSource;
+pub use attempt::{Attempt, Purpose};
 pub use fact_log::{Changes, FactLog, FactPosition};
 pub use group::{DirectoryGroup, PendingCommit, PendingSync};
 pub use host::{HOST_SILENCE_TIMEOUT, Host};
@@ -73,34 +75,6 @@
     LeaveSource, SaidLeaving, Upstream, UpstreamHealth,
 };
 
-/// The purpose of an attempt.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Purpose {
-    /// Forwards a request of a caller.
-    Request(RequestKey),
-    /// Runs an item of a job.
-    Item(ItemKey),
-    /// Requests the score of an item's text.
-    Reward(ItemKey),
-}
-
-/// A running attempt at an upstream.
-#[derive(Debug, Clone, Copy)]
-pub struct Attempt {
-    /// The purpose.
-    pub purpose: Purpose,
-    /// The upstream.
-    pub upstream: UpstreamKey,
-    /// The number of the upstream's incarnation; the upstream may be removed before the attempt ends.
-    pub incarnation: u64,
-    /// When it started.
-    pub started: Millis,
-    /// Number of tokens that it reserves in the upstream's memory.
-    pub tokens: u64,
-    /// Whether another host relays its connection.
-    pub relayed: bool,
-}
-
 /// All state of a gateway.
 #[derive(Debug)]
 pub struct Board {
--- a/crates/core/src/gateway/board/upstream.rs
+++ b/crates/core/src/gateway/board/upstream.rs
@@ -275,6 +275,12 @@
         }
     }
 
+    /// Returns whether it departed too long ago to be kept in mind, at a wall time.
+    #[must_use]
+    pub fn is_departure_over(&self, wall: Millis) -> bool {
+        self.departed_at.is_some_and(|at| wall.since(at) > DEPARTURE_RETENTION)
+    }
+
     /// Returns what is known of its departure.
     #[must_use]
     pub fn departure(&self) -> Departure {
--- a/crates/core/src/gateway/controller/facts.rs
+++ b/crates/core/src/gateway/controller/facts.rs
@@ -109,8 +109,7 @@
     fn replace(&mut self, board: &mut Board) -> FactBatch {
         let mut known = Vec::new();
         for upstream in board.upstreams.values() {
-            let age = upstream.departed_at.map_or(Millis(0), |at| board.now.wall.since(at));
-            if age <= DEPARTURE_RETENTION {
+            if !upstream.is_departure_over(board.now.wall) {
                 known.push((!upstream.accepts_requests(), upstream.revision, upstream));
             }
         }
--- a/crates/core/src/gateway/controller/registry.rs
+++ b/crates/core/src/gateway/controller/registry.rs
@@ -130,13 +130,7 @@
                 handle_announcement(board, announced, AnnouncementSource::Upstream);
                 acknowledge(board, tag, &id);
             }
-            Call::Leave { id } if board.upstream_index.contains_key(&id) => {
-                handle_leave(board, &id);
-                acknowledge(board, tag, &id);
-            }
-            Call::Leave { id } if board.unheard.contains_key(&id) => {
-                let announced = board.unheard.remove(&id);
-                announced.into_iter().for_each(|announced| insert_unheard(board, announced));
+            Call::Leave { id } if is_known(board, &id) => {
                 handle_leave(board, &id);
                 acknowledge(board, tag, &id);
             }
@@ -150,11 +144,14 @@
     board.pending_calls = remaining;
 }
 
-/// Adds an instance that has not announced itself since this process started.
-fn insert_unheard(board: &mut Board, announced: Announcement) {
-    let id = announced.id.clone();
-    let key = board.upstreams.insert(Upstream::new(announced, board.now.mono));
-    board.upstream_index.insert(id, key);
+/// Returns whether this host knows an upstream. One that has not announced itself since this process
+/// started is added to the registry.
+fn is_known(board: &mut Board, id: &str) -> bool {
+    if let Some((id, announced)) = board.unheard.remove_entry(id) {
+        let key = board.upstreams.insert(Upstream::new(announced, board.now.mono));
+        board.upstream_index.insert(id, key);
+    }
+    board.upstream_index.contains_key(id)
 }
 
 /// Answers an upstream. One that leaves gets its answer once other store hosts know it.
@@ -242,12 +239,12 @@
         let is_gone = matches!(source, AnnouncementSource::Registry { gone: true, .. });
         let departed_at = source.departed_at();
         let age = departed_at.map_or(Millis(0), |at| board.now.wall.since(at));
-        // A store host keeps it to recognise announcements that are late.
         let restored = board.unheard.get(&announced.id).map(|restored| restored.started_at);
         if restored.is_some_and(|started_at| announced.started_at < started_at) {
             return;
         }
         board.unheard.remove(&announced.id);
+        // A store host keeps one that is gone, to recognise announcements that are late.
         if (is_gone && board.cfg.role == Role::Entry) || age > DEPARTURE_RETENTION {
             return;
         }
--- a/crates/core/src/gateway/controller/reminders.rs
+++ b/crates/core/src/gateway/controller/reminders.rs
@@ -9,12 +9,11 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use super::Controller;
-use crate::gateway::board::{Board, DEPARTURE_RETENTION, Upstream};
+use crate::gateway::board::{Board, Upstream};
 use crate::gateway::event::Event;
 use crate::gateway::message::{GatewayMessage, UpstreamRecord, View};
 use crate::key::HostId;
 use crate::message::Message;
-use crate::time::Millis;
 
 /// The most upstreams of which a store host is told at once; the ones that changed last are chosen.
 const MAX_REMINDED: usize = 512;
@@ -54,8 +53,8 @@
     for upstream in board.upstreams.values() {
         let announced = &upstream.announced;
         let is_listed = listed.contains(&(announced.id.clone(), announced.started_at));
-        let age = upstream.departed_at.map_or(Millis(0), |at| board.now.wall.since(at));
-        if !upstream.accepts_requests() && age <= DEPARTURE_RETENTION && !is_listed {
+        let is_over = upstream.is_departure_over(board.now.wall);
+        if !upstream.accepts_requests() && !is_over && !is_listed {
             missing.push(upstream);
         }
     }
--- a/crates/core/tests/it/departures.rs
+++ b/crates/core/tests/it/departures.rs
@@ -24,14 +24,7 @@
 
 /// Tells a store host that an upstream leaves, and returns whether it acknowledged that within a second.
 fn leave_as(deployment: &mut Deployment, store: HostId, id: &str) -> bool {
-    let tag = deployment.send_call(store, Call::Leave { id: id.into() });
-    for _ in 0..1_000 {
-        if let Some(answer) = deployment.answers.get(&tag) {
-            return *answer == Answer::Done;
-        }
-        deployment.run(1);
-    }
-    false
+    deployment.is_acknowledged(store, Call::Leave { id: id.into() })
 }
 
 /// Delivers announcement `seq` of the instance that was started at `started_at`.
--- a/crates/core/tests/it/deployment.rs
+++ b/crates/core/tests/it/deployment.rs
@@ -8,6 +8,7 @@
 pub(crate) mod documents;
 mod faults;
 pub(crate) mod messages;
+mod node;
 pub(crate) mod provider;
 pub(crate) mod rewards;
 mod runs;
@@ -17,10 +18,9 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, Instant};
 
-use chestnutdrift_core::agreement::Record;
 use chestnutdrift_core::gateway::{
-    Action, Answer, Call, Event, Fact, FactBatch, Gateway, GatewaySettings, JobBody, Order,
-    Policies, ProviderCall, ProviderSettings, Role, RunItem, WorkspaceSettings,
+    Action, Answer, Call, Event, Gateway, GatewaySettings, JobBody, Order, Policies, ProviderCall,
+    ProviderSettings, Role, RunItem, WorkspaceSettings,
 };
 use chestnutdrift_core::key::SyncToken;
 use chestnutdrift_core::message::Envelope;
@@ -32,6 +32,7 @@
 pub(crate) use documents::{job, routing};
 pub(crate) use upstreams::SimEngine;
 
+use node::Node;
 use provider::SimProvider;
 use rewards::{Scorer, SentReward};
 use usage::{EntryEvent, Started, UsageEntry};
@@ -55,39 +56,6 @@
     Entry(HostId, EntryEvent),
 }
 
-/// A simulated host.
-struct Node {
-    name: Box<str>,
-    role: Role,
-    gateway: Option<Gateway>,
-    boot_id: u64,
-    started_at: u64,
-    incarnation: u64,
-    disk: Vec<Record>,
-    facts: Vec<Fact>,
-    /// The facts that a kill loses, as they are not synced yet.
-    unsynced_facts: Vec<(SyncToken, FactBatch)>,
-    queued_events: Vec<Event>,
-    is_frozen: bool,
-    tick: u64,
-}
-
-impl Node {
-    /// Writes the facts of the batches up to a token to the disk.
-    fn write_facts(&mut self, up_to: SyncToken) {
-        for (token, batch) in std::mem::take(&mut self.unsynced_facts) {
-            if token > up_to {
-                self.unsynced_facts.push((token, batch));
-                continue;
-            }
-            if batch.replaces {
-                self.facts.clear();
-            }
-            self.facts.extend(batch.facts);
-        }
-    }
-}
-
 /// The size of a simulated deployment.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct Size {
--- a/crates/core/tests/it/deployment/calls.rs
+++ b/crates/core/tests/it/deployment/calls.rs
@@ -18,6 +18,19 @@
         tag
     }
 
+    /// Sends a call to a host and returns whether it is acknowledged within a second, after which an
+    /// upstream calls another host.
+    pub(crate) fn is_acknowledged(&mut self, id: HostId, call: Call) -> bool {
+        let tag = self.send_call(id, call);
+        for _ in 0..1_000 {
+            if let Some(answer) = self.answers.get(&tag) {
+                return *answer == Answer::Done;
+            }
+            self.run(1);
+        }
+        false
+    }
+
     /// Sends a call to a host, advances the simulation, and returns the answer if there is one.
     pub(crate) fn call(&mut self, id: HostId, call: Call, millis: u64) -> Option<Answer> {
         let tag = self.send_call(id, call);
--- a/crates/core/tests/it/lasting_leaves.rs
+++ b/crates/core/tests/it/lasting_leaves.rs
@@ -1,7 +1,7 @@
 //! Upstreams that have left, while the store hosts that know it are killed, all at once.
 
 use chestnutdrift_core::HostId;
-use chestnutdrift_core::gateway::{Answer, Call, Event};
+use chestnutdrift_core::gateway::{Call, Event};
 use test_case::test_case;
 
 use crate::deployment::Deployment;
@@ -10,26 +10,11 @@
 const STORES: [HostId; 3] = [HostId(1), HostId(2), HostId(3)];
 const ENTRIES: [HostId; 2] = [HostId(101), HostId(102)];
 
-/// How long the worker waits for the answer to a call, in milliseconds.
-const CALL_TIMEOUT_MS: u64 = 1_000;
-
 /// How long after the restart hosts count as in touch again, in milliseconds.
 const CONTACT_MS: u64 = 4_000;
 
-/// Sends a call to a store and returns whether it acknowledged it within a second.
-fn call(deployment: &mut Deployment, store: HostId, call: Call) -> bool {
-    let tag = deployment.send_call(store, call);
-    for _ in 0..CALL_TIMEOUT_MS {
-        if let Some(answer) = deployment.answers.get(&tag) {
-            return *answer == Answer::Done;
-        }
-        deployment.run(1);
-    }
-    false
-}
-
 fn leave(deployment: &mut Deployment, store: HostId) -> bool {
-    call(deployment, store, Call::Leave { id: "desk-1".into() })
+    deployment.is_acknowledged(store, Call::Leave { id: "desk-1".into() })
 }
 
 /// Delivers a heartbeat that the upstream sent before it left.
@@ -202,7 +187,7 @@
         if is_announced {
             let mut draining = announcement("desk-1", 1, 7);
             draining.leaving = true;
-            assert!(call(&mut deployment, STORES[0], Call::Announce(draining)), "{case}");
+            assert!(deployment.is_acknowledged(STORES[0], Call::Announce(draining)), "{case}");
         } else {
             let upstream = deployment.gateway(ENTRIES[0]).board().upstream_index["desk-1"];
             let answer = "status=200".into();
@@ -277,7 +262,7 @@
         let store = STORES[usize::try_from(number).unwrap() % STORES.len()];
         deployment.send_call(store, Call::Announce(announcement(&id, 1, 1)));
         deployment.run(20);
-        assert!(call(&mut deployment, store, Call::Leave { id: id.as_str().into() }), "{id}");
+        assert!(deployment.is_acknowledged(store, Call::Leave { id: id.as_str().into() }), "{id}");
     }
     let leaving = deployment.gateway(STORES[0]).board().upstreams.values();
     let leaving = leaving.filter(|upstream| !upstream.accepts_requests()).count();
--- a/crates/daemon/src/disk/codec.rs
+++ b/crates/daemon/src/disk/codec.rs
@@ -9,6 +9,7 @@
 use anyhow::{Context, anyhow};
 use chestnutdrift_core::agreement::Record;
 use crc32fast::Hasher;
+use serde::Serialize;
 
 use super::reader::JournalReader;
 
@@ -28,7 +29,7 @@
 }
 
 impl Header {
-    pub(super) fn new(length: u64, sum: u32) -> anyhow::Result<Self> {
+    fn new(length: u64, sum: u32) -> anyhow::Result<Self> {
         let length = u32::try_from(length).context("a batch of records is longer than 4 GB")?;
         Ok(Self { length, sum })
     }
@@ -38,7 +39,7 @@
         Self { length: u32::from_le_bytes([a, b, c, d]), sum: u32::from_le_bytes([e, f, g, h]) }
     }
 
-    pub(super) fn encode(self) -> [u8; HEADER_BYTES] {
+    fn encode(self) -> [u8; HEADER_BYTES] {
         let [a, b, c, d] = self.length.to_le_bytes();
         let [e, f, g, h] = self.sum.to_le_bytes();
         [a, b, c, d, e, f, g, h]
@@ -52,8 +53,13 @@
 /// Returns an error if a record can't be encoded, which does not happen to records that a core
 /// creates, or if the batch is longer than 4 GB.
 pub fn encode_batch(records: &[Record]) -> anyhow::Result<Vec<u8>> {
+    encode(records)
+}
+
+/// Encodes a batch of records, or of facts.
+pub(super) fn encode<T: Serialize>(batch: &[T]) -> anyhow::Result<Vec<u8>> {
     let mut buf = vec![0; HEADER_BYTES];
-    ciborium::into_writer(records, &mut buf).context("can't encode a batch of records")?;
+    ciborium::into_writer(batch, &mut buf).context("can't encode a batch")?;
     let body = &buf[HEADER_BYTES..];
     let header = Header::new(body.len() as u64, crc32fast::hash(body))?;
     buf[..HEADER_BYTES].copy_from_slice(&header.encode());
--- a/crates/daemon/src/disk/fact_file.rs
+++ b/crates/daemon/src/disk/fact_file.rs
@@ -1,6 +1,6 @@
 //! The file of facts: batches as in the journal, without an order that matters between hosts.
 
-use std::fs::{self, File, OpenOptions};
+use std::fs::{self, File};
 use std::io::{Seek, SeekFrom, Write};
 use std::path::{Path, PathBuf};
 
@@ -8,8 +8,8 @@
 use chestnutdrift_core::gateway::{Fact, FactBatch};
 use ciborium::Value;
 
-use super::codec::{HEADER_BYTES, Header};
-use super::folder::sync_folder;
+use super::codec::{self, HEADER_BYTES, Header};
+use super::folder::{open_or_create, sync_folder};
 
 const FACTS_FILE: &str = "facts";
 const NEW_FACTS_FILE: &str = "facts.new";
@@ -34,13 +34,7 @@
     /// Returns an error if the file can't be used.
     pub fn open(folder: &Path) -> anyhow::Result<(Self, Vec<Fact>)> {
         let name = folder.join(FACTS_FILE);
-        let mut file = OpenOptions::new()
-            .create(true)
-            .truncate(false)
-            .read(true)
-            .write(true)
-            .open(&name)
-            .with_context(|| format!("{} can't be opened", name.display()))?;
+        let file = open_or_create(&name)?;
         let bytes = fs::read(&name).with_context(|| format!("{} can't be read", name.display()))?;
         let (facts, used) = decode(&bytes);
         let lost = bytes.len() - used;
@@ -55,7 +49,6 @@
         }
         let length = used as u64;
         file.set_len(length)?;
-        file.seek(SeekFrom::End(0))?;
         file.sync_all()?;
         sync_folder(folder)?;
         Ok((Self { folder: folder.into(), file, length }, facts))
@@ -67,7 +60,7 @@
     ///
     /// Returns an error if any part failed; the same facts may be written again.
     pub fn write(&mut self, batch: &FactBatch) -> anyhow::Result<()> {
-        let bytes = encode(&batch.facts)?;
+        let bytes = codec::encode(&batch.facts)?;
         if batch.replaces {
             return self.replace(&bytes).context("the facts can't be replaced");
         }
@@ -93,15 +86,6 @@
     }
 }
 
-fn encode(facts: &[Fact]) -> anyhow::Result<Vec<u8>> {
-    let mut buf = vec![0; HEADER_BYTES];
-    ciborium::into_writer(facts, &mut buf).context("can't encode a batch of facts")?;
-    let body = &buf[HEADER_BYTES..];
-    let header = Header::new(body.len() as u64, crc32fast::hash(body))?;
-    buf[..HEADER_BYTES].copy_from_slice(&header.encode());
-    Ok(buf)
-}
-
 /// Decodes batches; returns their facts and the number of bytes before the first damaged batch.
 fn decode(bytes: &[u8]) -> (Vec<Fact>, usize) {
     let (mut facts, mut used, mut unknown) = (Vec::new(), 0, 0);
--- a/crates/daemon/src/disk/folder.rs
+++ b/crates/daemon/src/disk/folder.rs
@@ -75,13 +75,7 @@
         fs::create_dir_all(path).with_context(|| format!("{} can't be created", path.display()))?;
         let identity = load_identity(path, host)?;
         let name = path.join(JOURNAL_FILE);
-        let mut journal = OpenOptions::new()
-            .create(true)
-            .truncate(false)
-            .read(true)
-            .write(true)
-            .open(&name)
-            .with_context(|| format!("{} can't be opened", name.display()))?;
+        let mut journal = open_or_create(&name)?;
         let file_length = journal.metadata()?.len();
         let (records, length) = JournalReader::new(&journal, file_length)
             .read()
@@ -200,6 +194,17 @@
     Ok(identity)
 }
 
+/// Opens a file for reading and writing, with what is in it.
+pub(super) fn open_or_create(name: &Path) -> anyhow::Result<File> {
+    OpenOptions::new()
+        .create(true)
+        .truncate(false)
+        .read(true)
+        .write(true)
+        .open(name)
+        .with_context(|| format!("{} can't be opened", name.display()))
+}
+
 pub(super) fn sync_folder(path: &Path) -> anyhow::Result<()> {
     File::open(path)?.sync_all().with_context(|| format!("{} can't be synced", path.display()))
 }
